--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Every chore of the project.
+
+GO       ?= go
+BIN      := bin
+GOFILES  := $(shell git ls-files '*.go' | grep -vE '(\.pb|\.twirp|wire_gen)\.go$$')
+
+.PHONY: build test check demo bench faults capacity generate clean
+
+build: ## both programs, into bin/
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+check: ## format, vet and linter
+	@fmt=$$(gofmt -l $(GOFILES)); test -z "$$fmt" || { echo "gofmt would change:"; echo "$$fmt"; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+test: check ## everything that CI runs
+	$(GO) test -race ./...
+
+demo: build ## a whole deployment on loopback, with a node lost and an engine drained
+	$(BIN)/burdock-demo --bin $(BIN) --manifest examples/demo.yaml
+
+generate: ## protobuf, twirp and wire; needs protoc
+	mkdir -p $(BIN)
+	$(GO) build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp
+	PATH="$(CURDIR)/$(BIN):$$PATH" protoc --go_out=. --go_opt=module=burdockyard \
+		--twirp_out=. --twirp_opt=module=burdockyard io/bypeer/bypeerpb/peer.proto
+	$(GO) tool wire ./io/bynode
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/burdock-demo/calls.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"burdockyard/io/bycall"
+	"burdockyard/io/byemu"
+	"burdockyard/io/byproc"
+	"burdockyard/io/bywire"
+)
+
+const (
+	streams   = 12
+	lookups   = 6
+	bookings  = 6
+	answerLen = 150 // tokens
+)
+
+// row is what one caller got.
+type row struct {
+	caller, call, got string
+	key               string // of a booking
+	ok                bool
+	resumed           int
+	took              time.Duration
+}
+
+// demoCall is one caller's call.
+type demoCall struct {
+	caller string
+	run    func(ctx context.Context, d *byproc.Deployment) row
+}
+
+func demoCalls(d *byproc.Deployment) []demoCall {
+	model := d.Spec.Models[0].Name
+	service := d.Spec.Services[0].Name
+	var calls []demoCall
+	for i := range streams {
+		prompt := fmt.Sprintf("Survey %d: moss on the north slope, slate, 40 degrees.", i)
+		calls = append(calls, demoCall{caller: fmt.Sprintf("stream-%d", i+1), run: streamCall(model, prompt)})
+	}
+	for range lookups {
+		calls = append(calls, demoCall{caller: "lookup", run: lookupCall(service)})
+	}
+	for i := range bookings {
+		key := fmt.Sprintf("roof-%d", i+1)
+		// Two callers with one key: a double click, or a crew with two phones.
+		calls = append(calls, demoCall{caller: "booking-a", run: bookCall(service, key)},
+			demoCall{caller: "booking-b", run: bookCall(service, key)})
+	}
+	return calls
+}
+
+func streamCall(model, prompt string) func(context.Context, *byproc.Deployment) row {
+	return func(ctx context.Context, d *byproc.Deployment) row {
+		answer, err := bycall.New(d.Callers()).Complete(ctx, bycall.Completion{Model: model, Prompt: prompt, MaxTokens: answerLen}, nil)
+		r := row{caller: "stream", call: "completion", resumed: answer.Resumed, took: answer.Whole}
+		switch {
+		case err != nil:
+			r.got = err.Error()
+		case answer.Text != byemu.Answer(prompt, answerLen):
+			r.got = "another answer than the engine's own"
+		default:
+			r.ok = true
+			r.got = fmt.Sprintf("%d tokens, whole", answer.Tokens)
+		}
+		return r
+	}
+}
+
+func lookupCall(service string) func(context.Context, *byproc.Deployment) row {
+	return func(ctx context.Context, d *byproc.Deployment) row {
+		began := time.Now()
+		answer, err := bycall.New(d.Callers()).Service(ctx, bycall.ServiceCall{Service: service, Method: "GET", Path: "/slots"})
+		r := row{caller: "lookup", call: "GET /slots", took: time.Since(began)}
+		if err != nil {
+			r.got = err.Error()
+			return r
+		}
+		r.ok = answer.Status == http.StatusOK
+		r.got = fmt.Sprintf("%d", answer.Status)
+		return r
+	}
+}
+
+func bookCall(service, key string) func(context.Context, *byproc.Deployment) row {
+	return func(ctx context.Context, d *byproc.Deployment) row {
+		began := time.Now()
+		answer, err := bycall.New(d.Callers()).Service(ctx, bycall.ServiceCall{
+			Service: service, Method: "POST", Path: "/dispatch", Key: key, Body: []byte(`{"roof":"` + key + `"}`),
+		})
+		r := row{caller: "booking", call: "POST /dispatch " + key, key: key, took: time.Since(began)}
+		if err != nil {
+			r.got = err.Error()
+			return r
+		}
+		var booking struct {
+			Reference int `json:"reference"`
+		}
+		r.ok = json.Unmarshal(answer.Body, &booking) == nil && booking.Reference > 0
+		r.got = fmt.Sprintf("reference %d", booking.Reference)
+		return r
+	}
+}
+
+// checkEffects asks the service how often each booking ran, and counts those
+// that ran again and those that were confirmed without having run.
+func checkEffects(ctx context.Context, d *byproc.Deployment, rows []row) (repeated, missing int, err error) {
+	effects := map[string]int{}
+	for _, svc := range d.Spec.Services {
+		for _, e := range svc.Endpoints {
+			if err := addEffects(ctx, e.Address, effects); err != nil {
+				return 0, 0, err
+			}
+		}
+	}
+	confirmed := map[string]bool{}
+	for _, r := range rows {
+		if r.key != "" && r.ok {
+			confirmed[r.key] = true
+		}
+	}
+	for key, n := range effects {
+		if n > 1 {
+			fmt.Printf("demo: %s ran %d times\n", key, n)
+			repeated++
+		}
+	}
+	for key := range confirmed {
+		if effects[key] == 0 {
+			fmt.Printf("demo: %s was confirmed and never ran\n", key)
+			missing++
+		}
+	}
+	return repeated, missing, nil
+}
+
+func addEffects(ctx context.Context, addr string, effects map[string]int) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/admin/effects", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	counts, err := bywire.ReadJSON[map[string]int](resp.Body)
+	for key, n := range counts {
+		effects[key] += n
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/burdock-demo/main.go
@@ -0,0 +1,129 @@
+// Command burdock-demo starts a whole deployment on loopback, calls it, kills a
+// node in the middle of streams, drains an engine, and prints what each caller
+// got.
+//
+// # Usage
+//
+//	burdock-demo --bin bin --manifest examples/demo.yaml
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"golang.org/x/sync/errgroup"
+
+	"burdockyard/io/byconfig"
+	"burdockyard/io/byproc"
+)
+
+// demoTimeout bounds the whole demo.
+const demoTimeout = 60 * time.Second
+
+type options struct {
+	Bin      string `long:"bin" default:"bin" description:"folder of the programs"`
+	Manifest string `long:"manifest" default:"examples/demo.yaml" description:"manifest to publish"`
+}
+
+func main() {
+	var opts options
+	if _, err := flags.NewParser(&opts, flags.Default).Parse(); err != nil {
+		os.Exit(2)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
+	defer cancel()
+	if err := run(ctx, opts); err != nil {
+		fmt.Println("demo: failed:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, opts options) error {
+	spec, err := byconfig.LoadManifest(opts.Manifest)
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "burdock-demo")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	d, err := byproc.Start(byproc.Config{
+		Bin: opts.Bin, Dir: dir, Spec: spec, Nodes: 3, EngineArgs: []string{"--decode-rate=200"},
+		AddressTTL: 2 * time.Second, LeaseTTL: 2 * time.Second,
+	})
+	if err != nil {
+		return err
+	}
+	defer d.Stop()
+	if err := d.Publish(ctx); err != nil {
+		return err
+	}
+	fmt.Printf("demo: %d nodes, %d engines and a booking service are up, manifest published\n", len(d.Nodes), len(spec.Engines))
+	rows, err := callAll(ctx, d)
+	if err != nil {
+		return err
+	}
+	return report(ctx, d, rows)
+}
+
+// callAll runs every caller, with a node lost and an engine drained meanwhile.
+func callAll(ctx context.Context, d *byproc.Deployment) ([]row, error) {
+	calls := demoCalls(d)
+	rows := make([]row, len(calls))
+	var group errgroup.Group
+	for i, c := range calls {
+		group.Go(func() error {
+			rows[i] = c.run(ctx, d)
+			return nil
+		})
+	}
+	group.Go(func() error { return disturb(ctx, d) })
+	return rows, group.Wait()
+}
+
+func disturb(ctx context.Context, d *byproc.Deployment) error {
+	time.Sleep(700 * time.Millisecond)
+	if err := d.Signal("n1", syscall.SIGKILL); err != nil {
+		return err
+	}
+	fmt.Println("demo: killed node n1 in the middle of streams")
+	engine := d.Spec.Engines[0].Name
+	out, err := d.Burdock(ctx, "drain", "--platform", d.Platform, engine)
+	if err != nil {
+		return errors.Join(err, errors.New(out))
+	}
+	fmt.Println("demo:", out)
+	return nil
+}
+
+func report(ctx context.Context, d *byproc.Deployment, rows []row) error {
+	lost := 0
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "caller\tcall\tgot\tcut and resumed\ttime")
+	for _, r := range rows {
+		if !r.ok {
+			lost++
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", r.caller, r.call, r.got, r.resumed, r.took.Round(time.Millisecond))
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	repeated, missing, err := checkEffects(ctx, d, rows)
+	if err != nil {
+		return err
+	}
+	lost += missing
+	if lost+repeated > 0 {
+		return fmt.Errorf("%d calls, %d lost, %d repeated", len(rows), lost, repeated)
+	}
+	fmt.Printf("demo: ok, %d calls, 0 lost, 0 repeated\n", len(rows))
+	return nil
+}
--- /dev/null
+++ b/cmd/burdock-standin/main.go
@@ -0,0 +1,137 @@
+// Command burdock-standin runs small stand-ins of the systems around
+// burdockyard, one process each.
+//
+// # Usage
+//
+//	burdock-standin platform --listen 127.0.0.1:7000
+//	burdock-standin engine --listen 127.0.0.1:9001 --fencing
+//	burdock-standin service --listen 127.0.0.1:9101
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"golang.org/x/sync/errgroup"
+
+	"burdockyard"
+	"burdockyard/io/byemu"
+	"burdockyard/io/bystandin"
+)
+
+type commands struct {
+	Platform platformCommand `command:"platform" description:"table, objects, VM list and weights"`
+	Engine   engineCommand   `command:"engine" description:"a model engine"`
+	Service  serviceCommand  `command:"service" description:"a plain service"`
+}
+
+func main() {
+	_, err := flags.NewParser(&commands{}, flags.HelpFlag|flags.PassDoubleDash).Parse()
+	var flagErr *flags.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
+		fmt.Println(flagErr.Message)
+	case errors.As(err, &flagErr):
+		fmt.Fprintln(os.Stderr, "burdock-standin:", err)
+		os.Exit(2)
+	default:
+		fmt.Fprintln(os.Stderr, "burdock-standin:", err)
+		os.Exit(1)
+	}
+}
+
+// listener is a stand-in that listens.
+type listener struct {
+	Listen string `long:"listen" required:"true" description:"host:port"`
+}
+
+// serve runs the handler and the loop until a signal.
+func (l listener) serve(h http.Handler, loop func(context.Context) error) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	ln, err := net.Listen("tcp", l.Listen)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	group.Go(func() error { return loop(ctx) })
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	return group.Wait()
+}
+
+func untilDone(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+type platformCommand struct {
+	listener
+	Writes     int           `long:"writes" default:"300" description:"writes per second"`
+	Reads      int           `long:"reads" default:"2000" description:"reads per second"`
+	Lag        time.Duration `long:"list-lag" default:"3s" description:"lag of the VM list"`
+	Weights    int           `long:"weight-bytes" default:"1048576" description:"size of one model"`
+	WeightRate int           `long:"weight-rate" default:"4194304" description:"bytes per second of the weight store"`
+}
+
+// Execute implements flags.Commander.
+func (c *platformCommand) Execute([]string) error {
+	return c.serve(bystandin.NewPlatform(bystandin.PlatformConfig{
+		WritesPerSecond: c.Writes, ReadsPerSecond: c.Reads, ListLag: c.Lag,
+		WeightBytes: c.Weights, WeightRate: c.WeightRate,
+	}), untilDone)
+}
+
+type engineCommand struct {
+	listener
+	Fencing     bool          `long:"fencing" description:"refuse old fencing numbers"`
+	PrefillRate int           `long:"prefill-rate" default:"20000" description:"prompt tokens per second"`
+	DecodeRate  int           `long:"decode-rate" default:"2000" description:"output tokens per second, whole batch"`
+	MaxStreams  int           `long:"max-streams" default:"32" description:"streams in the batch"`
+	CachePieces int           `long:"cache-pieces" default:"256" description:"prefix cache, in pieces of 4096 tokens"`
+	RoleChange  time.Duration `long:"role-change" default:"2s" description:"how long a role change takes"`
+	ReportLag   time.Duration `long:"report-lag" default:"2s" description:"lag of load reports"`
+	DropEvents  int           `long:"drop-events" default:"10" description:"lose every n-th cache event"`
+	WeightStore string        `long:"weight-store" description:"base URL of the weight store"`
+}
+
+// Execute implements flags.Commander.
+func (c *engineCommand) Execute([]string) error {
+	e := bystandin.NewEngine(bystandin.EngineConfig{
+		Emulated: byemu.Config{
+			PrefillRate: c.PrefillRate, DecodeRate: c.DecodeRate, MaxStreams: c.MaxStreams,
+			CachePieces: c.CachePieces, Role: burdockyard.RoleMixed,
+		},
+		Fencing: c.Fencing, RoleChange: c.RoleChange, ReportLag: c.ReportLag,
+		DropEvents: c.DropEvents, WeightSource: c.WeightStore,
+	})
+	return c.serve(e, e.Run)
+}
+
+type serviceCommand struct {
+	listener
+	Delay time.Duration `long:"delay" default:"5ms" description:"of each call"`
+}
+
+// Execute implements flags.Commander.
+func (c *serviceCommand) Execute([]string) error {
+	return c.serve(bystandin.NewService(bystandin.ServiceConfig{Delay: c.Delay}), untilDone)
+}
--- /dev/null
+++ b/cmd/burdock/call.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"burdockyard/io/bycall"
+)
+
+type callCommand struct {
+	Nodes    []string      `long:"node" required:"true" description:"host:port of a node to ask for addresses; may be given several times"`
+	Tenant   string        `long:"tenant" description:"tenant of the call"`
+	Class    string        `long:"class" description:"class of the call"`
+	Domain   string        `long:"domain" description:"failure domain to prefer"`
+	Model    string        `long:"model" description:"ask this model; the argument is the prompt"`
+	Tokens   int           `long:"max-tokens" default:"64" description:"length of the answer"`
+	Service  string        `long:"service" description:"call this service; the argument is the body"`
+	Method   string        `long:"method" default:"GET" description:"method of the service call"`
+	Path     string        `long:"path" default:"/" description:"path of the service call"`
+	Key      string        `long:"key" description:"idempotency key of the service call"`
+	Deadline time.Duration `long:"deadline" default:"1m" description:"how long to wait for the whole answer"`
+	JSON     bool          `long:"json" description:"print JSON"`
+	Args     struct {
+		Text string `positional-arg-name:"TEXT"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *callCommand) Execute([]string) error {
+	if (c.Model == "") == (c.Service == "") {
+		return fmt.Errorf("%w: give either --model or --service", errUsage)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Deadline)
+	defer cancel()
+	client := bycall.New(c.Nodes, bycall.WithTenant(c.Tenant), bycall.WithClass(c.Class), bycall.WithDomain(c.Domain))
+	if c.Model != "" {
+		return c.complete(ctx, client)
+	}
+	return c.service(ctx, client)
+}
+
+func (c *callCommand) complete(ctx context.Context, client *bycall.Client) error {
+	show := func(text string) { fmt.Print(text) }
+	if c.JSON {
+		show = nil
+	}
+	req := bycall.Completion{Model: c.Model, Prompt: c.Args.Text, MaxTokens: c.Tokens, Deadline: c.Deadline}
+	answer, err := client.Complete(ctx, req, show)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(answer)
+	}
+	fmt.Println()
+	return nil
+}
+
+func (c *callCommand) service(ctx context.Context, client *bycall.Client) error {
+	answer, err := client.Service(ctx, bycall.ServiceCall{
+		Service: c.Service, Method: c.Method, Path: c.Path, Key: c.Key, Body: []byte(c.Args.Text),
+	})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(answer)
+	}
+	fmt.Printf("%s\n", answer.Body)
+	if answer.Status >= 400 {
+		return fmt.Errorf("the service answered %d", answer.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/byadmit/byadmit.go
@@ -0,0 +1,364 @@
+// Package byadmit decides which calls a node takes, in which order they start,
+// and when a refused caller should come back.
+//
+// # Usage
+//
+//	q := byadmit.New[*waiter]()
+//	q.SetDrain(engineSecondsPerSecond)
+//	ticket, refusal := q.Offer(call, w, now)   // refusal != nil: answer at once
+//	ticket = q.Next(now, false, mayStart)      // nil: nothing may start now
+//	expired := q.Expire(now)                   // answer these at once
+//
+// Work is counted in engine time: what one engine alone would need for it. A
+// long plan and a short question then weigh what they cost, whatever the mix of
+// prompt and output tokens.
+package byadmit
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"burdockyard"
+)
+
+const (
+	// aging is how much engine time a call's cost shrinks for each unit of its
+	// wait, so that a long call is not overtaken for ever.
+	aging = 0.25
+	// minRetryAfter is the shortest time to come back that is ever told.
+	minRetryAfter = time.Second
+	// maxRetryAfter is the longest.
+	maxRetryAfter = 5 * time.Minute
+	// minDrain keeps predictions finite while no engine serves.
+	minDrain = 0.01
+	// priorityStep is the engine time that one step of class priority is worth.
+	priorityStep = 200 * time.Millisecond
+)
+
+// Call is one call that wants to start.
+type Call struct {
+	Tenant   burdockyard.Tenant
+	Weight   int // of the tenant
+	Class    string
+	Long     bool // starts in a lane of its own
+	Priority int
+	Queue    int           // calls of the class that may wait here
+	Cost     time.Duration // engine time, predicted
+	StartBy  time.Time     // a later start is of no use to the caller
+}
+
+// Ticket is a call in the queue, with its owner's value.
+type Ticket[V any] struct {
+	call    Call
+	value   V
+	arrived time.Time
+}
+
+// Call returns what was offered.
+func (t *Ticket[V]) Call() Call { return t.call }
+
+// Value returns the owner's value.
+func (t *Ticket[V]) Value() V { return t.value }
+
+// Arrived returns when the call was offered.
+func (t *Ticket[V]) Arrived() time.Time { return t.arrived }
+
+// Refusal tells why a call is not taken and when to come back.
+type Refusal struct {
+	cause      string
+	retryAfter time.Duration
+}
+
+// Cause returns a sentence for the caller.
+func (r *Refusal) Cause() string { return r.cause }
+
+// RetryAfter returns when to come back.
+func (r *Refusal) RetryAfter() time.Duration { return r.retryAfter }
+
+// share is one tenant's place in the fair queue.
+type share[V any] struct {
+	virtual float64 // engine seconds started, over weight
+	waiting []*Ticket[V]
+}
+
+// Queue holds the calls of one model that wait at one node. Its methods may be
+// called from several goroutines; mu is a leaf lock.
+type Queue[V any] struct {
+	options
+
+	mu       sync.Mutex
+	drain    float64 // engine seconds served per second
+	cost     time.Duration
+	virtual  float64 // of the last start
+	shares   map[burdockyard.Tenant]*share[V]
+	byClass  map[string]int
+	returnAt time.Time // when the last refused caller was told to come back
+}
+
+// options are the parts of a Queue that do not depend on its tickets.
+type options struct {
+	rnd     *rand.Rand
+	fair    bool
+	ordered bool
+	predict bool
+}
+
+// Option sets an optional part of a Queue.
+type Option func(*options)
+
+// WithRand sets the source of randomness for the times to come back.
+func WithRand(rnd *rand.Rand) Option { return func(o *options) { o.rnd = rnd } }
+
+// WithoutFairness starts calls regardless of their tenant.
+func WithoutFairness() Option { return func(o *options) { o.fair = false } }
+
+// WithoutOrder starts calls as they came.
+func WithoutOrder() Option { return func(o *options) { o.ordered = false } }
+
+// WithoutPrediction takes every call for which the queue has room.
+func WithoutPrediction() Option { return func(o *options) { o.predict = false } }
+
+// New returns an empty Queue.
+func New[V any](opts ...Option) *Queue[V] {
+	q := &Queue[V]{
+		options: options{
+			rnd:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			fair: true, ordered: true, predict: true,
+		},
+		drain: 1, shares: map[burdockyard.Tenant]*share[V]{}, byClass: map[string]int{},
+	}
+	for _, opt := range opts {
+		opt(&q.options)
+	}
+	return q
+}
+
+// SetDrain tells how much engine time per second this node may count on.
+func (q *Queue[V]) SetDrain(engines float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.drain = max(engines, minDrain)
+}
+
+// Offer takes a call into the queue, or refuses it.
+func (q *Queue[V]) Offer(c Call, value V, now time.Time) (*Ticket[V], *Refusal) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.byClass[c.Class] >= c.Queue {
+		return nil, q.refuse("the queue of class "+c.Class+" is full", c, now)
+	}
+	if q.predict && now.Add(q.wait(c)).After(c.StartBy) {
+		return nil, q.refuse("the call would not start in time", c, now)
+	}
+	t := &Ticket[V]{call: c, value: value, arrived: now}
+	s := q.share(c.Tenant)
+	s.waiting = append(s.waiting, t)
+	q.byClass[c.Class]++
+	q.cost += c.Cost
+	return t, nil
+}
+
+// share returns a tenant's place. A tenant that comes back starts level with
+// the others: it neither banks time while idle nor pays for it.
+func (q *Queue[V]) share(t burdockyard.Tenant) *share[V] {
+	s := q.shares[t]
+	if s == nil {
+		s = &share[V]{virtual: q.virtual}
+		q.shares[t] = s
+	}
+	if len(s.waiting) == 0 {
+		s.virtual = max(s.virtual, q.virtual)
+	}
+	return s
+}
+
+// wait predicts how long the call would wait: the work that will start before
+// it, over what this node may count on. Another tenant's work counts up to its
+// weighted share of the same span, since the fair order lets no more through.
+func (q *Queue[V]) wait(c Call) time.Duration {
+	var own time.Duration
+	if s := q.shares[c.Tenant]; s != nil {
+		own = q.aheadOf(c, s)
+	}
+	ahead := own
+	for tenant, s := range q.shares {
+		if tenant == c.Tenant || len(s.waiting) == 0 {
+			continue
+		}
+		ahead += q.aheadOfOther(c, s, own)
+	}
+	return time.Duration(float64(ahead) / q.drain)
+}
+
+// aheadOf adds up the calls of the same tenant that will start first.
+func (q *Queue[V]) aheadOf(c Call, s *share[V]) time.Duration {
+	var sum time.Duration
+	for _, t := range s.waiting {
+		if !q.ordered || newKey(t.call) <= newKey(c) {
+			sum += t.call.Cost
+		}
+	}
+	return sum
+}
+
+func (q *Queue[V]) aheadOfOther(c Call, s *share[V], own time.Duration) time.Duration {
+	var sum time.Duration
+	for _, t := range s.waiting {
+		sum += t.call.Cost
+	}
+	if !q.fair {
+		return sum
+	}
+	weights := float64(max(s.waiting[0].call.Weight, 1)) / float64(max(c.Weight, 1))
+	return min(sum, time.Duration(weights*float64(own+c.Cost)))
+}
+
+func (q *Queue[V]) refuse(cause string, c Call, now time.Time) *Refusal {
+	return &Refusal{cause: cause, retryAfter: q.comeBack(c, now)}
+}
+
+// comeBack spreads returns at the rate at which work is served.
+//
+// Telling every refused caller the predicted length of the backlog would bring
+// a whole district back in the same second. Each refusal instead takes the next
+// free place behind the backlog, so that callers return as fast as they can be
+// served, with a little jitter against callers that round to whole seconds.
+func (q *Queue[V]) comeBack(c Call, now time.Time) time.Duration {
+	backlog := now.Add(time.Duration(float64(q.cost) / q.drain))
+	if q.returnAt.Before(backlog) {
+		q.returnAt = backlog
+	}
+	q.returnAt = q.returnAt.Add(time.Duration(float64(c.Cost) / q.drain))
+	jitter := time.Duration(q.rnd.Int64N(int64(minRetryAfter)))
+	return min(max(q.returnAt.Sub(now), minRetryAfter)+jitter, maxRetryAfter)
+}
+
+func newKey(c Call) time.Duration { return c.Cost - time.Duration(c.Priority)*priorityStep }
+
+// key orders the calls of one tenant: short before long, less what they waited.
+func key[V any](t *Ticket[V], now time.Time) time.Duration {
+	return newKey(t.call) - time.Duration(aging*float64(now.Sub(t.arrived)))
+}
+
+// Next takes the call of a lane that should start next out of the queue, if
+// mayStart agrees; nil if nothing waits or it does not. Calls whose time is
+// over are left for Expire.
+//
+// The lanes are apart because one order for all would stop at its first call: a
+// plan that no engine has room for would hold up every question behind it.
+func (q *Queue[V]) Next(now time.Time, long bool, mayStart func(*Ticket[V]) bool) *Ticket[V] {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s, i := q.first(now, long)
+	if s == nil || !mayStart(s.waiting[i]) {
+		return nil
+	}
+	t := s.waiting[i]
+	q.remove(s, i)
+	q.virtual = max(q.virtual, s.virtual)
+	s.virtual += t.call.Cost.Seconds() / float64(max(t.call.Weight, 1))
+	return t
+}
+
+// first returns the share and index of the lane's call that should start next.
+func (q *Queue[V]) first(now time.Time, long bool) (*share[V], int) {
+	var best *share[V]
+	bestIndex := -1
+	for _, s := range q.shares {
+		i := q.firstOf(s, now, long)
+		if i < 0 {
+			continue
+		}
+		if best == nil || q.before(s, i, best, bestIndex) {
+			best, bestIndex = s, i
+		}
+	}
+	return best, bestIndex
+}
+
+// before compares the next calls of two tenants. Equal places go to the one
+// that came first, which also makes the order independent of the map's.
+func (q *Queue[V]) before(a *share[V], i int, b *share[V], j int) bool {
+	if q.fair && a.virtual != b.virtual {
+		return a.virtual < b.virtual
+	}
+	ta, tb := a.waiting[i], b.waiting[j]
+	if !ta.arrived.Equal(tb.arrived) {
+		return ta.arrived.Before(tb.arrived)
+	}
+	return ta.call.Tenant < tb.call.Tenant
+}
+
+func (q *Queue[V]) firstOf(s *share[V], now time.Time, long bool) int {
+	best := -1
+	for i, t := range s.waiting {
+		if t.call.Long != long || q.predict && t.call.StartBy.Before(now) {
+			continue
+		}
+		if best < 0 || (q.ordered && key(t, now) < key(s.waiting[best], now)) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (q *Queue[V]) remove(s *share[V], i int) {
+	t := s.waiting[i]
+	s.waiting = slices.Delete(s.waiting, i, i+1)
+	q.byClass[t.call.Class]--
+	q.cost -= t.call.Cost
+}
+
+// Expire takes out the calls that can no longer start in time, with when each
+// caller should come back.
+func (q *Queue[V]) Expire(now time.Time) map[*Ticket[V]]*Refusal {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.predict {
+		return nil
+	}
+	expired := map[*Ticket[V]]*Refusal{}
+	for _, s := range q.shares {
+		for i := len(s.waiting) - 1; i >= 0; i-- {
+			t := s.waiting[i]
+			if t.call.StartBy.Before(now) {
+				q.remove(s, i)
+				expired[t] = q.refuse("the call did not start in time", t.call, now)
+			}
+		}
+	}
+	return expired
+}
+
+// Remove takes out a call whose caller left; false if it has started already.
+func (q *Queue[V]) Remove(t *Ticket[V]) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.shares[t.call.Tenant]
+	i := slices.Index(s.waiting, t)
+	if i < 0 {
+		return false
+	}
+	q.remove(s, i)
+	return true
+}
+
+// Len returns the number of waiting calls.
+func (q *Queue[V]) Len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0
+	for _, s := range q.shares {
+		n += len(s.waiting)
+	}
+	return n
+}
+
+// Backlog returns the engine time of the waiting calls.
+func (q *Queue[V]) Backlog() time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.cost
+}
--- /dev/null
+++ b/core/bybooking/bybooking.go
@@ -0,0 +1,336 @@
+// Package bybooking runs calls that may not be repeated at most once for each
+// idempotency key, whatever fails.
+//
+// # Usage
+//
+//	desk := bybooking.New(table, clock, self, bybooking.WithClaimants(peers))
+//	resp, err := desk.Call(ctx, bybooking.Call{Tenant: t, Key: key, Request: req, Senders: senders})
+//	for each tick { desk.Sweep(ctx) }
+//
+// # Row
+//
+// booking/<tenant>/<key> is inserted before the first byte goes to an endpoint
+// and names the attempt and its claimant. Nobody but the claimant ever sends
+// the attempt, and it does so once. The row then holds the result, which every
+// later call with the key is answered with.
+package bybooking
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"burdockyard"
+)
+
+const (
+	// DefaultAttemptLimit bounds how long an endpoint may take for one call.
+	DefaultAttemptLimit = 60 * time.Second
+	// DefaultPoll is how often another claimant's row is read again.
+	DefaultPoll = 250 * time.Millisecond
+	// comeBack is when a caller whose claim could not be written should return.
+	comeBack = 2 * time.Second
+	// maxClaimTries bounds how often one call tries to insert its row.
+	maxClaimTries = 4
+)
+
+type state string
+
+const (
+	stateClaimed state = "claimed"
+	stateDone    state = "done"
+	stateUnknown state = "unknown"
+)
+
+// record is the value of a booking row.
+type record struct {
+	BodyHash string                       `json:"body_hash"`
+	Attempt  string                       `json:"attempt"`
+	Claimant burdockyard.Member           `json:"claimant"`
+	State    state                        `json:"state"`
+	Result   *burdockyard.ServiceResponse `json:"result,omitempty"`
+}
+
+// Key returns the key of a booking's row.
+func Key(tenant burdockyard.Tenant, key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return "booking/" + string(tenant) + "/" + hex.EncodeToString(sum[:16])
+}
+
+// SendState is what a claimant says of one of its attempts.
+type SendState int
+
+// What a claimant says of an attempt.
+const (
+	SendUnknown SendState = iota // the claimant does not know the attempt, or is gone
+	NeverSent                    // it was not sent and never will be
+	Sending                      // it was sent, or is about to be
+)
+
+// Claimants asks other nodes about their attempts.
+type Claimants interface {
+	// SendState asks the member about an attempt. Once it answered NeverSent it
+	// never sends the attempt. ErrNotFound means that the process is gone.
+	SendState(ctx context.Context, m burdockyard.Member, attempt string) (SendState, error)
+}
+
+// Call is one call that may not be repeated.
+type Call struct {
+	Tenant  burdockyard.Tenant
+	Key     string
+	Request burdockyard.ServiceRequest
+	Senders []burdockyard.Service // endpoints in the order to try them
+}
+
+// Desk claims, sends and records calls. Its methods may be called from several
+// goroutines; mu is a leaf lock.
+type Desk struct {
+	table     burdockyard.Table
+	clock     burdockyard.Clock
+	self      burdockyard.Member
+	claimants Claimants
+	limit     time.Duration
+	poll      time.Duration
+
+	mu       sync.Mutex
+	attempts map[string]*attempt // by attempt token
+	running  sync.WaitGroup
+}
+
+// attempt is this process's memory of one of its own attempts.
+type attempt struct {
+	key       string
+	sent      bool
+	abandoned bool          // never to be sent; its row is to be deleted
+	since     time.Time     // when it was abandoned
+	done      chan struct{} // closed once resp and err are final
+	resp      burdockyard.ServiceResponse
+	err       error
+	unsaved   *record // result that the table does not hold yet
+	version   uint64
+}
+
+// Option sets an optional part of a Desk.
+type Option func(*Desk)
+
+// WithClaimants lets the desk ask other nodes about their attempts.
+func WithClaimants(c Claimants) Option { return func(d *Desk) { d.claimants = c } }
+
+// WithAttemptLimit bounds how long an endpoint may take for one call.
+func WithAttemptLimit(limit time.Duration) Option { return func(d *Desk) { d.limit = limit } }
+
+// New returns a Desk for the process self.
+func New(table burdockyard.Table, clock burdockyard.Clock, self burdockyard.Member, opts ...Option) *Desk {
+	d := &Desk{
+		table: table, clock: clock, self: self, claimants: noClaimants{},
+		limit: DefaultAttemptLimit, poll: DefaultPoll, attempts: map[string]*attempt{},
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
+}
+
+type noClaimants struct{}
+
+func (noClaimants) SendState(context.Context, burdockyard.Member, string) (SendState, error) {
+	return SendUnknown, nil
+}
+
+// Call claims the key, sends the request once and returns the answer, or
+// returns the answer that the key already has. Every error is a *CallError.
+func (d *Desk) Call(ctx context.Context, c Call) (burdockyard.ServiceResponse, error) {
+	key := Key(c.Tenant, c.Key)
+	for range maxClaimTries {
+		rec := record{
+			BodyHash: hashRequest(c.Request), Attempt: string(burdockyard.NewRequestID()),
+			Claimant: d.self, State: stateClaimed,
+		}
+		version, err := d.claim(ctx, key, rec)
+		if err == nil {
+			return d.run(ctx, c, key, rec, version)
+		}
+		if !errors.Is(err, burdockyard.ErrConflict) {
+			return burdockyard.ServiceResponse{}, notClaimed(err)
+		}
+		resp, again, err := d.follow(ctx, key, rec.BodyHash)
+		if !again {
+			return resp, err
+		}
+	}
+	return burdockyard.ServiceResponse{}, notClaimed(burdockyard.ErrConflict)
+}
+
+func notClaimed(err error) error {
+	return burdockyard.NewCallError(burdockyard.NotRun, "the booking could not be claimed in the table; nothing was sent",
+		burdockyard.WithRetryAfter(comeBack), burdockyard.WithErr(err))
+}
+
+func hashRequest(req burdockyard.ServiceRequest) string {
+	h := sha256.New()
+	h.Write([]byte(req.Method + " " + req.Path + "\n"))
+	h.Write(req.Body)
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+// claim inserts the row and returns its version. After an error other than
+// ErrConflict the attempt is abandoned: it will not be sent, and Sweep deletes
+// the row if it appears after all.
+func (d *Desk) claim(ctx context.Context, key string, rec record) (uint64, error) {
+	d.remember(rec.Attempt, key)
+	err := d.table.Commit(ctx, burdockyard.Txn{
+		Checks: []burdockyard.Check{{Key: key}},
+		Writes: []burdockyard.Write{{Key: key, Value: encode(rec)}},
+	})
+	if err == nil {
+		return 1, nil
+	}
+	certain := errors.Is(err, burdockyard.ErrConflict) || errors.Is(err, burdockyard.ErrUnavailable)
+	if certain {
+		d.forget(rec.Attempt)
+		return 0, err
+	}
+	row, got, readErr := d.read(ctx, key)
+	if readErr == nil && got.Attempt == rec.Attempt {
+		return row.Version, nil
+	}
+	d.abandon(rec.Attempt)
+	if readErr == nil && row.Exists() {
+		return 0, burdockyard.ErrConflict
+	}
+	return 0, err
+}
+
+func (d *Desk) read(ctx context.Context, key string) (burdockyard.Row, record, error) {
+	var rec record
+	rows, err := d.table.Get(ctx, key)
+	if err != nil {
+		return burdockyard.Row{}, rec, err
+	}
+	if rows[0].Exists() {
+		if err := json.Unmarshal(rows[0].Value, &rec); err != nil {
+			return rows[0], rec, merry.Prependf(err, "row %s", key)
+		}
+	}
+	return rows[0], rec, nil
+}
+
+// follow answers a call whose key has a row already. It asks for another try at
+// claiming if the row is gone or was freed.
+func (d *Desk) follow(ctx context.Context, key, bodyHash string) (resp burdockyard.ServiceResponse, again bool, err error) {
+	for {
+		row, rec, err := d.read(ctx, key)
+		if err != nil {
+			return resp, false, unknown("the table did not say what became of the first call with this key", err)
+		}
+		if !row.Exists() {
+			return resp, true, nil
+		}
+		if rec.BodyHash != bodyHash {
+			return resp, false, burdockyard.NewCallError(burdockyard.Invalid,
+				"the idempotency key was used for another request; use a new key", burdockyard.WithStatus(422))
+		}
+		if rec.State == stateDone {
+			return *rec.Result, false, nil
+		}
+		if rec.State == stateUnknown {
+			return resp, false, unknown("the first call with this key was sent and its outcome is not known", nil)
+		}
+		resp, verdict, err := d.waitClaimant(ctx, row, rec)
+		if verdict != keepWaiting {
+			return resp, verdict == claimAgain, err
+		}
+	}
+}
+
+type verdict int
+
+const (
+	keepWaiting verdict = iota
+	claimAgain
+	answered
+)
+
+// waitClaimant waits a little for the process that sends the attempt.
+func (d *Desk) waitClaimant(ctx context.Context, row burdockyard.Row, rec record) (burdockyard.ServiceResponse, verdict, error) {
+	if rec.Claimant == d.self {
+		return d.waitOwn(ctx, row, rec)
+	}
+	said, err := d.claimants.SendState(ctx, rec.Claimant, rec.Attempt)
+	if errors.Is(err, burdockyard.ErrNotFound) {
+		return d.afterClaimantGone(ctx, row, rec)
+	}
+	if said == NeverSent {
+		return burdockyard.ServiceResponse{}, claimAgain, d.free(ctx, row)
+	}
+	if !sleep(ctx, d.poll) {
+		return burdockyard.ServiceResponse{}, answered, unknown("the first call with this key is still in progress", ctx.Err())
+	}
+	return burdockyard.ServiceResponse{}, keepWaiting, nil
+}
+
+// afterClaimantGone reads the row once more: the claimant may have recorded the
+// result between our read and its end.
+func (d *Desk) afterClaimantGone(ctx context.Context, row burdockyard.Row, rec record) (burdockyard.ServiceResponse, verdict, error) {
+	latest, _, err := d.read(ctx, row.Key)
+	if err == nil && latest.Version != row.Version {
+		return burdockyard.ServiceResponse{}, keepWaiting, nil
+	}
+	return burdockyard.ServiceResponse{}, answered,
+		unknown("node "+string(rec.Claimant.Node)+" stopped before it recorded the outcome", nil)
+}
+
+func (d *Desk) waitOwn(ctx context.Context, row burdockyard.Row, rec record) (burdockyard.ServiceResponse, verdict, error) {
+	d.mu.Lock()
+	a := d.attempts[rec.Attempt]
+	d.mu.Unlock()
+	if a == nil {
+		return burdockyard.ServiceResponse{}, answered, unknown("the first call with this key has no recorded outcome", nil)
+	}
+	if d.ownState(rec.Attempt) == NeverSent {
+		return burdockyard.ServiceResponse{}, claimAgain, d.free(ctx, row)
+	}
+	select {
+	case <-a.done:
+		return a.resp, answered, a.err
+	case <-ctx.Done():
+		return burdockyard.ServiceResponse{}, answered, unknown("the first call with this key is still in progress", ctx.Err())
+	}
+}
+
+// free deletes the row of an attempt that will never be sent.
+func (d *Desk) free(ctx context.Context, row burdockyard.Row) error {
+	return d.table.Commit(ctx, burdockyard.Txn{
+		Checks: []burdockyard.Check{{Key: row.Key, Version: row.Version}},
+		Writes: []burdockyard.Write{{Key: row.Key, Delete: true}},
+	})
+}
+
+func unknown(cause string, err error) error {
+	return burdockyard.NewCallError(burdockyard.OutcomeUnknown, cause, burdockyard.WithErr(err))
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func encode(rec record) []byte {
+	b, err := json.Marshal(rec)
+	if err != nil {
+		panic(err) // plain structs of strings and bytes always encode
+	}
+	return b
+}
--- /dev/null
+++ b/core/bymanifest/manifest.go
@@ -0,0 +1,206 @@
+package bymanifest
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"burdockyard"
+)
+
+// shardSize is the number of engines that one lease holder gives orders to.
+const shardSize = 30
+
+// Engine is one engine of a manifest in force.
+type Engine struct {
+	spec  EngineSpec
+	model ModelSpec
+	shard burdockyard.ShardID
+}
+
+// ID returns the engine's name.
+func (e *Engine) ID() burdockyard.EndpointID { return burdockyard.EndpointID(e.spec.Name) }
+
+// Addr returns host:port.
+func (e *Engine) Addr() string { return e.spec.Address }
+
+// Domain returns the failure domain.
+func (e *Engine) Domain() string { return e.spec.Domain }
+
+// Model returns what is known of the engine's model.
+func (e *Engine) Model() ModelSpec { return e.model }
+
+// Shard returns the shard whose lease holder orders the engine.
+func (e *Engine) Shard() burdockyard.ShardID { return e.shard }
+
+// Fencing reports whether the engine refuses old fencing numbers.
+func (e *Engine) Fencing() bool { return e.spec.Fencing }
+
+// Role returns the role that the manifest gives.
+func (e *Engine) Role() burdockyard.Role { return burdockyard.Role(e.spec.Role) }
+
+// Serving reports whether the engine may get new work.
+func (e *Engine) Serving() bool { return e.spec.State == "" || e.spec.State == StateServing }
+
+// State returns the state to order.
+func (e *Engine) State() burdockyard.EngineState {
+	return burdockyard.EngineState{
+		Model: e.model.Name, Version: e.model.Version, Adapters: e.model.Adapters,
+		Role: e.Role(), Serving: e.Serving(),
+	}
+}
+
+// Service is one service of a manifest in force.
+type Service struct{ spec ServiceSpec }
+
+// Endpoints returns the endpoints that may get new work.
+func (s *Service) Endpoints() []ServiceEndpoint {
+	var up []ServiceEndpoint
+	for _, e := range s.spec.Endpoints {
+		if e.State == "" || e.State == StateServing {
+			up = append(up, e)
+		}
+	}
+	return up
+}
+
+// Repeatable reports whether a call may be sent again. GET and HEAD calls may
+// be when the manifest names no calls at all for the service.
+func (s *Service) Repeatable(method, path string) bool {
+	if len(s.spec.Repeatable) == 0 {
+		return method == "GET" || method == "HEAD"
+	}
+	for _, r := range s.spec.Repeatable {
+		if r.Method == method && underPath(path, r.Path) {
+			return true
+		}
+	}
+	return false
+}
+
+// underPath reports whether path is prefix or lies below it. A plain prefix
+// test would take /slots-cancel for a call of /slots.
+func underPath(path, prefix string) bool {
+	prefix = strings.TrimSuffix(prefix, "/")
+	rest, ok := strings.CutPrefix(path, prefix)
+	return ok && (rest == "" || rest[0] == '/')
+}
+
+// Manifest is an accepted manifest. It never changes.
+type Manifest struct {
+	spec       Spec
+	generation uint64
+	engines    []*Engine
+	byModel    map[string][]*Engine
+	services   map[string]*Service
+	classes    map[string]ClassSpec
+	tenants    map[burdockyard.Tenant]TenantSpec
+}
+
+// New returns the aggregate of a Spec without problems.
+func New(s Spec, generation uint64) *Manifest {
+	m := &Manifest{
+		spec: s, generation: generation, byModel: map[string][]*Engine{},
+		services: map[string]*Service{}, classes: map[string]ClassSpec{},
+		tenants: map[burdockyard.Tenant]TenantSpec{},
+	}
+	m.addEngines()
+	for _, svc := range s.Services {
+		m.services[svc.Name] = &Service{spec: svc}
+	}
+	for _, c := range s.Classes {
+		m.classes[c.Name] = c
+	}
+	for _, t := range s.Tenants {
+		m.tenants[burdockyard.Tenant(t.Name)] = t
+	}
+	return m
+}
+
+// addEngines assigns engines to shards in the order of the file, so that one
+// appended engine moves no other to another shard.
+func (m *Manifest) addEngines() {
+	models := map[string]ModelSpec{}
+	for _, model := range m.spec.Models {
+		models[model.Name] = model
+	}
+	count := map[string]int{}
+	for _, spec := range m.spec.Engines {
+		group := spec.Model + "/" + spec.Domain
+		shard := burdockyard.ShardID(fmt.Sprintf("%s/%d", group, count[group]/shardSize))
+		count[group]++
+		e := &Engine{spec: spec, model: models[spec.Model], shard: shard}
+		m.engines = append(m.engines, e)
+		m.byModel[spec.Model] = append(m.byModel[spec.Model], e)
+	}
+}
+
+// Generation returns the number under which the manifest was accepted.
+func (m *Manifest) Generation() uint64 { return m.generation }
+
+// Spec returns the manifest as it was written.
+func (m *Manifest) Spec() Spec { return m.spec }
+
+// Name returns the manifest's name.
+func (m *Manifest) Name() string { return m.spec.Name }
+
+// Engines returns every engine in the order of the file.
+func (m *Manifest) Engines() []*Engine { return m.engines }
+
+// Engine returns the engine with an id.
+func (m *Manifest) Engine(id burdockyard.EndpointID) (*Engine, bool) {
+	i := slices.IndexFunc(m.engines, func(e *Engine) bool { return e.ID() == id })
+	if i < 0 {
+		return nil, false
+	}
+	return m.engines[i], true
+}
+
+// ModelEngines returns the engines of a model, serving or not.
+func (m *Manifest) ModelEngines(model string) []*Engine { return m.byModel[model] }
+
+// Service returns a service by name.
+func (m *Manifest) Service(name string) (*Service, bool) {
+	s, ok := m.services[name]
+	return s, ok
+}
+
+// Class returns a class by name; an empty name means the first class.
+func (m *Manifest) Class(name string) (ClassSpec, bool) {
+	if name == "" {
+		return m.spec.Classes[0], true
+	}
+	c, ok := m.classes[name]
+	return c, ok
+}
+
+// Tenant returns a tenant by name.
+func (m *Manifest) Tenant(name burdockyard.Tenant) (TenantSpec, bool) {
+	t, ok := m.tenants[name]
+	return t, ok
+}
+
+// Shard is a group of engines under one lease.
+type Shard struct {
+	ID      burdockyard.ShardID
+	Domain  string
+	Engines []*Engine
+}
+
+// Shards returns the shards, ordered by id.
+func (m *Manifest) Shards() []Shard {
+	index := map[burdockyard.ShardID]int{}
+	var shards []Shard
+	for _, e := range m.engines {
+		i, ok := index[e.shard]
+		if !ok {
+			i = len(shards)
+			index[e.shard] = i
+			shards = append(shards, Shard{ID: e.shard, Domain: e.Domain()})
+		}
+		shards[i].Engines = append(shards[i].Engines, e)
+	}
+	slices.SortFunc(shards, func(a, b Shard) int { return cmp.Compare(a.ID, b.ID) })
+	return shards
+}
--- /dev/null
+++ b/core/bymanifest/publish.go
@@ -0,0 +1,432 @@
+// Package bymanifest describes what the system serves, checks it, and takes a
+// new version of it into force everywhere, never back.
+//
+// # Usage
+//
+//	problems := bymanifest.Check(spec)
+//	n, err := bymanifest.Publish(ctx, table, objects, spec, bymanifest.AnyGeneration)
+//
+//	f := bymanifest.NewFollower(table, objects)
+//	for each tick { f.Step(ctx) }
+//	m := f.Current()
+//
+// # Rows and objects
+//
+// Each section of a manifest is an object named by the hash of its content. The
+// row manifest/current names the sections of the generation in force, and the
+// operators' overrides of single endpoints, which outlast a publication.
+package bymanifest
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+
+	"burdockyard"
+)
+
+// CurrentKey is the row that names the manifest in force.
+const CurrentKey = "manifest/current"
+
+// AnyGeneration publishes whatever generation is in force.
+const AnyGeneration = ^uint64(0)
+
+const (
+	maxPublishTries = 8
+	sectionPrefix   = "manifest/"
+)
+
+// Sentinel errors of a publication.
+var (
+	// ErrGeneration means that the generation in force is not the expected one.
+	ErrGeneration = merry.Sentinel("another manifest is in force")
+	// ErrProblems means that the manifest has problems.
+	ErrProblems = merry.Sentinel("the manifest has problems")
+	// ErrNoManifest means that none was ever published.
+	ErrNoManifest = merry.Sentinel("no manifest is published")
+	// ErrNoEndpoint means that the manifest has no such endpoint.
+	ErrNoEndpoint = merry.Sentinel("no such endpoint")
+)
+
+// pointer is the value of manifest/current.
+type pointer struct {
+	Generation uint64            `json:"generation"`
+	Token      string            `json:"token"`    // of the publication that wrote it
+	Sections   map[string]string `json:"sections"` // section to object key
+	Overrides  map[string]string `json:"overrides,omitempty"`
+}
+
+// sections splits a Spec so that a change of one part moves only that part.
+func sections(s Spec) map[string]any {
+	return map[string]any{
+		"name": s.Name, "models": s.Models, "engines": s.Engines,
+		"services": s.Services, "classes": s.Classes, "tenants": s.Tenants,
+	}
+}
+
+// Publish checks a Spec and takes it into force after the expected generation.
+// It returns the new generation. ErrGeneration names the generation in force;
+// any other error leaves it open whether the manifest was accepted.
+func Publish(ctx context.Context, table burdockyard.Table, objects burdockyard.ObjectStore, s Spec, expect uint64) (uint64, error) {
+	if problems := Check(s); len(problems) > 0 {
+		return 0, merry.Prependf(ErrProblems, "%v", problems[0])
+	}
+	names, err := putSections(ctx, objects, s)
+	if err != nil {
+		return 0, err
+	}
+	return update(ctx, table, expect, func(p *pointer) error {
+		p.Sections = names
+		for id := range p.Overrides {
+			if !hasEndpoint(s, id) {
+				delete(p.Overrides, id)
+			}
+		}
+		return nil
+	})
+}
+
+// SetState overrides the state of one endpoint, until it is set back to
+// serving or the endpoint leaves the manifest. It returns the new generation.
+func SetState(ctx context.Context, table burdockyard.Table, objects burdockyard.ObjectStore, id, state string) (uint64, error) {
+	return update(ctx, table, AnyGeneration, func(p *pointer) error {
+		s, err := fetch(ctx, objects, *p, nil)
+		if err != nil {
+			return err
+		}
+		if !hasEndpoint(s, id) {
+			return merry.Prepend(ErrNoEndpoint, id)
+		}
+		if p.Overrides == nil {
+			p.Overrides = map[string]string{}
+		}
+		p.Overrides[id] = state
+		if state == StateServing {
+			delete(p.Overrides, id)
+		}
+		return nil
+	})
+}
+
+// Replace gives an endpoint another address. Nodes send new calls to the new
+// one from the generation that it returns on, while calls that are open at the
+// old one end there.
+func Replace(ctx context.Context, table burdockyard.Table, objects burdockyard.ObjectStore, id, address string) (uint64, error) {
+	return update(ctx, table, AnyGeneration, func(p *pointer) error {
+		s, err := fetch(ctx, objects, *p, nil)
+		if err != nil {
+			return err
+		}
+		if !setAddress(&s, id, address) {
+			return merry.Prepend(ErrNoEndpoint, id)
+		}
+		if problems := Check(s); len(problems) > 0 {
+			return merry.Prependf(ErrProblems, "%v", problems[0])
+		}
+		p.Sections, err = putSections(ctx, objects, s)
+		return err
+	})
+}
+
+func setAddress(s *Spec, id, address string) bool {
+	for i := range s.Engines {
+		if s.Engines[i].Name == id {
+			s.Engines[i].Address = address
+			return true
+		}
+	}
+	for _, svc := range s.Services {
+		for j := range svc.Endpoints {
+			if svc.Endpoints[j].Name == id {
+				svc.Endpoints[j].Address = address
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func putSections(ctx context.Context, objects burdockyard.ObjectStore, s Spec) (map[string]string, error) {
+	names := map[string]string{}
+	for name, part := range sections(s) {
+		data, err := json.Marshal(part)
+		if err != nil {
+			return nil, err
+		}
+		sum := sha256.Sum256(data)
+		key := sectionPrefix + name + "-" + hex.EncodeToString(sum[:])
+		if err := objects.Put(ctx, key, data); err != nil {
+			return nil, merry.Prepend(err, "storing a section")
+		}
+		names[name] = key
+	}
+	return names, nil
+}
+
+// update moves manifest/current one generation on. A lost answer is settled by
+// the token: while our token stands in the row, or the row is as it was, the
+// outcome is certain. If another publication already stands there, ours may
+// have been accepted and followed, which the error says.
+func update(ctx context.Context, table burdockyard.Table, expect uint64, change func(*pointer) error) (uint64, error) {
+	own := map[string]bool{} // tokens of our tries, one of which may land late
+	for range maxPublishTries {
+		p, version, err := readPointer(ctx, table)
+		if err != nil {
+			return 0, err
+		}
+		if own[p.Token] {
+			return p.Generation, nil
+		}
+		if expect != AnyGeneration && p.Generation != expect {
+			return 0, merry.Prependf(ErrGeneration, "expected %d, but generation %d is in force", expect, p.Generation)
+		}
+		if err := change(&p); err != nil {
+			return 0, err
+		}
+		p.Generation++
+		p.Token = string(burdockyard.NewRequestID())
+		own[p.Token] = true
+		done, err := commitPointer(ctx, table, p, version)
+		if done || err != nil {
+			return p.Generation, err
+		}
+	}
+	return 0, merry.Prepend(burdockyard.ErrConflict, "other publications kept coming first")
+}
+
+// commitPointer reports whether the pointer is in force; false asks for another try.
+func commitPointer(ctx context.Context, table burdockyard.Table, p pointer, version uint64) (bool, error) {
+	value, err := json.Marshal(p)
+	if err != nil {
+		return false, err
+	}
+	err = table.Commit(ctx, burdockyard.Txn{
+		Checks: []burdockyard.Check{{Key: CurrentKey, Version: version}},
+		Writes: []burdockyard.Write{{Key: CurrentKey, Value: value}},
+	})
+	if err == nil {
+		return true, nil
+	}
+	if errors.Is(err, burdockyard.ErrConflict) {
+		return false, nil
+	}
+	if errors.Is(err, burdockyard.ErrUnavailable) {
+		return false, err
+	}
+	got, gotVersion, readErr := readPointer(ctx, table)
+	switch {
+	case readErr != nil:
+		return false, errors.Join(fmt.Errorf("whether generation %d was accepted is not known", p.Generation), err)
+	case got.Token == p.Token:
+		return true, nil
+	case gotVersion == version:
+		return false, nil // a late copy of this commit still fails once we write
+	default:
+		return false, merry.Prependf(err, "generation %d by another publication is in force; whether ours came before it is not known", got.Generation)
+	}
+}
+
+func readPointer(ctx context.Context, table burdockyard.Table) (pointer, uint64, error) {
+	var p pointer
+	rows, err := table.Get(ctx, CurrentKey)
+	if err != nil {
+		return p, 0, err
+	}
+	if !rows[0].Exists() {
+		return p, 0, nil
+	}
+	if err := json.Unmarshal(rows[0].Value, &p); err != nil {
+		return p, 0, merry.Prepend(err, "row "+CurrentKey)
+	}
+	return p, rows[0].Version, nil
+}
+
+func hasEndpoint(s Spec, id string) bool {
+	for _, e := range s.Engines {
+		if e.Name == id {
+			return true
+		}
+	}
+	for _, svc := range s.Services {
+		for _, e := range svc.Endpoints {
+			if e.Name == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// fetch reads the sections of a pointer, taking unchanged ones from cache.
+func fetch(ctx context.Context, objects burdockyard.ObjectStore, p pointer, cache map[string][]byte) (Spec, error) {
+	var s Spec
+	into := map[string]any{
+		"name": &s.Name, "models": &s.Models, "engines": &s.Engines,
+		"services": &s.Services, "classes": &s.Classes, "tenants": &s.Tenants,
+	}
+	for name, key := range p.Sections {
+		data, ok := cache[key]
+		if !ok {
+			var err error
+			if data, err = objects.Get(ctx, key); err != nil {
+				return s, merry.Prependf(err, "section %s", name)
+			}
+		}
+		if cache != nil {
+			cache[key] = data
+		}
+		if err := json.Unmarshal(data, into[name]); err != nil {
+			return s, merry.Prependf(err, "section %s", name)
+		}
+	}
+	return s, nil
+}
+
+// override returns the Spec with the operators' states in it.
+func override(s Spec, states map[string]string) Spec {
+	s.Engines = append([]EngineSpec(nil), s.Engines...)
+	for i := range s.Engines {
+		if state, ok := states[s.Engines[i].Name]; ok {
+			s.Engines[i].State = state
+		}
+	}
+	s.Services = append([]ServiceSpec(nil), s.Services...)
+	for i := range s.Services {
+		eps := append([]ServiceEndpoint(nil), s.Services[i].Endpoints...)
+		for j := range eps {
+			if state, ok := states[eps[j].Name]; ok {
+				eps[j].State = state
+			}
+		}
+		s.Services[i].Endpoints = eps
+	}
+	return s
+}
+
+// Follower keeps the newest manifest that this process has seen. Its methods
+// may be called from several goroutines; mu is held over a fetch so that two
+// steps never cross.
+type Follower struct {
+	table   burdockyard.Table
+	objects burdockyard.ObjectStore
+
+	mu      sync.Mutex
+	cache   map[string][]byte
+	current *Manifest
+	wire    Wire
+}
+
+// Wire is a manifest as one node hands it to another.
+type Wire struct {
+	Pointer  []byte
+	Sections map[string][]byte // object key to content
+}
+
+// NewFollower returns a Follower without a manifest.
+func NewFollower(table burdockyard.Table, objects burdockyard.ObjectStore) *Follower {
+	return &Follower{table: table, objects: objects, cache: map[string][]byte{}}
+}
+
+// Current returns the manifest in force, or nil before the first.
+func (f *Follower) Current() *Manifest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current
+}
+
+// Generation returns the generation in force, 0 before the first.
+func (f *Follower) Generation() uint64 {
+	if m := f.Current(); m != nil {
+		return m.Generation()
+	}
+	return 0
+}
+
+// Step reads which generation is in force and takes it up if it is newer.
+func (f *Follower) Step(ctx context.Context) error {
+	p, version, err := readPointer(ctx, f.table)
+	if err != nil {
+		return err
+	}
+	if version == 0 {
+		return ErrNoManifest
+	}
+	return f.adopt(ctx, p, f.objects)
+}
+
+// Wire returns the manifest in force for another node; false before the first.
+func (f *Follower) Wire() (Wire, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.wire, f.current != nil
+}
+
+// Learn takes up a manifest from another node if it is newer.
+func (f *Follower) Learn(ctx context.Context, w Wire) error {
+	var p pointer
+	if err := json.Unmarshal(w.Pointer, &p); err != nil {
+		return merry.Prepend(err, "manifest of a peer")
+	}
+	return f.adopt(ctx, p, wireObjects(w.Sections))
+}
+
+// adopt never goes back: an old object, a lagging peer or a restarted node
+// with an old answer in hand changes nothing.
+func (f *Follower) adopt(ctx context.Context, p pointer, objects burdockyard.ObjectStore) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.current != nil && p.Generation <= f.current.Generation() {
+		return nil
+	}
+	s, err := fetch(ctx, objects, p, f.cache)
+	if err != nil {
+		return err
+	}
+	raw, err := json.Marshal(p)
+	if err != nil {
+		return err
+	}
+	f.keepOnly(p)
+	f.current = New(override(s, p.Overrides), p.Generation)
+	f.wire = Wire{Pointer: raw, Sections: f.cacheCopy()}
+	return nil
+}
+
+func (f *Follower) keepOnly(p pointer) {
+	used := map[string]bool{}
+	for _, key := range p.Sections {
+		used[key] = true
+	}
+	for key := range f.cache {
+		if !used[key] {
+			delete(f.cache, key)
+		}
+	}
+}
+
+func (f *Follower) cacheCopy() map[string][]byte {
+	c := make(map[string][]byte, len(f.cache))
+	for k, v := range f.cache {
+		c[k] = v
+	}
+	return c
+}
+
+// wireObjects serves the sections that came with a peer's manifest.
+type wireObjects map[string][]byte
+
+func (o wireObjects) Put(context.Context, string, []byte) error { return burdockyard.ErrUnavailable }
+
+func (o wireObjects) Get(_ context.Context, key string) ([]byte, error) {
+	data, ok := o[key]
+	if !ok {
+		return nil, burdockyard.ErrNotFound
+	}
+	return data, nil
+}
--- /dev/null
+++ b/core/bymember/bymember.go
@@ -0,0 +1,175 @@
+// Package bymember knows which nodes are there, from their heartbeats.
+//
+// # Usage
+//
+//	v := bymember.New(clock, self)
+//	v.Hear(heartbeat)            // for each heartbeat received
+//	for _, p := range v.Alive()  // nodes that callers may be sent to
+//
+// Suspicion moves routing and addresses only. Authority moves by lease alone.
+package bymember
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"burdockyard"
+)
+
+const (
+	// HeartbeatEvery is the time between two heartbeats to one peer.
+	HeartbeatEvery = 500 * time.Millisecond
+	// SuspectAfter is the silence after which a peer gets no callers.
+	SuspectAfter = 2 * time.Second
+	// ForgetAfter is the silence after which a peer is dropped.
+	ForgetAfter = 5 * time.Minute
+)
+
+// Load is one engine's line of a load digest: work that the sender has open there.
+type Load struct {
+	Engine        burdockyard.EndpointID
+	PrefillTokens int // of prompts not processed yet
+	LongTokens    int // the part of them that belongs to long prompts
+	Streams       int
+}
+
+// Heartbeat is what a node tells its peers of itself.
+type Heartbeat struct {
+	Member     burdockyard.Member
+	CallerAddr string // host:port for callers
+	Domain     string
+	Leaving    bool
+	Generation uint64 // of the manifest in force
+	Seq        uint64 // rises within an incarnation
+	Loads      []Load
+	Holds      []burdockyard.EndpointID // engines that get no new work for now
+}
+
+type peer struct {
+	beat  Heartbeat
+	heard time.Time
+}
+
+// View is one node's view of the others. Its methods may be called from several
+// goroutines; mu is a leaf lock.
+type View struct {
+	clock burdockyard.Clock
+	self  burdockyard.Member
+
+	mu    sync.RWMutex
+	peers map[burdockyard.NodeID]*peer
+}
+
+// New returns a View that knows nobody yet.
+func New(clock burdockyard.Clock, self burdockyard.Member) *View {
+	return &View{clock: clock, self: self, peers: map[burdockyard.NodeID]*peer{}}
+}
+
+// Hear takes a heartbeat in. One that is older than what is known is dropped,
+// so that a late or duplicate delivery changes nothing.
+func (v *View) Hear(b Heartbeat) {
+	if b.Member.Node == v.self.Node {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	p := v.peers[b.Member.Node]
+	if p != nil && p.beat.Member.Incarnation == b.Member.Incarnation && b.Seq <= p.beat.Seq {
+		return
+	}
+	v.peers[b.Member.Node] = &peer{beat: b, heard: v.clock.Now()}
+}
+
+// Alive returns the last heartbeats of the peers that are not suspect, ordered by node.
+func (v *View) Alive() []Heartbeat {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	now := v.clock.Now()
+	var beats []Heartbeat
+	for _, p := range v.peers {
+		if now.Sub(p.heard) < SuspectAfter {
+			beats = append(beats, p.beat)
+		}
+	}
+	slices.SortFunc(beats, func(a, b Heartbeat) int { return cmp.Compare(a.Member.Node, b.Member.Node) })
+	return beats
+}
+
+// Forget drops peers that were silent for long.
+func (v *View) Forget() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.clock.Now()
+	for id, p := range v.peers {
+		if now.Sub(p.heard) > ForgetAfter {
+			delete(v.peers, id)
+		}
+	}
+}
+
+// Generation returns the newest manifest generation that any live peer has.
+func (v *View) Generation() uint64 {
+	var newest uint64
+	for _, b := range v.Alive() {
+		newest = max(newest, b.Generation)
+	}
+	return newest
+}
+
+// PeerLoads adds up the load that live peers have open at each engine.
+func (v *View) PeerLoads() map[burdockyard.EndpointID]Load {
+	sum := map[burdockyard.EndpointID]Load{}
+	for _, b := range v.Alive() {
+		for _, l := range b.Loads {
+			s := sum[l.Engine]
+			s.Engine = l.Engine
+			s.PrefillTokens += l.PrefillTokens
+			s.LongTokens += l.LongTokens
+			s.Streams += l.Streams
+			sum[l.Engine] = s
+		}
+	}
+	return sum
+}
+
+// Holds returns the engines that live peers hold.
+func (v *View) Holds() []burdockyard.EndpointID {
+	var ids []burdockyard.EndpointID
+	for _, b := range v.Alive() {
+		ids = append(ids, b.Holds...)
+	}
+	return ids
+}
+
+// Rank returns this node's place, from 0, among the nodes that may do the job
+// named key. Every node that hears the same peers computes the same order
+// (rendezvous hashing), and a node that leaves moves only its own jobs. Nodes
+// of the preferred failure domain come first.
+func (v *View) Rank(key, domain, ownDomain string) int {
+	own := score(key, v.self.Node)
+	rank := 0
+	for _, b := range v.Alive() {
+		if b.Leaving {
+			continue
+		}
+		if before(b.Domain == domain, score(key, b.Member.Node), ownDomain == domain, own) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func before(aNear bool, a uint64, bNear bool, b uint64) bool {
+	if aNear != bNear {
+		return aNear
+	}
+	return a > b
+}
+
+func score(key string, node burdockyard.NodeID) uint64 {
+	return xxhash.Sum64String(key + "\x00" + string(node))
+}
--- /dev/null
+++ b/core/byorder/byorder.go
@@ -0,0 +1,314 @@
+// Package byorder gives orders to the engines of a shard, at most one open
+// order for each engine, each written down before it is sent.
+//
+// # Usage
+//
+//	c := byorder.New(table, clock, keeper, endpoints)
+//	err := c.Reconcile(ctx, target) // once a tick for each engine of the shard
+//
+// # Row
+//
+// engine/<id> holds the last order: its sequence, the fence of the holder that
+// sends it, the state asked for, and whether the engine has concluded it. An
+// open order is never replaced. It is sent again, the same, until the engine
+// answers; an order is an absolute state, so a second copy does nothing.
+package byorder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"burdockyard"
+	"burdockyard/core/bylease"
+)
+
+// fenceShift places the holder's fence above the order's sequence.
+const fenceShift = 32
+
+// record is the value of engine/<id>.
+type record struct {
+	Seq         uint64                  `json:"seq"`
+	Fence       uint64                  `json:"fence"`
+	ID          string                  `json:"id"`
+	State       burdockyard.EngineState `json:"state"`
+	Concluded   bool                    `json:"concluded"`
+	Incarnation burdockyard.Incarnation `json:"incarnation,omitempty"` // engine that concluded it
+}
+
+// Key returns the key of an engine's order row.
+func Key(id burdockyard.EndpointID) string { return "engine/" + string(id) }
+
+// Target is the state that an engine should reach.
+type Target struct {
+	Engine  burdockyard.EndpointID
+	Addr    string
+	Fencing bool // the engine refuses old fencing numbers
+	State   burdockyard.EngineState
+}
+
+// Authority tells which grant this process holds.
+type Authority interface {
+	Grant() (bylease.Grant, bool)
+}
+
+// Controller sends the orders of one shard.
+type Controller struct {
+	table     burdockyard.Table
+	clock     burdockyard.Clock
+	authority Authority
+	engines   burdockyard.Endpoints
+	transit   time.Duration
+
+	gate Gate
+
+	mu     sync.Mutex
+	sends  int                                  // orders on their way
+	quiet  map[burdockyard.EndpointID]time.Time // no next order before this time
+	onSent func(burdockyard.Order)
+}
+
+// Gate tells when an engine is empty enough to be taken away.
+type Gate interface {
+	// Ready reports whether the engine is empty, and keeps new work from it.
+	Ready(id burdockyard.EndpointID) bool
+	// Release lets the engine get work again.
+	Release(id burdockyard.EndpointID)
+}
+
+type openGate struct{}
+
+func (openGate) Ready(burdockyard.EndpointID) bool { return true }
+func (openGate) Release(burdockyard.EndpointID)    {}
+
+// Option sets an optional part of a Controller.
+type Option func(*Controller)
+
+// WithTransit sets the bound on an order's way to an engine.
+func WithTransit(d time.Duration) Option {
+	return func(c *Controller) { c.transit = d }
+}
+
+// WithGate waits for an engine to be empty before an order takes it away.
+func WithGate(g Gate) Option { return func(c *Controller) { c.gate = g } }
+
+// WithObserver calls f for every order that an engine concluded.
+func WithObserver(f func(burdockyard.Order)) Option {
+	return func(c *Controller) { c.onSent = f }
+}
+
+// New returns a Controller that acts while authority grants it.
+func New(table burdockyard.Table, clock burdockyard.Clock, authority Authority, engines burdockyard.Endpoints, opts ...Option) *Controller {
+	c := &Controller{
+		table: table, clock: clock, authority: authority, engines: engines,
+		transit: bylease.DefaultTransit,
+		quiet:   map[burdockyard.EndpointID]time.Time{},
+		onSent:  func(burdockyard.Order) {},
+		gate:    openGate{},
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Quiet reports whether no order of this process can still be on its way, so
+// that its lease may be released.
+func (c *Controller) Quiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sends > 0 {
+		return false
+	}
+	now := c.clock.Now()
+	for _, t := range c.quiet {
+		if now.Before(t) {
+			return false
+		}
+	}
+	return true
+}
+
+// Reconcile brings one engine a step nearer to its target: it concludes the
+// open order, or writes down and sends the next. ErrNoAuthority, ErrUnproven,
+// ErrBusy and ErrOrderOpen tell why nothing was sent or concluded.
+func (c *Controller) Reconcile(ctx context.Context, t Target) error {
+	grant, err := c.mayOrder(t)
+	if err != nil {
+		return err
+	}
+	row, rec, err := c.read(ctx, t.Engine)
+	if err != nil {
+		return err
+	}
+	if row.Exists() && !rec.Concluded {
+		return c.finish(ctx, grant, t, row, rec)
+	}
+	report, err := c.engines.Engine(t.Addr).Report(ctx)
+	if err != nil {
+		return err
+	}
+	if !needsOrder(t, row, rec, report) {
+		c.releaseGate(t, report)
+		return nil
+	}
+	if c.inQuiet(t.Engine) {
+		return burdockyard.ErrOrderOpen
+	}
+	if takesAway(report.State, t.State) && !c.gate.Ready(t.Engine) {
+		return burdockyard.ErrBusy
+	}
+	return c.begin(ctx, grant, t, row, rec)
+}
+
+func (c *Controller) mayOrder(t Target) (bylease.Grant, error) {
+	grant, ok := c.authority.Grant()
+	if !ok {
+		return grant, burdockyard.ErrNoAuthority
+	}
+	if !t.Fencing && !grant.Settled() {
+		return grant, burdockyard.ErrUnproven
+	}
+	return grant, nil
+}
+
+func (c *Controller) read(ctx context.Context, id burdockyard.EndpointID) (burdockyard.Row, record, error) {
+	var rec record
+	rows, err := c.table.Get(ctx, Key(id))
+	if err != nil {
+		return burdockyard.Row{}, rec, err
+	}
+	if rows[0].Exists() {
+		if err := json.Unmarshal(rows[0].Value, &rec); err != nil {
+			return rows[0], rec, merry.Prependf(err, "row %s", rows[0].Key)
+		}
+	}
+	return rows[0], rec, nil
+}
+
+// needsOrder reports whether the engine is asked for something new, or has
+// restarted and forgotten what it was asked.
+func needsOrder(t Target, row burdockyard.Row, rec record, report burdockyard.EngineReport) bool {
+	if !row.Exists() || !reflect.DeepEqual(rec.State, t.State) {
+		return true
+	}
+	return report.Incarnation != rec.Incarnation
+}
+
+// takesAway reports whether the engine stops serving, for a while or for good.
+// An engine without a model serves nobody yet.
+func takesAway(from, to burdockyard.EngineState) bool {
+	if from.Model == "" {
+		return false
+	}
+	return !to.Serving || from.Model != to.Model || from.Version != to.Version || from.Role != to.Role
+}
+
+// releaseGate lets an engine get work again once its change is over.
+func (c *Controller) releaseGate(t Target, report burdockyard.EngineReport) {
+	if !report.Changing && report.State.Serving {
+		c.gate.Release(t.Engine)
+	}
+}
+
+// begin writes down the next order and sends it.
+func (c *Controller) begin(ctx context.Context, grant bylease.Grant, t Target, row burdockyard.Row, rec record) error {
+	next := record{
+		Seq:   rec.Seq + 1,
+		Fence: grant.Fence(),
+		ID:    fmt.Sprintf("%s-%d-%s", t.Engine, rec.Seq+1, burdockyard.NewRequestID()),
+		State: t.State,
+	}
+	version, err := c.write(ctx, grant, t.Engine, row.Version, next)
+	if err != nil {
+		return err
+	}
+	return c.send(ctx, grant, t, version, next)
+}
+
+// finish sends an open order again, first taking it over from a former holder.
+func (c *Controller) finish(ctx context.Context, grant bylease.Grant, t Target, row burdockyard.Row, rec record) error {
+	version := row.Version
+	if rec.Fence != grant.Fence() {
+		rec.Fence = grant.Fence()
+		v, err := c.write(ctx, grant, t.Engine, row.Version, rec)
+		if err != nil {
+			return err
+		}
+		version = v
+	}
+	return c.send(ctx, grant, t, version, rec)
+}
+
+// write stores the record under the grant's check and returns the row's new version.
+func (c *Controller) write(ctx context.Context, grant bylease.Grant, id burdockyard.EndpointID, version uint64, rec record) (uint64, error) {
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return 0, err
+	}
+	err = c.table.Commit(ctx, burdockyard.Txn{
+		Checks: []burdockyard.Check{grant.Check(), {Key: Key(id), Version: version}},
+		Writes: []burdockyard.Write{{Key: Key(id), Value: value}},
+	})
+	if err != nil {
+		return 0, err // of unknown outcome: the next Reconcile reads what holds
+	}
+	return version + 1, nil
+}
+
+// send gives the order to the engine and concludes it once it answered.
+//
+// The fencing number joins the holder's fence and the order's sequence. With
+// the fence alone, a copy of order 7 that was delayed on the network would
+// still be accepted after order 8 of the same holder.
+func (c *Controller) send(ctx context.Context, grant bylease.Grant, t Target, version uint64, rec record) error {
+	order := burdockyard.Order{
+		ID: rec.ID, Engine: t.Engine, Fencing: rec.Fence<<fenceShift | rec.Seq, State: rec.State,
+	}
+	if !grant.Valid(c.clock.Now()) {
+		return burdockyard.ErrNoAuthority
+	}
+	c.startSend()
+	report, err := c.engines.Engine(t.Addr).Order(ctx, order)
+	c.endSend(t.Engine, err)
+	if err != nil {
+		return errors.Join(burdockyard.ErrOrderOpen, err)
+	}
+	rec.Concluded = true
+	rec.Incarnation = report.Incarnation
+	if _, err := c.write(ctx, grant, t.Engine, version, rec); err != nil {
+		return err
+	}
+	c.onSent(order)
+	return nil
+}
+
+func (c *Controller) startSend() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sends++
+}
+
+// endSend notes that a send without an answer may still arrive for a while. A
+// refusal or an unsent order is certain, and leaves nothing on its way.
+func (c *Controller) endSend(id burdockyard.EndpointID, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sends--
+	certain := err == nil || errors.Is(err, burdockyard.ErrStaleOrder) || errors.Is(err, burdockyard.ErrNotStarted)
+	if !certain {
+		c.quiet[id] = c.clock.Now().Add(c.transit)
+	}
+}
+
+func (c *Controller) inQuiet(id burdockyard.EndpointID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clock.Now().Before(c.quiet[id])
+}
--- /dev/null
+++ b/core/byroute/prefix.go
@@ -0,0 +1,129 @@
+package byroute
+
+import (
+	"container/list"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"burdockyard"
+	"burdockyard/core/bymanifest"
+)
+
+const (
+	// BytesPerToken is the usual length of a token of prompt text.
+	BytesPerToken = 4
+	// cachedEngines is how many engines are remembered for one prefix.
+	cachedEngines = 3
+	// prefixEntries bounds the index.
+	prefixEntries = 20_000
+)
+
+// CountTokens estimates the tokens of a text of n bytes.
+func CountTokens(n int) int { return (n + BytesPerToken - 1) / BytesPerToken }
+
+// PrefixHashes returns the hash of the text up to the end of each whole piece.
+func PrefixHashes(text string) []uint64 {
+	const piece = PieceTokens * BytesPerToken
+	var hashes []uint64
+	d := xxhash.New()
+	for len(text) >= piece {
+		_, _ = d.WriteString(text[:piece]) // documented never to fail
+		hashes = append(hashes, d.Sum64())
+		text = text[piece:]
+	}
+	return hashes
+}
+
+// prefixEntry remembers which engines lately processed a prefix.
+type prefixEntry struct {
+	hash    uint64
+	engines []burdockyard.EndpointID // newest first
+}
+
+// prefixIndex guesses what engines have cached, from where calls were sent. A
+// wrong guess costs a cache miss. A nil index guesses that nothing is cached.
+type prefixIndex struct {
+	entries map[uint64]*list.Element
+	recent  *list.List // of *prefixEntry, newest first
+}
+
+func newPrefixIndex() *prefixIndex {
+	return &prefixIndex{entries: map[uint64]*list.Element{}, recent: list.New()}
+}
+
+func (p *prefixIndex) add(hashes []uint64, id burdockyard.EndpointID) {
+	if p == nil {
+		return
+	}
+	for _, h := range hashes {
+		p.addOne(h, id)
+	}
+	for p.recent.Len() > prefixEntries {
+		oldest := p.recent.Back()
+		delete(p.entries, oldest.Value.(*prefixEntry).hash)
+		p.recent.Remove(oldest)
+	}
+}
+
+func (p *prefixIndex) addOne(h uint64, id burdockyard.EndpointID) {
+	el, ok := p.entries[h]
+	if !ok {
+		el = p.recent.PushFront(&prefixEntry{hash: h})
+		p.entries[h] = el
+	}
+	p.recent.MoveToFront(el)
+	e := el.Value.(*prefixEntry)
+	e.engines = slices.DeleteFunc(e.engines, func(x burdockyard.EndpointID) bool { return x == id })
+	e.engines = slices.Insert(e.engines, 0, id)
+	if len(e.engines) > cachedEngines {
+		e.engines = e.engines[:cachedEngines]
+	}
+}
+
+// cachedTokens returns how many leading prompt tokens the engine probably has.
+func (p *prefixIndex) cachedTokens(hashes []uint64, id burdockyard.EndpointID) int {
+	if p == nil {
+		return 0
+	}
+	for i := len(hashes) - 1; i >= 0; i-- {
+		el, ok := p.entries[hashes[i]]
+		if ok && slices.Contains(el.Value.(*prefixEntry).engines, id) {
+			return (i + 1) * PieceTokens
+		}
+	}
+	return 0
+}
+
+// appendCached adds the engines that hold the longest known prefix.
+func (p *prefixIndex) appendCached(picked []*bymanifest.Engine, hashes []uint64, engines []*bymanifest.Engine) []*bymanifest.Engine {
+	if p == nil {
+		return picked
+	}
+	for i := len(hashes) - 1; i >= 0; i-- {
+		el, ok := p.entries[hashes[i]]
+		if !ok {
+			continue
+		}
+		for _, e := range engines {
+			if slices.Contains(el.Value.(*prefixEntry).engines, e.ID()) {
+				picked = append(picked, e)
+			}
+		}
+		break
+	}
+	return picked
+}
+
+// Forget removes a prefix that an engine said it evicted.
+func (r *Router) Forget(id burdockyard.EndpointID, hash uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.prefix == nil {
+		return
+	}
+	if el, ok := r.prefix.entries[hash]; ok {
+		e := el.Value.(*prefixEntry)
+		e.engines = slices.DeleteFunc(e.engines, func(x burdockyard.EndpointID) bool { return x == id })
+	}
+}
--- /dev/null
+++ b/core/byserve/byserve.go
@@ -0,0 +1,239 @@
+// Package byserve carries a call from admission to its whole answer.
+//
+// # Usage
+//
+//	s := byserve.New(clock, endpoints, follower.Current)
+//	group.Go(func() error { return s.Run(ctx) })
+//	err := s.Generate(ctx, call, sink)       // nil: the whole answer is in the sink
+//	resp, err := s.CallService(ctx, svcCall) // calls of plain services
+//
+// Every error of a call is a *burdockyard.CallError.
+package byserve
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/byadmit"
+	"burdockyard/core/bybooking"
+	"burdockyard/core/bymanifest"
+	"burdockyard/core/byroute"
+	"burdockyard/core/bystream"
+)
+
+const (
+	// pumpEvery is how often waiting calls are looked at when nothing happens.
+	pumpEvery = 10 * time.Millisecond
+	// resumeGrace is how long an answer goes on without its caller, who may be
+	// on the way to another node.
+	resumeGrace = 3 * time.Second
+	// maxAttempts bounds on how many engines one call is tried.
+	maxAttempts = 4
+	// maxResumes bounds how often one engine's stream is opened again.
+	maxResumes = 3
+	// cancelTimeout bounds telling an engine to stop.
+	cancelTimeout = 2 * time.Second
+)
+
+// Sink takes the tokens of an answer. An error means that the caller is gone.
+type Sink interface {
+	Token(t burdockyard.Token, next bystream.Position) error
+}
+
+// Call is one call for a model's answer.
+type Call struct {
+	ID     burdockyard.RequestID
+	Tenant burdockyard.Tenant
+	Class  bymanifest.ClassSpec
+	Weight int // of the tenant
+	Model  string
+	Chat   bool
+	Work   byroute.Work
+	// Body encodes the request for an engine. It goes on after the text that
+	// was delivered and asks for the tokens that are left.
+	Body func(delivered string, tokens int) ([]byte, error)
+	// Resume is the place that the caller has reached, if it comes back.
+	Resume *bystream.Position
+	// Delivered is the text up to Resume, if the caller sent it along.
+	Delivered string
+}
+
+// waiter is a call in the admission queue.
+type waiter struct {
+	started chan Start[*waiter]
+	refused chan *byadmit.Refusal
+}
+
+// Observer hears of what happens to calls, for metrics and logs.
+type Observer interface {
+	Waited(c Call, d time.Duration)
+	Retried(c Call, engine burdockyard.EndpointID, cause error)
+	Hedged()
+}
+
+type noObserver struct{}
+
+func (noObserver) Waited(Call, time.Duration)                  {}
+func (noObserver) Retried(Call, burdockyard.EndpointID, error) {}
+func (noObserver) Hedged()                                     {}
+
+// Server serves calls at one node. Its methods may be called from several
+// goroutines; mu is a leaf lock.
+type Server struct {
+	clock     burdockyard.Clock
+	endpoints burdockyard.Endpoints
+	manifest  func() *bymanifest.Manifest
+	dispatch  *Dispatcher[*waiter]
+	budget    *Budget
+	desk      *bybooking.Desk
+	observer  Observer
+	done      chan struct{}
+
+	running sync.WaitGroup // copies of service calls
+
+	mu   sync.Mutex
+	open map[string]int // calls at each service endpoint
+}
+
+// Option sets an optional part of a Server.
+type Option func(*Server)
+
+// WithObserver hears of what happens to calls.
+func WithObserver(o Observer) Option { return func(s *Server) { s.observer = o } }
+
+// WithDesk runs the calls that may not be repeated.
+func WithDesk(d *bybooking.Desk) Option { return func(s *Server) { s.desk = d } }
+
+// WithRouter sets the router.
+func WithRouter(r *byroute.Router) Option {
+	return func(s *Server) { s.dispatch = NewDispatcher[*waiter](r, s.manifest) }
+}
+
+// New returns a Server for the manifest in force.
+func New(clock burdockyard.Clock, endpoints burdockyard.Endpoints, manifest func() *bymanifest.Manifest, opts ...Option) *Server {
+	s := &Server{
+		clock: clock, endpoints: endpoints, manifest: manifest, budget: NewBudget(),
+		observer: noObserver{}, done: make(chan struct{}), open: map[string]int{},
+	}
+	s.dispatch = NewDispatcher[*waiter](byroute.New(), manifest)
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// Dispatcher returns the decisions below, for heartbeats and status.
+func (s *Server) Dispatcher() *Dispatcher[*waiter] { return s.dispatch }
+
+// Done is closed once Run has returned.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
+// Run starts and refuses waiting calls as time passes. It returns when ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	defer close(s.done)
+	tick := time.NewTicker(pumpEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			s.step()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (s *Server) step() {
+	if s.dispatch.Waiting() == 0 {
+		return
+	}
+	for _, r := range s.dispatch.Expire(s.clock.Now()) {
+		r.Value.refused <- r.Refusal
+	}
+	for _, model := range s.dispatch.Models() {
+		s.pump(model)
+	}
+}
+
+func (s *Server) pump(model string) {
+	for _, start := range s.dispatch.Pump(model, s.clock.Now()) {
+		start.Value.started <- start
+	}
+}
+
+// Generate brings the whole answer of a call to the sink.
+func (s *Server) Generate(ctx context.Context, c Call, sink Sink) error {
+	r := &run{s: s, call: c, sink: sink, answer: bystream.NewAssembler(0, "")}
+	if c.Resume != nil {
+		r.answer = bystream.NewAssembler(c.Resume.Next, c.Delivered)
+		if err := r.resume(ctx, *c.Resume); err == nil || !errors.Is(err, burdockyard.ErrStreamGone) {
+			return err
+		}
+		if c.Delivered == "" && c.Resume.Next > 0 {
+			return burdockyard.NewCallError(burdockyard.Failed,
+				"the engine that made the answer is gone; send the text delivered so far along, or call again from the beginning")
+		}
+	}
+	return r.attempts(ctx)
+}
+
+// admit waits until the call may start.
+func (s *Server) admit(ctx context.Context, c Call) (Start[*waiter], error) {
+	w := &waiter{started: make(chan Start[*waiter], 1), refused: make(chan *byadmit.Refusal, 1)}
+	now := s.clock.Now()
+	ticket, refusal := s.dispatch.Offer(s.offered(c, w, now), now)
+	if refusal != nil {
+		return Start[*waiter]{}, refusedError(refusal)
+	}
+	s.budget.Earn()
+	s.pump(c.Model)
+	select {
+	case start := <-w.started:
+		s.observer.Waited(c, start.Waited)
+		return start, nil
+	case r := <-w.refused:
+		return Start[*waiter]{}, refusedError(r)
+	case <-ctx.Done():
+		return Start[*waiter]{}, s.leaveQueue(ctx, ticket, w)
+	}
+}
+
+// leaveQueue ends a call whose caller left while it waited.
+func (s *Server) leaveQueue(ctx context.Context, ticket *byadmit.Ticket[Offered[*waiter]], w *waiter) error {
+	if !s.dispatch.Withdraw(ticket) {
+		select {
+		case start := <-w.started:
+			start.Flight.End()
+		case <-w.refused:
+		}
+	}
+	return burdockyard.NewCallError(burdockyard.NotRun, "the time for the call was over before it started",
+		burdockyard.WithErr(ctx.Err()), burdockyard.WithRetryAfter(time.Second))
+}
+
+func (s *Server) offered(c Call, w *waiter, now time.Time) Offered[*waiter] {
+	var model bymanifest.ModelSpec
+	if engines := s.manifest().ModelEngines(c.Model); len(engines) > 0 {
+		model = engines[0].Model()
+	}
+	return Offered[*waiter]{
+		Model: c.Model, Work: c.Work, Value: w, Call: AdmissionCall(model, c.Class, c.Tenant, c.Weight, c.Work, now),
+	}
+}
+
+// AdmissionCall describes a call to the admission queue.
+func AdmissionCall(m bymanifest.ModelSpec, class bymanifest.ClassSpec, tenant burdockyard.Tenant, weight int, w byroute.Work, now time.Time) byadmit.Call {
+	alone := time.Duration(float64(w.PromptTokens) / float64(max(m.PrefillRate, 1)) * float64(time.Second))
+	return byadmit.Call{
+		Tenant: tenant, Weight: weight, Class: class.Name, Long: w.Long(), Priority: class.Priority,
+		Queue: class.Queue, Cost: Cost(m, w), StartBy: now.Add(max(class.FirstToken-alone, 0)),
+	}
+}
+
+func refusedError(r *byadmit.Refusal) error {
+	return burdockyard.NewCallError(burdockyard.NotRun, r.Cause(), burdockyard.WithRetryAfter(r.RetryAfter()),
+		burdockyard.WithStatus(429))
+}
--- /dev/null
+++ b/io/bycall/complete.go
@@ -0,0 +1,151 @@
+package bycall
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"burdockyard/io/byhttp"
+	"burdockyard/io/bywire"
+)
+
+// errCut means that an answer ended before it was whole.
+var errCut = merry.Sentinel("the answer was cut")
+
+const maxEventBytes = 1 << 20
+
+// Completion asks for a model's answer.
+type Completion struct {
+	Model     string
+	Prompt    string
+	MaxTokens int
+	Deadline  time.Duration // 0: the class's
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Text       string
+	Tokens     int
+	Resumed    int // how often it was cut and taken up again
+	FirstToken time.Duration
+	Whole      time.Duration
+}
+
+// completionBody is the request as it is sent.
+type completionBody struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+	Delivered string `json:"delivered,omitempty"`
+}
+
+// event is a chunk or an error.
+type event struct {
+	Choices []struct {
+		Text         string `json:"text"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Error byhttp.ErrorDetail `json:"error"`
+}
+
+// reading is an answer as far as it has arrived.
+type reading struct {
+	began   time.Time
+	answer  Answer
+	text    strings.Builder
+	lastID  string
+	done    bool
+	onToken func(string)
+}
+
+// Complete returns a whole answer. onToken, if not nil, gets each token as it
+// arrives.
+func (c *Client) Complete(ctx context.Context, req Completion, onToken func(string)) (Answer, error) {
+	if onToken == nil {
+		onToken = func(string) {}
+	}
+	r := &reading{began: time.Now(), onToken: onToken}
+	err := retry(ctx, func() error { return c.completeOnce(ctx, req, r) })
+	r.answer.Text = r.text.String()
+	r.answer.Whole = time.Since(r.began)
+	return r.answer, err
+}
+
+// completeOnce begins an answer, or goes on after its last token.
+func (c *Client) completeOnce(ctx context.Context, req Completion, r *reading) error {
+	body := encode(completionBody{
+		Model: req.Model, Prompt: req.Prompt, MaxTokens: req.MaxTokens, Stream: true, Delivered: r.text.String(),
+	})
+	header := map[string]string{bywire.HeaderLastEventID: r.lastID}
+	if req.Deadline > 0 {
+		header[bywire.HeaderDeadline] = milliseconds(req.Deadline)
+	}
+	resp, addr, err := c.send(ctx, http.MethodPost, "/v1/completions", body, header)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return callError(resp)
+	}
+	err = r.read(resp)
+	if errors.Is(err, errCut) {
+		r.answer.Resumed++
+		c.drop(addr)
+	}
+	return err
+}
+
+func (r *reading) read(resp *http.Response) error {
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxEventBytes)
+	var id string
+	for lines.Scan() {
+		line := lines.Text()
+		if rest, ok := strings.CutPrefix(line, "id: "); ok {
+			id = rest
+			continue
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" && r.done {
+			return nil
+		}
+		if err := r.take(id, data); err != nil {
+			return err
+		}
+	}
+	return errCut
+}
+
+// take adds one event to the answer.
+func (r *reading) take(id, data string) error {
+	var e event
+	if err := json.Unmarshal([]byte(data), &e); err != nil {
+		return errCut
+	}
+	if e.Error.Type != "" {
+		return &CallError{Detail: e.Error}
+	}
+	if len(e.Choices) == 0 {
+		return errCut
+	}
+	if r.answer.Tokens == 0 {
+		r.answer.FirstToken = time.Since(r.began)
+	}
+	r.answer.Tokens++
+	r.lastID = id
+	r.text.WriteString(e.Choices[0].Text)
+	r.done = e.Choices[0].FinishReason != ""
+	r.onToken(e.Choices[0].Text)
+	return nil
+}
--- /dev/null
+++ b/io/byemu/text.go
@@ -0,0 +1,45 @@
+package byemu
+
+import "hash/fnv"
+
+// words are the tokens that an emulated model writes.
+var words = []string{
+	"moss ", "slate ", "tile ", "gutter ", "ridge ", "valley ", "ladder ", "rain ",
+	"bed ", "soil ", "mulch ", "fern ", "sedge ", "maple ", "stone ", "path ",
+	"clay ", "lime ", "north ", "south ", "dry ", "damp ", "steep ", "flat ",
+	"quote ", "crew ", "van ", "crate ", "plan ", "yard ", "eave ", "shade. ",
+}
+
+// Writer is an emulated model's choice of tokens. Like a real model's, each
+// token depends on all the text before it, so that a continuation from the
+// prompt and the answer so far goes on with the same words.
+type Writer struct{ state uint64 }
+
+// NewWriter returns a Writer that has read the text.
+func NewWriter(text string) *Writer {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text)) // documented never to fail
+	return &Writer{state: h.Sum64()}
+}
+
+// Next returns the next token.
+func (w *Writer) Next() string {
+	const fnvPrime = 1099511628211
+	mixed := w.state ^ w.state>>32
+	word := words[mixed%uint64(len(words))]
+	for _, b := range []byte(word) {
+		w.state ^= uint64(b)
+		w.state *= fnvPrime
+	}
+	return word
+}
+
+// Answer returns the first n tokens that follow the text.
+func Answer(text string, n int) string {
+	w := NewWriter(text)
+	answer := ""
+	for range n {
+		answer += w.Next()
+	}
+	return answer
+}
--- /dev/null
+++ b/io/byengine/stream.go
@@ -0,0 +1,101 @@
+package byengine
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/ansel1/merry/v2"
+
+	"burdockyard"
+	"burdockyard/io/bywire"
+)
+
+const (
+	eventBuffer = 4 << 10 // bytes read ahead for one stream
+	maxEvent    = 1 << 20 // bytes of one line
+)
+
+var (
+	idField   = []byte("id:")
+	dataField = []byte("data:")
+	doneData  = []byte("[DONE]")
+)
+
+// chunk is the part of an OpenAI-style event that matters here.
+type chunk struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+// stream reads the events of one answer. It is used by one goroutine, but for
+// Close.
+type stream struct {
+	body  io.ReadCloser
+	lines *bufio.Scanner
+	id    burdockyard.RequestID
+	inc   burdockyard.Incarnation
+	index int
+}
+
+func newStream(resp *http.Response, id burdockyard.RequestID) *stream {
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(make([]byte, 0, eventBuffer), maxEvent)
+	return &stream{
+		body: resp.Body, lines: lines, id: id,
+		inc: burdockyard.Incarnation(resp.Header.Get(bywire.HeaderIncarnation)),
+	}
+}
+
+func (s *stream) Incarnation() burdockyard.Incarnation { return s.inc }
+
+func (s *stream) Close() error { return s.body.Close() }
+
+// Next implements burdockyard.TokenStream. The answer is whole only if the
+// engine said so; a connection that merely ends has cut it.
+func (s *stream) Next() (burdockyard.Token, error) {
+	for s.lines.Scan() {
+		line := s.lines.Bytes()
+		if rest, ok := bytes.CutPrefix(line, idField); ok {
+			n, err := strconv.Atoi(string(bytes.TrimSpace(rest)))
+			if err != nil {
+				return burdockyard.Token{}, merry.Prepend(burdockyard.ErrInterrupted, "event without a token index")
+			}
+			s.index = n
+			continue
+		}
+		rest, ok := bytes.CutPrefix(line, dataField)
+		if !ok {
+			continue
+		}
+		rest = bytes.TrimSpace(rest)
+		if bytes.Equal(rest, doneData) {
+			return burdockyard.Token{}, io.EOF
+		}
+		return s.token(rest)
+	}
+	return burdockyard.Token{}, merry.Prepend(burdockyard.ErrInterrupted, "the engine's stream ended early")
+}
+
+func (s *stream) token(data []byte) (burdockyard.Token, error) {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil || len(c.Choices) == 0 {
+		return burdockyard.Token{}, merry.Prepend(burdockyard.ErrInterrupted, "event that is not a completion chunk")
+	}
+	if c.ID != string(s.id) {
+		return burdockyard.Token{}, merry.Prependf(burdockyard.ErrCrossed, "asked for %s, answered %s", s.id, c.ID)
+	}
+	choice := c.Choices[0]
+	return burdockyard.Token{
+		Index: s.index, Text: choice.Text + choice.Delta.Content, Finish: choice.FinishReason,
+	}, nil
+}
--- /dev/null
+++ b/io/byhttp/byhttp.go
@@ -0,0 +1,225 @@
+// Package byhttp is the callers' surface: OpenAI-style completions, calls of
+// plain services, addresses, health and metrics.
+//
+// # Usage
+//
+//	h := byhttp.New(parts)
+//	http.ListenAndServe(addr, h)
+//
+// # Headers
+//
+// X-Tenant names the tenant and X-Class the class, which default to the only
+// tenant and the first class of the manifest. X-Deadline-Ms is how many
+// milliseconds the caller waits for the whole answer. Last-Event-ID resumes a
+// stream, and Idempotency-Key names a call that may not be repeated.
+package byhttp
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/urfave/negroni/v3"
+
+	"burdockyard"
+	"burdockyard/core/bymanifest"
+	"burdockyard/core/bymember"
+	"burdockyard/core/byserve"
+	"burdockyard/core/bystream"
+	"burdockyard/io/bylog"
+	"burdockyard/io/bymetrics"
+	"burdockyard/io/bywire"
+)
+
+// Parts is what the surface serves.
+type Parts struct {
+	Server     *byserve.Server
+	Sealer     *bystream.Sealer
+	Manifest   func() *bymanifest.Manifest
+	Ready      func() error // why callers cannot be served, or nil
+	Beat       func() bymember.Heartbeat
+	View       *bymember.View
+	Metrics    *bymetrics.Metrics
+	Log        bylog.Logger
+	AddressTTL time.Duration
+}
+
+// Surface is the callers' surface of one node.
+type Surface struct {
+	parts   Parts
+	handler http.Handler
+	open    atomic.Int64
+}
+
+// New returns the surface.
+func New(p Parts) *Surface {
+	s := &Surface{parts: p}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", s.completion(true))
+	mux.HandleFunc("POST /v1/completions", s.completion(false))
+	mux.HandleFunc("/svc/{service}/{path...}", s.service)
+	mux.HandleFunc("GET /v1/addresses", s.addresses)
+	mux.HandleFunc("GET /healthz", s.health)
+	mux.HandleFunc("GET /readyz", s.ready)
+	mux.HandleFunc("GET /metrics", s.metrics)
+	mux.HandleFunc("/", s.notFound)
+	recovery := negroni.NewRecovery()
+	recovery.PrintStack = false
+	s.handler = negroni.New(recovery, negroni.HandlerFunc(s.count), negroni.Wrap(mux))
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Surface) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handler.ServeHTTP(w, r) }
+
+// Open returns the number of calls being answered.
+func (s *Surface) Open() int { return int(s.open.Load()) }
+
+// count gives each call its id and counts it while it is open.
+func (s *Surface) count(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	id := burdockyard.NewRequestID()
+	w.Header().Set(bywire.HeaderRequestID, string(id))
+	next(w, r.WithContext(context.WithValue(r.Context(), requestIDKey{}, id)))
+}
+
+type requestIDKey struct{}
+
+func requestID(r *http.Request) burdockyard.RequestID {
+	id, _ := r.Context().Value(requestIDKey{}).(burdockyard.RequestID)
+	return id
+}
+
+// caller is who calls, and for how long the answer is of use.
+type caller struct {
+	tenant burdockyard.Tenant
+	weight int
+	class  bymanifest.ClassSpec
+}
+
+// identify reads the caller's headers and returns a context that ends at the
+// deadline.
+func (s *Surface) identify(r *http.Request) (caller, context.Context, context.CancelFunc, error) {
+	m := s.parts.Manifest()
+	if m == nil {
+		return caller{}, nil, nil, burdockyard.NewCallError(burdockyard.NotRun, "the node has no manifest yet", burdockyard.WithRetryAfter(time.Second))
+	}
+	tenant, err := tenantOf(m, r.Header.Get(bywire.HeaderTenant))
+	if err != nil {
+		return caller{}, nil, nil, err
+	}
+	class, ok := m.Class(r.Header.Get(bywire.HeaderClass))
+	if !ok {
+		return caller{}, nil, nil, invalid("no class " + strconv.Quote(r.Header.Get(bywire.HeaderClass)) + " is in the manifest; correct the " + bywire.HeaderClass + " header")
+	}
+	limit := class.Deadline
+	if text := r.Header.Get(bywire.HeaderDeadline); text != "" {
+		ms, err := strconv.Atoi(text)
+		if err != nil || ms <= 0 {
+			return caller{}, nil, nil, invalid(strconv.Quote(text) + " is not a deadline; send whole milliseconds above 0 in " + bywire.HeaderDeadline)
+		}
+		limit = min(limit, time.Duration(ms)*time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), limit)
+	return caller{tenant: burdockyard.Tenant(tenant.Name), weight: tenant.Weight, class: class}, ctx, cancel, nil
+}
+
+func tenantOf(m *bymanifest.Manifest, name string) (bymanifest.TenantSpec, error) {
+	if tenants := m.Spec().Tenants; name == "" && len(tenants) == 1 {
+		return tenants[0], nil
+	}
+	t, ok := m.Tenant(burdockyard.Tenant(name))
+	if !ok {
+		return t, invalid("no tenant " + strconv.Quote(name) + " is in the manifest; correct the " + bywire.HeaderTenant + " header")
+	}
+	return t, nil
+}
+
+func invalid(cause string) error {
+	return burdockyard.NewCallError(burdockyard.Invalid, cause)
+}
+
+// ErrorBody is the shape of every error.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail tells what a caller may conclude, why, and when to come back.
+type ErrorDetail struct {
+	Type         burdockyard.Outcome   `json:"type"`
+	Cause        string                `json:"cause"`
+	RequestID    burdockyard.RequestID `json:"request_id"`
+	RetryAfterMs int64                 `json:"retry_after_ms,omitempty"`
+}
+
+// detail describes an error for the caller, counts it and logs it.
+func (s *Surface) detail(r *http.Request, err error) (ErrorBody, *burdockyard.CallError) {
+	var call *burdockyard.CallError
+	if !errors.As(err, &call) {
+		call = burdockyard.NewCallError(burdockyard.Failed, "internal error", burdockyard.WithErr(err), burdockyard.WithStatus(500))
+	}
+	s.parts.Metrics.Refusal(call.Outcome()).Inc()
+	s.parts.Log.Info("call got no answer", bylog.Str("request", string(requestID(r))),
+		bylog.Str("type", string(call.Outcome())), bylog.Str("cause", call.Cause()), bylog.Err(call.Unwrap()))
+	return ErrorBody{Error: ErrorDetail{
+		Type: call.Outcome(), Cause: call.Cause(), RequestID: requestID(r),
+		RetryAfterMs: call.RetryAfter().Milliseconds(),
+	}}, call
+}
+
+// fail writes an error as the whole answer. Retry-After has whole seconds, the
+// body the exact time.
+func (s *Surface) fail(w http.ResponseWriter, r *http.Request, err error) {
+	body, call := s.detail(r, err)
+	if d := call.RetryAfter(); d > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int((d+time.Second-1)/time.Second)))
+	}
+	bywire.WriteJSON(w, call.Status(), body)
+}
+
+func (s *Surface) notFound(w http.ResponseWriter, r *http.Request) {
+	s.fail(w, r, burdockyard.NewCallError(burdockyard.Invalid, "nothing is served at "+r.URL.Path, burdockyard.WithStatus(404)))
+}
+
+// Address is one node that callers may use.
+type Address struct {
+	Address string `json:"address"`
+	Node    string `json:"node"`
+	Domain  string `json:"domain"`
+}
+
+// Addresses is the answer to "which of you do I use".
+type Addresses struct {
+	Addresses   []Address `json:"addresses"`
+	KeepSeconds float64   `json:"keep_seconds"`
+}
+
+func (s *Surface) addresses(w http.ResponseWriter, _ *http.Request) {
+	reply := Addresses{Addresses: []Address{}, KeepSeconds: s.parts.AddressTTL.Seconds()}
+	for _, b := range append(s.parts.View.Alive(), s.parts.Beat()) {
+		if !b.Leaving && b.Generation > 0 {
+			reply.Addresses = append(reply.Addresses, Address{Address: b.CallerAddr, Node: string(b.Member.Node), Domain: b.Domain})
+		}
+	}
+	bywire.WriteJSON(w, http.StatusOK, reply)
+}
+
+func (s *Surface) health(w http.ResponseWriter, _ *http.Request) {
+	bywire.WriteJSON(w, http.StatusOK, map[string]string{"status": "ok"})
+}
+
+func (s *Surface) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := s.parts.Ready(); err != nil {
+		bywire.WriteJSON(w, http.StatusServiceUnavailable, map[string]string{"status": err.Error()})
+		return
+	}
+	bywire.WriteJSON(w, http.StatusOK, map[string]string{"status": "ready"})
+}
+
+func (s *Surface) metrics(w http.ResponseWriter, _ *http.Request) {
+	s.parts.Metrics.WritePrometheus(w)
+}
--- /dev/null
+++ b/io/byhttp/service.go
@@ -0,0 +1,54 @@
+package byhttp
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/byserve"
+	"burdockyard/io/bywire"
+)
+
+// service hands a call of a plain service on.
+func (s *Surface) service(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	who, ctx, cancel, err := s.identify(r)
+	if err != nil {
+		s.fail(w, r, err)
+		return
+	}
+	defer cancel()
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, bywire.MaxBody))
+	if err != nil {
+		s.fail(w, r, invalid("the body could not be read: "+err.Error()))
+		return
+	}
+	resp, err := s.parts.Server.CallService(ctx, byserve.ServiceCall{
+		Tenant: who.tenant, Service: r.PathValue("service"), Request: serviceRequest(r, body),
+	})
+	if err != nil {
+		s.fail(w, r, err)
+		return
+	}
+	for name, values := range resp.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(resp.Status)
+	_, _ = w.Write(resp.Body) // the caller is gone if this fails
+	s.parts.Metrics.Whole(who.tenant, who.class.Name).Update(time.Since(began).Seconds())
+}
+
+func serviceRequest(r *http.Request, body []byte) burdockyard.ServiceRequest {
+	path := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	header := map[string][]string{}
+	if ct := r.Header.Values("Content-Type"); len(ct) > 0 {
+		header["Content-Type"] = ct
+	}
+	return burdockyard.ServiceRequest{
+		ID: requestID(r), Method: r.Method, Path: path, Header: header, Body: body, Key: r.Header.Get(bywire.HeaderKey),
+	}
+}
--- /dev/null
+++ b/io/bylog/bylog.go
@@ -0,0 +1,78 @@
+// Package bylog makes the structured logs: one JSON line each, a short sentence
+// with a fixed prefix for the part that says it.
+//
+// # Usage
+//
+//	log := bylog.New(os.Stderr, "info", "n1")
+//	orders := bylog.Part(log, bylog.Orders)
+//	orders.Info().Str("engine", "q1").Msg("orders: engine reached its state")
+package bylog
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+)
+
+// The parts of a node, which are also the prefixes of their sentences.
+const (
+	Node     = "node"
+	Calls    = "calls"
+	Bookings = "bookings"
+	Leases   = "leases"
+	Orders   = "orders"
+	Manifest = "manifest"
+	Members  = "members"
+)
+
+// Logger writes the sentences of one part.
+type Logger struct {
+	z    zerolog.Logger
+	part string
+}
+
+// New returns the root logger of a node.
+func New(w io.Writer, level, node string) zerolog.Logger {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		l = zerolog.InfoLevel
+	}
+	return zerolog.New(w).Level(l).With().Timestamp().Str("node", node).Logger()
+}
+
+// Part returns the logger of one part.
+func Part(z zerolog.Logger, part string) Logger { return Logger{z: z, part: part} }
+
+// Field adds to a line.
+type Field func(*zerolog.Event)
+
+// Str adds a text.
+func Str(name, value string) Field {
+	return func(e *zerolog.Event) { e.Str(name, value) }
+}
+
+// Int adds a number.
+func Int(name string, value int) Field {
+	return func(e *zerolog.Event) { e.Int(name, value) }
+}
+
+// Err adds an error.
+func Err(err error) Field {
+	return func(e *zerolog.Event) { e.AnErr("error", err) }
+}
+
+// Debug says something that only a developer wants to know.
+func (l Logger) Debug(sentence string, fields ...Field) { l.say(l.z.Debug(), sentence, fields) }
+
+// Info says something that an operator wants to know.
+func (l Logger) Info(sentence string, fields ...Field) { l.say(l.z.Info(), sentence, fields) }
+
+// Warn says something that an operator may have to act on.
+func (l Logger) Warn(sentence string, fields ...Field) { l.say(l.z.Warn(), sentence, fields) }
+
+func (l Logger) say(e *zerolog.Event, sentence string, fields []Field) {
+	for _, f := range fields {
+		f(e)
+	}
+	e.Msg(l.part + ": " + sentence)
+}
--- /dev/null
+++ b/io/bynode/loops.go
@@ -0,0 +1,118 @@
+package bynode
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+
+	"golang.org/x/sync/errgroup"
+
+	"burdockyard/core/bymanifest"
+	"burdockyard/io/bylog"
+	"burdockyard/io/bypeer"
+	"burdockyard/io/bypeer/bypeerpb"
+)
+
+// beatWorkers is how many peers are called at the same time.
+const beatWorkers = 16
+
+// beatAll exchanges heartbeats with every known peer, then takes in what they said.
+func (n *Node) beatAll(ctx context.Context) {
+	var group errgroup.Group
+	group.SetLimit(beatWorkers)
+	for _, addr := range n.peerAddrs() {
+		group.Go(func() error {
+			reply, err := n.clients.Beat(ctx, addr, n.beat())
+			if err == nil {
+				n.view.Hear(reply)
+			}
+			return nil // a silent peer becomes suspect by its silence
+		})
+	}
+	_ = group.Wait()
+	n.view.Forget()
+	now := n.clock.Now()
+	alive := n.view.Alive()
+	n.server.Dispatcher().Tick(n.view.PeerLoads(), len(alive)+1, now)
+	n.server.Dispatcher().Router().Hold(append(n.view.Holds(), n.gate.Held()...))
+}
+
+func (n *Node) peerAddrs() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.addrs)
+}
+
+// refreshPeers reads the VM list. While it cannot be read the last one counts.
+func (n *Node) refreshPeers(ctx context.Context) {
+	vms, err := n.platform.VMs(ctx)
+	if err != nil {
+		n.logs.members.Debug("VM list not read", bylog.Err(err))
+		return
+	}
+	addrs := slices.Clone(n.settings.Peers)
+	for _, vm := range vms {
+		addrs = append(addrs, vm.Addr)
+	}
+	for _, b := range n.view.Alive() {
+		addrs = append(addrs, b.Member.Addr)
+	}
+	slices.Sort(addrs)
+	addrs = slices.Compact(addrs)
+	addrs = slices.DeleteFunc(addrs, func(a string) bool { return a == n.self.Addr })
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.addrs = addrs
+}
+
+// followManifest takes up a newer manifest from the table, or from a peer that
+// has one.
+func (n *Node) followManifest(ctx context.Context) {
+	before := n.follower.Generation()
+	err := n.follower.Step(ctx)
+	if err != nil && !errors.Is(err, bymanifest.ErrNoManifest) {
+		n.logs.manifest.Debug("table not read", bylog.Err(err))
+	}
+	n.learnManifest(ctx)
+	if now := n.follower.Generation(); now != before {
+		n.logs.manifest.Info("generation in force", bylog.Int("generation", int(now)))
+	}
+}
+
+func (n *Node) learnManifest(ctx context.Context) {
+	for _, b := range n.view.Alive() {
+		own := n.follower.Generation()
+		if b.Generation <= own {
+			continue
+		}
+		w, err := n.clients.Manifest(ctx, b.Member.Addr, own)
+		if err != nil {
+			continue
+		}
+		if err := n.follower.Learn(ctx, w); err != nil {
+			n.logs.manifest.Warn("manifest of a peer not taken", bylog.Str("peer", string(b.Member.Node)), bylog.Err(err))
+		}
+	}
+}
+
+func (n *Node) peerHandler() http.Handler {
+	return bypeer.NewHandler(bypeer.Parts{
+		Self: n.self, View: n.view, Follower: n.follower, Desk: n.desk, Beat: n.beat, Status: n.status,
+	})
+}
+
+// status describes the node for operators.
+func (n *Node) status() *bypeerpb.StatusReply {
+	reply := &bypeerpb.StatusReply{
+		Member:     &bypeerpb.Member{Node: string(n.self.Node), Incarnation: string(n.self.Incarnation), Addr: n.self.Addr},
+		Domain:     n.settings.Domain,
+		Generation: n.follower.Generation(), Leaving: n.leaving.Load(),
+		OpenCalls: int64(n.surface.Open()), WaitingCalls: int64(n.server.Dispatcher().Waiting()),
+		Shards: n.control.status(), SlowEngines: n.server.Dispatcher().Router().Slow(),
+	}
+	for _, b := range n.view.Alive() {
+		reply.Peers = append(reply.Peers, string(b.Member.Node))
+	}
+	return reply
+}
--- /dev/null
+++ b/io/bynode/parts.go
@@ -0,0 +1,98 @@
+package bynode
+
+import (
+	"io"
+	"time"
+
+	"github.com/google/wire"
+	"github.com/rs/zerolog"
+
+	"burdockyard"
+	"burdockyard/core/bybooking"
+	"burdockyard/core/bydrain"
+	"burdockyard/core/bymanifest"
+	"burdockyard/core/bymember"
+	"burdockyard/core/byserve"
+	"burdockyard/core/bystream"
+	"burdockyard/io/byconfig"
+	"burdockyard/io/byengine"
+	"burdockyard/io/byhttp"
+	"burdockyard/io/bylog"
+	"burdockyard/io/bymetrics"
+	"burdockyard/io/bypeer"
+	"burdockyard/io/byplatform"
+)
+
+// parts names how each part of a node is made; wire puts them together.
+var parts = wire.NewSet(
+	newSelf, newClock, newPlatform, newTable, newObjects, newEndpoints, newRootLog, newLogs,
+	bypeer.NewClients, bymetrics.New, bymanifest.NewFollower, bymember.New,
+	newDesk, newServer, newGate, newNode,
+)
+
+func newSelf(s byconfig.Settings) burdockyard.Member { return s.Member(burdockyard.NewIncarnation()) }
+
+func newClock() burdockyard.Clock { return burdockyard.SystemClock{} }
+
+func newPlatform(s byconfig.Settings) *byplatform.Platform { return byplatform.New(s.Platform) }
+
+func newTable(p *byplatform.Platform) burdockyard.Table { return p.Table() }
+
+func newObjects(p *byplatform.Platform) burdockyard.ObjectStore { return p.Objects() }
+
+func newEndpoints() burdockyard.Endpoints { return byengine.New() }
+
+func newRootLog(s byconfig.Settings, w io.Writer) zerolog.Logger {
+	return bylog.New(w, s.LogLevel, s.Node)
+}
+
+func newLogs(z zerolog.Logger) logs {
+	return logs{
+		node: bylog.Part(z, bylog.Node), calls: bylog.Part(z, bylog.Calls), leases: bylog.Part(z, bylog.Leases),
+		orders: bylog.Part(z, bylog.Orders), manifest: bylog.Part(z, bylog.Manifest), members: bylog.Part(z, bylog.Members),
+	}
+}
+
+func newDesk(t burdockyard.Table, c burdockyard.Clock, self burdockyard.Member, clients *bypeer.Clients) *bybooking.Desk {
+	return bybooking.New(t, c, self, bybooking.WithClaimants(clients))
+}
+
+func newServer(c burdockyard.Clock, e burdockyard.Endpoints, f *bymanifest.Follower, d *bybooking.Desk, m *bymetrics.Metrics, l logs) *byserve.Server {
+	return byserve.New(c, e, f.Current, byserve.WithDesk(d), byserve.WithObserver(observer{m, l.calls}))
+}
+
+func newGate(c burdockyard.Clock, s *byserve.Server) *bydrain.Gate {
+	return bydrain.New(c, s.Dispatcher().Router().Open)
+}
+
+func newNode(s byconfig.Settings, self burdockyard.Member, c burdockyard.Clock, p *byplatform.Platform, e burdockyard.Endpoints,
+	clients *bypeer.Clients, f *bymanifest.Follower, v *bymember.View, d *bybooking.Desk, srv *byserve.Server,
+	g *bydrain.Gate, m *bymetrics.Metrics, l logs) *Node {
+	n := &Node{
+		settings: s, self: self, clock: c, platform: p, endpoints: e, clients: clients, follower: f, view: v,
+		desk: d, server: srv, gate: g, metrics: m, logs: l, done: make(chan struct{}), addrs: s.Peers,
+	}
+	n.surface = byhttp.New(byhttp.Parts{
+		Server: srv, Sealer: bystream.NewSealer(s.Key()), Manifest: f.Current, Ready: n.ready, Beat: n.beat,
+		View: v, Metrics: m, Log: l.calls, AddressTTL: s.AddressTTL,
+	})
+	n.control = newControl(n)
+	return n
+}
+
+// observer turns what happens to calls into metrics and log lines.
+type observer struct {
+	metrics *bymetrics.Metrics
+	log     bylog.Logger
+}
+
+func (o observer) Waited(c byserve.Call, d time.Duration) {
+	o.metrics.QueueWait(c.Tenant, c.Class.Name).Update(d.Seconds())
+}
+
+func (o observer) Retried(c byserve.Call, engine burdockyard.EndpointID, cause error) {
+	o.metrics.Retry().Inc()
+	o.log.Info("call moved to another engine", bylog.Str("request", string(c.ID)), bylog.Str("engine", string(engine)), bylog.Err(cause))
+}
+
+func (o observer) Hedged() { o.metrics.Hedge().Inc() }
--- /dev/null
+++ b/io/bypeer/bypeer.go
@@ -0,0 +1,128 @@
+// Package bypeer carries what nodes tell each other, over twirp.
+//
+// # Usage
+//
+//	handler := bypeer.NewHandler(parts)        // serve it on the peer address
+//	peers := bypeer.NewClients()
+//	beat, err := peers.Beat(ctx, addr, own)    // heartbeats both ways
+//
+// Clients also answers the questions that core asks of other nodes: it is a
+// burdockyard.PeerProbe and a bybooking.Claimants.
+package bypeer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"burdockyard"
+	"burdockyard/core/bybooking"
+	"burdockyard/core/bymanifest"
+	"burdockyard/core/bymember"
+	"burdockyard/io/bypeer/bypeerpb"
+	"burdockyard/io/bywire"
+)
+
+// callTimeout bounds one call to a peer.
+const callTimeout = time.Second
+
+// Clients calls other nodes. mu is a leaf lock.
+type Clients struct {
+	http *http.Client
+
+	mu     sync.Mutex
+	byAddr map[string]bypeerpb.Peer
+}
+
+// NewClients returns Clients without connections.
+func NewClients() *Clients {
+	return &Clients{http: bywire.NewClient(), byAddr: map[string]bypeerpb.Peer{}}
+}
+
+func (c *Clients) peer(addr string) bypeerpb.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.byAddr[addr]
+	if p == nil {
+		p = bypeerpb.NewPeerProtobufClient("http://"+addr, c.http)
+		c.byAddr[addr] = p
+	}
+	return p
+}
+
+// Beat sends a heartbeat and returns the peer's.
+func (c *Clients) Beat(ctx context.Context, addr string, b bymember.Heartbeat) (bymember.Heartbeat, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := c.peer(addr).Beat(ctx, toBeat(b))
+	if err != nil {
+		return bymember.Heartbeat{}, merry.Prepend(err, "heartbeat to "+addr)
+	}
+	return fromBeat(reply), nil
+}
+
+// Manifest fetches the manifest of a peer.
+func (c *Clients) Manifest(ctx context.Context, addr string, newerThan uint64) (bymanifest.Wire, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := c.peer(addr).Manifest(ctx, &bypeerpb.ManifestRequest{NewerThan: newerThan})
+	if err != nil {
+		return bymanifest.Wire{}, merry.Prepend(err, "manifest from "+addr)
+	}
+	if !reply.GetFound() {
+		return bymanifest.Wire{}, burdockyard.ErrNotFound
+	}
+	return bymanifest.Wire{Pointer: reply.GetPointer(), Sections: reply.GetSections()}, nil
+}
+
+// Status returns a node's description of itself.
+func (c *Clients) Status(ctx context.Context, addr string) (*bypeerpb.StatusReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := c.peer(addr).Status(ctx, &bypeerpb.StatusRequest{})
+	return reply, merry.Prepend(err, "status of "+addr)
+}
+
+// Incarnation implements burdockyard.PeerProbe.
+func (c *Clients) Incarnation(ctx context.Context, addr string) (burdockyard.Incarnation, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	m, err := c.peer(addr).Who(ctx, &bypeerpb.WhoRequest{})
+	if err != nil {
+		return "", peerError(err)
+	}
+	return burdockyard.Incarnation(m.GetIncarnation()), nil
+}
+
+// SendState implements bybooking.Claimants.
+func (c *Clients) SendState(ctx context.Context, m burdockyard.Member, attempt string) (bybooking.SendState, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := c.peer(m.Addr).SendState(ctx, &bypeerpb.SendStateRequest{
+		Attempt: attempt, Incarnation: string(m.Incarnation),
+	})
+	if err != nil {
+		return bybooking.SendUnknown, peerError(err)
+	}
+	switch reply.GetState() {
+	case bypeerpb.SendStateReply_NEVER_SENT:
+		return bybooking.NeverSent, nil
+	case bypeerpb.SendStateReply_SENDING:
+		return bybooking.Sending, nil
+	case bypeerpb.SendStateReply_OTHER_PROCESS:
+		return bybooking.SendUnknown, burdockyard.ErrNotFound
+	default:
+		return bybooking.SendUnknown, nil
+	}
+}
+
+// peerError turns a refused connection into ErrNotFound: nothing listens there.
+func peerError(err error) error {
+	if bywire.Refused(err) {
+		return merry.Prepend(burdockyard.ErrNotFound, err.Error())
+	}
+	return merry.Wrap(err)
+}
--- /dev/null
+++ b/io/bypeer/server.go
@@ -0,0 +1,110 @@
+package bypeer
+
+import (
+	"context"
+	"net/http"
+
+	"burdockyard"
+	"burdockyard/core/bybooking"
+	"burdockyard/core/bymanifest"
+	"burdockyard/core/bymember"
+	"burdockyard/io/bypeer/bypeerpb"
+)
+
+// Parts is what a node shows its peers.
+type Parts struct {
+	Self     burdockyard.Member
+	View     *bymember.View
+	Follower *bymanifest.Follower
+	Desk     *bybooking.Desk
+	Beat     func() bymember.Heartbeat
+	Status   func() *bypeerpb.StatusReply
+}
+
+// NewHandler returns the handler of a node's peer address.
+func NewHandler(p Parts) http.Handler {
+	return bypeerpb.NewPeerServer(&server{parts: p})
+}
+
+type server struct{ parts Parts }
+
+func (s *server) Beat(_ context.Context, b *bypeerpb.Heartbeat) (*bypeerpb.Heartbeat, error) {
+	s.parts.View.Hear(fromBeat(b))
+	return toBeat(s.parts.Beat()), nil
+}
+
+func (s *server) Who(context.Context, *bypeerpb.WhoRequest) (*bypeerpb.Member, error) {
+	return toMember(s.parts.Self), nil
+}
+
+func (s *server) Manifest(_ context.Context, r *bypeerpb.ManifestRequest) (*bypeerpb.ManifestReply, error) {
+	w, ok := s.parts.Follower.Wire()
+	if !ok || s.parts.Follower.Generation() <= r.GetNewerThan() {
+		return &bypeerpb.ManifestReply{}, nil
+	}
+	return &bypeerpb.ManifestReply{Found: true, Pointer: w.Pointer, Sections: w.Sections}, nil
+}
+
+func (s *server) SendState(_ context.Context, r *bypeerpb.SendStateRequest) (*bypeerpb.SendStateReply, error) {
+	if r.GetIncarnation() != string(s.parts.Self.Incarnation) {
+		return &bypeerpb.SendStateReply{State: bypeerpb.SendStateReply_OTHER_PROCESS}, nil
+	}
+	switch s.parts.Desk.OwnState(r.GetAttempt()) {
+	case bybooking.NeverSent:
+		return &bypeerpb.SendStateReply{State: bypeerpb.SendStateReply_NEVER_SENT}, nil
+	case bybooking.Sending:
+		return &bypeerpb.SendStateReply{State: bypeerpb.SendStateReply_SENDING}, nil
+	default:
+		return &bypeerpb.SendStateReply{State: bypeerpb.SendStateReply_UNKNOWN}, nil
+	}
+}
+
+func (s *server) Status(context.Context, *bypeerpb.StatusRequest) (*bypeerpb.StatusReply, error) {
+	return s.parts.Status(), nil
+}
+
+func toMember(m burdockyard.Member) *bypeerpb.Member {
+	return &bypeerpb.Member{Node: string(m.Node), Incarnation: string(m.Incarnation), Addr: m.Addr}
+}
+
+func fromMember(m *bypeerpb.Member) burdockyard.Member {
+	return burdockyard.Member{
+		Node:        burdockyard.NodeID(m.GetNode()),
+		Incarnation: burdockyard.Incarnation(m.GetIncarnation()),
+		Addr:        m.GetAddr(),
+	}
+}
+
+func toBeat(b bymember.Heartbeat) *bypeerpb.Heartbeat {
+	out := &bypeerpb.Heartbeat{
+		Member: toMember(b.Member), CallerAddr: b.CallerAddr, Domain: b.Domain,
+		Leaving: b.Leaving, Generation: b.Generation, Seq: b.Seq,
+	}
+	for _, l := range b.Loads {
+		out.Loads = append(out.Loads, &bypeerpb.Load{
+			Engine: string(l.Engine), PrefillTokens: int64(l.PrefillTokens),
+			LongTokens: int64(l.LongTokens), Streams: int64(l.Streams),
+		})
+	}
+	for _, id := range b.Holds {
+		out.Holds = append(out.Holds, string(id))
+	}
+	return out
+}
+
+func fromBeat(b *bypeerpb.Heartbeat) bymember.Heartbeat {
+	out := bymember.Heartbeat{
+		Member: fromMember(b.GetMember()), CallerAddr: b.GetCallerAddr(), Domain: b.GetDomain(),
+		Leaving: b.GetLeaving(), Generation: b.GetGeneration(), Seq: b.GetSeq(),
+	}
+	for _, l := range b.GetLoads() {
+		out.Loads = append(out.Loads, bymember.Load{
+			Engine: burdockyard.EndpointID(l.GetEngine()), PrefillTokens: int(l.GetPrefillTokens()),
+			LongTokens: int(l.GetLongTokens()), Streams: int(l.GetStreams()),
+		})
+	}
+	for _, id := range b.GetHolds() {
+		out.Holds = append(out.Holds, burdockyard.EndpointID(id))
+	}
+	return out
+}
--- /dev/null
+++ b/io/byplatform/byplatform.go
@@ -0,0 +1,201 @@
+// Package byplatform is the client of the platform's table service, object
+// store and VM list, in the protocol of the platform stand-in.
+//
+// # Usage
+//
+//	p := byplatform.New("http://10.0.0.1:7000")
+//	rows, err := p.Table().Get(ctx, "manifest/current")
+package byplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"burdockyard"
+	"burdockyard/io/bywire"
+)
+
+// DefaultTimeout bounds one call.
+const DefaultTimeout = 2 * time.Second
+
+// GetRequest asks for rows by key.
+type GetRequest struct {
+	Keys []string `json:"keys"`
+}
+
+// ScanRequest asks for rows by prefix.
+type ScanRequest struct {
+	Prefix string `json:"prefix"`
+	After  string `json:"after,omitempty"`
+	Limit  int    `json:"limit"`
+}
+
+// RowsReply carries rows.
+type RowsReply struct {
+	Rows []burdockyard.Row `json:"rows"`
+}
+
+// VMsReply carries the VM list.
+type VMsReply struct {
+	VMs []burdockyard.VM `json:"vms"`
+}
+
+// Platform is a client of one platform.
+type Platform struct {
+	base    string
+	client  *http.Client
+	timeout time.Duration
+}
+
+// Option sets an optional part of a Platform.
+type Option func(*Platform)
+
+// WithTimeout bounds one call.
+func WithTimeout(d time.Duration) Option { return func(p *Platform) { p.timeout = d } }
+
+// New returns a client of the platform at a base URL.
+func New(base string, opts ...Option) *Platform {
+	p := &Platform{base: base, client: bywire.NewClient(), timeout: DefaultTimeout}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+// Table returns the table service.
+func (p *Platform) Table() burdockyard.Table { return table{p} }
+
+// Objects returns the object store.
+func (p *Platform) Objects() burdockyard.ObjectStore { return objects{p} }
+
+// do makes one call and returns the body of a successful answer. It never
+// sends a call again: the caller decides what an unknown outcome means.
+func (p *Platform) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, p.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return nil, sendError(err)
+	}
+	defer bywire.Discard(resp.Body)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, bywire.MaxBody))
+	if err != nil {
+		return nil, merry.Prepend(err, "platform answer cut")
+	}
+	return data, statusError(resp.StatusCode, data)
+}
+
+func sendError(err error) error {
+	if bywire.NotSent(err) {
+		return merry.Prepend(burdockyard.ErrUnavailable, err.Error())
+	}
+	return merry.Prepend(err, "platform call")
+}
+
+func statusError(status int, body []byte) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return burdockyard.ErrConflict
+	case http.StatusNotFound:
+		return burdockyard.ErrNotFound
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return burdockyard.ErrUnavailable
+	default:
+		return merry.Errorf("platform answered %d: %.200s", status, body)
+	}
+}
+
+func call[Req, Resp any](ctx context.Context, p *Platform, path string, req Req) (Resp, error) {
+	var resp Resp
+	body, err := json.Marshal(req)
+	if err != nil {
+		return resp, merry.Wrap(err)
+	}
+	data, err := p.do(ctx, http.MethodPost, path, body)
+	if err != nil {
+		return resp, err
+	}
+	return bywire.ReadJSON[Resp](bytes.NewReader(data))
+}
+
+type table struct{ p *Platform }
+
+func (t table) Get(ctx context.Context, keys ...string) ([]burdockyard.Row, error) {
+	reply, err := call[GetRequest, RowsReply](ctx, t.p, "/v1/table/get", GetRequest{Keys: keys})
+	if err == nil && len(reply.Rows) != len(keys) {
+		return nil, merry.Errorf("platform answered %d rows for %d keys", len(reply.Rows), len(keys))
+	}
+	return reply.Rows, err
+}
+
+func (t table) Scan(ctx context.Context, prefix, after string, limit int) ([]burdockyard.Row, error) {
+	reply, err := call[ScanRequest, RowsReply](ctx, t.p, "/v1/table/scan", ScanRequest{Prefix: prefix, After: after, Limit: limit})
+	return reply.Rows, err
+}
+
+func (t table) Commit(ctx context.Context, txn burdockyard.Txn) error {
+	_, err := call[burdockyard.Txn, struct{}](ctx, t.p, "/v1/table/commit", txn)
+	return err
+}
+
+type objects struct{ p *Platform }
+
+func (o objects) Put(ctx context.Context, key string, data []byte) error {
+	_, err := o.p.do(ctx, http.MethodPut, "/v1/objects/"+url.PathEscape(key), data)
+	return err
+}
+
+func (o objects) Get(ctx context.Context, key string) ([]byte, error) {
+	return o.p.do(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(key), nil)
+}
+
+// VMs implements burdockyard.VMList.
+func (p *Platform) VMs(ctx context.Context) ([]burdockyard.VM, error) {
+	data, err := p.do(ctx, http.MethodGet, "/v1/vms", nil)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := bywire.ReadJSON[VMsReply](bytes.NewReader(data))
+	return reply.VMs, err
+}
+
+// SetVM tells the stand-in of a VM, or that one is gone.
+func (p *Platform) SetVM(ctx context.Context, vm burdockyard.VM, gone bool) error {
+	body, err := json.Marshal(vm)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	_, err = p.do(ctx, http.MethodPost, "/admin/vms?gone="+strconv.FormatBool(gone), body)
+	return err
+}
+
+// Faults are the platform stand-in's switches.
+type Faults struct {
+	Outage      bool          `json:"outage"`       // refuse every call
+	LoseAnswers int           `json:"lose_answers"` // commits to apply without an answer
+	Delay       time.Duration `json:"delay"`        // of every call
+}
+
+// SetFaults sets the stand-in's switches.
+func (p *Platform) SetFaults(ctx context.Context, f Faults) error {
+	body, err := json.Marshal(f)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	_, err = p.do(ctx, http.MethodPost, "/admin/faults", body)
+	return err
+}
--- /dev/null
+++ b/io/byproc/byproc.go
@@ -0,0 +1,362 @@
+// Package byproc starts a whole deployment as separate processes on loopback,
+// for the demo and the process tests. It plays the part of the operators'
+// process manager; no program of the system itself starts a process.
+//
+// # Usage
+//
+//	d, err := byproc.Start(byproc.Config{Bin: "bin", Dir: dir, Spec: spec, Nodes: 3})
+//	defer d.Stop()
+//	err = d.Publish(ctx)
+//	d.Signal("n1", syscall.SIGKILL)
+package byproc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"burdockyard"
+	"burdockyard/core/bymanifest"
+	"burdockyard/io/byplatform"
+)
+
+const (
+	startTimeout = 10 * time.Second
+	stopTimeout  = 15 * time.Second
+	pollEvery    = 50 * time.Millisecond
+	resumeKey    = "6275726465636b2d64656d6f2d6b657921"
+)
+
+// Config states what to start.
+type Config struct {
+	Bin        string          // folder of the programs
+	Dir        string          // folder for settings, manifests and logs
+	Spec       bymanifest.Spec // its addresses are replaced by free ones
+	Nodes      int
+	EngineArgs []string
+	AddressTTL time.Duration
+	LeaseTTL   time.Duration
+}
+
+// Node is where a node listens.
+type Node struct {
+	Name, Callers, Peers string
+}
+
+// Deployment is a running deployment. mu guards the processes.
+type Deployment struct {
+	cfg      Config
+	Spec     bymanifest.Spec
+	Platform string // base URL
+	Nodes    []Node
+
+	mu    sync.Mutex
+	procs map[string]*process
+}
+
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{} // closed once it has ended
+}
+
+// freeAddrs returns n loopback addresses on which nothing listens.
+func freeAddrs(n int) ([]string, error) {
+	var addrs []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close() // all at the end, so that no port comes twice
+		addrs = append(addrs, l.Addr().String())
+	}
+	return addrs, nil
+}
+
+// Start starts every process and waits until all listen.
+func Start(cfg Config) (*Deployment, error) {
+	d := &Deployment{cfg: cfg, Spec: cfg.Spec, procs: map[string]*process{}}
+	if err := d.start(); err != nil {
+		d.Stop()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start() error {
+	addrs, err := freeAddrs(1 + len(d.Spec.Engines) + 64 + 2*d.cfg.Nodes)
+	if err != nil {
+		return err
+	}
+	take := func() string {
+		a := addrs[0]
+		addrs = addrs[1:]
+		return a
+	}
+	platform := take()
+	d.Platform = "http://" + platform
+	if err := d.run("platform", "burdock-standin", "platform", "--listen", platform); err != nil {
+		return err
+	}
+	if err := d.startEndpoints(take); err != nil {
+		return err
+	}
+	return d.startNodes(take)
+}
+
+func (d *Deployment) startEndpoints(take func() string) error {
+	engines := append([]bymanifest.EngineSpec(nil), d.Spec.Engines...)
+	for i := range engines {
+		e := &engines[i]
+		e.Address = take()
+		args := append([]string{"engine", "--listen", e.Address, fmt.Sprintf("--weight-store=%s", d.Platform)}, d.cfg.EngineArgs...)
+		if e.Fencing {
+			args = append(args, "--fencing")
+		}
+		if err := d.run(e.Name, "burdock-standin", args...); err != nil {
+			return err
+		}
+	}
+	d.Spec.Engines = engines
+	for _, svc := range d.Spec.Services {
+		for i := range svc.Endpoints {
+			svc.Endpoints[i].Address = take()
+			if err := d.run(svc.Endpoints[i].Name, "burdock-standin", "service", "--listen", svc.Endpoints[i].Address); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startNodes(take func() string) error {
+	for i := range d.cfg.Nodes {
+		d.Nodes = append(d.Nodes, Node{Name: fmt.Sprintf("n%d", i+1), Callers: take(), Peers: take()})
+	}
+	for i, n := range d.Nodes {
+		if err := d.StartNode(n, i); err != nil {
+			return err
+		}
+	}
+	return d.waitListening()
+}
+
+// StartNode starts a node, or starts it again after it ended.
+func (d *Deployment) StartNode(n Node, i int) error {
+	domains := d.domains()
+	settings := map[string]any{
+		"node": n.Name, "domain": domains[i%len(domains)], "caller_addr": n.Callers, "peer_addr": n.Peers,
+		"platform": d.Platform, "resume_key": resumeKey, "log_level": "debug",
+		"address_ttl": d.cfg.AddressTTL.String(), "lease_ttl": d.cfg.LeaseTTL.String(),
+		"lease_margin": "1s", "order_transit": "2s", "stop_grace": "30s",
+	}
+	data, err := yaml.Marshal(settings)
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(d.cfg.Dir, n.Name+".yaml")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return err
+	}
+	if err := d.run(n.Name, "burdock", "serve", "--settings", file); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	return d.setVM(ctx, n, settings["domain"].(string))
+}
+
+// setVM tells the platform of the node's VM, once the platform listens.
+func (d *Deployment) setVM(ctx context.Context, n Node, domain string) error {
+	p := byplatform.New(d.Platform)
+	vm := burdockyard.VM{ID: n.Name, Addr: n.Peers, Domain: domain}
+	return poll(ctx, func() error { return p.SetVM(ctx, vm, false) })
+}
+
+func (d *Deployment) domains() []string {
+	var list []string
+	seen := map[string]bool{}
+	for _, e := range d.Spec.Engines {
+		if !seen[e.Domain] {
+			seen[e.Domain] = true
+			list = append(list, e.Domain)
+		}
+	}
+	return list
+}
+
+// run starts one process, with its output in a log file.
+func (d *Deployment) run(name, program string, args ...string) error {
+	log, err := os.OpenFile(filepath.Join(d.cfg.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close() // the process has its own copy
+	cmd := exec.Command(filepath.Join(d.cfg.Bin, program), args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.procs[name] = p
+	var reaper sync.WaitGroup
+	reaper.Go(func() {
+		_ = cmd.Wait() // how it ended is seen by who waits for it
+		close(p.done)
+	})
+	return nil
+}
+
+func (d *Deployment) waitListening() error {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	for _, e := range d.Spec.Engines {
+		if err := waitPort(ctx, e.Address); err != nil {
+			return err
+		}
+	}
+	for _, n := range d.Nodes {
+		if err := waitPort(ctx, n.Callers); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func waitPort(ctx context.Context, addr string) error {
+	return poll(ctx, func() error {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			_ = c.Close() // only asked whether it listens
+		}
+		return err
+	})
+}
+
+func poll(ctx context.Context, f func() error) error {
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(pollEvery):
+		case <-ctx.Done():
+			return errors.Join(err, ctx.Err())
+		}
+	}
+}
+
+// Publish takes the deployment's manifest into force with the burdock program,
+// and waits until every node is ready.
+func (d *Deployment) Publish(ctx context.Context) error {
+	file, err := d.WriteManifest()
+	if err != nil {
+		return err
+	}
+	if out, err := d.Burdock(ctx, "publish", "--platform", d.Platform, file); err != nil {
+		return fmt.Errorf("%w: %s", err, out)
+	}
+	for _, n := range d.Nodes {
+		if err := d.WaitReady(ctx, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WriteManifest writes the manifest with the addresses in use and returns its file.
+func (d *Deployment) WriteManifest() (string, error) {
+	data, err := yaml.Marshal(d.Spec)
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(d.cfg.Dir, "manifest.yaml")
+	return file, os.WriteFile(file, data, 0o600)
+}
+
+// WaitReady waits until a node takes callers.
+func (d *Deployment) WaitReady(ctx context.Context, n Node) error {
+	return poll(ctx, func() error {
+		resp, err := http.Get("http://" + n.Callers + "/readyz")
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			text, _ := io.ReadAll(resp.Body)
+			return fmt.Errorf("%s is not ready: %s", n.Name, text)
+		}
+		return nil
+	})
+}
+
+// Burdock runs the burdock program to its end and returns its output.
+func (d *Deployment) Burdock(ctx context.Context, args ...string) (string, error) {
+	out, err := exec.CommandContext(ctx, filepath.Join(d.cfg.Bin, "burdock"), args...).CombinedOutput()
+	return strings.TrimSpace(string(out)), err
+}
+
+// Signal sends a signal to a process that this deployment started.
+func (d *Deployment) Signal(name string, sig syscall.Signal) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.procs[name]
+	if p == nil {
+		return fmt.Errorf("no process %s was started", name)
+	}
+	return p.cmd.Process.Signal(sig)
+}
+
+// Wait waits until a process has ended, and returns its exit code.
+func (d *Deployment) Wait(ctx context.Context, name string) (int, error) {
+	d.mu.Lock()
+	p := d.procs[name]
+	d.mu.Unlock()
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+// Stop ends every process that this deployment started.
+func (d *Deployment) Stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.procs {
+		_ = p.cmd.Process.Kill() // has ended already if this fails
+	}
+	limit := time.After(stopTimeout)
+	for _, p := range d.procs {
+		select {
+		case <-p.done:
+		case <-limit:
+			return
+		}
+	}
+}
+
+// Callers returns the callers' addresses of all nodes.
+func (d *Deployment) Callers() []string {
+	var addrs []string
+	for _, n := range d.Nodes {
+		addrs = append(addrs, n.Callers)
+	}
+	return addrs
+}
--- /dev/null
+++ b/io/bystandin/engine.go
@@ -0,0 +1,318 @@
+package bystandin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/byroute"
+	"burdockyard/io/byemu"
+	"burdockyard/io/bywire"
+)
+
+const (
+	// keepFinished is how long a finished stream can still be resumed.
+	keepFinished = 2 * time.Minute
+	// weightTimeout bounds fetching a model's weights.
+	weightTimeout = 5 * time.Minute
+)
+
+// EngineConfig states what the engine does.
+type EngineConfig struct {
+	Emulated     byemu.Config
+	Fencing      bool          // refuse old fencing numbers
+	RoleChange   time.Duration // how long a role change takes the engine away
+	ReportLag    time.Duration
+	DropEvents   int    // drop every n-th cache event, 0 for none
+	WeightSource string // base URL of the weight store, empty for none
+}
+
+// output is an answer as far as it is written.
+type output struct {
+	stream   *byemu.Stream
+	writer   *byemu.Writer
+	chat     bool
+	first    int // index of the first token here
+	tokens   []string
+	finished time.Time
+	canceled bool
+	changed  chan struct{} // closed and replaced at each token
+}
+
+// Engine is a model engine. mu guards everything below it; the batching loop
+// sleeps without it.
+type Engine struct {
+	cfg  EngineConfig
+	inc  burdockyard.Incarnation
+	mux  *http.ServeMux
+	wake chan struct{}
+	done chan struct{}
+
+	mu       sync.Mutex
+	emu      *byemu.Engine
+	outputs  map[string]*output
+	state    burdockyard.EngineState
+	fencing  uint64
+	orders   []burdockyard.Order // accepted, in order
+	changing bool
+	reports  []timedReport
+	events   []byemu.CacheEvent
+	dropped  int
+}
+
+type timedReport struct {
+	at     time.Time
+	report burdockyard.EngineReport
+}
+
+// NewEngine returns an idle engine. Run must be called for it to work.
+func NewEngine(cfg EngineConfig) *Engine {
+	e := &Engine{
+		cfg: cfg, inc: burdockyard.NewIncarnation(), mux: http.NewServeMux(),
+		wake: make(chan struct{}, 1), done: make(chan struct{}),
+		emu: byemu.New(cfg.Emulated), outputs: map[string]*output{},
+		state: burdockyard.EngineState{Role: cfg.Emulated.Role, Serving: true},
+	}
+	e.mux.HandleFunc("POST /v1/completions", e.complete(false))
+	e.mux.HandleFunc("POST /v1/chat/completions", e.complete(true))
+	e.mux.HandleFunc("GET /v1/streams/{id}", e.resume)
+	e.mux.HandleFunc("DELETE /v1/streams/{id}", e.cancel)
+	e.mux.HandleFunc("GET /v1/report", e.getReport)
+	e.mux.HandleFunc("POST /v1/orders", e.order)
+	e.mux.HandleFunc("GET /v1/cache/events", e.cacheEvents)
+	e.mux.HandleFunc("GET /v1/kv/export", e.exportKV)
+	e.mux.HandleFunc("POST /v1/kv/import", e.importKV)
+	e.mux.HandleFunc("GET /admin/orders", e.listOrders)
+	e.mux.HandleFunc("POST /admin/slow", e.setSlow)
+	return e
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+
+// Done is closed once Run has returned.
+func (e *Engine) Done() <-chan struct{} { return e.done }
+
+// Run is the batching loop. It returns when ctx ends.
+func (e *Engine) Run(ctx context.Context) error {
+	defer close(e.done)
+	for {
+		d, produced := e.iterate()
+		if d == 0 {
+			select {
+			case <-e.wake:
+				continue
+			case <-ctx.Done():
+				return nil
+			}
+		}
+		select {
+		case <-time.After(d):
+			e.deliver(produced)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (e *Engine) iterate() (time.Duration, []*byemu.Stream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.changing {
+		return 0, nil
+	}
+	return e.emu.Iterate()
+}
+
+// deliver writes one more token of each stream.
+func (e *Engine) deliver(produced []*byemu.Stream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range produced {
+		if out, ok := e.outputs[s.ID]; ok && !out.canceled {
+			e.deliverOne(out, s)
+		}
+	}
+	e.collect()
+}
+
+func (e *Engine) deliverOne(out *output, s *byemu.Stream) {
+	out.tokens = append(out.tokens, out.writer.Next())
+	if s.Done() {
+		out.finished = time.Now()
+	}
+	close(out.changed)
+	out.changed = make(chan struct{})
+}
+
+// collect forgets old streams and takes in cache events, some of which get lost.
+func (e *Engine) collect() {
+	for id, out := range e.outputs {
+		if !out.finished.IsZero() && time.Since(out.finished) > keepFinished {
+			delete(e.outputs, id)
+		}
+	}
+	for _, ev := range e.emu.TakeEvents() {
+		e.dropped++
+		if e.cfg.DropEvents == 0 || e.dropped%e.cfg.DropEvents != 0 {
+			e.events = append(e.events, ev)
+		}
+	}
+}
+
+func (e *Engine) wakeLoop() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// CompletionRequest is the part of an OpenAI-style request that the stand-in
+// understands.
+type CompletionRequest struct {
+	Model     string    `json:"model"`
+	Prompt    string    `json:"prompt"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens"`
+	Continue  bool      `json:"continue_final_message"`
+}
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Text returns the text that the emulated model continues.
+func (r CompletionRequest) Text() string {
+	text := r.Prompt
+	for _, m := range r.Messages {
+		text += "\n" + m.Role + ":" + m.Content
+	}
+	if len(r.Messages) > 0 && !r.Continue {
+		text += "\nassistant:"
+	}
+	return text
+}
+
+func (e *Engine) complete(chat bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		req, err := bywire.ReadJSON[CompletionRequest](r.Body)
+		if err != nil || req.MaxTokens <= 0 {
+			http.Error(w, "a completion needs JSON with max_tokens", http.StatusBadRequest)
+			return
+		}
+		id := r.Header.Get(bywire.HeaderRequestID)
+		priority, _ := strconv.Atoi(r.Header.Get(bywire.HeaderPriority))
+		first, _ := strconv.Atoi(r.Header.Get(bywire.HeaderFirstIndex))
+		out, ok := e.start(id, req, chat, priority, first)
+		if !ok {
+			w.Header().Set(bywire.HeaderNotRun, "1")
+			http.Error(w, "not serving", http.StatusServiceUnavailable)
+			return
+		}
+		e.follow(w, r, id, out, first)
+	}
+}
+
+// start puts a new answer in line; false if the engine takes no new work or
+// knows the id already.
+func (e *Engine) start(id string, req CompletionRequest, chat bool, priority, first int) (*output, bool) {
+	text := req.Text()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, known := e.outputs[id]; known || !e.state.Serving || e.changing {
+		return nil, false
+	}
+	s := &byemu.Stream{
+		ID: id, Prompt: byroute.CountTokens(len(text)), Prefix: byroute.PrefixHashes(text),
+		Output: req.MaxTokens, Priority: priority,
+	}
+	out := &output{stream: s, writer: byemu.NewWriter(text), chat: chat, first: first, changed: make(chan struct{})}
+	e.outputs[id] = out
+	e.emu.Add(s)
+	e.wakeLoop()
+	return out, true
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	from, err := strconv.Atoi(r.URL.Query().Get("from"))
+	e.mu.Lock()
+	out, ok := e.outputs[id]
+	e.mu.Unlock()
+	if err != nil || !ok || out.canceled || from < out.first {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	e.follow(w, r, id, out, from)
+}
+
+// follow writes the tokens of an answer as they come.
+func (e *Engine) follow(w http.ResponseWriter, r *http.Request, id string, out *output, from int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(bywire.HeaderRequestID, id)
+	w.Header().Set(bywire.HeaderIncarnation, string(e.inc))
+	w.WriteHeader(http.StatusOK)
+	flusher := http.NewResponseController(w)
+	if err := flusher.Flush(); err != nil {
+		return
+	}
+	for {
+		e.mu.Lock()
+		tokens := out.tokens[min(from-out.first, len(out.tokens)):]
+		ended := !out.finished.IsZero()
+		canceled := out.canceled
+		changed := out.changed
+		e.mu.Unlock()
+		for i, text := range tokens {
+			last := ended && i == len(tokens)-1
+			writeEvent(w, id, from+i, text, out.chat, last)
+		}
+		from += len(tokens)
+		if ended {
+			_, _ = io.WriteString(w, "data: [DONE]\n\n") // the reader is gone if this fails
+		}
+		if err := flusher.Flush(); err != nil || ended || canceled {
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out, ok := e.outputs[r.PathValue("id")]
+	if !ok {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	if out.finished.IsZero() && !out.canceled {
+		out.canceled = true
+		e.emu.Remove(out.stream.ID)
+		close(out.changed)
+		out.changed = make(chan struct{})
+		delete(e.outputs, out.stream.ID)
+	}
+	bywire.WriteJSON(w, http.StatusOK, e.currentReport())
+}
+
+func (e *Engine) setSlow(w http.ResponseWriter, r *http.Request) {
+	factor, err := strconv.ParseFloat(r.URL.Query().Get("factor"), 64)
+	if err != nil || factor <= 0 {
+		http.Error(w, "factor must be a positive number", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.emu.SetSlow(factor)
+}
--- /dev/null
+++ b/io/bystandin/platform.go
@@ -0,0 +1,230 @@
+// Package bystandin holds small stand-ins of the systems around burdockyard:
+// the platform, a model engine and a plain service. Each is an http.Handler that
+// cmd/burdock-standin serves as a process of its own.
+//
+// # Usage
+//
+//	p := bystandin.NewPlatform(bystandin.PlatformConfig{WritesPerSecond: 300, ReadsPerSecond: 2000})
+//	http.ListenAndServe(addr, p)
+package bystandin
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"burdockyard"
+	"burdockyard/io/bymem"
+	"burdockyard/io/byplatform"
+	"burdockyard/io/bywire"
+)
+
+// PlatformConfig states what the platform gives.
+type PlatformConfig struct {
+	WritesPerSecond int
+	ReadsPerSecond  int
+	ListLag         time.Duration // of the VM list
+	WeightBytes     int           // size of one model's weights
+	WeightRate      int           // bytes per second of the weight store
+}
+
+// Platform is a transactional table, an object store, a lagging VM list and a
+// rate-limited weight store. mu is a leaf lock.
+type Platform struct {
+	cfg     PlatformConfig
+	mux     *http.ServeMux
+	table   *bymem.Table
+	objects *bymem.Objects
+	writes  *rate.Limiter
+	reads   *rate.Limiter
+	weights *rate.Limiter
+
+	mu     sync.Mutex
+	faults byplatform.Faults
+	vms    map[string]listedVM
+}
+
+// listedVM is a VM and when the list will tell of its last change.
+type listedVM struct {
+	vm      burdockyard.VM
+	before  *burdockyard.VM // as the list shows it until then, nil if not at all
+	gone    bool
+	visible time.Time
+}
+
+// NewPlatform returns an empty platform.
+func NewPlatform(cfg PlatformConfig) *Platform {
+	p := &Platform{
+		cfg: cfg, mux: http.NewServeMux(), table: bymem.NewTable(), objects: bymem.NewObjects(),
+		writes:  rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), cfg.WritesPerSecond),
+		reads:   rate.NewLimiter(rate.Limit(cfg.ReadsPerSecond), cfg.ReadsPerSecond),
+		weights: rate.NewLimiter(rate.Limit(max(cfg.WeightRate, 1)), max(cfg.WeightRate, 1)),
+		vms:     map[string]listedVM{},
+	}
+	p.mux.HandleFunc("POST /v1/table/get", p.limited(p.reads, p.get))
+	p.mux.HandleFunc("POST /v1/table/scan", p.limited(p.reads, p.scan))
+	p.mux.HandleFunc("POST /v1/table/commit", p.limited(p.writes, p.commit))
+	p.mux.HandleFunc("PUT /v1/objects/{key}", p.limited(p.writes, p.putObject))
+	p.mux.HandleFunc("GET /v1/objects/{key}", p.limited(p.reads, p.getObject))
+	p.mux.HandleFunc("GET /v1/vms", p.limited(p.reads, p.listVMs))
+	p.mux.HandleFunc("GET /v1/weights/{model}/{version}", p.getWeights)
+	p.mux.HandleFunc("POST /admin/vms", p.setVM)
+	p.mux.HandleFunc("POST /admin/faults", p.setFaults)
+	return p
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
+
+// limited refuses calls during an outage and above the rate.
+func (p *Platform) limited(l *rate.Limiter, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		faults := p.faults
+		p.mu.Unlock()
+		if faults.Outage {
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
+		if !l.Allow() {
+			http.Error(w, "rate limit", http.StatusTooManyRequests)
+			return
+		}
+		time.Sleep(faults.Delay)
+		next(w, r)
+	}
+}
+
+// handle decodes a request, runs f and writes its reply.
+func handle[Req, Resp any](w http.ResponseWriter, r *http.Request, f func(context.Context, Req) (Resp, error)) {
+	req, err := bywire.ReadJSON[Req](r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	resp, err := f(r.Context(), req)
+	switch {
+	case errors.Is(err, burdockyard.ErrConflict):
+		http.Error(w, "conflict", http.StatusConflict)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	default:
+		bywire.WriteJSON(w, http.StatusOK, resp)
+	}
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	handle(w, r, func(ctx context.Context, req byplatform.GetRequest) (byplatform.RowsReply, error) {
+		rows, err := p.table.Get(ctx, req.Keys...)
+		return byplatform.RowsReply{Rows: rows}, err
+	})
+}
+
+func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
+	handle(w, r, func(ctx context.Context, req byplatform.ScanRequest) (byplatform.RowsReply, error) {
+		rows, err := p.table.Scan(ctx, req.Prefix, req.After, req.Limit)
+		return byplatform.RowsReply{Rows: rows}, err
+	})
+}
+
+func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
+	handle(w, r, func(ctx context.Context, txn burdockyard.Txn) (struct{}, error) {
+		err := p.table.Commit(ctx, txn)
+		if p.loseAnswer() {
+			panic(http.ErrAbortHandler) // closes the connection without an answer
+		}
+		return struct{}{}, err
+	})
+}
+
+func (p *Platform) loseAnswer() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.LoseAnswers == 0 {
+		return false
+	}
+	p.faults.LoseAnswers--
+	return true
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, bywire.MaxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	_ = p.objects.Put(r.Context(), r.PathValue("key"), data) // memory never fails
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	data, err := p.objects.Get(r.Context(), r.PathValue("key"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(data) // the client is gone if this fails
+}
+
+func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reply := byplatform.VMsReply{VMs: []burdockyard.VM{}}
+	for _, v := range p.vms {
+		if time.Now().Before(v.visible) {
+			if v.before != nil {
+				reply.VMs = append(reply.VMs, *v.before)
+			}
+			continue
+		}
+		if !v.gone {
+			reply.VMs = append(reply.VMs, v.vm)
+		}
+	}
+	bywire.WriteJSON(w, http.StatusOK, reply)
+}
+
+func (p *Platform) setVM(w http.ResponseWriter, r *http.Request) {
+	vm, err := bywire.ReadJSON[burdockyard.VM](r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := listedVM{vm: vm, gone: r.URL.Query().Get("gone") == "true", visible: time.Now().Add(p.cfg.ListLag)}
+	if old, ok := p.vms[vm.ID]; ok && !old.gone {
+		next.before = &old.vm
+	}
+	p.vms[vm.ID] = next
+}
+
+func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
+	f, err := bywire.ReadJSON[byplatform.Faults](r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// getWeights sends a model's weights at the store's rate.
+func (p *Platform) getWeights(w http.ResponseWriter, r *http.Request) {
+	const block = 64 << 10
+	buf := make([]byte, block)
+	for left := p.cfg.WeightBytes; left > 0; left -= block {
+		n := min(left, block, p.weights.Burst())
+		if err := p.weights.WaitN(r.Context(), n); err != nil {
+			return
+		}
+		if _, err := w.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
