--- a/cmd/burdock/operate.go
+++ b/cmd/burdock/operate.go
@@ -8,6 +8,9 @@
 	"strings"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
+	"burdockyard"
 	"burdockyard/core/bymanifest"
 	"burdockyard/io/byconfig"
 	"burdockyard/io/bynode"
@@ -16,8 +19,12 @@
 	"burdockyard/io/byplatform"
 )
 
-// operateTimeout bounds one operator's command.
-const operateTimeout = 15 * time.Second
+// operateTimeout bounds one operator's command; handOverWorkers is how many
+// nodes are told at a time.
+const (
+	operateTimeout  = 15 * time.Second
+	handOverWorkers = 16
+)
 
 type serveCommand struct {
 	Settings string `long:"settings" required:"true" description:"the node's settings file"`
@@ -78,14 +85,32 @@
 	Generation uint64 `json:"generation"`
 }
 
-func (o onPlatform) print(generation uint64, sentence string) error {
+// finish hands an accepted manifest to the nodes, which else read it from the
+// table a moment later, and prints the result.
+func (o onPlatform) finish(ctx context.Context, p *byplatform.Platform, a bymanifest.Accepted, sentence string) error {
+	if vms, err := p.VMs(ctx); err == nil && a.Wire.Pointer != nil {
+		handOver(ctx, vms, a.Wire)
+	}
 	if o.JSON {
-		return json.NewEncoder(os.Stdout).Encode(generationReply{generation})
+		return json.NewEncoder(os.Stdout).Encode(generationReply{a.Generation})
 	}
-	fmt.Printf("%s: generation %d is in force\n", sentence, generation)
+	fmt.Printf("%s: generation %d is in force\n", sentence, a.Generation)
 	return nil
 }
 
+func handOver(ctx context.Context, vms []burdockyard.VM, w bymanifest.Wire) {
+	clients := bypeer.NewClients()
+	var group errgroup.Group
+	group.SetLimit(handOverWorkers)
+	for _, vm := range vms {
+		group.Go(func() error {
+			_ = clients.Adopt(ctx, vm.Addr, w) // this node reads the table or hears its peers
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
 type publishCommand struct {
 	onPlatform
 	Expect *uint64 `long:"expect" value-name:"N" description:"publish only after generation N (0: none yet)"`
@@ -106,11 +131,11 @@
 	}
 	p, ctx, cancel := c.open()
 	defer cancel()
-	n, err := bymanifest.Publish(ctx, p.Table(), p.Objects(), spec, expect)
+	a, err := bymanifest.Publish(ctx, p.Table(), p.Objects(), spec, expect)
 	if err != nil {
 		return err
 	}
-	return c.print(n, "published "+spec.Name)
+	return c.finish(ctx, p, a, "published "+spec.Name)
 }
 
 // stateCommand sets the state of one endpoint.
@@ -124,11 +149,11 @@
 func (c *stateCommand) set(state, done string) error {
 	p, ctx, cancel := c.open()
 	defer cancel()
-	n, err := bymanifest.SetState(ctx, p.Table(), p.Objects(), c.Args.Endpoint, state)
+	a, err := bymanifest.SetState(ctx, p.Table(), p.Objects(), c.Args.Endpoint, state)
 	if err != nil {
 		return err
 	}
-	return c.print(n, done+" "+c.Args.Endpoint)
+	return c.finish(ctx, p, a, done+" "+c.Args.Endpoint)
 }
 
 type drainCommand struct{ stateCommand }
@@ -160,11 +185,11 @@
 func (c *replaceCommand) Execute([]string) error {
 	p, ctx, cancel := c.open()
 	defer cancel()
-	n, err := bymanifest.Replace(ctx, p.Table(), p.Objects(), c.Args.Endpoint, c.Args.Address)
+	a, err := bymanifest.Replace(ctx, p.Table(), p.Objects(), c.Args.Endpoint, c.Args.Address)
 	if err != nil {
 		return err
 	}
-	return c.print(n, "replacing "+c.Args.Endpoint)
+	return c.finish(ctx, p, a, "replacing "+c.Args.Endpoint)
 }
 
 type statusCommand struct {
--- a/core/bybooking/attempt.go
+++ b/core/bybooking/attempt.go
@@ -138,6 +138,9 @@
 	d.mu.Lock()
 	rec, version := a.unsaved, a.version
 	d.mu.Unlock()
+	if rec == nil {
+		return // the caller's own try and a sweep met; the other one has saved it
+	}
 	err := d.table.Commit(ctx, burdockyard.Txn{
 		Checks: []burdockyard.Check{{Key: a.key, Version: version}},
 		Writes: []burdockyard.Write{{Key: a.key, Value: encode(*rec)}},
--- a/core/bylease/bylease.go
+++ b/core/bylease/bylease.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	k := bylease.New(table, clock, "quote/north-a/0", self)
-//	for each tick { k.Step(ctx); k.Prove(ctx, probe, vms) }
+//	for each tick { k.Step(ctx); k.Prove(ctx, peers, vms) }
 //	if g, ok := k.Grant(); ok { … send orders with g.Fence() … }
 //	k.Release(ctx) // on a planned stop, after the last order was answered
 //
@@ -63,16 +63,12 @@
 	shard        burdockyard.ShardID
 	fence        uint64
 	fenceVersion uint64
-	until        time.Time
 	settled      bool
 }
 
 // Fence returns the holder's fencing number.
 func (g Grant) Fence() uint64 { return g.fence }
 
-// Valid reports whether the lease still lasts at now.
-func (g Grant) Valid(now time.Time) bool { return now.Before(g.until) }
-
 // Settled reports whether every former holder is proved unable to send.
 func (g Grant) Settled() bool { return g.settled }
 
@@ -82,7 +78,11 @@
 }
 
 // Keeper holds or waits for one shard's lease. Its methods may be called from
-// several goroutines; mu is a leaf lock but for calls of the table.
+// several goroutines.
+//
+// turn is held over calls of the table, so that two steps never cross. mu
+// guards the fields below it, is taken after turn and never held over a call:
+// Grant and Yield must answer at once while the table is slow.
 type Keeper struct {
 	table   burdockyard.Table
 	clock   burdockyard.Clock
@@ -91,6 +91,7 @@
 	ttl     time.Duration
 	margin  time.Duration
 	transit time.Duration
+	turn    chan struct{}
 
 	mu           sync.Mutex
 	held         bool
@@ -121,7 +122,7 @@
 func New(table burdockyard.Table, clock burdockyard.Clock, shard burdockyard.ShardID, self burdockyard.Member, opts ...Option) *Keeper {
 	k := &Keeper{
 		table: table, clock: clock, shard: shard, self: self,
-		ttl: DefaultTTL, margin: DefaultMargin, transit: DefaultTransit,
+		ttl: DefaultTTL, margin: DefaultMargin, transit: DefaultTransit, turn: make(chan struct{}, 1),
 		listed: map[string]bool{}, provedAt: map[string]time.Time{},
 	}
 	for _, opt := range opts {
@@ -139,7 +140,7 @@
 	}
 	return Grant{
 		shard: k.shard, fence: k.row.Fence, fenceVersion: k.fenceVersion,
-		until: k.until, settled: len(k.fence.Former) == 0,
+		settled: len(k.fence.Former) == 0,
 	}, true
 }
 
@@ -147,37 +148,38 @@
 // once it has lapsed. The error tells why nothing was gained; the next Step
 // tries again.
 func (k *Keeper) Step(ctx context.Context) error {
+	k.turn <- struct{}{}
+	defer func() { <-k.turn }()
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.held {
-		return k.renew(ctx)
+	held, row, version := k.held, k.row, k.rowVersion
+	k.mu.Unlock()
+	if held {
+		return k.renew(ctx, row, version)
 	}
 	return k.watch(ctx)
 }
 
-func (k *Keeper) renew(ctx context.Context) error {
+func (k *Keeper) renew(ctx context.Context, row leaseRow, version uint64) error {
 	sent := k.clock.Now()
-	next := k.row
+	next := row
 	next.Renewals++
-	err := k.commitLease(ctx, next)
-	if errors.Is(err, burdockyard.ErrConflict) {
-		k.lose(sent)
+	err := k.commitLease(ctx, next, version)
+	switch {
+	case err == nil:
+		k.renewed(next, version+1, sent)
+		return nil
+	case errors.Is(err, burdockyard.ErrConflict):
+		k.lose()
 		return err
-	}
-	if errors.Is(err, burdockyard.ErrUnavailable) {
+	case errors.Is(err, burdockyard.ErrUnavailable):
 		return err
+	default:
+		return k.settleRenewal(ctx, sent, row, next)
 	}
-	if err != nil {
-		return k.settleRenewal(ctx, sent, next)
-	}
-	k.row = next
-	k.rowVersion++
-	k.until = sent.Add(k.ttl)
-	return nil
 }
 
 // settleRenewal reads back a renewal whose answer was lost.
-func (k *Keeper) settleRenewal(ctx context.Context, sent time.Time, next leaseRow) error {
+func (k *Keeper) settleRenewal(ctx context.Context, sent time.Time, row, next leaseRow) error {
 	rows, err := k.table.Get(ctx, LeaseKey(k.shard))
 	if err != nil {
 		return err
@@ -188,25 +190,36 @@
 	}
 	switch {
 	case got == next:
-		k.row, k.rowVersion = next, rows[0].Version
-		k.until = sent.Add(k.ttl)
-	case got != k.row:
-		k.lose(sent)
+		k.renewed(next, rows[0].Version, sent)
+	case got != row:
+		k.lose()
 	}
 	return nil
 }
 
-func (k *Keeper) commitLease(ctx context.Context, next leaseRow) error {
+// renewed takes a renewal in, unless the lease was yielded meanwhile.
+func (k *Keeper) renewed(row leaseRow, version uint64, sent time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.held {
+		return
+	}
+	k.row, k.rowVersion = row, version
+	k.until = sent.Add(k.ttl)
+}
+
+func (k *Keeper) commitLease(ctx context.Context, next leaseRow, version uint64) error {
 	return k.table.Commit(ctx, burdockyard.Txn{
-		Checks: []burdockyard.Check{{Key: LeaseKey(k.shard), Version: k.rowVersion}},
+		Checks: []burdockyard.Check{{Key: LeaseKey(k.shard), Version: version}},
 		Writes: []burdockyard.Write{{Key: LeaseKey(k.shard), Value: encode(next)}},
 	})
 }
 
-func (k *Keeper) lose(now time.Time) {
+func (k *Keeper) lose() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.held = false
 	k.rowVersion = 0
-	k.watchedSince = now
 }
 
 func (k *Keeper) watch(ctx context.Context) error {
@@ -222,18 +235,25 @@
 	if err != nil {
 		return err
 	}
-	now := k.clock.Now()
-	if k.watchedSince.IsZero() || rows[0].Version != k.rowVersion {
-		k.rowVersion = rows[0].Version
-		k.watchedSince = now
-	}
-	lapsed := now.Sub(k.watchedSince) >= k.ttl+k.margin
+	lapsed := k.unchangedFor(rows[0].Version) >= k.ttl+k.margin
 	if rows[0].Exists() && !row.Released && !lapsed {
 		return nil
 	}
 	return k.take(ctx, rows, row, fence)
 }
 
+// unchangedFor returns how long this process has seen the lease row at a version.
+func (k *Keeper) unchangedFor(version uint64) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.clock.Now()
+	if k.watchedSince.IsZero() || version != k.rowVersion {
+		k.rowVersion = version
+		k.watchedSince = now
+	}
+	return now.Sub(k.watchedSince)
+}
+
 // take moves the lease to this process.
 //
 // The former holder joins the fence row's list unless it released the lease or
@@ -289,6 +309,8 @@
 }
 
 func (k *Keeper) hold(sent time.Time, row leaseRow, version uint64, fence fenceRow, fenceVersion uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.held = true
 	k.until = sent.Add(k.ttl)
 	k.row, k.rowVersion = row, version
@@ -299,15 +321,17 @@
 // Release gives the lease back, so that another process may take it at once.
 // The caller must have no order on its way.
 func (k *Keeper) Release(ctx context.Context) error {
+	k.turn <- struct{}{}
+	defer func() { <-k.turn }()
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	if !k.held {
+	held, next, version := k.held, k.row, k.rowVersion
+	k.held = false
+	k.mu.Unlock()
+	if !held {
 		return nil
 	}
-	next := k.row
 	next.Released = true
-	k.held = false
-	return k.commitLease(ctx, next)
+	return k.commitLease(ctx, next, version)
 }
 
 func without(members []burdockyard.Member, m burdockyard.Member) []burdockyard.Member {
--- a/core/bylease/prove.go
+++ b/core/bylease/prove.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"burdockyard"
@@ -13,35 +12,46 @@
 //
 // Time alone proves nothing: a process paused between its last check and its
 // write sends when it wakes, however long that takes. What does prove it is
-// another process at its address, a refused connection there, or its VM gone
-// from the list. The list lags, and a VM that is too new for it is missing as
+// its own word, another process at its address, a refused connection there, or its
+// VM gone from the list. The list lags, and a VM that is too new for it is missing as
 // well, so only a VM that was seen on it can be seen to be gone.
-func (k *Keeper) Prove(ctx context.Context, probe burdockyard.PeerProbe, vms burdockyard.VMList) error {
+func (k *Keeper) Prove(ctx context.Context, former burdockyard.FormerHolders, vms burdockyard.VMList) error {
+	k.turn <- struct{}{}
+	defer func() { <-k.turn }()
 	k.mu.Lock()
-	former := append([]burdockyard.Member(nil), k.fence.Former...)
-	held := k.held
+	members := append([]burdockyard.Member(nil), k.fence.Former...)
+	held, fence := k.held, k.row.Fence
 	k.mu.Unlock()
-	if !held || len(former) == 0 {
+	if !held || len(members) == 0 {
 		return nil
 	}
-	gone := k.goneFromList(ctx, vms, former)
-	for _, m := range former {
-		if gone[m.Addr] || stopped(ctx, probe, m) {
+	gone := k.goneFromList(ctx, vms, members)
+	for _, m := range members {
+		if gone[m.Addr] || yielded(ctx, former, m, k.shard, fence-1) {
 			k.recordProof(m)
 		}
 	}
 	return k.strikeProved(ctx)
 }
 
-func stopped(ctx context.Context, probe burdockyard.PeerProbe, m burdockyard.Member) bool {
-	inc, err := probe.Incarnation(ctx, m.Addr)
-	if errors.Is(err, burdockyard.ErrNotFound) {
-		return true
+func yielded(ctx context.Context, former burdockyard.FormerHolders, m burdockyard.Member, shard burdockyard.ShardID, fence uint64) bool {
+	ok, err := former.Yield(ctx, m, shard, fence)
+	return err == nil && ok
+}
+
+// Yield gives the lease up if it is held under the fence or an older one: a
+// newer holder asks, so it is lost already. The caller must then make sure that
+// no order is on its way before it tells the newer holder so.
+func (k *Keeper) Yield(fence uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.held && k.row.Fence <= fence {
+		k.held = false
+		k.rowVersion = 0
 	}
-	return err == nil && inc != m.Incarnation
 }
 
-func (k *Keeper) goneFromList(ctx context.Context, vms burdockyard.VMList, former []burdockyard.Member) map[string]bool {
+func (k *Keeper) goneFromList(ctx context.Context, vms burdockyard.VMList, members []burdockyard.Member) map[string]bool {
 	list, err := vms.VMs(ctx)
 	if err != nil {
 		return nil
@@ -54,7 +64,7 @@
 		k.listed[vm.Addr] = true
 	}
 	gone := map[string]bool{}
-	for _, m := range former {
+	for _, m := range members {
 		gone[m.Addr] = k.listed[m.Addr] && !now[m.Addr]
 	}
 	return gone
@@ -70,6 +80,24 @@
 }
 
 func (k *Keeper) strikeProved(ctx context.Context) error {
+	next, version, found := k.withoutProved()
+	if !found {
+		return nil
+	}
+	err := k.table.Commit(ctx, burdockyard.Txn{
+		Checks: []burdockyard.Check{{Key: FenceKey(k.shard), Version: version}},
+		Writes: []burdockyard.Write{{Key: FenceKey(k.shard), Value: encode(next)}},
+	})
+	if err != nil {
+		return k.reloadFence(ctx, next.Fence, err)
+	}
+	k.setFence(next, version+1)
+	return nil
+}
+
+// withoutProved returns the fence row without the proved holders, and whether
+// there are any.
+func (k *Keeper) withoutProved() (fenceRow, uint64, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.clock.Now()
@@ -79,19 +107,7 @@
 			next.Former = append(next.Former, m)
 		}
 	}
-	if !k.held || len(next.Former) == len(k.fence.Former) {
-		return nil
-	}
-	err := k.table.Commit(ctx, burdockyard.Txn{
-		Checks: []burdockyard.Check{{Key: FenceKey(k.shard), Version: k.fenceVersion}},
-		Writes: []burdockyard.Write{{Key: FenceKey(k.shard), Value: encode(next)}},
-	})
-	if err != nil {
-		return k.reloadFence(ctx, err)
-	}
-	k.fence = next
-	k.fenceVersion++
-	return nil
+	return next, k.fenceVersion, k.held && len(next.Former) < len(k.fence.Former)
 }
 
 func (k *Keeper) provedFor(m burdockyard.Member, now time.Time) bool {
@@ -99,8 +115,14 @@
 	return ok && now.Sub(at) >= k.transit
 }
 
+func (k *Keeper) setFence(fence fenceRow, version uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.fence, k.fenceVersion = fence, version
+}
+
 // reloadFence reads the fence row again after a write of unknown outcome.
-func (k *Keeper) reloadFence(ctx context.Context, cause error) error {
+func (k *Keeper) reloadFence(ctx context.Context, held uint64, cause error) error {
 	rows, err := k.table.Get(ctx, FenceKey(k.shard))
 	if err != nil {
 		return cause
@@ -109,10 +131,10 @@
 	if err != nil {
 		return err
 	}
-	if fence.Fence != k.row.Fence {
-		k.lose(k.clock.Now())
+	if fence.Fence != held {
+		k.lose()
 		return cause
 	}
-	k.fence, k.fenceVersion = fence, rows[0].Version
+	k.setFence(fence, rows[0].Version)
 	return nil
 }
--- a/core/bymanifest/publish.go
+++ b/core/bymanifest/publish.go
@@ -4,11 +4,13 @@
 // # Usage
 //
 //	problems := bymanifest.Check(spec)
-//	n, err := bymanifest.Publish(ctx, table, objects, spec, bymanifest.AnyGeneration)
+//	accepted, err := bymanifest.Publish(ctx, table, objects, spec, bymanifest.AnyGeneration)
+//	hand accepted.Wire to the nodes, so that an outage of the table delays nobody
 //
-//	f := bymanifest.NewFollower(table, objects)
+//	f := bymanifest.NewFollower(table, objects, clock)
 //	for each tick { f.Step(ctx) }
 //	m := f.Current()
+//	if !f.Fresh() { … start nothing by it … }
 //
 // # Rows and objects
 //
@@ -25,6 +27,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -38,6 +41,8 @@
 const AnyGeneration = ^uint64(0)
 
 const (
+	// FreshFor is how long a manifest may be acted on after it was confirmed.
+	FreshFor        = 3 * time.Second
 	maxPublishTries = 8
 	sectionPrefix   = "manifest/"
 )
@@ -71,37 +76,38 @@
 }
 
 // Publish checks a Spec and takes it into force after the expected generation.
-// It returns the new generation. ErrGeneration names the generation in force;
+// ErrGeneration names the generation in force;
 // any other error leaves it open whether the manifest was accepted.
-func Publish(ctx context.Context, table burdockyard.Table, objects burdockyard.ObjectStore, s Spec, expect uint64) (uint64, error) {
+func Publish(ctx context.Context, table burdockyard.Table, objects burdockyard.ObjectStore, s Spec, expect uint64) (Accepted, error) {
 	if problems := Check(s); len(problems) > 0 {
-		return 0, merry.Prependf(ErrProblems, "%v", problems[0])
+		return Accepted{}, merry.Prependf(ErrProblems, "%v", problems[0])
 	}
-	names, err := putSections(ctx, objects, s)
+	names, content, err := putSections(ctx, objects, s)
 	if err != nil {
-		return 0, err
+		return Accepted{}, err
 	}
-	return update(ctx, table, expect, func(p *pointer) error {
+	return update(ctx, table, expect, func(p *pointer) (map[string][]byte, error) {
 		p.Sections = names
 		for id := range p.Overrides {
 			if !hasEndpoint(s, id) {
 				delete(p.Overrides, id)
 			}
 		}
-		return nil
+		return content, nil
 	})
 }
 
 // SetState overrides the state of one endpoint, until it is set back to
-// serving or the endpoint leaves the manifest. It returns the new generation.
-func SetState(ctx context.Context, table burdockyard.Table, objects burdockyard.ObjectStore, id, state string) (uint64, error) {
-	return update(ctx, table, AnyGeneration, func(p *pointer) error {
-		s, err := fetch(ctx, objects, *p, nil)
+// serving or the endpoint leaves the manifest.
+func SetState(ctx context.Context, table burdockyard.Table, objects burdockyard.ObjectStore, id, state string) (Accepted, error) {
+	return update(ctx, table, AnyGeneration, func(p *pointer) (map[string][]byte, error) {
+		content := map[string][]byte{}
+		s, err := fetch(ctx, objects, *p, content)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if !hasEndpoint(s, id) {
-			return merry.Prepend(ErrNoEndpoint, id)
+			return nil, merry.Prepend(ErrNoEndpoint, id)
 		}
 		if p.Overrides == nil {
 			p.Overrides = map[string]string{}
@@ -110,27 +116,28 @@
 		if state == StateServing {
 			delete(p.Overrides, id)
 		}
-		return nil
+		return content, nil
 	})
 }
 
 // Replace gives an endpoint another address. Nodes send new calls to the new
-// one from the generation that it returns on, while calls that are open at the
+// one from the accepted generation on, while calls that are open at the
 // old one end there.
-func Replace(ctx context.Context, table burdockyard.Table, objects burdockyard.ObjectStore, id, address string) (uint64, error) {
-	return update(ctx, table, AnyGeneration, func(p *pointer) error {
-		s, err := fetch(ctx, objects, *p, nil)
+func Replace(ctx context.Context, table burdockyard.Table, objects burdockyard.ObjectStore, id, address string) (Accepted, error) {
+	return update(ctx, table, AnyGeneration, func(p *pointer) (map[string][]byte, error) {
+		s, err := fetch(ctx, objects, *p, map[string][]byte{})
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if !setAddress(&s, id, address) {
-			return merry.Prepend(ErrNoEndpoint, id)
+			return nil, merry.Prepend(ErrNoEndpoint, id)
 		}
 		if problems := Check(s); len(problems) > 0 {
-			return merry.Prependf(ErrProblems, "%v", problems[0])
+			return nil, merry.Prependf(ErrProblems, "%v", problems[0])
 		}
-		p.Sections, err = putSections(ctx, objects, s)
-		return err
+		names, content, err := putSections(ctx, objects, s)
+		p.Sections = names
+		return content, err
 	})
 }
 
@@ -152,52 +159,77 @@
 	return false
 }
 
-func putSections(ctx context.Context, objects burdockyard.ObjectStore, s Spec) (map[string]string, error) {
-	names := map[string]string{}
+// putSections stores the sections and returns their keys by name and their
+// content by key.
+func putSections(ctx context.Context, objects burdockyard.ObjectStore, s Spec) (map[string]string, map[string][]byte, error) {
+	names, content := map[string]string{}, map[string][]byte{}
 	for name, part := range sections(s) {
 		data, err := json.Marshal(part)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		sum := sha256.Sum256(data)
 		key := sectionPrefix + name + "-" + hex.EncodeToString(sum[:])
 		if err := objects.Put(ctx, key, data); err != nil {
-			return nil, merry.Prepend(err, "storing a section")
+			return nil, nil, merry.Prepend(err, "storing a section")
 		}
 		names[name] = key
+		content[key] = data
 	}
-	return names, nil
+	return names, content, nil
 }
 
+// changeFunc changes a pointer and returns the content of its sections.
+type changeFunc func(*pointer) (map[string][]byte, error)
+
 // update moves manifest/current one generation on. A lost answer is settled by
 // the token: while our token stands in the row, or the row is as it was, the
 // outcome is certain. If another publication already stands there, ours may
 // have been accepted and followed, which the error says.
-func update(ctx context.Context, table burdockyard.Table, expect uint64, change func(*pointer) error) (uint64, error) {
+func update(ctx context.Context, table burdockyard.Table, expect uint64, change changeFunc) (Accepted, error) {
 	own := map[string]bool{} // tokens of our tries, one of which may land late
+	var last map[string][]byte
 	for range maxPublishTries {
 		p, version, err := readPointer(ctx, table)
 		if err != nil {
-			return 0, err
+			return Accepted{}, err
 		}
 		if own[p.Token] {
-			return p.Generation, nil
+			return accepted(p, last)
 		}
 		if expect != AnyGeneration && p.Generation != expect {
-			return 0, merry.Prependf(ErrGeneration, "expected %d, but generation %d is in force", expect, p.Generation)
+			return Accepted{}, merry.Prependf(ErrGeneration, "expected %d, but generation %d is in force", expect, p.Generation)
 		}
-		if err := change(&p); err != nil {
-			return 0, err
+		sections, err := change(&p)
+		if err != nil {
+			return Accepted{}, err
 		}
 		p.Generation++
 		p.Token = string(burdockyard.NewRequestID())
 		own[p.Token] = true
+		last = sections
 		done, err := commitPointer(ctx, table, p, version)
-		if done || err != nil {
-			return p.Generation, err
+		if err != nil {
+			return Accepted{}, err
+		}
+		if done {
+			return accepted(p, sections)
 		}
 	}
-	return 0, merry.Prepend(burdockyard.ErrConflict, "other publications kept coming first")
+	return Accepted{}, merry.Prepend(burdockyard.ErrConflict, "other publications kept coming first")
+}
+
+// Accepted is a manifest that was taken into force.
+type Accepted struct {
+	Generation uint64
+	Wire       Wire // for handing it to the nodes
+}
+
+// accepted uses the sections at hand. Reading them back would leave the nodes
+// untold just when the platform fails right after the acceptance.
+func accepted(p pointer, sections map[string][]byte) (Accepted, error) {
+	raw, err := json.Marshal(p)
+	return Accepted{Generation: p.Generation, Wire: Wire{Pointer: raw, Sections: sections}}, err
 }
 
 // commitPointer reports whether the pointer is in force; false asks for another try.
@@ -263,7 +295,7 @@
 	return false
 }
 
-// fetch reads the sections of a pointer, taking unchanged ones from cache.
+// fetch reads the sections of a pointer into cache, which may hold some of them.
 func fetch(ctx context.Context, objects burdockyard.ObjectStore, p pointer, cache map[string][]byte) (Spec, error) {
 	var s Spec
 	into := map[string]any{
@@ -278,9 +310,7 @@
 				return s, merry.Prependf(err, "section %s", name)
 			}
 		}
-		if cache != nil {
-			cache[key] = data
-		}
+		cache[key] = data
 		if err := json.Unmarshal(data, into[name]); err != nil {
 			return s, merry.Prependf(err, "section %s", name)
 		}
@@ -310,16 +340,22 @@
 }
 
 // Follower keeps the newest manifest that this process has seen. Its methods
-// may be called from several goroutines; mu is held over a fetch so that two
-// steps never cross.
+// may be called from several goroutines.
+//
+// turn is held over a fetch, so that two never cross, and guards cache. mu is
+// taken after turn and never held over a call: routing reads the manifest in
+// force for every call, however slow the object store is.
 type Follower struct {
 	table   burdockyard.Table
 	objects burdockyard.ObjectStore
-
-	mu      sync.Mutex
+	clock   burdockyard.Clock
+	turn    chan struct{}
 	cache   map[string][]byte
-	current *Manifest
-	wire    Wire
+
+	mu        sync.Mutex
+	current   *Manifest
+	confirmed time.Time
+	wire      Wire
 }
 
 // Wire is a manifest as one node hands it to another.
@@ -329,8 +365,8 @@
 }
 
 // NewFollower returns a Follower without a manifest.
-func NewFollower(table burdockyard.Table, objects burdockyard.ObjectStore) *Follower {
-	return &Follower{table: table, objects: objects, cache: map[string][]byte{}}
+func NewFollower(table burdockyard.Table, objects burdockyard.ObjectStore, clock burdockyard.Clock) *Follower {
+	return &Follower{table: table, objects: objects, clock: clock, turn: make(chan struct{}, 1), cache: map[string][]byte{}}
 }
 
 // Current returns the manifest in force, or nil before the first.
@@ -348,8 +384,32 @@
 	return 0
 }
 
+// Fresh reports whether the manifest was confirmed as the newest a moment ago.
+//
+// A process that wakes from a pause, or that is cut off from the table and its
+// peers, may hold a manifest by which it would send work to an endpoint that
+// left long ago. Everything it knows looks the same as before; only its own
+// clock tells that nobody has confirmed it since.
+func (f *Follower) Fresh() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current != nil && f.clock.Now().Sub(f.confirmed) < FreshFor
+}
+
+// Confirm notes that the generation was the newest known to the table or a
+// peer at asked, the time before it was asked. It does nothing if the
+// generation in force is older.
+func (f *Follower) Confirm(generation uint64, asked time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.current != nil && f.current.Generation() >= generation && asked.After(f.confirmed) {
+		f.confirmed = asked
+	}
+}
+
 // Step reads which generation is in force and takes it up if it is newer.
 func (f *Follower) Step(ctx context.Context) error {
+	asked := f.clock.Now()
 	p, version, err := readPointer(ctx, f.table)
 	if err != nil {
 		return err
@@ -357,7 +417,7 @@
 	if version == 0 {
 		return ErrNoManifest
 	}
-	return f.adopt(ctx, p, f.objects)
+	return f.adopt(ctx, p, f.objects, asked)
 }
 
 // Wire returns the manifest in force for another node; false before the first.
@@ -373,15 +433,16 @@
 	if err := json.Unmarshal(w.Pointer, &p); err != nil {
 		return merry.Prepend(err, "manifest of a peer")
 	}
-	return f.adopt(ctx, p, wireObjects(w.Sections))
+	return f.adopt(ctx, p, wireObjects(w.Sections), f.clock.Now())
 }
 
 // adopt never goes back: an old object, a lagging peer or a restarted node
 // with an old answer in hand changes nothing.
-func (f *Follower) adopt(ctx context.Context, p pointer, objects burdockyard.ObjectStore) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.current != nil && p.Generation <= f.current.Generation() {
+func (f *Follower) adopt(ctx context.Context, p pointer, objects burdockyard.ObjectStore, asked time.Time) error {
+	f.turn <- struct{}{}
+	defer func() { <-f.turn }()
+	if p.Generation <= f.Generation() {
+		f.Confirm(p.Generation, asked)
 		return nil
 	}
 	s, err := fetch(ctx, objects, p, f.cache)
@@ -393,11 +454,17 @@
 		return err
 	}
 	f.keepOnly(p)
-	f.current = New(override(s, p.Overrides), p.Generation)
-	f.wire = Wire{Pointer: raw, Sections: f.cacheCopy()}
+	f.install(New(override(s, p.Overrides), p.Generation), Wire{Pointer: raw, Sections: f.cacheCopy()}, asked)
 	return nil
 }
 
+func (f *Follower) install(m *Manifest, w Wire, asked time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.current, f.wire = m, w
+	f.confirmed = asked
+}
+
 func (f *Follower) keepOnly(p pointer) {
 	used := map[string]bool{}
 	for _, key := range p.Sections {
--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -44,6 +44,7 @@
 	Domain     string
 	Leaving    bool
 	Generation uint64 // of the manifest in force
+	Fresh      bool   // the generation was confirmed a moment ago
 	Seq        uint64 // rises within an incarnation
 	Loads      []Load
 	Holds      []burdockyard.EndpointID // engines that get no new work for now
--- a/core/byorder/byorder.go
+++ b/core/byorder/byorder.go
@@ -267,16 +267,22 @@
 // The fencing number joins the holder's fence and the order's sequence. With
 // the fence alone, a copy of order 7 that was delayed on the network would
 // still be accepted after order 8 of the same holder.
+//
+// The send is counted before the authority is checked for the last time. A
+// newer holder that asks this process to yield takes the authority first and
+// looks at the count afterwards, so that it finds either the count or an order
+// that is never sent.
 func (c *Controller) send(ctx context.Context, grant bylease.Grant, t Target, version uint64, rec record) error {
 	order := burdockyard.Order{
 		ID: rec.ID, Engine: t.Engine, Fencing: rec.Fence<<fenceShift | rec.Seq, State: rec.State,
 	}
-	if !grant.Valid(c.clock.Now()) {
+	c.startSend()
+	if now, ok := c.authority.Grant(); !ok || now.Fence() != grant.Fence() {
+		c.endSend(t, burdockyard.ErrNotStarted)
 		return burdockyard.ErrNoAuthority
 	}
-	c.startSend()
 	report, err := c.engines.Engine(t.Addr).Order(ctx, order)
-	c.endSend(t.Engine, err)
+	c.endSend(t, err)
 	if err != nil {
 		return errors.Join(burdockyard.ErrOrderOpen, err)
 	}
@@ -295,15 +301,19 @@
 	c.sends++
 }
 
-// endSend notes that a send without an answer may still arrive for a while. A
-// refusal or an unsent order is certain, and leaves nothing on its way.
-func (c *Controller) endSend(id burdockyard.EndpointID, err error) {
+// endSend notes that a copy of the order may still arrive for a while: one that
+// was not answered, and at an engine that ignores fencing numbers even one that
+// was, since the network may deliver it twice. A refused or unsent order leaves
+// nothing on its way.
+func (c *Controller) endSend(t Target, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sends--
-	certain := err == nil || errors.Is(err, burdockyard.ErrStaleOrder) || errors.Is(err, burdockyard.ErrNotStarted)
-	if !certain {
-		c.quiet[id] = c.clock.Now().Add(c.transit)
+	if errors.Is(err, burdockyard.ErrStaleOrder) || errors.Is(err, burdockyard.ErrNotStarted) {
+		return
+	}
+	if err != nil || !t.Fencing {
+		c.quiet[t.Engine] = c.clock.Now().Add(c.transit)
 	}
 }
 
--- /dev/null
+++ b/core/byproof/matrix_test.go
@@ -0,0 +1,155 @@
+package byproof
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+)
+
+const (
+	// sampleStride is the distance of the steps that a plain test run tries; each
+	// kind begins at another step.
+	sampleStride = 41
+	// pairSeed draws the pairs of faults.
+	pairSeed = 20261204
+	// pairsSampled and pairsFull are the pairs tried for each scenario.
+	pairsSampled = 10
+	pairsFull    = 300
+	matrixFile   = "../../docs/faults-matrix.md"
+)
+
+func full() bool { return os.Getenv("BURDOCK_FAULTS") == "full" }
+
+// tally counts the runs of one cell of the matrix.
+type tally struct{ runs, red int }
+
+// matrix is the result of all runs. mu is a leaf lock.
+type matrix struct {
+	mu    sync.Mutex
+	cells map[string]map[string]tally
+}
+
+func (m *matrix) add(scenario, kind string, violations []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cells[scenario] == nil {
+		m.cells[scenario] = map[string]tally{}
+	}
+	c := m.cells[scenario][kind]
+	c.runs++
+	if len(violations) > 0 {
+		c.red++
+	}
+	m.cells[scenario][kind] = c
+}
+
+// TestFaultMatrix runs every scenario under every fault at every call, or at a
+// fixed sample of the calls, and then under pairs of faults.
+func TestFaultMatrix(t *testing.T) {
+	m := &matrix{cells: map[string]map[string]tally{}}
+	t.Run("scenarios", func(t *testing.T) {
+		for _, sc := range scenarios {
+			t.Run(sc.name, func(t *testing.T) {
+				t.Parallel()
+				runScenario(t, m, sc)
+			})
+		}
+	})
+	m.print(t)
+}
+
+func runScenario(t *testing.T, m *matrix, sc scenario) {
+	violations, calls, _ := simulate(t, sc, mutant{})
+	m.add(sc.name, "none", violations)
+	expectNone(t, "no fault", violations)
+	t.Run("kinds", func(t *testing.T) {
+		for i, kind := range faultKinds {
+			t.Run(string(kind), func(t *testing.T) {
+				t.Parallel()
+				runKind(t, m, sc, kind, i)
+			})
+		}
+		t.Run("pairs", func(t *testing.T) {
+			t.Parallel()
+			runPairs(t, m, sc, calls)
+		})
+	})
+}
+
+// runKind tries one kind at call after call, until the script ends before it.
+func runKind(t *testing.T, m *matrix, sc scenario, kind faultKind, offset int) {
+	at, stride := 1+offset*3, sampleStride
+	if full() {
+		at, stride = 1, 1
+	}
+	for ; ; at += stride {
+		f := fault{kind, at}
+		violations, _, fired := simulate(t, sc, mutant{}, f)
+		if fired == 0 {
+			return
+		}
+		m.add(sc.name, string(kind), violations)
+		expectNone(t, fmt.Sprintf("%s at call %d", kind, at), violations)
+	}
+}
+
+func runPairs(t *testing.T, m *matrix, sc scenario, calls int) {
+	rnd := rand.New(rand.NewPCG(pairSeed, uint64(sc.promise)))
+	n := pairsSampled
+	if full() {
+		n = pairsFull
+	}
+	for range n {
+		a := fault{faultKinds[rnd.IntN(len(faultKinds))], 1 + rnd.IntN(calls)}
+		b := fault{faultKinds[rnd.IntN(len(faultKinds))], 1 + rnd.IntN(calls)}
+		violations, _, _ := simulate(t, sc, mutant{}, a, b)
+		m.add(sc.name, "pairs", violations)
+		expectNone(t, fmt.Sprintf("%s at call %d and %s at call %d", a.kind, a.at, b.kind, b.at), violations)
+	}
+}
+
+func expectNone(t *testing.T, what string, violations []string) {
+	t.Helper()
+	if len(violations) > 0 {
+		t.Errorf("%s:\n  %s", what, strings.Join(violations, "\n  "))
+	}
+}
+
+// print prints the table scenario by fault, each cell "runs" or "runs/red".
+func (m *matrix) print(t *testing.T) {
+	var b strings.Builder
+	runs, red := 0, 0
+	b.WriteString("| scenario |")
+	columns := []string{"none"}
+	for _, k := range faultKinds {
+		columns = append(columns, string(k))
+	}
+	columns = append(columns, "pairs")
+	for _, c := range columns {
+		b.WriteString(" " + c + " |")
+	}
+	b.WriteString("\n|---|" + strings.Repeat("---|", len(columns)) + "\n")
+	for _, sc := range scenarios {
+		fmt.Fprintf(&b, "| %d %s |", sc.promise, sc.name)
+		for _, c := range columns {
+			cell := m.cells[sc.name][c]
+			runs += cell.runs
+			red += cell.red
+			if cell.red > 0 {
+				fmt.Fprintf(&b, " %d, **%d red** |", cell.runs, cell.red)
+			} else {
+				fmt.Fprintf(&b, " %d |", cell.runs)
+			}
+		}
+		b.WriteString("\n")
+	}
+	fmt.Printf("%s\nfaults: %d scenarios, %d runs, %d red\n", b.String(), len(scenarios), runs, red)
+	if full() {
+		if err := os.WriteFile(matrixFile, []byte(b.String()), 0o644); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/core/byproof/mutants_test.go
@@ -0,0 +1,152 @@
+package byproof
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"testing"
+
+	"burdockyard"
+)
+
+// mutantCase breaks the mechanism of one promise. Some run of its scenario must
+// then show a violation.
+type mutantCase struct {
+	promise int
+	name    string
+	mutant  mutant
+	kinds   []faultKind // faults under which it is looked for; none: without any
+}
+
+var mutantCases = []mutantCase{
+	{1, "orders carry no fence of their holder", mutant{endpoints: wrapEndpoints(sameFencing, nil)}, nil},
+	{2, "orders do not wait for an empty engine", mutant{openGate: true}, nil},
+	{3, "a former holder counts as stopped at once", mutant{former: alwaysYields}, []faultKind{pauseBefore}},
+	{4, "a cut answer counts as whole", mutant{endpoints: wrapEndpoints(cutIsWhole, nil)}, nil},
+	{5, "a lost answer counts as not run", mutant{endpoints: wrapEndpoints(nil, lostIsNotStarted)}, []faultKind{lostAnswer}},
+	{6, "a claim is written over another", mutant{table: unchecked}, nil},
+	{7, "a node keeps its first manifest", mutant{oldRoutes: true}, nil},
+	{8, "a planned stop does not wait", mutant{rudeStop: true}, nil},
+	{9, "a manifest of a peer is always taken", mutant{reverts: true}, []faultKind{cutPlatform, pauseAfter, slowStore}},
+}
+
+// TestMutants shows that each scenario notices when its mechanism is broken.
+func TestMutants(t *testing.T) {
+	for _, c := range mutantCases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			if !caught(t, scenarios[c.promise-1], c) {
+				t.Errorf("promise %d: no run noticed that %s", c.promise, c.name)
+			}
+		})
+	}
+}
+
+func caught(t *testing.T, sc scenario, c mutantCase) bool {
+	if violations, _, _ := simulate(t, sc, c.mutant); len(violations) > 0 {
+		return true
+	}
+	for _, kind := range c.kinds {
+		for at := 1; ; at++ {
+			violations, _, fired := simulate(t, sc, c.mutant, fault{kind, at})
+			if len(violations) > 0 {
+				return true
+			}
+			if fired == 0 {
+				break
+			}
+		}
+	}
+	return false
+}
+
+// wrappedEndpoints changes the engines and services that a node reaches.
+type wrappedEndpoints struct {
+	burdockyard.Endpoints
+	engine  func(burdockyard.Engine) burdockyard.Engine
+	service func(burdockyard.Service) burdockyard.Service
+}
+
+func wrapEndpoints(engine func(burdockyard.Engine) burdockyard.Engine, service func(burdockyard.Service) burdockyard.Service) func(burdockyard.Endpoints) burdockyard.Endpoints {
+	return func(e burdockyard.Endpoints) burdockyard.Endpoints { return wrappedEndpoints{e, engine, service} }
+}
+
+func (w wrappedEndpoints) Engine(addr string) burdockyard.Engine {
+	if w.engine == nil {
+		return w.Endpoints.Engine(addr)
+	}
+	return w.engine(w.Endpoints.Engine(addr))
+}
+
+func (w wrappedEndpoints) Service(addr string) burdockyard.Service {
+	if w.service == nil {
+		return w.Endpoints.Service(addr)
+	}
+	return w.service(w.Endpoints.Service(addr))
+}
+
+type sameFencingEngine struct{ burdockyard.Engine }
+
+func sameFencing(e burdockyard.Engine) burdockyard.Engine { return sameFencingEngine{e} }
+
+func (e sameFencingEngine) Order(ctx context.Context, o burdockyard.Order) (burdockyard.EngineReport, error) {
+	o.Fencing = 1
+	return e.Engine.Order(ctx, o)
+}
+
+type cutIsWholeEngine struct{ burdockyard.Engine }
+
+func cutIsWhole(e burdockyard.Engine) burdockyard.Engine { return cutIsWholeEngine{e} }
+
+func (e cutIsWholeEngine) Generate(ctx context.Context, req burdockyard.GenerateRequest) (burdockyard.TokenStream, error) {
+	s, err := e.Engine.Generate(ctx, req)
+	return &cutIsWholeStream{TokenStream: s}, err
+}
+
+type cutIsWholeStream struct {
+	burdockyard.TokenStream
+	next int
+}
+
+func (s *cutIsWholeStream) Next() (burdockyard.Token, error) {
+	t, err := s.TokenStream.Next()
+	if errors.Is(err, burdockyard.ErrInterrupted) {
+		return burdockyard.Token{Index: s.next, Finish: "length"}, nil
+	}
+	s.next = t.Index + 1
+	return t, err
+}
+
+type lostService struct{ burdockyard.Service }
+
+func lostIsNotStarted(s burdockyard.Service) burdockyard.Service { return lostService{s} }
+
+func (s lostService) Call(ctx context.Context, req burdockyard.ServiceRequest) (burdockyard.ServiceResponse, error) {
+	resp, err := s.Service.Call(ctx, req)
+	if errors.Is(err, burdockyard.ErrInterrupted) {
+		err = burdockyard.ErrNotStarted
+	}
+	return resp, err
+}
+
+type uncheckedTable struct{ burdockyard.Table }
+
+func unchecked(t burdockyard.Table) burdockyard.Table { return uncheckedTable{t} }
+
+func (u uncheckedTable) Commit(ctx context.Context, txn burdockyard.Txn) error {
+	for _, w := range txn.Writes {
+		if strings.HasPrefix(w.Key, "booking/") && bytes.Contains(w.Value, []byte(`"claimed"`)) {
+			txn.Checks = nil
+		}
+	}
+	return u.Table.Commit(ctx, txn)
+}
+
+type yieldsAlways struct{ burdockyard.FormerHolders }
+
+func alwaysYields(f burdockyard.FormerHolders) burdockyard.FormerHolders { return yieldsAlways{f} }
+
+func (yieldsAlways) Yield(context.Context, burdockyard.Member, burdockyard.ShardID, uint64) (bool, error) {
+	return true, nil
+}
--- /dev/null
+++ b/core/byproof/node_test.go
@@ -0,0 +1,347 @@
+package byproof
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/bybooking"
+	"burdockyard/core/bydrain"
+	"burdockyard/core/bylease"
+	"burdockyard/core/bymanifest"
+	"burdockyard/core/bymember"
+	"burdockyard/core/byorder"
+	"burdockyard/core/byroute"
+	"burdockyard/core/byserve"
+)
+
+// mutant breaks one mechanism on purpose, to show that its scenario notices.
+type mutant struct {
+	table     func(burdockyard.Table) burdockyard.Table
+	endpoints func(burdockyard.Endpoints) burdockyard.Endpoints
+	former    func(burdockyard.FormerHolders) burdockyard.FormerHolders
+	target    func(*byorder.Target)
+	openGate  bool // orders do not wait for an engine to be empty
+	oldRoutes bool // the node keeps its first manifest
+	rudeStop  bool // a planned stop is a kill
+	reverts   bool // a manifest of a peer is taken whatever its generation
+}
+
+// node is one process made of the real parts, with the loops of a real node.
+type node struct {
+	w        *world
+	proc     *process
+	mutant   mutant
+	self     burdockyard.Member
+	current  atomic.Pointer[bymanifest.Follower]
+	first    atomic.Pointer[bymanifest.Manifest]
+	view     *bymember.View
+	desk     *bybooking.Desk
+	server   *byserve.Server
+	gate     *bydrain.Gate
+	leaving  atomic.Bool
+	seq      atomic.Uint64
+	stopping atomic.Bool
+	highest  atomic.Uint64 // manifest generation seen in force
+	group    sync.WaitGroup
+
+	mu     sync.Mutex
+	shards map[burdockyard.ShardID]*shardPart
+}
+
+type shardPart struct {
+	keeper *bylease.Keeper
+	orders *byorder.Controller
+}
+
+func startNode(w *world, name burdockyard.NodeID, m mutant) *node {
+	proc := newProcess(name)
+	self := burdockyard.Member{Node: name, Incarnation: burdockyard.NewIncarnation(), Addr: string(name)}
+	n := &node{w: w, proc: proc, mutant: m, self: self, shards: map[burdockyard.ShardID]*shardPart{}}
+	clock := burdockyard.SystemClock{}
+	n.setFollower()
+	n.view = bymember.New(clock, self)
+	n.desk = bybooking.New(n.table(), clock, self, bybooking.WithClaimants(peers{n}), bybooking.WithAttemptLimit(10*time.Second))
+	router := byroute.New(byroute.WithRand(rand.New(rand.NewPCG(1, 2))))
+	n.server = byserve.New(clock, n.endpoints(), n.manifest, byserve.WithDesk(n.desk),
+		byserve.WithRouter(router), byserve.WithFreshness(n.fresh))
+	n.gate = bydrain.New(clock, router.Open)
+	w.mu.Lock()
+	w.nodes[self.Addr] = n
+	w.mu.Unlock()
+	n.loop(bymember.HeartbeatEvery, n.beatAll)
+	n.loop(500*time.Millisecond, n.followManifest)
+	n.loop(time.Second, n.control)
+	n.loop(time.Second, func() { n.desk.Sweep(proc.ctx) })
+	n.group.Go(func() { _ = n.server.Run(proc.ctx) })
+	return n
+}
+
+func (n *node) setFollower() {
+	n.current.Store(bymanifest.NewFollower(n.table(), objects{platform{n.w, n.proc}}, burdockyard.SystemClock{}))
+}
+
+func (n *node) follower() *bymanifest.Follower { return n.current.Load() }
+
+func (n *node) fresh() bool { return n.mutant.oldRoutes || n.follower().Fresh() }
+
+func (n *node) table() burdockyard.Table {
+	if n.mutant.table != nil {
+		return n.mutant.table(platform{n.w, n.proc})
+	}
+	return platform{n.w, n.proc}
+}
+
+func (n *node) endpoints() burdockyard.Endpoints {
+	if n.mutant.endpoints != nil {
+		return n.mutant.endpoints(endpoints{n.w, n.proc})
+	}
+	return endpoints{n.w, n.proc}
+}
+
+func (n *node) loop(every time.Duration, f func()) {
+	n.group.Go(func() {
+		for n.proc.ctx.Err() == nil {
+			if n.proc.wait() == nil {
+				f()
+			}
+			select {
+			case <-time.After(every):
+			case <-n.proc.ctx.Done():
+			}
+		}
+	})
+}
+
+// manifest is what routing goes by.
+func (n *node) manifest() *bymanifest.Manifest {
+	m := n.follower().Current()
+	if n.mutant.oldRoutes {
+		n.first.CompareAndSwap(nil, m)
+		return n.first.Load()
+	}
+	return m
+}
+
+func (n *node) ready() bool {
+	return !n.proc.isDead() && !n.leaving.Load() && n.follower().Current() != nil
+}
+
+func (n *node) beat() bymember.Heartbeat {
+	return bymember.Heartbeat{
+		Member: n.self, Leaving: n.leaving.Load(), Generation: n.follower().Generation(), Fresh: n.follower().Fresh(), Seq: n.seq.Add(1),
+		Loads: n.server.Dispatcher().Router().Digest(), Holds: n.gate.Held(),
+	}
+}
+
+func (n *node) beatAll() {
+	for _, peer := range n.w.others(n) {
+		b := n.beat()
+		asked := time.Now()
+		_ = n.w.callPeer(n, peer, func() error {
+			peer.view.Hear(b)
+			reply := peer.beat()
+			n.view.Hear(reply)
+			if reply.Fresh {
+				n.follower().Confirm(reply.Generation, asked)
+			}
+			return nil
+		})
+	}
+	alive := n.view.Alive()
+	n.server.Dispatcher().Tick(n.view.PeerLoads(), len(alive)+1, time.Now())
+	n.server.Dispatcher().Router().Hold(append(n.view.Holds(), n.gate.Held()...))
+}
+
+func (n *node) followManifest() {
+	_ = n.follower().Step(n.proc.ctx)
+	for _, b := range n.view.Alive() {
+		if b.Generation > n.follower().Generation() || n.mutant.reverts {
+			n.learn(b)
+		}
+	}
+	n.noteGeneration()
+}
+
+func (n *node) learn(b bymember.Heartbeat) {
+	peer := n.w.node(b.Member.Addr)
+	if peer == nil {
+		return
+	}
+	wire, ok := peer.follower().Wire()
+	_ = n.w.callPeer(n, peer, func() error {
+		if !ok {
+			return burdockyard.ErrNotFound
+		}
+		if n.mutant.reverts {
+			n.setFollower()
+		}
+		return n.follower().Learn(n.proc.ctx, wire)
+	})
+}
+
+// noteGeneration judges that the manifest in force never reverts.
+func (n *node) noteGeneration() {
+	g := n.follower().Generation()
+	if g < n.highest.Load() {
+		n.w.violate("node %s went back from generation %d to %d", n.self.Node, n.highest.Load(), g)
+	}
+	n.highest.Store(max(g, n.highest.Load()))
+}
+
+func (n *node) shard(id burdockyard.ShardID) *shardPart {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.shards[id]
+	if s == nil {
+		clock := burdockyard.SystemClock{}
+		keeper := bylease.New(n.table(), clock, id, n.self, bylease.WithTTL(leaseTTL, leaseMargin), bylease.WithTransit(transit))
+		opts := []byorder.Option{byorder.WithTransit(transit)}
+		if !n.mutant.openGate {
+			opts = append(opts, byorder.WithGate(n.gate))
+		}
+		s = &shardPart{keeper: keeper, orders: byorder.New(n.table(), clock, keeper, n.endpoints(), opts...)}
+		n.shards[id] = s
+	}
+	return s
+}
+
+// control does what a node's control loop does, for every shard.
+func (n *node) control() {
+	m := n.manifest()
+	if m == nil || n.stopping.Load() {
+		return
+	}
+	var former burdockyard.FormerHolders = peers{n}
+	if n.mutant.former != nil {
+		former = n.mutant.former(former)
+	}
+	for _, sh := range m.Shards() {
+		s := n.shard(sh.ID)
+		_ = s.keeper.Step(n.proc.ctx)
+		if _, held := s.keeper.Grant(); !held {
+			for _, e := range sh.Engines {
+				n.gate.Release(e.ID())
+			}
+			continue
+		}
+		_ = s.keeper.Prove(n.proc.ctx, former, platform{n.w, n.proc})
+		var orders sync.WaitGroup
+		for _, e := range sh.Engines {
+			t := byorder.Target{Engine: e.ID(), Addr: e.Addr(), Fencing: e.Fencing(), State: e.State()}
+			if n.mutant.target != nil {
+				n.mutant.target(&t)
+			}
+			orders.Go(func() { _ = s.orders.Reconcile(n.proc.ctx, t) })
+		}
+		orders.Wait()
+	}
+}
+
+func (n *node) yield(id burdockyard.ShardID, fence uint64) bool {
+	n.mu.Lock()
+	s := n.shards[id]
+	n.mu.Unlock()
+	if s == nil {
+		return true
+	}
+	s.keeper.Yield(fence)
+	return s.orders.Quiet()
+}
+
+// stop is a planned stop: callers go first, then authority, then the process.
+func (n *node) stop() {
+	if n.mutant.rudeStop {
+		n.proc.kill()
+		return
+	}
+	n.leaving.Store(true)
+	n.stopping.Store(true)
+	deadline := time.Now().Add(60 * time.Second)
+	for time.Now().Before(deadline) && (n.openCalls() > 0 || !n.desk.Idle()) {
+		time.Sleep(200 * time.Millisecond)
+	}
+	n.mu.Lock()
+	shards := n.shards
+	n.mu.Unlock()
+	for _, s := range shards {
+		if s.orders.Quiet() {
+			_ = s.keeper.Release(n.proc.ctx)
+		}
+	}
+	n.proc.kill()
+}
+
+func (n *node) openCalls() int {
+	open := 0
+	for _, l := range n.server.Dispatcher().Router().Digest() {
+		open += l.Streams
+	}
+	return open + n.server.Dispatcher().Waiting()
+}
+
+// peers is the other nodes as one node reaches them.
+type peers struct{ n *node }
+
+func (x peers) Yield(_ context.Context, m burdockyard.Member, shard burdockyard.ShardID, fence uint64) (ok bool, err error) {
+	peer := x.n.w.node(m.Addr)
+	if peer == nil || peer.proc.isDead() || peer.self.Incarnation != m.Incarnation {
+		return true, nil // refused, or another process
+	}
+	err = x.n.w.callPeer(x.n, peer, func() error {
+		ok = peer.yield(shard, fence)
+		return nil
+	})
+	return ok, err
+}
+
+func (x peers) SendState(_ context.Context, m burdockyard.Member, attempt string) (s bybooking.SendState, err error) {
+	peer := x.n.w.node(m.Addr)
+	if peer == nil || peer.proc.isDead() || peer.self.Incarnation != m.Incarnation {
+		return bybooking.SendUnknown, burdockyard.ErrNotFound
+	}
+	err = x.n.w.callPeer(x.n, peer, func() error {
+		s = peer.desk.OwnState(attempt)
+		return nil
+	})
+	return s, err
+}
+
+func (w *world) node(addr string) *node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[addr]
+}
+
+func (w *world) others(n *node) []*node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []*node
+	for _, name := range nodeNames {
+		if o := w.nodes[string(name)]; o != nil && o != n && !o.proc.isDead() {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// callPeer passes a call between two nodes through the faults. A paused or cut
+// receiver lets it time out.
+func (w *world) callPeer(from, to *node, do func() error) error {
+	return w.call(from.proc, toPeers, "", func() error {
+		if to.proc.isCut(toPeers) || to.proc.isDead() || to.proc.isPaused() {
+			time.Sleep(callTimeout)
+			return errLost
+		}
+		return do()
+	})
+}
+
+func (p *process) isPaused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.pausedUntil)
+}
--- /dev/null
+++ b/core/byproof/scenarios_test.go
@@ -0,0 +1,231 @@
+package byproof
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/bymanifest"
+)
+
+var scenarios = []scenario{
+	{"conflicting orders", 1, 2, ordersScript, noCheck},
+	{"planned change", 2, 2, changeScript, checkNothingCut},
+	{"lost authority", 3, 2, authorityScript, noCheck},
+	{"whole answer", 4, 2, answerScript, noCheck},
+	{"not run is true", 5, 2, notRunScript, checkBookings},
+	{"bookings", 6, 2, bookingScript, checkBookings},
+	{"leaving endpoint", 7, 2, leavingScript, checkLeft},
+	{"graceful stop", 8, 2, stopScript, checkStop},
+	{"manifest", 9, 3, manifestScript, checkAccepts},
+}
+
+func noCheck(*sim) {}
+
+// withRole returns the spec with every engine in a role.
+func withRole(role string) bymanifest.Spec {
+	spec := baseSpec()
+	for i := range spec.Engines {
+		spec.Engines[i].Role = role
+	}
+	return spec
+}
+
+// ordersScript asks for one role after another, faster than they can be reached.
+func ordersScript(s *sim) {
+	for _, role := range []string{"decode", "prefill"} {
+		s.publish(withRole(role), bymanifest.AnyGeneration)
+		time.Sleep(5 * time.Second)
+	}
+}
+
+// authorityScript pauses the holder in the middle of a change, long enough for
+// another node to take over, and asks for the next changes meanwhile.
+func authorityScript(s *sim) {
+	s.publish(withRole("decode"), bymanifest.AnyGeneration)
+	time.Sleep(500 * time.Millisecond)
+	for _, n := range s.allNodes() {
+		for _, sh := range n.shards {
+			if _, held := sh.keeper.Grant(); held {
+				n.proc.pause(leaseTTL + leaseMargin + 2*time.Second)
+			}
+		}
+	}
+	time.Sleep(time.Second)
+	s.publish(withRole("prefill"), bymanifest.AnyGeneration)
+	time.Sleep(12 * time.Second)
+	s.publish(withRole("mixed"), bymanifest.AnyGeneration)
+	time.Sleep(12 * time.Second)
+}
+
+// changeScript changes every engine's role, drains one and takes it back, under
+// long answers and a booking.
+func changeScript(s *sim) {
+	for i := range 2 {
+		s.stream(i, 20)
+	}
+	s.book(0, "k", "body")
+	time.Sleep(500 * time.Millisecond)
+	s.publish(withRole("decode"), bymanifest.AnyGeneration)
+	time.Sleep(time.Second)
+	s.setState("e1", bymanifest.StateDrained)
+	time.Sleep(6 * time.Second)
+	s.setState("e1", bymanifest.StateServing)
+	time.Sleep(2 * time.Second)
+}
+
+// checkNothingCut judges that no order found an answer open. Where the holder
+// cannot know of an open answer, because its node is dead, paused or cut off,
+// the answer is continued elsewhere, which its caller checks.
+func checkNothingCut(s *sim) {
+	for _, f := range s.plan {
+		if !slices.Contains([]faultKind{lostAnswer, outage, slowStore, duplicate, racer}, f.kind) {
+			return
+		}
+	}
+	for _, e := range s.engines {
+		if e.cut > 0 {
+			s.violate("orders cut %d answers at %s", e.cut, e.id)
+		}
+	}
+}
+
+// answerScript loses an engine in the middle of answers.
+func answerScript(s *sim) {
+	for i := range 3 {
+		s.stream(i, 15)
+	}
+	time.Sleep(1200 * time.Millisecond)
+	for _, e := range s.engines {
+		if e.id == "e1" {
+			e.crash()
+		}
+	}
+	time.Sleep(3 * time.Second)
+}
+
+// notRunScript books different things one after another.
+func notRunScript(s *sim) {
+	for i := range 6 {
+		s.book(i, fmt.Sprintf("k%d", i), "body")
+		time.Sleep(400 * time.Millisecond)
+	}
+}
+
+// bookingScript books the same through both nodes at once, and uses a key again
+// for something else.
+func bookingScript(s *sim) {
+	for i := range 3 {
+		key := fmt.Sprintf("k%d", i)
+		s.book(0, key, "body")
+		s.book(1, key, "body")
+		time.Sleep(600 * time.Millisecond)
+	}
+	s.book(0, "k0", "another body")
+	time.Sleep(500 * time.Millisecond)
+}
+
+// checkBookings judges the answers by what ran.
+func checkBookings(s *sim) {
+	effects := map[string]int{}
+	ran := map[burdockyard.RequestID]bool{}
+	for _, svc := range s.services {
+		for key, n := range svc.effects {
+			effects[key] += n
+		}
+		for id := range svc.ran {
+			ran[id] = true
+		}
+	}
+	for key, n := range effects {
+		if n > 1 {
+			s.violate("booking %s ran %d times", key, n)
+		}
+	}
+	answers := map[string]string{}
+	for _, r := range s.replies {
+		var call *burdockyard.CallError
+		switch {
+		case r.err == nil && effects[r.key] == 0:
+			s.violate("booking %s was confirmed and did not run", r.key)
+		case r.err == nil && answers[r.key] != "" && answers[r.key] != r.body:
+			s.violate("booking %s was answered %q and %q", r.key, answers[r.key], r.body)
+		case r.err == nil:
+			answers[r.key] = r.body
+		case errors.As(r.err, &call) && call.Outcome() == burdockyard.NotRun && ran[r.id]:
+			s.violate("booking %s was refused as not run, and ran", r.key)
+		case errors.As(r.err, &call) && call.Outcome() == burdockyard.OutcomeUnknown && len(s.plan) == 0:
+			s.violate("booking %s is unknown without a fault: %v", r.key, r.err)
+		}
+	}
+	s.checkBookingHistory(effects)
+}
+
+// leavingScript drains an engine under a stream of new calls.
+func leavingScript(s *sim) {
+	for i := range 12 {
+		s.stream(i, 3)
+		time.Sleep(300 * time.Millisecond)
+		if i == 3 {
+			s.setState("e1", bymanifest.StateDrained)
+			s.drainedAt = time.Now()
+		}
+	}
+	time.Sleep(leaveBound)
+	for i := range 8 {
+		s.stream(i, 3)
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// checkLeft judges when nodes decided to send work that the engine took. A call
+// whose process was paused between the decision and the write arrives later;
+// only the engine can refuse it then, and does once it has its order.
+func checkLeft(s *sim) {
+	for _, e := range s.engines {
+		for _, at := range e.decided {
+			if e.id == "e1" && at.Sub(s.drainedAt) > leaveBound {
+				s.violate("engine e1 got new work %s after it was drained", at.Sub(s.drainedAt))
+			}
+		}
+	}
+}
+
+// stopScript stops a node on purpose under answers and bookings.
+func stopScript(s *sim) {
+	for i := range 4 {
+		s.stream(i, 15)
+	}
+	s.book(0, "k0", "body")
+	time.Sleep(700 * time.Millisecond)
+	n := s.pick(0)
+	s.callers.Go(n.stop)
+	s.book(1, "k1", "body")
+	time.Sleep(200 * time.Millisecond)
+	s.callers.Go(n.stop) // a stop during a stop
+	time.Sleep(5 * time.Second)
+}
+
+func checkStop(s *sim) {
+	killed := slices.ContainsFunc(s.plan, func(f fault) bool { return f.kind == killBefore || f.kind == killAfter })
+	paused := slices.ContainsFunc(s.plan, func(f fault) bool { return f.kind == pauseBefore || f.kind == pauseAfter })
+	if s.cuts > 0 && !killed && !paused {
+		s.violate("a planned stop cut %d answers", s.cuts)
+	}
+	checkBookings(s)
+}
+
+// manifestScript lets two operators race, and a third with an old expectation.
+func manifestScript(s *sim) {
+	s.mu.Lock()
+	s.race = func() { s.publish(withRole("prefill"), bymanifest.AnyGeneration) }
+	s.mu.Unlock()
+	s.callers.Go(func() { s.publish(withRole("decode"), s.newestGeneration()) })
+	s.callers.Go(func() { s.publish(withRole("mixed"), s.newestGeneration()) })
+	time.Sleep(3 * time.Second)
+	s.publish(withRole("decode"), 1)
+	s.publish(withRole("mixed"), bymanifest.AnyGeneration)
+	time.Sleep(4 * time.Second)
+}
--- /dev/null
+++ b/core/byproof/sim_test.go
@@ -0,0 +1,426 @@
+package byproof
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/bymanifest"
+	"burdockyard/core/byroute"
+	"burdockyard/core/byserve"
+	"burdockyard/core/bystream"
+	"burdockyard/io/byemu"
+)
+
+const (
+	// livenessBound is how long after the last fault has ended everything must
+	// be as it should again.
+	livenessBound = 60 * time.Second
+	// leaveBound is what "a few seconds" means for a leaving endpoint.
+	leaveBound = 4 * time.Second
+	warmUp     = 4 * time.Second
+)
+
+var nodeNames = []burdockyard.NodeID{"n1", "n2", "n3"}
+
+// scenario is one promise under a script.
+type scenario struct {
+	name    string
+	promise int
+	nodes   int
+	script  func(*sim)
+	check   func(*sim)
+}
+
+// sim is one run of a scenario.
+type sim struct {
+	*world
+	mutant    mutant
+	plan      []fault
+	callers   sync.WaitGroup
+	newest    uint64 // generation accepted last
+	replies   []reply
+	cuts      int // answers that a caller saw cut
+	published []publication
+	drainedAt time.Time
+}
+
+// reply is the final answer to one attempt at a booking.
+type reply struct {
+	key  string
+	id   burdockyard.RequestID
+	body string
+	err  error
+	from time.Time
+	to   time.Time
+}
+
+// publication is one operator's attempt and what it was told.
+type publication struct {
+	from, to time.Time
+	expect   uint64
+	got      uint64
+	err      error
+}
+
+func baseSpec() bymanifest.Spec {
+	return bymanifest.Spec{
+		Name:   "proof",
+		Models: []bymanifest.ModelSpec{{Name: "m", Version: "v1", PrefillRate: 10000, DecodeRate: 1000, MaxStreams: 16, MaxPrompt: 100000}},
+		Engines: []bymanifest.EngineSpec{
+			{Name: "e1", Address: "127.0.0.1:1", Model: "m", Domain: "a", Role: "mixed", Fencing: true},
+			{Name: "e2", Address: "127.0.0.1:2", Model: "m", Domain: "a", Role: "mixed", Fencing: false},
+		},
+		Services: []bymanifest.ServiceSpec{{
+			Name:       "booking",
+			Endpoints:  []bymanifest.ServiceEndpoint{{Name: "s1", Address: "127.0.0.1:3", Domain: "a"}, {Name: "s2", Address: "127.0.0.1:4", Domain: "a"}},
+			Repeatable: []bymanifest.CallSpec{{Method: "GET", Path: "/slots"}},
+		}},
+		Classes: []bymanifest.ClassSpec{{Name: "c", FirstToken: 30 * time.Second, Deadline: 120 * time.Second, Queue: 100}},
+		Tenants: []bymanifest.TenantSpec{{Name: "t", Weight: 1}},
+	}
+}
+
+// simulate runs a scenario under faults and returns its violations and the
+// number of calls counted.
+func simulate(t *testing.T, sc scenario, m mutant, faults ...fault) (violations []string, calls, fired int) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &sim{world: newWorld(faults), mutant: m, plan: faults}
+		s.run(sc)
+		violations, calls, fired = s.violations, s.calls, s.fired
+	})
+	return violations, calls, fired
+}
+
+func (s *sim) run(sc scenario) {
+	spec := baseSpec()
+	for _, e := range spec.Engines {
+		newEngine(s.world, burdockyard.EndpointID(e.Name), e.Address, e.Fencing)
+	}
+	for _, e := range spec.Services[0].Endpoints {
+		newService(s.world, e.Address)
+	}
+	s.publish(spec, bymanifest.AnyGeneration)
+	for _, name := range nodeNames[:sc.nodes] {
+		startNode(s.world, name, s.mutant)
+	}
+	watch := s.startWatch()
+	time.Sleep(warmUp)
+	s.arm(true)
+	sc.script(s)
+	s.arm(false)
+	s.callers.Wait()
+	s.settle()
+	sc.check(s)
+	close(watch)
+	for _, n := range s.allNodes() {
+		n.proc.kill()
+	}
+	s.background.Wait()
+	time.Sleep(5 * time.Minute) // ends timers of answers that nobody reads
+}
+
+func (s *sim) allNodes() []*node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*node
+	for _, name := range nodeNames {
+		if n := s.nodes[string(name)]; n != nil {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// startWatch starts dead nodes again, and judges at each moment that a shard
+// has one holder at most.
+func (s *sim) startWatch() chan struct{} {
+	stop := make(chan struct{})
+	s.background.Go(func() {
+		deadSince := map[*node]time.Time{}
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+			s.judgeLeases()
+			for _, n := range s.allNodes() {
+				s.restart(n, deadSince)
+			}
+		}
+	})
+	return stop
+}
+
+func (s *sim) restart(n *node, deadSince map[*node]time.Time) {
+	if !n.proc.isDead() {
+		return
+	}
+	if deadSince[n].IsZero() {
+		deadSince[n] = time.Now()
+	}
+	if time.Since(deadSince[n]) >= restartAfter {
+		startNode(s.world, n.self.Node, s.mutant)
+	}
+}
+
+func (s *sim) judgeLeases() {
+	holders := map[burdockyard.ShardID]burdockyard.NodeID{}
+	for _, n := range s.allNodes() {
+		n.mu.Lock()
+		for id, sh := range n.shards {
+			if _, held := sh.keeper.Grant(); held && !n.proc.isDead() {
+				if other := holders[id]; other != "" {
+					s.violate("shard %s is held by %s and %s", id, other, n.self.Node)
+				}
+				holders[id] = n.self.Node
+			}
+		}
+		n.mu.Unlock()
+	}
+}
+
+// settle waits for liveness and judges that it comes within the bound.
+func (s *sim) settle() {
+	s.mu.Lock()
+	end := s.lastFault.Add(max(pauseFor, cutFor, outageFor))
+	s.mu.Unlock()
+	deadline := time.Now().Add(livenessBound)
+	if end.After(time.Now()) {
+		deadline = end.Add(livenessBound)
+	}
+	for {
+		why := s.unsettled()
+		if why == "" {
+			return
+		}
+		if time.Now().After(deadline) {
+			s.violate("not live: %s", why)
+			return
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// unsettled tells what is not yet as it should be.
+func (s *sim) unsettled() string {
+	held := map[burdockyard.ShardID]bool{}
+	var want *bymanifest.Manifest
+	for _, n := range s.allNodes() {
+		m := n.follower().Current()
+		if n.proc.isDead() || m == nil || m.Generation() != s.newestGeneration() {
+			return fmt.Sprintf("node %s is not on generation %d", n.self.Node, s.newestGeneration())
+		}
+		want = m
+		n.mu.Lock()
+		for id, sh := range n.shards {
+			_, ok := sh.keeper.Grant()
+			held[id] = held[id] || ok
+		}
+		n.mu.Unlock()
+	}
+	for _, e := range want.Engines() {
+		if !held[e.Shard()] {
+			return fmt.Sprintf("shard %s has no holder", e.Shard())
+		}
+		fake := s.engines[e.Addr()]
+		fake.mu.Lock()
+		got := fake.state
+		fake.mu.Unlock()
+		if fmt.Sprint(got) != fmt.Sprint(e.State()) {
+			return fmt.Sprintf("engine %s is in %v, not in %v", e.ID(), got, e.State())
+		}
+	}
+	return ""
+}
+
+func (s *sim) newestGeneration() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest
+}
+
+// operator reaches the platform without the scenario's faults, but for an outage.
+func (s *sim) operator() (burdockyard.Table, burdockyard.ObjectStore) {
+	p := platform{s.world, newProcess("operator")}
+	return p, objects{p}
+}
+
+// publish publishes until it is accepted or refused for good.
+func (s *sim) publish(spec bymanifest.Spec, expect uint64) bymanifest.Accepted {
+	return s.operate(expect, func(t burdockyard.Table, o burdockyard.ObjectStore) (bymanifest.Accepted, error) {
+		return bymanifest.Publish(context.Background(), t, o, spec, expect)
+	})
+}
+
+func (s *sim) setState(id, state string) bymanifest.Accepted {
+	return s.operate(bymanifest.AnyGeneration, func(t burdockyard.Table, o burdockyard.ObjectStore) (bymanifest.Accepted, error) {
+		return bymanifest.SetState(context.Background(), t, o, id, state)
+	})
+}
+
+func (s *sim) operate(expect uint64, do func(burdockyard.Table, burdockyard.ObjectStore) (bymanifest.Accepted, error)) bymanifest.Accepted {
+	for {
+		from := time.Now()
+		t, o := s.operator()
+		a, err := do(t, o)
+		s.mu.Lock()
+		s.published = append(s.published, publication{from, time.Now(), expect, a.Generation, err})
+		s.newest = max(s.newest, a.Generation)
+		s.mu.Unlock()
+		if err == nil || errors.Is(err, bymanifest.ErrGeneration) {
+			s.handOver(a)
+			return a
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// handOver tells the nodes of an accepted manifest, as burdock publish does.
+func (s *sim) handOver(a bymanifest.Accepted) {
+	if a.Wire.Pointer == nil {
+		return
+	}
+	for _, n := range s.allNodes() {
+		if !n.proc.isDead() && !n.proc.isPaused() && !n.proc.isCut(toPeers) {
+			_ = n.follower().Learn(context.Background(), a.Wire)
+			n.noteGeneration()
+		}
+	}
+}
+
+// pick returns a node that takes callers, beginning at the i-th.
+func (s *sim) pick(i int) *node {
+	for {
+		nodes := s.allNodes()
+		for j := range nodes {
+			if n := nodes[(i+j)%len(nodes)]; n.ready() {
+				return n
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// sink is a caller's connection for one answer. It closes when the node dies.
+type sink struct {
+	mu     sync.Mutex
+	text   string
+	tokens int
+	at     *bystream.Position
+	closed bool
+}
+
+func (k *sink) Token(t burdockyard.Token, next bystream.Position) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.closed {
+		return errDead
+	}
+	k.text += t.Text
+	k.tokens++
+	k.at = &next
+	return nil
+}
+
+func (k *sink) close() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.closed = true
+}
+
+// stream is a caller who wants a whole answer and resumes after cuts.
+func (s *sim) stream(i, tokens int) {
+	prompt := fmt.Sprintf("prompt %d", i)
+	s.callers.Go(func() {
+		k := &sink{}
+		deadline := time.Now().Add(outageFor + pauseFor + livenessBound)
+		for try := i; ; try++ {
+			k = &sink{text: k.text, tokens: k.tokens, at: k.at}
+			err := s.generate(s.pick(try), k, prompt, tokens)
+			if err == nil {
+				break
+			}
+			if time.Now().After(deadline) {
+				s.violate("answer to %q was not whole in time: %v", prompt, err)
+				return
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		if want := byemu.Answer(prompt, tokens); k.text != want {
+			s.violate("answer to %q is %q, not %q", prompt, k.text, want)
+		}
+	})
+}
+
+// generate runs one attempt, until it ends or its node dies.
+func (s *sim) generate(n *node, k *sink, prompt string, tokens int) error {
+	call := byserve.Call{
+		ID: burdockyard.NewRequestID(), Tenant: "t", Weight: 1, Class: baseSpec().Classes[0], Model: "m",
+		Work: byroute.Work{PromptTokens: 10, OutputTokens: tokens}, Resume: k.at, Delivered: k.text,
+		Body: func(delivered string, left int) ([]byte, error) {
+			return json.Marshal(body{Text: prompt + delivered, Tokens: left})
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan error, 1)
+	s.background.Go(func() { done <- n.server.Generate(ctx, call, k) })
+	select {
+	case err := <-done:
+		return err
+	case <-n.proc.ctx.Done():
+		k.close()
+		s.mu.Lock()
+		s.cuts++
+		s.mu.Unlock()
+		return errDead
+	}
+}
+
+// book is a caller who books under a key, and comes back until it is settled.
+func (s *sim) book(i int, key, text string) {
+	s.callers.Go(func() {
+		deadline := time.Now().Add(outageFor + pauseFor + livenessBound)
+		for try := i; time.Now().Before(deadline); try++ {
+			r := s.bookOnce(s.pick(try), key, text)
+			s.mu.Lock()
+			s.replies = append(s.replies, r)
+			s.mu.Unlock()
+			var call *burdockyard.CallError
+			if r.err == nil || errors.As(r.err, &call) && call.Outcome() != burdockyard.NotRun {
+				return
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		s.violate("booking %s got no final answer", key)
+	})
+}
+
+func (s *sim) bookOnce(n *node, key, text string) reply {
+	r := reply{key: key, id: burdockyard.NewRequestID(), from: time.Now()}
+	req := burdockyard.ServiceRequest{ID: r.id, Method: "POST", Path: "/dispatch", Key: key, Body: []byte(text)}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	done := make(chan struct{})
+	s.background.Go(func() {
+		defer close(done)
+		resp, err := n.server.CallService(ctx, byserve.ServiceCall{Tenant: "t", Service: "booking", Request: req})
+		r.body, r.err = string(resp.Body), err
+	})
+	select {
+	case <-done:
+	case <-n.proc.ctx.Done():
+		<-done // the process is dead: its answer reaches nobody
+		r.body, r.err = "", errDead
+	}
+	r.to = time.Now()
+	return r
+}
--- a/core/byserve/byserve.go
+++ b/core/byserve/byserve.go
@@ -86,6 +86,7 @@
 	clock     burdockyard.Clock
 	endpoints burdockyard.Endpoints
 	manifest  func() *bymanifest.Manifest
+	fresh     func() bool
 	dispatch  *Dispatcher[*waiter]
 	budget    *Budget
 	desk      *bybooking.Desk
@@ -109,22 +110,27 @@
 
 // WithRouter sets the router.
 func WithRouter(r *byroute.Router) Option {
-	return func(s *Server) { s.dispatch = NewDispatcher[*waiter](r, s.manifest) }
+	return func(s *Server) { s.dispatch = NewDispatcher[*waiter](r, s.manifest, s.isFresh) }
 }
 
+// WithFreshness starts nothing while fresh says that the manifest may be out of date.
+func WithFreshness(fresh func() bool) Option { return func(s *Server) { s.fresh = fresh } }
+
 // New returns a Server for the manifest in force.
 func New(clock burdockyard.Clock, endpoints burdockyard.Endpoints, manifest func() *bymanifest.Manifest, opts ...Option) *Server {
 	s := &Server{
 		clock: clock, endpoints: endpoints, manifest: manifest, budget: NewBudget(),
-		observer: noObserver{}, done: make(chan struct{}), open: map[string]int{},
+		fresh: func() bool { return true }, observer: noObserver{}, done: make(chan struct{}), open: map[string]int{},
 	}
-	s.dispatch = NewDispatcher[*waiter](byroute.New(), manifest)
+	s.dispatch = NewDispatcher[*waiter](byroute.New(), manifest, s.isFresh)
 	for _, opt := range opts {
 		opt(s)
 	}
 	return s
 }
 
+func (s *Server) isFresh() bool { return s.fresh() }
+
 // Dispatcher returns the decisions below, for heartbeats and status.
 func (s *Server) Dispatcher() *Dispatcher[*waiter] { return s.dispatch }
 
@@ -167,6 +173,9 @@
 // Generate brings the whole answer of a call to the sink.
 func (s *Server) Generate(ctx context.Context, c Call, sink Sink) error {
 	r := &run{s: s, call: c, sink: sink, answer: bystream.NewAssembler(0, "")}
+	if c.Resume != nil && c.Resume.Done {
+		return nil // only the end of the stream was lost
+	}
 	if c.Resume != nil {
 		r.answer = bystream.NewAssembler(c.Resume.Next, c.Delivered)
 		if err := r.resume(ctx, *c.Resume); err == nil || !errors.Is(err, burdockyard.ErrStreamGone) {
--- a/core/byserve/dispatch.go
+++ b/core/byserve/dispatch.go
@@ -47,16 +47,18 @@
 	options  []byadmit.Option
 	backlog  time.Duration
 	manifest func() *bymanifest.Manifest
+	fresh    func() bool
 
 	mu     sync.Mutex
 	queues map[string]*byadmit.Queue[Offered[V]]
 	nodes  int
 }
 
-// NewDispatcher returns a Dispatcher for the manifest in force.
-func NewDispatcher[V any](router *byroute.Router, manifest func() *bymanifest.Manifest, opts ...byadmit.Option) *Dispatcher[V] {
+// NewDispatcher returns a Dispatcher for the manifest in force. It starts
+// nothing while fresh says that the manifest may be out of date.
+func NewDispatcher[V any](router *byroute.Router, manifest func() *bymanifest.Manifest, fresh func() bool, opts ...byadmit.Option) *Dispatcher[V] {
 	return &Dispatcher[V]{
-		router: router, options: opts, backlog: backlogTarget, manifest: manifest,
+		router: router, options: opts, backlog: backlogTarget, manifest: manifest, fresh: fresh,
 		queues: map[string]*byadmit.Queue[Offered[V]]{}, nodes: 1,
 	}
 }
@@ -105,6 +107,9 @@
 func (d *Dispatcher[V]) Pump(model string, now time.Time) []Start[V] {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.fresh() {
+		return nil
+	}
 	var starts []Start[V]
 	for _, long := range []bool{false, true} {
 		for {
@@ -140,6 +145,18 @@
 	return c.Backlog <= d.backlog && c.Streams < c.Engine.Model().MaxStreams
 }
 
+// Move picks another engine for a call that has started before.
+func (d *Dispatcher[V]) Move(model string, w byroute.Work, tried map[burdockyard.EndpointID]bool, now time.Time) (Start[V], bool) {
+	if !d.fresh() {
+		return Start[V]{}, false
+	}
+	choice, ok := d.router.Pick(d.manifest().ModelEngines(model), w, tried, now)
+	if !ok {
+		return Start[V]{}, false
+	}
+	return Start[V]{Choice: choice, Flight: d.router.Start(choice, w, now)}, true
+}
+
 // Expire returns the calls that can no longer start in time.
 func (d *Dispatcher[V]) Expire(now time.Time) []Refused[V] {
 	d.mu.Lock()
--- a/core/byserve/run.go
+++ b/core/byserve/run.go
@@ -68,12 +68,11 @@
 	if n == 0 {
 		return r.s.admit(ctx, r.call)
 	}
-	now := r.s.clock.Now()
-	choice, ok := r.s.dispatch.Router().Pick(r.s.manifest().ModelEngines(r.call.Model), r.call.Work, tried, now)
+	start, ok := r.s.dispatch.Move(r.call.Model, r.call.Work, tried, r.s.clock.Now())
 	if !ok {
-		return Start[*waiter]{}, merry.Prepend(burdockyard.ErrNotStarted, "no other engine")
+		return start, merry.Prepend(burdockyard.ErrNotStarted, "no other engine")
 	}
-	return Start[*waiter]{Choice: choice, Flight: r.s.dispatch.Router().Start(choice, r.call.Work, now)}, nil
+	return start, nil
 }
 
 // giveUp gives the final answer. It is "not run" only if no engine can have
@@ -203,9 +202,7 @@
 		if !fresh {
 			continue
 		}
-		if f != nil {
-			f.Token(r.s.clock.Now())
-		}
+		f.Token(r.s.clock.Now())
 		r.deliver(t, at)
 		if r.answer.Whole() {
 			return nil
@@ -218,6 +215,7 @@
 		return
 	}
 	at.Next = r.answer.Next()
+	at.Done = r.answer.Whole()
 	if err := r.sink.Token(t, at); err != nil {
 		r.gone = true
 	}
@@ -242,6 +240,10 @@
 		return burdockyard.ErrStreamGone
 	}
 	r.sent = true
+	// The stream counts as open here, or the engine would look empty to a holder
+	// that is about to take it away.
+	flight := r.s.dispatch.Router().Start(byroute.Choice{Engine: e}, byroute.Work{}, r.s.clock.Now())
+	defer flight.End()
 	engine := r.s.endpoints.Engine(e.Addr())
 	own, cancel := r.detached(ctx)
 	defer cancel()
@@ -249,7 +251,7 @@
 	if err != nil {
 		return err
 	}
-	err = r.follow(ctx, own, engine, stream, at, nil)
+	err = r.follow(ctx, own, engine, stream, at, flight)
 	if err == nil || isFinal(err) {
 		return err
 	}
--- a/core/byserve/service.go
+++ b/core/byserve/service.go
@@ -36,6 +36,9 @@
 	if len(endpoints) == 0 {
 		return none, burdockyard.NewCallError(burdockyard.NotRun, "no endpoint of the service serves now", burdockyard.WithRetryAfter(retryLater))
 	}
+	if !s.fresh() {
+		return none, burdockyard.NewCallError(burdockyard.NotRun, "the node is out of touch; another one may serve the call", burdockyard.WithRetryAfter(retryLater))
+	}
 	s.budget.Earn()
 	if svc.Repeatable(c.Request.Method, c.Request.Path) {
 		return s.repeatable(ctx, c.Request, endpoints)
--- a/core/bystream/bystream.go
+++ b/core/bystream/bystream.go
@@ -37,6 +37,7 @@
 	Incarnation burdockyard.Incarnation `json:"i"`
 	Base        int                     `json:"b,omitempty"` // index of the engine stream's first token
 	Next        int                     `json:"n"`           // index of the next token
+	Done        bool                    `json:"d,omitempty"` // the answer is whole
 }
 
 // Sealer makes and opens resume tokens.
--- a/io/byconfig/byconfig.go
+++ b/io/byconfig/byconfig.go
@@ -61,12 +61,8 @@
 }
 
 func (d *document) add(n ast.Node, what, mend string) {
-	m := Mistake{File: d.file, Line: 1, Column: 1, What: what, Mend: mend}
-	if n != nil && n.GetToken() != nil && n.GetToken().Position != nil {
-		m.Line = n.GetToken().Position.Line
-		m.Column = n.GetToken().Position.Column
-	}
-	d.mistakes = append(d.mistakes, m)
+	at := placeOf(n)
+	d.mistakes = append(d.mistakes, Mistake{File: d.file, Line: at.line, Column: at.column, What: what, Mend: mend})
 }
 
 // addAt adds a mistake at a path, or at the nearest place above it that the
@@ -173,18 +169,29 @@
 	return s, d.checkManifest(s)
 }
 
+// place is where a node of a document stands.
+type place struct{ line, column int }
+
+func placeOf(n ast.Node) place {
+	if n == nil || n.GetToken() == nil || n.GetToken().Position == nil {
+		return place{1, 1}
+	}
+	at := n.GetToken().Position
+	return place{at.Line, at.Column}
+}
+
 // checkManifest adds the mistakes of meaning, but not where a mistake of form
 // has left a value unread.
 func (d *document) checkManifest(s bymanifest.Spec) error {
 	if len(d.mistakes) > 0 && len(d.places) == 0 {
 		return d.err()
 	}
-	bad := map[int]bool{}
+	unread := map[place]bool{}
 	for _, m := range d.mistakes {
-		bad[m.Line] = true
+		unread[place{m.Line, m.Column}] = true
 	}
 	for _, p := range bymanifest.Check(s) {
-		if n, ok := d.places[p.Path]; ok && bad[n.GetToken().Position.Line] {
+		if n, ok := d.places[p.Path]; ok && unread[placeOf(n)] {
 			continue
 		}
 		d.addAt(p.Path, p.What, p.Mend)
--- a/io/bynode/bynode.go
+++ b/io/bynode/bynode.go
@@ -187,7 +187,7 @@
 func (n *Node) beat() bymember.Heartbeat {
 	return bymember.Heartbeat{
 		Member: n.self, CallerAddr: n.settings.CallerAddr, Domain: n.settings.Domain,
-		Leaving: n.leaving.Load(), Generation: n.follower.Generation(), Seq: n.beatSeq.Add(1),
+		Leaving: n.leaving.Load(), Generation: n.follower.Generation(), Fresh: n.follower.Fresh(), Seq: n.beatSeq.Add(1),
 		Loads: n.server.Dispatcher().Router().Digest(), Holds: n.gate.Held(),
 	}
 }
--- a/io/bynode/control.go
+++ b/io/bynode/control.go
@@ -110,6 +110,7 @@
 	grant, holds := s.keeper.Grant()
 	c.noteChange(sh.ID, s, holds, grant)
 	if !holds {
+		c.releaseHolds(sh)
 		return
 	}
 	if err := s.keeper.Prove(ctx, c.n.clients, c.n.platform); err != nil {
@@ -118,6 +119,14 @@
 	c.giveOrders(ctx, sh, s)
 }
 
+// releaseHolds drops what this node kept from work while it held the lease. The
+// new holder holds for itself what it is about to take away.
+func (c *control) releaseHolds(sh bymanifest.Shard) {
+	for _, e := range sh.Engines {
+		c.n.gate.Release(e.ID())
+	}
+}
+
 func (c *control) noteChange(id burdockyard.ShardID, s *shard, holds bool, g bylease.Grant) {
 	if holds == s.held {
 		return
@@ -170,6 +179,19 @@
 	}
 }
 
+// yield gives up a lease under an old fence, and reports whether no order under
+// it can still be sent.
+func (c *control) yield(id burdockyard.ShardID, fence uint64) bool {
+	c.mu.Lock()
+	s := c.shards[id]
+	c.mu.Unlock()
+	if s == nil {
+		return true // this process never held it
+	}
+	s.keeper.Yield(fence)
+	return s.orders.Quiet()
+}
+
 func (c *control) status() []*bypeerpb.ShardStatus {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/bynode/loops.go
+++ b/io/bynode/loops.go
@@ -5,10 +5,12 @@
 	"errors"
 	"net/http"
 	"slices"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"burdockyard/core/bymanifest"
+	"burdockyard/core/bymember"
 	"burdockyard/io/bylog"
 	"burdockyard/io/bypeer"
 	"burdockyard/io/bypeer/bypeerpb"
@@ -23,9 +25,11 @@
 	group.SetLimit(beatWorkers)
 	for _, addr := range n.peerAddrs() {
 		group.Go(func() error {
+			asked := n.clock.Now()
 			reply, err := n.clients.Beat(ctx, addr, n.beat())
 			if err == nil {
 				n.view.Hear(reply)
+				n.confirm(reply, asked)
 			}
 			return nil // a silent peer becomes suspect by its silence
 		})
@@ -38,6 +42,14 @@
 	n.server.Dispatcher().Router().Hold(append(n.view.Holds(), n.gate.Held()...))
 }
 
+// confirm takes the word of a peer that is itself in touch: two nodes that are
+// both cut off must not confirm each other's old manifest.
+func (n *Node) confirm(b bymember.Heartbeat, asked time.Time) {
+	if b.Fresh {
+		n.follower.Confirm(b.Generation, asked)
+	}
+}
+
 func (n *Node) peerAddrs() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -98,7 +110,7 @@
 
 func (n *Node) peerHandler() http.Handler {
 	return bypeer.NewHandler(bypeer.Parts{
-		Self: n.self, View: n.view, Follower: n.follower, Desk: n.desk, Beat: n.beat, Status: n.status,
+		Self: n.self, View: n.view, Follower: n.follower, Desk: n.desk, Yield: n.control.yield, Beat: n.beat, Status: n.status,
 	})
 }
 
--- a/io/bynode/parts.go
+++ b/io/bynode/parts.go
@@ -4,7 +4,6 @@
 	"io"
 	"time"
 
-	"github.com/google/wire"
 	"github.com/rs/zerolog"
 
 	"burdockyard"
@@ -23,13 +22,6 @@
 	"burdockyard/io/byplatform"
 )
 
-// parts names how each part of a node is made; wire puts them together.
-var parts = wire.NewSet(
-	newSelf, newClock, newPlatform, newTable, newObjects, newEndpoints, newRootLog, newLogs,
-	bypeer.NewClients, bymetrics.New, bymanifest.NewFollower, bymember.New,
-	newDesk, newServer, newGate, newNode,
-)
-
 func newSelf(s byconfig.Settings) burdockyard.Member { return s.Member(burdockyard.NewIncarnation()) }
 
 func newClock() burdockyard.Clock { return burdockyard.SystemClock{} }
@@ -58,7 +50,7 @@
 }
 
 func newServer(c burdockyard.Clock, e burdockyard.Endpoints, f *bymanifest.Follower, d *bybooking.Desk, m *bymetrics.Metrics, l logs) *byserve.Server {
-	return byserve.New(c, e, f.Current, byserve.WithDesk(d), byserve.WithObserver(observer{m, l.calls}))
+	return byserve.New(c, e, f.Current, byserve.WithDesk(d), byserve.WithFreshness(f.Fresh), byserve.WithObserver(observer{m, l.calls}))
 }
 
 func newGate(c burdockyard.Clock, s *byserve.Server) *bydrain.Gate {
--- a/io/bynode/wire_gen.go
+++ b/io/bynode/wire_gen.go
@@ -12,6 +12,7 @@
 	"burdockyard/io/byconfig"
 	"burdockyard/io/bymetrics"
 	"burdockyard/io/bypeer"
+	"github.com/google/wire"
 	"io"
 )
 
@@ -26,7 +27,7 @@
 	clients := bypeer.NewClients()
 	table := newTable(platform)
 	objectStore := newObjects(platform)
-	follower := bymanifest.NewFollower(table, objectStore)
+	follower := bymanifest.NewFollower(table, objectStore, clock)
 	view := bymember.New(clock, member)
 	desk := newDesk(table, clock, member, clients)
 	metrics := bymetrics.New()
@@ -37,3 +38,10 @@
 	node := newNode(s, member, clock, platform, endpoints, clients, follower, view, desk, server, gate, metrics, bynodeLogs)
 	return node, nil
 }
+
+// wire.go:
+
+// parts names how each part of a node is made; wire puts them together.
+var parts = wire.NewSet(
+	newSelf, newClock, newPlatform, newTable, newObjects, newEndpoints, newRootLog, newLogs, bypeer.NewClients, bymetrics.New, bymanifest.NewFollower, bymember.New, newDesk, newServer, newGate, newNode,
+)
--- a/io/bypeer/bypeer.go
+++ b/io/bypeer/bypeer.go
@@ -7,7 +7,7 @@
 //	beat, err := peers.Beat(ctx, addr, own)    // heartbeats both ways
 //
 // Clients also answers the questions that core asks of other nodes: it is a
-// burdockyard.PeerProbe and a bybooking.Claimants.
+// burdockyard.FormerHolders and a bybooking.Claimants.
 package bypeer
 
 import (
@@ -78,6 +78,14 @@
 	return bymanifest.Wire{Pointer: reply.GetPointer(), Sections: reply.GetSections()}, nil
 }
 
+// Adopt hands a manifest over that was just accepted.
+func (c *Clients) Adopt(ctx context.Context, addr string, w bymanifest.Wire) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := c.peer(addr).Adopt(ctx, &bypeerpb.ManifestReply{Found: true, Pointer: w.Pointer, Sections: w.Sections})
+	return merry.Prepend(err, "handing the manifest to "+addr)
+}
+
 // Status returns a node's description of itself.
 func (c *Clients) Status(ctx context.Context, addr string) (*bypeerpb.StatusReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -86,15 +94,17 @@
 	return reply, merry.Prepend(err, "status of "+addr)
 }
 
-// Incarnation implements burdockyard.PeerProbe.
-func (c *Clients) Incarnation(ctx context.Context, addr string) (burdockyard.Incarnation, error) {
+// Yield implements burdockyard.FormerHolders.
+func (c *Clients) Yield(ctx context.Context, m burdockyard.Member, shard burdockyard.ShardID, fence uint64) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	m, err := c.peer(addr).Who(ctx, &bypeerpb.WhoRequest{})
-	if err != nil {
-		return "", peerError(err)
+	reply, err := c.peer(m.Addr).Yield(ctx, &bypeerpb.YieldRequest{
+		Incarnation: string(m.Incarnation), Shard: string(shard), Fence: fence,
+	})
+	if bywire.Refused(err) {
+		return true, nil
 	}
-	return burdockyard.Incarnation(m.GetIncarnation()), nil
+	return reply.GetYielded(), merry.Wrap(err)
 }
 
 // SendState implements bybooking.Claimants.
--- a/io/bypeer/bypeerpb/peer.twirp.go
+++ b/io/bypeer/bypeerpb/peer.twirp.go
@@ -37,12 +37,16 @@
 	// Beat delivers a heartbeat and answers with the receiver's own.
 	Beat(context.Context, *Heartbeat) (*Heartbeat, error)
 
-	// Who tells which process runs here.
-	Who(context.Context, *WhoRequest) (*Member, error)
+	// Yield gives up a shard's lease of an old fence, and tells whether no order
+	// under it can still be sent.
+	Yield(context.Context, *YieldRequest) (*YieldReply, error)
 
 	// Manifest returns the manifest in force.
 	Manifest(context.Context, *ManifestRequest) (*ManifestReply, error)
 
+	// Adopt hands over a manifest that was just accepted.
+	Adopt(context.Context, *ManifestReply) (*AdoptReply, error)
+
 	// SendState tells whether an attempt of this process was sent, and makes sure
 	// that one which was not never will be.
 	SendState(context.Context, *SendStateRequest) (*SendStateReply, error)
@@ -57,7 +61,7 @@
 
 type peerProtobufClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [6]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -85,10 +89,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "burdockyard.peer", "Peer")
-	urls := [5]string{
+	urls := [6]string{
 		serviceURL + "Beat",
-		serviceURL + "Who",
+		serviceURL + "Yield",
 		serviceURL + "Manifest",
+		serviceURL + "Adopt",
 		serviceURL + "SendState",
 		serviceURL + "Status",
 	}
@@ -147,26 +152,26 @@
 	return out, nil
 }
 
-func (c *peerProtobufClient) Who(ctx context.Context, in *WhoRequest) (*Member, error) {
+func (c *peerProtobufClient) Yield(ctx context.Context, in *YieldRequest) (*YieldReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "burdockyard.peer")
 	ctx = ctxsetters.WithServiceName(ctx, "Peer")
-	ctx = ctxsetters.WithMethodName(ctx, "Who")
-	caller := c.callWho
+	ctx = ctxsetters.WithMethodName(ctx, "Yield")
+	caller := c.callYield
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *WhoRequest) (*Member, error) {
+		caller = func(ctx context.Context, req *YieldRequest) (*YieldReply, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*WhoRequest)
+					typedReq, ok := req.(*YieldRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*WhoRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*YieldRequest) when calling interceptor")
 					}
-					return c.callWho(ctx, typedReq)
+					return c.callYield(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Member)
+				typedResp, ok := resp.(*YieldReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Member) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*YieldReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -176,8 +181,8 @@
 	return caller(ctx, in)
 }
 
-func (c *peerProtobufClient) callWho(ctx context.Context, in *WhoRequest) (*Member, error) {
-	out := new(Member)
+func (c *peerProtobufClient) callYield(ctx context.Context, in *YieldRequest) (*YieldReply, error) {
+	out := new(YieldReply)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -239,6 +244,52 @@
 	return out, nil
 }
 
+func (c *peerProtobufClient) Adopt(ctx context.Context, in *ManifestReply) (*AdoptReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "burdockyard.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Adopt")
+	caller := c.callAdopt
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ManifestReply) (*AdoptReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ManifestReply)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ManifestReply) when calling interceptor")
+					}
+					return c.callAdopt(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AdoptReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AdoptReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callAdopt(ctx context.Context, in *ManifestReply) (*AdoptReply, error) {
+	out := new(AdoptReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *peerProtobufClient) SendState(ctx context.Context, in *SendStateRequest) (*SendStateReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "burdockyard.peer")
 	ctx = ctxsetters.WithServiceName(ctx, "Peer")
@@ -270,7 +321,7 @@
 
 func (c *peerProtobufClient) callSendState(ctx context.Context, in *SendStateRequest) (*SendStateReply, error) {
 	out := new(SendStateReply)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -316,7 +367,7 @@
 
 func (c *peerProtobufClient) callStatus(ctx context.Context, in *StatusRequest) (*StatusReply, error) {
 	out := new(StatusReply)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -337,7 +388,7 @@
 
 type peerJSONClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [6]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -365,10 +416,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "burdockyard.peer", "Peer")
-	urls := [5]string{
+	urls := [6]string{
 		serviceURL + "Beat",
-		serviceURL + "Who",
+		serviceURL + "Yield",
 		serviceURL + "Manifest",
+		serviceURL + "Adopt",
 		serviceURL + "SendState",
 		serviceURL + "Status",
 	}
@@ -427,26 +479,26 @@
 	return out, nil
 }
 
-func (c *peerJSONClient) Who(ctx context.Context, in *WhoRequest) (*Member, error) {
+func (c *peerJSONClient) Yield(ctx context.Context, in *YieldRequest) (*YieldReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "burdockyard.peer")
 	ctx = ctxsetters.WithServiceName(ctx, "Peer")
-	ctx = ctxsetters.WithMethodName(ctx, "Who")
-	caller := c.callWho
+	ctx = ctxsetters.WithMethodName(ctx, "Yield")
+	caller := c.callYield
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *WhoRequest) (*Member, error) {
+		caller = func(ctx context.Context, req *YieldRequest) (*YieldReply, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*WhoRequest)
+					typedReq, ok := req.(*YieldRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*WhoRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*YieldRequest) when calling interceptor")
 					}
-					return c.callWho(ctx, typedReq)
+					return c.callYield(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Member)
+				typedResp, ok := resp.(*YieldReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Member) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*YieldReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -456,8 +508,8 @@
 	return caller(ctx, in)
 }
 
-func (c *peerJSONClient) callWho(ctx context.Context, in *WhoRequest) (*Member, error) {
-	out := new(Member)
+func (c *peerJSONClient) callYield(ctx context.Context, in *YieldRequest) (*YieldReply, error) {
+	out := new(YieldReply)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -519,6 +571,52 @@
 	return out, nil
 }
 
+func (c *peerJSONClient) Adopt(ctx context.Context, in *ManifestReply) (*AdoptReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "burdockyard.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Adopt")
+	caller := c.callAdopt
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ManifestReply) (*AdoptReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ManifestReply)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ManifestReply) when calling interceptor")
+					}
+					return c.callAdopt(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AdoptReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AdoptReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callAdopt(ctx context.Context, in *ManifestReply) (*AdoptReply, error) {
+	out := new(AdoptReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *peerJSONClient) SendState(ctx context.Context, in *SendStateRequest) (*SendStateReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "burdockyard.peer")
 	ctx = ctxsetters.WithServiceName(ctx, "Peer")
@@ -550,7 +648,7 @@
 
 func (c *peerJSONClient) callSendState(ctx context.Context, in *SendStateRequest) (*SendStateReply, error) {
 	out := new(SendStateReply)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -596,7 +694,7 @@
 
 func (c *peerJSONClient) callStatus(ctx context.Context, in *StatusRequest) (*StatusReply, error) {
 	out := new(StatusReply)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -711,12 +809,15 @@
 	case "Beat":
 		s.serveBeat(ctx, resp, req)
 		return
-	case "Who":
-		s.serveWho(ctx, resp, req)
+	case "Yield":
+		s.serveYield(ctx, resp, req)
 		return
 	case "Manifest":
 		s.serveManifest(ctx, resp, req)
 		return
+	case "Adopt":
+		s.serveAdopt(ctx, resp, req)
+		return
 	case "SendState":
 		s.serveSendState(ctx, resp, req)
 		return
@@ -910,7 +1011,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveWho(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveYield(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -918,9 +1019,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveWhoJSON(ctx, resp, req)
+		s.serveYieldJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveWhoProtobuf(ctx, resp, req)
+		s.serveYieldProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -928,9 +1029,9 @@
 	}
 }
 
-func (s *peerServer) serveWhoJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveYieldJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Who")
+	ctx = ctxsetters.WithMethodName(ctx, "Yield")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -943,29 +1044,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(WhoRequest)
+	reqContent := new(YieldRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Peer.Who
+	handler := s.Peer.Yield
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *WhoRequest) (*Member, error) {
+		handler = func(ctx context.Context, req *YieldRequest) (*YieldReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*WhoRequest)
+					typedReq, ok := req.(*YieldRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*WhoRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*YieldRequest) when calling interceptor")
 					}
-					return s.Peer.Who(ctx, typedReq)
+					return s.Peer.Yield(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Member)
+				typedResp, ok := resp.(*YieldReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Member) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*YieldReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -974,7 +1075,7 @@
 	}
 
 	// Call service method
-	var respContent *Member
+	var respContent *YieldReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -985,7 +1086,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *Member and nil error while calling Who. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *YieldReply and nil error while calling Yield. nil responses are not supported"))
 		return
 	}
 
@@ -1011,9 +1112,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveWhoProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveYieldProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Who")
+	ctx = ctxsetters.WithMethodName(ctx, "Yield")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1025,28 +1126,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(WhoRequest)
+	reqContent := new(YieldRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Peer.Who
+	handler := s.Peer.Yield
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *WhoRequest) (*Member, error) {
+		handler = func(ctx context.Context, req *YieldRequest) (*YieldReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*WhoRequest)
+					typedReq, ok := req.(*YieldRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*WhoRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*YieldRequest) when calling interceptor")
 					}
-					return s.Peer.Who(ctx, typedReq)
+					return s.Peer.Yield(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Member)
+				typedResp, ok := resp.(*YieldReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Member) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*YieldReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1055,7 +1156,7 @@
 	}
 
 	// Call service method
-	var respContent *Member
+	var respContent *YieldReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1066,7 +1167,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *Member and nil error while calling Who. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *YieldReply and nil error while calling Yield. nil responses are not supported"))
 		return
 	}
 
@@ -1270,6 +1371,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *peerServer) serveAdopt(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAdoptJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAdoptProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveAdoptJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Adopt")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ManifestReply)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Adopt
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ManifestReply) (*AdoptReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ManifestReply)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ManifestReply) when calling interceptor")
+					}
+					return s.Peer.Adopt(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AdoptReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AdoptReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AdoptReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AdoptReply and nil error while calling Adopt. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveAdoptProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Adopt")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ManifestReply)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Adopt
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ManifestReply) (*AdoptReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ManifestReply)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ManifestReply) when calling interceptor")
+					}
+					return s.Peer.Adopt(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AdoptReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AdoptReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AdoptReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AdoptReply and nil error while calling Adopt. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *peerServer) serveSendState(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
@@ -2211,58 +2492,62 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 838 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x55, 0xdd, 0x6e, 0x1b, 0x45,
-	0x14, 0xc6, 0x5e, 0xdb, 0xb1, 0xcf, 0xc6, 0xa9, 0x19, 0x55, 0xd5, 0x2a, 0xe0, 0xd6, 0x5d, 0x04,
-	0xca, 0x05, 0x38, 0x95, 0x11, 0x12, 0xe2, 0x47, 0x82, 0xb6, 0x2b, 0x52, 0x41, 0x37, 0x65, 0x36,
-	0x10, 0x89, 0x1b, 0x6b, 0xec, 0x3d, 0xb1, 0x57, 0x59, 0xcf, 0x6c, 0x67, 0xc7, 0x8d, 0x7c, 0xc7,
-	0x15, 0x4f, 0xc0, 0x2b, 0x21, 0x5e, 0x88, 0x07, 0x40, 0xf3, 0xb3, 0xb1, 0x8d, 0xf3, 0x23, 0xae,
-	0x76, 0xbe, 0xef, 0xfc, 0xcc, 0x39, 0x67, 0xe6, 0x9b, 0x85, 0x7e, 0x26, 0x8e, 0x27, 0xab, 0x02,
-	0x51, 0xba, 0x4f, 0x31, 0x39, 0xd6, 0x9f, 0x61, 0x21, 0x85, 0x12, 0xa4, 0x37, 0x59, 0xca, 0x54,
-	0x4c, 0x2f, 0x57, 0x4c, 0xa6, 0x43, 0xcd, 0x87, 0x14, 0x5a, 0xaf, 0x71, 0x31, 0x41, 0x49, 0x08,
-	0x34, 0xb8, 0x48, 0x31, 0xa8, 0x0d, 0x6a, 0x47, 0x1d, 0x6a, 0xd6, 0x64, 0x00, 0x7e, 0xc6, 0xa7,
-	0x4c, 0x72, 0xa6, 0x32, 0xc1, 0x83, 0xba, 0x31, 0x6d, 0x52, 0x3a, 0x8a, 0xa5, 0xa9, 0x0c, 0x3c,
-	0x1b, 0xa5, 0xd7, 0xe1, 0xef, 0x35, 0x68, 0xfc, 0x24, 0x58, 0x4a, 0x1e, 0x41, 0x0b, 0xf9, 0x2c,
-	0xe3, 0x55, 0x52, 0x87, 0xc8, 0xc7, 0x70, 0x50, 0x48, 0xbc, 0xc8, 0xf2, 0x7c, 0xac, 0xc4, 0x25,
-	0xf2, 0xd2, 0x64, 0xf6, 0x68, 0xd7, 0xb1, 0x67, 0x86, 0x24, 0x01, 0xec, 0x95, 0x4a, 0x22, 0x5b,
-	0x94, 0x26, 0xbd, 0x47, 0x2b, 0x48, 0x9e, 0x80, 0x9f, 0x0b, 0x3e, 0xab, 0xa2, 0x1b, 0xc6, 0x0a,
-	0x9a, 0xb2, 0xa1, 0xe1, 0x1f, 0x75, 0xe8, 0x9c, 0x20, 0x93, 0x6a, 0x82, 0x4c, 0x91, 0x67, 0xd0,
-	0x5a, 0x98, 0x26, 0x4d, 0x1d, 0xfe, 0x28, 0x18, 0xfe, 0x77, 0x0e, 0x43, 0x3b, 0x04, 0xea, 0xfc,
-	0xf4, 0x06, 0x53, 0x96, 0xe7, 0x28, 0xc7, 0xa6, 0x3b, 0xdb, 0x38, 0x58, 0xea, 0xfb, 0x34, 0x95,
-	0xba, 0xb5, 0x54, 0x2c, 0x58, 0xc6, 0x5d, 0xe7, 0x0e, 0xe9, 0x9a, 0x73, 0x64, 0xef, 0x32, 0x3e,
-	0x33, 0x55, 0xb5, 0x69, 0x05, 0xc9, 0x63, 0x80, 0x19, 0x72, 0x94, 0x76, 0x94, 0xcd, 0x41, 0xed,
-	0xa8, 0x41, 0x37, 0x18, 0xd2, 0x03, 0xaf, 0xc4, 0xb7, 0x41, 0xcb, 0x18, 0xf4, 0x92, 0x7c, 0x0a,
-	0xcd, 0x5c, 0xb0, 0xb4, 0x0c, 0xf6, 0x06, 0xde, 0x91, 0x3f, 0x7a, 0xb4, 0x5b, 0xb5, 0x9e, 0x32,
-	0xb5, 0x4e, 0xe4, 0x21, 0x34, 0xe7, 0x22, 0x4f, 0xcb, 0xa0, 0x3d, 0xf0, 0x8e, 0x3a, 0xd4, 0x82,
-	0x70, 0x1f, 0xe0, 0x7c, 0x2e, 0x28, 0xbe, 0x5d, 0x62, 0xa9, 0xc2, 0x67, 0xf0, 0xe0, 0x35, 0xe3,
-	0xd9, 0x05, 0x96, 0xca, 0x51, 0xa4, 0x0f, 0xc0, 0xf1, 0x0a, 0xe5, 0x58, 0xcd, 0x19, 0x37, 0xf3,
-	0x69, 0xd0, 0x8e, 0x61, 0xce, 0xe6, 0x8c, 0x87, 0x7f, 0xd7, 0xa0, 0xbb, 0x0e, 0x29, 0xf2, 0x95,
-	0xde, 0xe7, 0x42, 0x2c, 0x79, 0x6a, 0x7c, 0xdb, 0xd4, 0x02, 0xdd, 0x77, 0x21, 0x32, 0xae, 0xd0,
-	0x0e, 0x6b, 0x9f, 0x56, 0x90, 0xbc, 0x82, 0x76, 0x89, 0x53, 0xdd, 0xa2, 0x3e, 0x46, 0xdd, 0xc8,
-	0x67, 0x37, 0x8c, 0x7f, 0x73, 0x8b, 0x61, 0xe2, 0xfc, 0x23, 0xae, 0xe4, 0x8a, 0x5e, 0x87, 0x1f,
-	0x7e, 0x0d, 0xdd, 0x2d, 0x93, 0x9e, 0xd9, 0x25, 0xae, 0xdc, 0xed, 0xd2, 0x4b, 0x5d, 0xdd, 0x3b,
-	0x96, 0x2f, 0xd1, 0x55, 0x61, 0xc1, 0x57, 0xf5, 0x2f, 0x6b, 0x61, 0x0c, 0xbd, 0x04, 0x79, 0x9a,
-	0x28, 0xa6, 0xb0, 0x6a, 0x3e, 0x80, 0x3d, 0xa6, 0x14, 0x2e, 0x0a, 0xe5, 0x72, 0x54, 0xf0, 0xfe,
-	0x9b, 0x1f, 0xfe, 0x59, 0x83, 0x83, 0x8d, 0x84, 0x7a, 0x34, 0xdf, 0x40, 0xb3, 0xd4, 0xc8, 0x24,
-	0x3b, 0x18, 0x7d, 0xb2, 0xdb, 0xe7, 0x76, 0xc0, 0xd0, 0x2e, 0x6d, 0x50, 0xf8, 0x12, 0x9a, 0x06,
-	0x13, 0x1f, 0xf6, 0x7e, 0x89, 0x7f, 0x8c, 0x4f, 0xcf, 0xe3, 0xde, 0x7b, 0xe4, 0x00, 0x20, 0x8e,
-	0x7e, 0x8d, 0xe8, 0x38, 0x89, 0xe2, 0xb3, 0x5e, 0x4d, 0x1b, 0x93, 0x28, 0x7e, 0xf9, 0x2a, 0xfe,
-	0xa1, 0x57, 0x27, 0xef, 0x43, 0xf7, 0xf4, 0xec, 0x24, 0xa2, 0xe3, 0x37, 0xf4, 0xf4, 0x45, 0x94,
-	0x24, 0x3d, 0x2f, 0x7c, 0x00, 0x5d, 0x9d, 0x65, 0x59, 0x56, 0x67, 0x9e, 0x80, 0x9f, 0xcc, 0x99,
-	0x4c, 0x2d, 0xab, 0x07, 0x54, 0x6a, 0xe8, 0x1a, 0xb6, 0xc0, 0x1c, 0x2a, 0xf2, 0xa9, 0x1d, 0x5b,
-	0x83, 0x5a, 0x60, 0x04, 0x88, 0x4a, 0xe5, 0x98, 0x9a, 0x5b, 0xde, 0xa6, 0x15, 0x0c, 0xff, 0xaa,
-	0x83, 0x5f, 0x6d, 0xa3, 0x3b, 0xff, 0xff, 0x0a, 0x5b, 0x0b, 0xa8, 0xbe, 0x25, 0xa0, 0x6d, 0x99,
-	0x78, 0x3b, 0x32, 0xb9, 0x5d, 0x60, 0x7d, 0x00, 0x51, 0x20, 0x1f, 0x6b, 0x95, 0x96, 0x46, 0x60,
-	0x1e, 0xed, 0x68, 0xe6, 0x85, 0x26, 0xc8, 0x47, 0xd0, 0xbd, 0x62, 0x99, 0xca, 0xf8, 0xcc, 0x79,
-	0xb4, 0x8c, 0xc7, 0xbe, 0x23, 0xad, 0xd3, 0x43, 0x68, 0xea, 0x62, 0xad, 0xe4, 0x3a, 0xd4, 0x02,
-	0xf2, 0x05, 0xb4, 0xcc, 0x98, 0xac, 0xb6, 0xfc, 0x51, 0xff, 0x86, 0x83, 0x5d, 0x8f, 0x98, 0x3a,
-	0x67, 0xf2, 0x14, 0xf6, 0xcb, 0x5c, 0x5c, 0x8d, 0xed, 0xab, 0x57, 0x06, 0x1d, 0x93, 0xd3, 0xd7,
-	0x5c, 0x64, 0xa9, 0xd1, 0x3f, 0x75, 0x68, 0xbc, 0x41, 0x94, 0xe4, 0x3b, 0x68, 0x3c, 0xd7, 0x4f,
-	0xd5, 0x07, 0xbb, 0xa9, 0xaf, 0xdf, 0xb1, 0xc3, 0xbb, 0x8c, 0xe4, 0x5b, 0xf0, 0xce, 0xe7, 0x82,
-	0x7c, 0xb8, 0xeb, 0xb3, 0x7e, 0x00, 0x0e, 0x6f, 0x3d, 0x17, 0x12, 0x43, 0xbb, 0x12, 0x21, 0x79,
-	0x7a, 0x97, 0x40, 0x6d, 0xa2, 0x27, 0xf7, 0x68, 0x98, 0xfc, 0x0c, 0x9d, 0xeb, 0xcb, 0x4e, 0xc2,
-	0x3b, 0x95, 0x60, 0x33, 0x0e, 0xee, 0x53, 0x0b, 0x39, 0x81, 0x96, 0xbb, 0xc4, 0x37, 0xec, 0xbe,
-	0x75, 0xe9, 0x0f, 0xfb, 0xb7, 0x3b, 0x14, 0xf9, 0xea, 0xf9, 0xe0, 0xb7, 0xc7, 0x1b, 0xf6, 0xe3,
-	0xdd, 0x9f, 0xe6, 0xa4, 0x65, 0x7e, 0x98, 0x9f, 0xff, 0x1b, 0x00, 0x00, 0xff, 0xff, 0x05, 0xdc,
-	0xa1, 0xb3, 0x51, 0x07, 0x00, 0x00,
+	// 910 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x56, 0x5d, 0x6f, 0xe3, 0x44,
+	0x17, 0x7e, 0x1d, 0x27, 0x69, 0x72, 0xdc, 0x74, 0xf3, 0x8e, 0xaa, 0x95, 0x55, 0x48, 0x37, 0x6b,
+	0xc4, 0xaa, 0x17, 0x4b, 0xba, 0x0a, 0x42, 0x42, 0xc0, 0x05, 0xfb, 0x61, 0xe8, 0x0a, 0xd6, 0x5d,
+	0xc6, 0x05, 0x04, 0x42, 0x8a, 0x26, 0xf1, 0x69, 0x62, 0xd5, 0x19, 0x7b, 0xc7, 0x93, 0xad, 0x72,
+	0xc7, 0x8f, 0xe0, 0x92, 0x9f, 0x03, 0xe2, 0x6f, 0xa1, 0xf9, 0x70, 0x9b, 0x34, 0x69, 0x2b, 0xae,
+	0x3c, 0xcf, 0xf9, 0x9a, 0xe7, 0x9c, 0x39, 0xe7, 0xc8, 0xd0, 0x4b, 0xf3, 0xe3, 0xf1, 0xb2, 0x40,
+	0x14, 0xf6, 0x53, 0x8c, 0x8f, 0xd5, 0x67, 0x50, 0x88, 0x5c, 0xe6, 0xa4, 0x3b, 0x5e, 0x88, 0x24,
+	0x9f, 0x5c, 0x2c, 0x99, 0x48, 0x06, 0x4a, 0x1e, 0x50, 0x68, 0xbe, 0xc1, 0xf9, 0x18, 0x05, 0x21,
+	0x50, 0xe7, 0x79, 0x82, 0xbe, 0xd3, 0x77, 0x8e, 0xda, 0x54, 0x9f, 0x49, 0x1f, 0xbc, 0x94, 0x4f,
+	0x98, 0xe0, 0x4c, 0xa6, 0x39, 0xf7, 0x6b, 0x5a, 0xb5, 0x2a, 0x52, 0x5e, 0x2c, 0x49, 0x84, 0xef,
+	0x1a, 0x2f, 0x75, 0x0e, 0x7e, 0x77, 0xa0, 0xfe, 0x7d, 0xce, 0x12, 0xf2, 0x10, 0x9a, 0xc8, 0xa7,
+	0x29, 0xaf, 0x82, 0x5a, 0x44, 0x3e, 0x86, 0xbd, 0x42, 0xe0, 0x79, 0x9a, 0x65, 0x23, 0x99, 0x5f,
+	0x20, 0x2f, 0x75, 0x64, 0x97, 0x76, 0xac, 0xf4, 0x4c, 0x0b, 0x89, 0x0f, 0x3b, 0xa5, 0x14, 0xc8,
+	0xe6, 0xa5, 0x0e, 0xef, 0xd2, 0x0a, 0x92, 0x47, 0xe0, 0x65, 0x39, 0x9f, 0x56, 0xde, 0x75, 0xad,
+	0x05, 0x25, 0x32, 0xae, 0xc1, 0x9f, 0x35, 0x68, 0x9f, 0x20, 0x13, 0x72, 0x8c, 0x4c, 0x92, 0x67,
+	0xd0, 0x9c, 0xeb, 0x24, 0x35, 0x0f, 0x6f, 0xe8, 0x0f, 0x6e, 0xd6, 0x61, 0x60, 0x8a, 0x40, 0xad,
+	0x9d, 0xba, 0x60, 0xc2, 0xb2, 0x0c, 0xc5, 0x48, 0x67, 0x67, 0x12, 0x07, 0x23, 0x7a, 0x9e, 0x24,
+	0x42, 0xa5, 0x96, 0xe4, 0x73, 0x96, 0x72, 0x9b, 0xb9, 0x45, 0x8a, 0x73, 0x86, 0xec, 0x7d, 0xca,
+	0xa7, 0x9a, 0x55, 0x8b, 0x56, 0x90, 0x1c, 0x02, 0x4c, 0x91, 0xa3, 0x30, 0xa5, 0x6c, 0xf4, 0x9d,
+	0xa3, 0x3a, 0x5d, 0x91, 0x90, 0x2e, 0xb8, 0x25, 0xbe, 0xf3, 0x9b, 0x5a, 0xa1, 0x8e, 0xe4, 0x29,
+	0x34, 0xb2, 0x9c, 0x25, 0xa5, 0xbf, 0xd3, 0x77, 0x8f, 0xbc, 0xe1, 0xc3, 0x4d, 0xd6, 0xaa, 0xca,
+	0xd4, 0x18, 0x91, 0x7d, 0x68, 0xcc, 0xf2, 0x2c, 0x29, 0xfd, 0x56, 0xdf, 0x3d, 0x6a, 0x53, 0x03,
+	0x94, 0xf4, 0x5c, 0x60, 0x39, 0xf3, 0xdb, 0x9a, 0x8d, 0x01, 0xc1, 0x6f, 0xb0, 0xfb, 0x4b, 0x8a,
+	0x59, 0x42, 0xf1, 0xdd, 0x02, 0x4b, 0x79, 0xf3, 0x9d, 0x9d, 0xcd, 0x77, 0xde, 0x87, 0x46, 0x39,
+	0x63, 0x22, 0xb1, 0xa5, 0x30, 0x40, 0x47, 0x47, 0x3e, 0x41, 0x5d, 0x84, 0x3a, 0x35, 0x20, 0x78,
+	0x02, 0x60, 0xa3, 0x17, 0xd9, 0x52, 0x55, 0x64, 0xa9, 0x10, 0x26, 0x3a, 0x6e, 0x8b, 0x56, 0x30,
+	0x78, 0x06, 0x0f, 0xde, 0x30, 0x9e, 0x9e, 0x63, 0x29, 0x2b, 0x22, 0x3d, 0x00, 0x8e, 0x97, 0x28,
+	0x46, 0x72, 0xc6, 0x0c, 0x8f, 0x3a, 0x6d, 0x6b, 0xc9, 0xd9, 0x8c, 0xf1, 0xe0, 0x1f, 0x07, 0x3a,
+	0xd7, 0x2e, 0x2a, 0xba, 0x62, 0x90, 0x2f, 0x78, 0x15, 0xdb, 0x00, 0x75, 0x67, 0x91, 0xa7, 0x5c,
+	0xa2, 0x79, 0xba, 0x5d, 0x5a, 0x41, 0xf2, 0x1a, 0x5a, 0x25, 0x4e, 0x54, 0x4a, 0xaa, 0xa9, 0x54,
+	0x59, 0x3f, 0xd9, 0xd2, 0x0c, 0xab, 0x57, 0x0c, 0x62, 0x6b, 0x1f, 0x72, 0x29, 0x96, 0xf4, 0xca,
+	0xfd, 0xe0, 0x4b, 0xe8, 0xac, 0xa9, 0xd4, 0x0b, 0x5e, 0xe0, 0xd2, 0x56, 0x4f, 0x1d, 0x15, 0xbb,
+	0xf7, 0x2c, 0x5b, 0xa0, 0x65, 0x61, 0xc0, 0x17, 0xb5, 0xcf, 0x9d, 0xe0, 0x29, 0xc0, 0xf3, 0x24,
+	0x2f, 0x6c, 0x16, 0xeb, 0xbd, 0xe1, 0xdc, 0xec, 0x8d, 0x20, 0x82, 0x6e, 0x8c, 0x3c, 0x89, 0x25,
+	0x93, 0x58, 0x95, 0xca, 0x87, 0x1d, 0x26, 0x25, 0xce, 0x0b, 0x69, 0x6f, 0xac, 0xe0, 0xfd, 0x53,
+	0x1b, 0xfc, 0xe1, 0xc0, 0xde, 0x4a, 0x40, 0x45, 0xe1, 0x2b, 0x68, 0x94, 0x0a, 0xe9, 0x60, 0x7b,
+	0xc3, 0x27, 0x9b, 0x55, 0x59, 0x77, 0x18, 0x98, 0xa3, 0x71, 0x0a, 0x5e, 0x41, 0x43, 0x63, 0xe2,
+	0xc1, 0xce, 0x8f, 0xd1, 0x77, 0xd1, 0xe9, 0xcf, 0x51, 0xf7, 0x7f, 0x64, 0x0f, 0x20, 0x0a, 0x7f,
+	0x0a, 0xe9, 0x28, 0x0e, 0xa3, 0xb3, 0xae, 0xa3, 0x94, 0x71, 0x18, 0xbd, 0x7a, 0x1d, 0x7d, 0xdb,
+	0xad, 0x91, 0xff, 0x43, 0xe7, 0xf4, 0xec, 0x24, 0xa4, 0xa3, 0xb7, 0xf4, 0xf4, 0x65, 0x18, 0xc7,
+	0x5d, 0x37, 0x78, 0x00, 0x1d, 0x15, 0x65, 0x51, 0xda, 0x1c, 0x83, 0x18, 0xbc, 0x58, 0x35, 0x9a,
+	0x91, 0x5e, 0x37, 0xa1, 0xb3, 0xb5, 0x09, 0x6b, 0x2b, 0x4d, 0xa8, 0x97, 0x07, 0x4a, 0x99, 0x61,
+	0xa2, 0x9b, 0xb3, 0x45, 0x2b, 0x18, 0xfc, 0x5d, 0x03, 0xaf, 0xba, 0x46, 0x65, 0xfe, 0xdf, 0xb7,
+	0xc3, 0xf5, 0xf0, 0xd7, 0xd6, 0x86, 0x7f, 0xfd, 0x19, 0xdd, 0x8d, 0x11, 0xbf, 0x7d, 0x39, 0xf4,
+	0x00, 0xf2, 0x02, 0xf9, 0x48, 0x6d, 0x98, 0x52, 0x2f, 0x07, 0x97, 0xb6, 0x95, 0xe4, 0xa5, 0x12,
+	0x90, 0x8f, 0xa0, 0x73, 0xc9, 0x52, 0x99, 0xf2, 0xa9, 0xb5, 0x68, 0x6a, 0x8b, 0x5d, 0x2b, 0x34,
+	0x46, 0xfb, 0xd0, 0x50, 0x64, 0xcd, 0xba, 0x68, 0x53, 0x03, 0xc8, 0x67, 0xd0, 0xd4, 0x65, 0x32,
+	0x7b, 0xc1, 0x1b, 0xf6, 0xb6, 0x3c, 0xec, 0x75, 0x89, 0xa9, 0x35, 0x26, 0x8f, 0x61, 0xb7, 0xcc,
+	0xf2, 0xcb, 0x91, 0xd9, 0xd8, 0xa5, 0xdf, 0xd6, 0x31, 0x3d, 0x25, 0x0b, 0x8d, 0x68, 0xf8, 0x97,
+	0x0b, 0xf5, 0xb7, 0x88, 0x82, 0x7c, 0x0d, 0xf5, 0x17, 0x6a, 0xcd, 0x7e, 0xb0, 0x19, 0xfa, 0x6a,
+	0x07, 0x1f, 0xdc, 0xa5, 0x24, 0x21, 0x34, 0xf4, 0xc6, 0x20, 0x87, 0x9b, 0x56, 0xab, 0x8b, 0xea,
+	0xe0, 0xc3, 0x5b, 0xf5, 0xea, 0x25, 0x23, 0x68, 0x55, 0xa3, 0x4b, 0x1e, 0xdf, 0x35, 0xd6, 0x26,
+	0xd8, 0xa3, 0x7b, 0x26, 0x9f, 0x7c, 0x03, 0x0d, 0x3d, 0xa4, 0xe4, 0x3e, 0xcb, 0x6d, 0xbc, 0x56,
+	0xc6, 0xfb, 0x07, 0x68, 0x5f, 0x0d, 0x0f, 0x09, 0xee, 0x9c, 0x2c, 0xc3, 0xac, 0x7f, 0xdf, 0xf4,
+	0x91, 0x13, 0x68, 0xda, 0xa1, 0xd8, 0xc2, 0x6d, 0x6d, 0x88, 0x0e, 0x7a, 0xb7, 0x1b, 0x14, 0xd9,
+	0xf2, 0x45, 0xff, 0xd7, 0xc3, 0x15, 0xfd, 0xf1, 0xe6, 0x0f, 0xc4, 0xb8, 0xa9, 0x7f, 0x1e, 0x3e,
+	0xfd, 0x37, 0x00, 0x00, 0xff, 0xff, 0x4a, 0x0f, 0xb4, 0x6e, 0x5d, 0x08, 0x00, 0x00,
 }
--- a/io/bypeer/server.go
+++ b/io/bypeer/server.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 
+	"github.com/twitchtv/twirp"
+
 	"burdockyard"
 	"burdockyard/core/bybooking"
 	"burdockyard/core/bymanifest"
@@ -17,6 +19,7 @@
 	View     *bymember.View
 	Follower *bymanifest.Follower
 	Desk     *bybooking.Desk
+	Yield    func(shard burdockyard.ShardID, fence uint64) bool
 	Beat     func() bymember.Heartbeat
 	Status   func() *bypeerpb.StatusReply
 }
@@ -33,8 +36,11 @@
 	return toBeat(s.parts.Beat()), nil
 }
 
-func (s *server) Who(context.Context, *bypeerpb.WhoRequest) (*bypeerpb.Member, error) {
-	return toMember(s.parts.Self), nil
+func (s *server) Yield(_ context.Context, r *bypeerpb.YieldRequest) (*bypeerpb.YieldReply, error) {
+	if r.GetIncarnation() != string(s.parts.Self.Incarnation) {
+		return &bypeerpb.YieldReply{Yielded: true}, nil // that process is gone
+	}
+	return &bypeerpb.YieldReply{Yielded: s.parts.Yield(burdockyard.ShardID(r.GetShard()), r.GetFence())}, nil
 }
 
 func (s *server) Manifest(_ context.Context, r *bypeerpb.ManifestRequest) (*bypeerpb.ManifestReply, error) {
@@ -45,6 +51,14 @@
 	return &bypeerpb.ManifestReply{Found: true, Pointer: w.Pointer, Sections: w.Sections}, nil
 }
 
+func (s *server) Adopt(ctx context.Context, m *bypeerpb.ManifestReply) (*bypeerpb.AdoptReply, error) {
+	err := s.parts.Follower.Learn(ctx, bymanifest.Wire{Pointer: m.GetPointer(), Sections: m.GetSections()})
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("pointer", err.Error())
+	}
+	return &bypeerpb.AdoptReply{Generation: s.parts.Follower.Generation()}, nil
+}
+
 func (s *server) SendState(_ context.Context, r *bypeerpb.SendStateRequest) (*bypeerpb.SendStateReply, error) {
 	if r.GetIncarnation() != string(s.parts.Self.Incarnation) {
 		return &bypeerpb.SendStateReply{State: bypeerpb.SendStateReply_OTHER_PROCESS}, nil
@@ -78,7 +92,7 @@
 func toBeat(b bymember.Heartbeat) *bypeerpb.Heartbeat {
 	out := &bypeerpb.Heartbeat{
 		Member: toMember(b.Member), CallerAddr: b.CallerAddr, Domain: b.Domain,
-		Leaving: b.Leaving, Generation: b.Generation, Seq: b.Seq,
+		Leaving: b.Leaving, Generation: b.Generation, Fresh: b.Fresh, Seq: b.Seq,
 	}
 	for _, l := range b.Loads {
 		out.Loads = append(out.Loads, &bypeerpb.Load{
@@ -95,7 +109,7 @@
 func fromBeat(b *bypeerpb.Heartbeat) bymember.Heartbeat {
 	out := bymember.Heartbeat{
 		Member: fromMember(b.GetMember()), CallerAddr: b.GetCallerAddr(), Domain: b.GetDomain(),
-		Leaving: b.GetLeaving(), Generation: b.GetGeneration(), Seq: b.GetSeq(),
+		Leaving: b.GetLeaving(), Generation: b.GetGeneration(), Fresh: b.GetFresh(), Seq: b.GetSeq(),
 	}
 	for _, l := range b.GetLoads() {
 		out.Loads = append(out.Loads, bymember.Load{
--- a/platform.go
+++ b/platform.go
@@ -64,9 +64,11 @@
 	VMs(ctx context.Context) ([]VM, error)
 }
 
-// PeerProbe learns which process runs at a peer's address.
-type PeerProbe interface {
-	// Incarnation asks the process at the address for its incarnation. ErrNotFound
-	// means that the VM answered that nothing listens there (connection refused).
-	Incarnation(ctx context.Context, addr string) (Incarnation, error)
+// FormerHolders asks processes to give up a lease that they have lost.
+type FormerHolders interface {
+	// Yield reports whether the process m can no longer send orders of the shard
+	// under the fence or an older one. It is true if m says so, if another process
+	// runs at its address, and if the VM refuses the connection. An error or false
+	// proves nothing.
+	Yield(ctx context.Context, m Member, shard ShardID, fence uint64) (bool, error)
 }
