--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,10 @@
 demo: build ## a whole deployment on loopback, with a node lost and an engine drained
 	$(BIN)/burdock-demo --bin $(BIN) --manifest examples/demo.yaml
 
+faults: ## the whole fault matrix, written to docs/FAULTS.md
+	BURDOCK_FAULTS=full $(GO) test -count=1 -timeout 30m -run 'TestFaultMatrix|TestMutants' ./core/byproof
+	@sed -n '/^| fault/,/^faults:/p' docs/FAULTS.md
+
 generate: ## protobuf, twirp and wire; needs protoc
 	mkdir -p $(BIN)
 	$(GO) build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp
--- a/core/byproof/endpoints_test.go
+++ b/core/byproof/endpoints_test.go
@@ -146,7 +146,7 @@
 
 func (c engineClient) call(do func(*engine) error) error {
 	e := c.engine()
-	return c.w.call(c.p, toEndpoints, c.addr, func() error { return do(e) })
+	return c.w.call(c.p, toEndpoints, c.addr, func() error { return do(e) }, nil)
 }
 
 func (c engineClient) Generate(_ context.Context, req burdockyard.GenerateRequest) (burdockyard.TokenStream, error) {
@@ -203,10 +203,11 @@
 }
 
 func (c engineClient) Order(_ context.Context, o burdockyard.Order) (r burdockyard.EngineReport, err error) {
-	err = c.call(func(e *engine) error {
+	e := c.engine()
+	err = c.w.call(c.p, toOrders, c.addr, func() error {
 		r, err = e.order(o)
 		return err
-	})
+	}, func() { _, _ = e.order(o) })
 	return r, err
 }
 
@@ -272,11 +273,10 @@
 	c.w.mu.Lock()
 	s := c.w.services[c.addr]
 	c.w.mu.Unlock()
-	once := sync.Once{} // TCP delivers a request once, however late
 	err = c.w.call(c.p, toEndpoints, c.addr, func() error {
-		once.Do(func() { resp = s.run(req) })
+		resp = s.run(req)
 		return nil
-	})
+	}, nil) // TCP delivers a request once, however late
 	return resp, err
 }
 
--- a/core/byproof/history_test.go
+++ b/core/byproof/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"github.com/anishathalye/porcupine"
 
@@ -100,14 +101,16 @@
 }
 
 func checkAccepts(s *sim) {
+	s.mu.Lock()
+	published := slices.Clone(s.published)
+	s.mu.Unlock()
 	var history []porcupine.Operation
-	for i, p := range s.published {
-		end := p.to
+	for i, p := range published {
 		history = append(history, porcupine.Operation{
-			ClientId: i, Input: p, Output: p, Call: p.from.UnixNano(), Return: end.UnixNano(),
+			ClientId: i, Input: p, Output: p, Call: p.from.UnixNano(), Return: p.to.UnixNano(),
 		})
 	}
 	if !porcupine.CheckOperations(manifestModel.ToModel(), history) {
-		s.violate("the manifests' history is not linearizable: %+v", s.published)
+		s.violate("the manifests' history is not linearizable: %+v", published)
 	}
 }
--- a/core/byproof/matrix_test.go
+++ b/core/byproof/matrix_test.go
@@ -18,7 +18,9 @@
 	// pairsSampled and pairsFull are the pairs tried for each scenario.
 	pairsSampled = 10
 	pairsFull    = 300
-	matrixFile   = "../../docs/faults-matrix.md"
+	faultsPage   = "../../docs/FAULTS.md"
+	pageBegin    = "<!-- matrix: written by make faults -->\n"
+	pageEnd      = "<!-- end of matrix -->\n"
 )
 
 func full() bool { return os.Getenv("BURDOCK_FAULTS") == "full" }
@@ -30,6 +32,13 @@
 type matrix struct {
 	mu    sync.Mutex
 	cells map[string]map[string]tally
+	steps int // calls of the scenarios without a fault
+}
+
+func (m *matrix) addSteps(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.steps += n
 }
 
 func (m *matrix) add(scenario, kind string, violations []string) {
@@ -64,6 +73,7 @@
 func runScenario(t *testing.T, m *matrix, sc scenario) {
 	violations, calls, _ := simulate(t, sc, mutant{})
 	m.add(sc.name, "none", violations)
+	m.addSteps(calls)
 	expectNone(t, "no fault", violations)
 	t.Run("kinds", func(t *testing.T) {
 		for i, kind := range faultKinds {
@@ -86,7 +96,7 @@
 		at, stride = 1, 1
 	}
 	for ; ; at += stride {
-		f := fault{kind, at}
+		f := fault{kind: kind, at: at}
 		violations, _, fired := simulate(t, sc, mutant{}, f)
 		if fired == 0 {
 			return
@@ -103,8 +113,8 @@
 		n = pairsFull
 	}
 	for range n {
-		a := fault{faultKinds[rnd.IntN(len(faultKinds))], 1 + rnd.IntN(calls)}
-		b := fault{faultKinds[rnd.IntN(len(faultKinds))], 1 + rnd.IntN(calls)}
+		a := fault{kind: faultKinds[rnd.IntN(len(faultKinds))], at: 1 + rnd.IntN(calls)}
+		b := fault{kind: faultKinds[rnd.IntN(len(faultKinds))], at: 1 + rnd.IntN(calls)}
 		violations, _, _ := simulate(t, sc, mutant{}, a, b)
 		m.add(sc.name, "pairs", violations)
 		expectNone(t, fmt.Sprintf("%s at call %d and %s at call %d", a.kind, a.at, b.kind, b.at), violations)
@@ -118,38 +128,62 @@
 	}
 }
 
-// print prints the table scenario by fault, each cell "runs" or "runs/red".
+// print prints the table scenario by fault, each cell the number of runs and of
+// red ones, and puts the table of a full run on its page.
 func (m *matrix) print(t *testing.T) {
 	var b strings.Builder
-	runs, red := 0, 0
-	b.WriteString("| scenario |")
 	columns := []string{"none"}
 	for _, k := range faultKinds {
 		columns = append(columns, string(k))
 	}
 	columns = append(columns, "pairs")
+	b.WriteString("| fault | " + strings.Join(scenarioNames(), " | ") + " |\n")
+	b.WriteString("|---|" + strings.Repeat("---|", len(scenarios)) + "\n")
+	runs, red := 0, 0
 	for _, c := range columns {
-		b.WriteString(" " + c + " |")
-	}
-	b.WriteString("\n|---|" + strings.Repeat("---|", len(columns)) + "\n")
-	for _, sc := range scenarios {
-		fmt.Fprintf(&b, "| %d %s |", sc.promise, sc.name)
-		for _, c := range columns {
+		b.WriteString("| " + c + " |")
+		for _, sc := range scenarios {
 			cell := m.cells[sc.name][c]
 			runs += cell.runs
 			red += cell.red
-			if cell.red > 0 {
-				fmt.Fprintf(&b, " %d, **%d red** |", cell.runs, cell.red)
-			} else {
-				fmt.Fprintf(&b, " %d |", cell.runs)
-			}
+			b.WriteString(cell.String())
 		}
 		b.WriteString("\n")
 	}
-	fmt.Printf("%s\nfaults: %d scenarios, %d runs, %d red\n", b.String(), len(scenarios), runs, red)
+	fmt.Fprintf(&b, "\nfaults: %d runs, %d steps, %d red\n", runs, m.steps, red)
+	fmt.Print(b.String())
 	if full() {
-		if err := os.WriteFile(matrixFile, []byte(b.String()), 0o644); err != nil {
+		if err := writePage(b.String()); err != nil {
 			t.Error(err)
 		}
 	}
 }
+
+func (c tally) String() string {
+	if c.red > 0 {
+		return fmt.Sprintf(" %d, **%d red** |", c.runs, c.red)
+	}
+	return fmt.Sprintf(" %d |", c.runs)
+}
+
+func scenarioNames() []string {
+	var names []string
+	for _, sc := range scenarios {
+		names = append(names, fmt.Sprintf("%d %s", sc.promise, sc.name))
+	}
+	return names
+}
+
+// writePage replaces the matrix on the page about faults.
+func writePage(table string) error {
+	page, err := os.ReadFile(faultsPage)
+	if err != nil {
+		return err
+	}
+	before, rest, ok1 := strings.Cut(string(page), pageBegin)
+	_, after, ok2 := strings.Cut(rest, pageEnd)
+	if !ok1 || !ok2 {
+		return fmt.Errorf("%s has no place for the matrix", faultsPage)
+	}
+	return os.WriteFile(faultsPage, []byte(before+pageBegin+"\n"+table+"\n"+pageEnd+after), 0o644)
+}
--- a/core/byproof/node_test.go
+++ b/core/byproof/node_test.go
@@ -149,7 +149,7 @@
 				n.follower().Confirm(reply.Generation, asked)
 			}
 			return nil
-		})
+		}, func() { peer.view.Hear(b) })
 	}
 	alive := n.view.Alive()
 	n.server.Dispatcher().Tick(n.view.PeerLoads(), len(alive)+1, time.Now())
@@ -180,6 +180,10 @@
 			n.setFollower()
 		}
 		return n.follower().Learn(n.proc.ctx, wire)
+	}, func() {
+		if ok {
+			_ = n.follower().Learn(n.proc.ctx, wire)
+		}
 	})
 }
 
@@ -294,7 +298,7 @@
 	err = x.n.w.callPeer(x.n, peer, func() error {
 		ok = peer.yield(shard, fence)
 		return nil
-	})
+	}, func() { peer.yield(shard, fence) })
 	return ok, err
 }
 
@@ -306,7 +310,7 @@
 	err = x.n.w.callPeer(x.n, peer, func() error {
 		s = peer.desk.OwnState(attempt)
 		return nil
-	})
+	}, nil)
 	return s, err
 }
 
@@ -330,14 +334,14 @@
 
 // callPeer passes a call between two nodes through the faults. A paused or cut
 // receiver lets it time out.
-func (w *world) callPeer(from, to *node, do func() error) error {
+func (w *world) callPeer(from, to *node, do func() error, again func()) error {
 	return w.call(from.proc, toPeers, "", func() error {
 		if to.proc.isCut(toPeers) || to.proc.isDead() || to.proc.isPaused() {
 			time.Sleep(callTimeout)
 			return errLost
 		}
 		return do()
-	})
+	}, again)
 }
 
 func (p *process) isPaused() bool {
--- a/core/byproof/scenarios_test.go
+++ b/core/byproof/scenarios_test.go
@@ -86,9 +86,11 @@
 		}
 	}
 	for _, e := range s.engines {
+		e.mu.Lock()
 		if e.cut > 0 {
 			s.violate("orders cut %d answers at %s", e.cut, e.id)
 		}
+		e.mu.Unlock()
 	}
 }
 
@@ -132,12 +134,14 @@
 	effects := map[string]int{}
 	ran := map[burdockyard.RequestID]bool{}
 	for _, svc := range s.services {
+		svc.mu.Lock()
 		for key, n := range svc.effects {
 			effects[key] += n
 		}
 		for id := range svc.ran {
 			ran[id] = true
 		}
+		svc.mu.Unlock()
 	}
 	for key, n := range effects {
 		if n > 1 {
@@ -185,11 +189,13 @@
 // only the engine can refuse it then, and does once it has its order.
 func checkLeft(s *sim) {
 	for _, e := range s.engines {
+		e.mu.Lock()
 		for _, at := range e.decided {
 			if e.id == "e1" && at.Sub(s.drainedAt) > leaveBound {
 				s.violate("engine e1 got new work %s after it was drained", at.Sub(s.drainedAt))
 			}
 		}
+		e.mu.Unlock()
 	}
 }
 
@@ -219,9 +225,6 @@
 
 // manifestScript lets two operators race, and a third with an old expectation.
 func manifestScript(s *sim) {
-	s.mu.Lock()
-	s.race = func() { s.publish(withRole("prefill"), bymanifest.AnyGeneration) }
-	s.mu.Unlock()
 	s.callers.Go(func() { s.publish(withRole("decode"), s.newestGeneration()) })
 	s.callers.Go(func() { s.publish(withRole("mixed"), s.newestGeneration()) })
 	time.Sleep(3 * time.Second)
--- a/core/byproof/sim_test.go
+++ b/core/byproof/sim_test.go
@@ -106,6 +106,7 @@
 	for _, e := range spec.Services[0].Endpoints {
 		newService(s.world, e.Address)
 	}
+	s.race = func() { s.publish(withRole("mixed"), bymanifest.AnyGeneration) }
 	s.publish(spec, bymanifest.AnyGeneration)
 	for _, name := range nodeNames[:sc.nodes] {
 		startNode(s.world, name, s.mutant)
--- a/core/byproof/world_test.go
+++ b/core/byproof/world_test.go
@@ -50,10 +50,12 @@
 	restartAfter = 2 * time.Second
 )
 
-// fault applies a kind at the at-th call.
+// fault applies a kind at the at-th call, or at the at-th order to an engine
+// that ignores fencing numbers.
 type fault struct {
-	kind faultKind
-	at   int
+	kind   faultKind
+	at     int
+	orders bool
 }
 
 var (
@@ -68,6 +70,7 @@
 	toPlatform  callClass = "platform"
 	toPeers     callClass = "peers"
 	toEndpoints callClass = "endpoints"
+	toOrders    callClass = "orders" // to engines
 )
 
 // process is one start of a node, as the faults see it.
@@ -143,6 +146,7 @@
 	faults     []fault
 	armed      bool
 	calls      int
+	orders     int // to engines that ignore fencing numbers
 	fired      int
 	lastFault  time.Time
 	downUntil  time.Time
@@ -171,15 +175,19 @@
 }
 
 // next counts a call and returns the fault to apply there, if any.
-func (w *world) next() faultKind {
+func (w *world) next(class callClass, engineAddr string) faultKind {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.armed {
 		return ""
 	}
 	w.calls++
+	order := class == toOrders && !w.engines[engineAddr].fencing
+	if order {
+		w.orders++
+	}
 	for _, f := range w.faults {
-		if f.at == w.calls {
+		if !f.orders && f.at == w.calls || f.orders && order && f.at == w.orders {
 			w.fired++
 			w.lastFault = time.Now()
 			return f.kind
@@ -194,12 +202,16 @@
 	w.armed = on
 }
 
-// call passes a call of a process through the faults.
-func (w *world) call(p *process, class callClass, engineAddr string, do func() error) error {
+// call passes a call of a process through the faults. again is the effect alone,
+// for a late copy whose answer reaches nobody; nil where a copy has no effect.
+func (w *world) call(p *process, class callClass, engineAddr string, do func() error, again func()) error {
 	if err := p.wait(); err != nil {
 		return err
 	}
-	kind := w.next()
+	kind := w.next(class, engineAddr)
+	if class == toOrders {
+		class = toEndpoints
+	}
 	w.begin(kind, p, engineAddr)
 	if err := w.blocked(p, class); err != nil {
 		return err
@@ -225,10 +237,7 @@
 		}
 		return err
 	case duplicate:
-		w.background.Go(func() {
-			time.Sleep(lateBy)
-			_ = do()
-		})
+		w.deliverLate(again)
 	}
 	if err := p.wait(); err != nil {
 		return err
@@ -236,6 +245,16 @@
 	return do()
 }
 
+func (w *world) deliverLate(again func()) {
+	if again == nil {
+		return
+	}
+	w.background.Go(func() {
+		time.Sleep(lateBy)
+		again()
+	})
+}
+
 // begin starts the faults that last.
 func (w *world) begin(kind faultKind, p *process, engineAddr string) {
 	w.mu.Lock()
@@ -307,7 +326,7 @@
 	err = x.w.call(x.p, toPlatform, "", func() error {
 		rows, err = x.w.table.Get(ctx, keys...)
 		return err
-	})
+	}, nil)
 	return rows, err
 }
 
@@ -315,12 +334,13 @@
 	err = x.w.call(x.p, toPlatform, "", func() error {
 		rows, err = x.w.table.Scan(ctx, prefix, after, limit)
 		return err
-	})
+	}, nil)
 	return rows, err
 }
 
 func (x platform) Commit(ctx context.Context, txn burdockyard.Txn) error {
-	return x.w.call(x.p, toPlatform, "", func() error { return x.w.table.Commit(ctx, txn) })
+	return x.w.call(x.p, toPlatform, "", func() error { return x.w.table.Commit(ctx, txn) },
+		func() { _ = x.w.table.Commit(ctx, txn) })
 }
 
 // VMs implements burdockyard.VMList: it never tells of a loss, so that proof
@@ -330,13 +350,14 @@
 type objects struct{ platform }
 
 func (x objects) Put(ctx context.Context, key string, data []byte) error {
-	return x.w.call(x.p, toPlatform, "", func() error { return x.w.objects.Put(ctx, key, data) })
+	return x.w.call(x.p, toPlatform, "", func() error { return x.w.objects.Put(ctx, key, data) },
+		func() { _ = x.w.objects.Put(ctx, key, data) })
 }
 
 func (x objects) Get(ctx context.Context, key string) (data []byte, err error) {
 	err = x.w.call(x.p, toPlatform, "", func() error {
 		data, err = x.w.objects.Get(ctx, key)
 		return err
-	})
+	}, nil)
 	return data, err
 }
--- a/io/byconfig/byconfig.go
+++ b/io/byconfig/byconfig.go
@@ -121,7 +121,7 @@
 		d.add(nil, "the file is empty", "write a document into it")
 		return d, nil
 	}
-	f, err := parser.ParseBytes(data, 0)
+	f, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		d.add(nil, "not YAML: "+firstLine(err), "correct the syntax")
 		d.locateSyntax(err)
@@ -183,8 +183,8 @@
 // checkManifest adds the mistakes of meaning, but not where a mistake of form
 // has left a value unread.
 func (d *document) checkManifest(s bymanifest.Spec) error {
-	if len(d.mistakes) > 0 && len(d.places) == 0 {
-		return d.err()
+	if len(d.places) <= 1 {
+		return d.err() // nothing below the document itself could be read
 	}
 	unread := map[place]bool{}
 	for _, m := range d.mistakes {
--- /dev/null
+++ b/io/byproc/byproc_test.go
@@ -0,0 +1,290 @@
+package byproc_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sync/errgroup"
+
+	"burdockyard/io/bycall"
+	"burdockyard/io/byconfig"
+	"burdockyard/io/byemu"
+	"burdockyard/io/bypeer"
+	"burdockyard/io/byplatform"
+	"burdockyard/io/byproc"
+	"burdockyard/io/bywire"
+)
+
+// testTimeout only ends a test that hangs.
+const testTimeout = 2 * time.Minute
+
+var bin string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "burdock-bin")
+		if err != nil {
+			fmt.Println(err)
+			return 1
+		}
+		defer os.RemoveAll(dir)
+		bin = dir
+		if out, err := exec.Command("go", "build", "-o", dir, "burdockyard/cmd/burdock", "burdockyard/cmd/burdock-standin").CombinedOutput(); err != nil {
+			fmt.Printf("%v: %s\n", err, out)
+			return 1
+		}
+		return m.Run()
+	}())
+}
+
+func start(t testing.TB, dir string) *byproc.Deployment {
+	t.Helper()
+	spec, err := byconfig.LoadManifest("../../examples/demo.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := byproc.Start(byproc.Config{
+		Bin: bin, Dir: dir, Spec: spec, Nodes: 3, EngineArgs: []string{"--decode-rate=200"},
+		AddressTTL: time.Second, LeaseTTL: 2 * time.Second,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Stop)
+	return d
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("PATH", bin+string(os.PathListSeparator)+env.Getenv("PATH"))
+			if filepath.Base(env.WorkDir) != "script-path" {
+				return nil
+			}
+			d := start(t, t.TempDir())
+			manifest, err := d.WriteManifest()
+			if err != nil {
+				return err
+			}
+			env.Values["deployment"] = d
+			env.Setenv("MANIFEST", manifest)
+			env.Setenv("PLATFORM", d.Platform)
+			env.Setenv("NODE", d.Nodes[0].Callers)
+			env.Setenv("PEER", d.Nodes[0].Peers)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"ready": ready, "inforce": inForce},
+	})
+}
+
+// ready waits until every node takes callers.
+func ready(ts *testscript.TestScript, _ bool, _ []string) {
+	d := ts.Value("deployment").(*byproc.Deployment)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	for _, n := range d.Nodes {
+		ts.Check(d.WaitReady(ctx, n))
+	}
+}
+
+// inForce waits until every node has the generation in force.
+func inForce(ts *testscript.TestScript, _ bool, args []string) {
+	d := ts.Value("deployment").(*byproc.Deployment)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	clients := bypeer.NewClients()
+	for _, n := range d.Nodes {
+		for {
+			s, err := clients.Status(ctx, n.Peers)
+			ts.Check(err)
+			if fmt.Sprint(s.GetGeneration()) == args[0] {
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+// published starts a deployment with its manifest in force.
+func published(t *testing.T) (*byproc.Deployment, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	d := start(t, t.TempDir())
+	if err := d.Publish(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return d, ctx
+}
+
+// load runs streams and doubled bookings, and checks each answer and effect.
+func load(ctx context.Context, t *testing.T, d *byproc.Deployment, disturb func() error) {
+	t.Helper()
+	var group errgroup.Group
+	for i := range 8 {
+		group.Go(func() error { return stream(ctx, d, fmt.Sprintf("survey %d", i), 120) })
+	}
+	for i := range 12 {
+		key := fmt.Sprintf("roof-%d", i)
+		pause := time.Duration(i) * 150 * time.Millisecond
+		for range 2 {
+			group.Go(func() error {
+				time.Sleep(pause)
+				return book(ctx, d, key)
+			})
+		}
+	}
+	group.Go(disturb)
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+	for key, n := range effects(ctx, t, d) {
+		if n > 1 {
+			t.Errorf("%s ran %d times", key, n)
+		}
+	}
+}
+
+func stream(ctx context.Context, d *byproc.Deployment, prompt string, tokens int) error {
+	answer, err := bycall.New(d.Callers()).Complete(ctx, bycall.Completion{Model: "quote", Prompt: prompt, MaxTokens: tokens}, nil)
+	if err != nil {
+		return fmt.Errorf("answer to %q: %w", prompt, err)
+	}
+	if want := byemu.Answer(prompt, tokens); answer.Text != want {
+		return fmt.Errorf("answer to %q is %q, not %q", prompt, answer.Text, want)
+	}
+	return nil
+}
+
+// book books once. An outcome that is told as unknown is an honest answer when
+// a node dies in the middle of the call.
+func book(ctx context.Context, d *byproc.Deployment, key string) error {
+	_, err := bycall.New(d.Callers()).Service(ctx, bycall.ServiceCall{
+		Service: "booking", Method: http.MethodPost, Path: "/dispatch", Key: key, Body: []byte(key),
+	})
+	if call, ok := err.(*bycall.CallError); ok && call.Detail.Type == "outcome_unknown" {
+		return nil
+	}
+	return err
+}
+
+func effects(ctx context.Context, t *testing.T, d *byproc.Deployment) map[string]int {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Spec.Services[0].Endpoints[0].Address+"/admin/effects", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	counts, err := bywire.ReadJSON[map[string]int](resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return counts
+}
+
+func TestKilledNode(t *testing.T) {
+	d, ctx := published(t)
+	load(ctx, t, d, func() error {
+		time.Sleep(500 * time.Millisecond)
+		if err := d.Signal("n1", syscall.SIGKILL); err != nil {
+			return err
+		}
+		if _, err := d.Wait(ctx, "n1"); err != nil {
+			return err
+		}
+		return d.StartNode(d.Nodes[0], 0)
+	})
+	if err := d.WaitReady(ctx, d.Nodes[0]); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestStoppedNode(t *testing.T) {
+	d, ctx := published(t)
+	load(ctx, t, d, func() error {
+		time.Sleep(300 * time.Millisecond)
+		if err := d.Signal("n2", syscall.SIGTERM); err != nil {
+			return err
+		}
+		if err := d.Signal("n2", syscall.SIGTERM); err != nil { // a stop during a stop
+			return err
+		}
+		code, err := d.Wait(ctx, "n2")
+		if err == nil && code != 0 {
+			err = fmt.Errorf("n2 ended with %d", code)
+		}
+		return err
+	})
+}
+
+// TestFrozenNodes freezes each node in turn past its leases, so that every
+// holder is frozen once.
+func TestFrozenNodes(t *testing.T) {
+	d, ctx := published(t)
+	load(ctx, t, d, func() error {
+		for _, n := range d.Nodes {
+			if err := d.Signal(n.Name, syscall.SIGSTOP); err != nil {
+				return err
+			}
+			time.Sleep(4 * time.Second)
+			if err := d.Signal(n.Name, syscall.SIGCONT); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	for _, e := range d.Spec.Engines {
+		checkOrders(ctx, t, e.Name, e.Address)
+	}
+}
+
+// checkOrders judges that an engine's accepted orders rose in their fencing number.
+func checkOrders(ctx context.Context, t *testing.T, name, addr string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/admin/orders", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	orders, err := bywire.ReadJSON[[]struct {
+		ID      string `json:"id"`
+		Fencing uint64 `json:"fencing"`
+	}](resp.Body)
+	if err != nil || len(orders) == 0 {
+		t.Fatalf("%s: orders %v, %v", name, orders, err)
+	}
+	for i := 1; i < len(orders); i++ {
+		if orders[i].Fencing <= orders[i-1].Fencing {
+			t.Errorf("%s took %+v after %+v", name, orders[i], orders[i-1])
+		}
+	}
+}
+
+func TestPlatformOutage(t *testing.T) {
+	d, ctx := published(t)
+	p := byplatform.New(d.Platform)
+	load(ctx, t, d, func() error {
+		if err := p.SetFaults(ctx, byplatform.Faults{Outage: true}); err != nil {
+			return err
+		}
+		time.Sleep(5 * time.Second)
+		return p.SetFaults(ctx, byplatform.Faults{LoseAnswers: 3})
+	})
+}
