Add a lab that measures the policy in virtual time

Cause: the policy was built from the design and had never been measured.

Ruled out: measuring with real processes (not the same at each run).

--- /dev/null
+++ b/cmd/burdock-lab/main.go
@@ -0,0 +1,34 @@
+// Command burdock-lab measures the policy in virtual time and prints the tables
+// of docs/EXPERIMENTS.md. The same figures come at each run.
+//
+// # Usage
+//
+//	burdock-lab policy
+//	burdock-lab ablation
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+type commands struct {
+	Policy   policyCommand   `command:"policy" description:"the four measures beside baselines, bounds and targets"`
+	Ablation ablationCommand `command:"ablation" description:"the measures with each mechanism off in turn"`
+}
+
+func main() {
+	_, err := flags.NewParser(&commands{}, flags.HelpFlag).Parse()
+	var flagErr *flags.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
+		fmt.Println(flagErr.Message)
+	default:
+		fmt.Fprintln(os.Stderr, "burdock-lab:", err)
+		os.Exit(2)
+	}
+}
--- /dev/null
+++ b/cmd/burdock-lab/policy.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"burdockyard/io/bylab"
+)
+
+// seeds are those of every figure.
+var seeds = []uint64{11, 22, 33}
+
+// figure is one number of a run.
+type figure struct {
+	name   string
+	format string
+	target string
+	of     func(*bylab.Result) float64
+}
+
+// measure is a workload and what is read off it.
+type measure struct {
+	workload func(bylab.Deployment) bylab.Workload
+	figures  []figure
+}
+
+const forever = time.Hour
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func measures() []measure {
+	list := []measure{
+		{func(d bylab.Deployment) bylab.Workload { return bylab.Shifts(d, 0.9) }, []figure{
+			{"shifts at 90% of the bound: goodput, share of what was asked", "%.3f", "≥ 0.90", (*bylab.Result).Goodput},
+			{"shifts: p95 first token, ms", "%.0f", "≤ 360", func(r *bylab.Result) float64 { return ms(r.FirstToken(0.95, 0, forever)) }},
+			{"shifts: p95 between tokens, ms", "%.0f", "≤ 55", func(r *bylab.Result) float64 { return ms(r.Gap(0.95, 0, forever)) }},
+		}},
+		{bylab.Crest, []figure{
+			{"crest: callers served in time at once", "%.3f", "", (*bylab.Result).ServedFirst},
+			{"crest: callers served in time, at once or on return", "%.3f", "", (*bylab.Result).Served},
+			{"crest: refused callers served when they first return", "%.3f", "1", (*bylab.Result).ServedOnReturn},
+			{"crest: output made too late", "%.3f", "0", (*bylab.Result).Wasted},
+		}},
+		{func(d bylab.Deployment) bylab.Workload { return bylab.Steady(d, 1, overloadSpan) }, []figure{
+			{"load 1×: good output tokens/s", "%.0f", "", goodTokens},
+		}},
+		{func(d bylab.Deployment) bylab.Workload { return bylab.Steady(d, 3, overloadSpan) }, []figure{
+			{"load 3×: good output tokens/s", "%.0f", "≥ 0.95 of 1×", goodTokens},
+		}},
+		{func(d bylab.Deployment) bylab.Workload { return bylab.Mixed(d, 0.6, 0) }, waits("short alone")},
+		{func(d bylab.Deployment) bylab.Workload { return bylab.Mixed(d, 0.8, 0.25) }, append(waits("short with long"),
+			figure{"long: p95 whole answer, s", "%.1f", "", func(r *bylab.Result) float64 { d, _ := r.LongWhole(0.95); return d.Seconds() }},
+			figure{"long: share answered", "%.3f", "", func(r *bylab.Result) float64 { _, s := r.LongWhole(0.95); return s }},
+		)},
+	}
+	for n := range 4 {
+		list = append(list, measure{func(d bylab.Deployment) bylab.Workload { return bylab.Straggler(d, n) }, stragglerFigures(n)})
+	}
+	return list
+}
+
+const overloadSpan = time.Minute
+
+func goodTokens(r *bylab.Result) float64 { return r.GoodTokensPerSecond(overloadSpan) }
+
+func waits(what string) []figure {
+	wait := func(q float64) func(*bylab.Result) float64 {
+		return func(r *bylab.Result) float64 { return ms(r.FirstToken(q, 0, forever)) }
+	}
+	return []figure{
+		{what + ": p50 first token, ms", "%.0f", "", wait(0.50)},
+		{what + ": p95 first token, ms", "%.0f", "≤ 360", wait(0.95)},
+		{what + ": p99 first token, ms", "%.0f", "with long ≤ 2× alone", wait(0.99)},
+	}
+}
+
+func stragglerFigures(n int) []figure {
+	const from, to = 30 * time.Second, 90 * time.Second
+	what := fmt.Sprintf("%d slow: ", n)
+	list := []figure{
+		{what + "p99 first token, ms", "%.0f", "1 slow ≤ 1.5× none", func(r *bylab.Result) float64 { return ms(r.FirstToken(0.99, from, to)) }},
+		{what + "p99 between tokens, ms", "%.0f", "1 slow ≤ 1.5× none", func(r *bylab.Result) float64 { return ms(r.Gap(0.99, from, to)) }},
+	}
+	if n > 0 {
+		list = append(list,
+			figure{what + "noticed after, s", "%.1f", "", func(r *bylab.Result) float64 { return r.Noticed().Seconds() }},
+			figure{what + "restored after, s", "%.1f", "", func(r *bylab.Result) float64 { return r.Restored().Seconds() }})
+	}
+	return list
+}
+
+type policyCommand struct{}
+
+// Execute implements flags.Commander.
+func (c *policyCommand) Execute([]string) error {
+	return printTable([]bylab.PolicyMaker{bylab.RoundRobin(), bylab.LeastRequests(), bylab.Burdock()}, measures())
+}
+
+// printTable prints a row for each deployment and figure and a column for each
+// policy: the mean over the seeds, with the least and the greatest.
+func printTable(policies []bylab.PolicyMaker, list []measure) error {
+	header := []string{"deployment", "measure"}
+	for _, p := range policies {
+		header = append(header, p.Name)
+	}
+	header = append(header, "target")
+	printRow(header)
+	printRow(strings.Split(strings.Repeat("---,", len(header)-1)+"---", ","))
+	for _, d := range []bylab.Deployment{bylab.Jadepeak, bylab.Bluebonnet} {
+		for _, m := range list {
+			if err := printMeasure(d, m, policies); err != nil {
+				return err
+			}
+		}
+	}
+	fmt.Printf("\nseeds %v; a cell is the mean over them (least to greatest)\n", seeds)
+	return nil
+}
+
+func printMeasure(d bylab.Deployment, m measure, policies []bylab.PolicyMaker) error {
+	results := make([][]*bylab.Result, len(policies))
+	var group errgroup.Group
+	for i, p := range policies {
+		results[i] = make([]*bylab.Result, len(seeds))
+		for j, seed := range seeds {
+			group.Go(func() error {
+				results[i][j] = bylab.Run(d, m.workload(d), p, seed)
+				return nil
+			})
+		}
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	for _, f := range m.figures {
+		row := []string{d.Name, f.name}
+		for i := range policies {
+			row = append(row, cell(f, results[i]))
+		}
+		printRow(append(row, f.target))
+	}
+	return nil
+}
+
+func cell(f figure, results []*bylab.Result) string {
+	sum, least, greatest := 0.0, 0.0, 0.0
+	for i, r := range results {
+		x := f.of(r)
+		sum += x
+		if i == 0 || x < least {
+			least = x
+		}
+		if i == 0 || x > greatest {
+			greatest = x
+		}
+	}
+	return fmt.Sprintf(f.format+" ("+f.format+" to "+f.format+")", sum/float64(len(results)), least, greatest)
+}
+
+func printRow(cells []string) { fmt.Println("| " + strings.Join(cells, " | ") + " |") }
--- a/core/byserve/dispatch.go
+++ b/core/byserve/dispatch.go
@@ -203,6 +203,19 @@
 	return n
 }
 
+// priorityScale leaves room below a class for its long prompts.
+const priorityScale = 2
+
+// EnginePriority returns the priority at the engine: the class's, and within it
+// short prompts before long ones.
+func EnginePriority(class bymanifest.ClassSpec, w byroute.Work) int {
+	p := class.Priority * priorityScale
+	if w.Long() {
+		p--
+	}
+	return p
+}
+
 // Cost predicts a call's engine time: what it takes of an engine that is busy
 // with a whole batch.
 func Cost(m bymanifest.ModelSpec, w byroute.Work) time.Duration {
--- a/core/byserve/run.go
+++ b/core/byserve/run.go
@@ -13,12 +13,8 @@
 	"burdockyard/core/bystream"
 )
 
-const (
-	// priorityScale leaves room below a class for its long prompts.
-	priorityScale = 2
-	// retryLater is when to come back after every engine failed.
-	retryLater = 2 * time.Second
-)
+// retryLater is when to come back after every engine failed.
+const retryLater = 2 * time.Second
 
 // run is one call on its way. It is used by one goroutine.
 type run struct {
@@ -103,7 +99,7 @@
 	own, cancel := r.detached(ctx)
 	defer cancel()
 	stream, err := engine.Generate(own, burdockyard.GenerateRequest{
-		ID: id, Chat: r.call.Chat, Body: body, Priority: r.priority(), From: base,
+		ID: id, Chat: r.call.Chat, Body: body, Priority: EnginePriority(r.call.Class, r.call.Work), From: base,
 	})
 	r.sent = r.sent || !errors.Is(err, burdockyard.ErrNotStarted)
 	if err != nil {
@@ -124,13 +120,6 @@
 	return burdockyard.NewRequestID()
 }
 
-func (r *run) priority() int {
-	p := r.call.Class.Priority * priorityScale
-	if r.call.Work.Long() {
-		p--
-	}
-	return p
-}
 
 // detached returns a context that outlives the caller by a grace, in which the
 // caller may come back through another node.
--- a/io/byemu/byemu.go
+++ b/io/byemu/byemu.go
@@ -240,3 +240,10 @@
 	e.events = nil
 	return events
 }
+
+// FixedSeconds returns the part of an engine's time that a call takes besides
+// its rates, when every iteration has a whole chunk and a whole batch.
+func FixedSeconds(prompt, output, maxStreams int) float64 {
+	iterations := max(float64(prompt)/chunkMixed, float64(output)/float64(maxStreams))
+	return iterations * iterationFixed.Seconds()
+}
--- /dev/null
+++ b/io/bylab/workloads.go
@@ -0,0 +1,126 @@
+package bylab
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"burdockyard/core/byroute"
+)
+
+// shape is a kind of call.
+type shape struct{ prompt, output int }
+
+var (
+	question   = shape{300, 80}     // a short question
+	readHeavy  = shape{3000, 60}    // a history read for a short answer
+	writeHeavy = shape{400, 500}    // a short request for a long answer
+	longPlan   = shape{40_000, 400} // a whole yard plan or survey history
+)
+
+// call returns a call of about the shape. Sizes spread around it, and a part of
+// the long prompts begins with a document that was read before.
+func (d Deployment) call(rnd *rand.Rand, at time.Duration, sh shape) *Call {
+	c := &Call{
+		At: at, Tenant: d.Tenants[rnd.IntN(len(d.Tenants))], Class: d.Short,
+		Prompt: spread(rnd, sh.prompt), Output: spread(rnd, sh.output),
+	}
+	if c.Prompt > byroute.LongPrompt {
+		c.Class = d.Long
+	}
+	document := rnd.Uint64()
+	if rnd.Float64() < knownDocuments {
+		document = uint64(rnd.IntN(documents))
+	}
+	for i := range c.Prompt / byroute.PieceTokens {
+		c.Prefix = append(c.Prefix, document<<8|uint64(i))
+	}
+	return c
+}
+
+const (
+	knownDocuments = 0.3 // share of long prompts that were read before
+	documents      = 40
+)
+
+// spread draws a size between half and one and a half of n.
+func spread(rnd *rand.Rand, n int) int {
+	return max(1, int(float64(n)*(0.5+rnd.Float64())))
+}
+
+// poisson adds calls at a rate over a span.
+func poisson(rnd *rand.Rand, from, to time.Duration, rate float64, add func(at time.Duration)) {
+	for at := from; ; {
+		at += time.Duration(rnd.ExpFloat64() / rate * float64(time.Second))
+		if at >= to {
+			return
+		}
+		add(at)
+	}
+}
+
+// Shifts changes the mix of prompt and output every minute, at a share of the
+// capacity that each mix allows.
+func Shifts(d Deployment, load float64) Workload {
+	const period = time.Minute
+	return Workload{Name: "shifts", Calls: func(rnd *rand.Rand) []*Call {
+		var calls []*Call
+		for i := range 6 {
+			sh := []shape{readHeavy, writeHeavy, question}[i%3]
+			rate := load * d.Capacity(sh.prompt, sh.output)
+			poisson(rnd, time.Duration(i)*period, time.Duration(i+1)*period, rate, func(at time.Duration) {
+				calls = append(calls, d.call(rnd, at, sh))
+			})
+		}
+		return calls
+	}}
+}
+
+// Steady is questions at a multiple of the capacity.
+func Steady(d Deployment, load float64, span time.Duration) Workload {
+	return Workload{Name: "steady", Calls: func(rnd *rand.Rand) []*Call {
+		var calls []*Call
+		poisson(rnd, 0, span, load*d.Capacity(question.prompt, question.output), func(at time.Duration) {
+			calls = append(calls, d.call(rnd, at, question))
+		})
+		return calls
+	}}
+}
+
+// Crest is a quiet time in which every caller wakes within one second: as many
+// questions as the engines serve in ten.
+func Crest(d Deployment) Workload {
+	const wake, work = 20 * time.Second, 10.0
+	return Workload{Name: "crest", Calls: func(rnd *rand.Rand) []*Call {
+		var calls []*Call
+		add := func(at time.Duration) { calls = append(calls, d.call(rnd, at, question)) }
+		rate := d.Capacity(question.prompt, question.output)
+		poisson(rnd, 0, wake+40*time.Second, 0.2*rate, add)
+		for range int(rate * work) {
+			add(wake + time.Duration(rnd.Int64N(int64(time.Second))))
+		}
+		return calls
+	}}
+}
+
+// Mixed is questions with long plans between them, or without.
+func Mixed(d Deployment, load, longShare float64) Workload {
+	const span = 3 * time.Minute
+	return Workload{Name: "mixed", Calls: func(rnd *rand.Rand) []*Call {
+		var calls []*Call
+		short := load * (1 - longShare) * d.Capacity(question.prompt, question.output)
+		long := load * longShare * d.Capacity(longPlan.prompt, longPlan.output)
+		poisson(rnd, 0, span, short, func(at time.Duration) { calls = append(calls, d.call(rnd, at, question)) })
+		if long > 0 {
+			poisson(rnd, 0, span, long, func(at time.Duration) { calls = append(calls, d.call(rnd, at, longPlan)) })
+		}
+		return calls
+	}}
+}
+
+// Straggler is questions while some engines are five times as slow for a minute.
+func Straggler(d Deployment, engines int) Workload {
+	w := Steady(d, 0.5, 2*time.Minute)
+	w.Name = "straggler"
+	w.Slow = Slowdown{From: 30 * time.Second, To: 90 * time.Second, Engines: engines, Factor: 5}
+	return w
+}
