Choose engines by own work times the nodes, and judge stragglers by their floor

A trace by minute showed prompts of 3,000 tokens late at 70% load while engines idled: the peers' digests are half a second old, longer than such a prompt takes, and every node sent the next half second's calls to the same engines. At the crest the same lag let eight nodes fill the same places eight times. Averages of delays took engines with a long prompt between their tokens for slow.

--- a/core/byadmit/byadmit.go
+++ b/core/byadmit/byadmit.go
@@ -31,6 +31,9 @@
 	minRetryAfter = time.Second
 	// maxRetryAfter is the longest.
 	maxRetryAfter = 5 * time.Minute
+	// returnShare is the part of the engines that is kept for callers who return;
+	// the rest is for those who come for the first time.
+	returnShare = 0.7
 	// minDrain keeps predictions finite while no engine serves.
 	minDrain = 0.01
 	// priorityStep is the engine time that one step of class priority is worth.
@@ -230,7 +233,7 @@
 	if q.returnAt.Before(backlog) {
 		q.returnAt = backlog
 	}
-	q.returnAt = q.returnAt.Add(time.Duration(float64(c.Cost) / q.drain))
+	q.returnAt = q.returnAt.Add(time.Duration(float64(c.Cost) / (q.drain * returnShare)))
 	jitter := time.Duration(q.rnd.Int64N(int64(minRetryAfter)))
 	return min(max(q.returnAt.Sub(now), minRetryAfter)+jitter, maxRetryAfter)
 }
--- a/core/byroute/byroute.go
+++ b/core/byroute/byroute.go
@@ -8,7 +8,7 @@
 //	flight := r.Start(choice, work, now)
 //	flight.Token(now) // for each token
 //	flight.End()
-//	r.Tick(peerLoads, now) // with each heartbeat
+//	r.Tick(peerLoads, nodes, now) // with each heartbeat
 //
 // The estimate counts work that this node and its peers have open at an engine.
 // The engine's own load report is not used: it tells of a straggler late.
@@ -66,8 +66,7 @@
 	own       bymember.Load
 	peers     bymember.Load
 	speed     float64 // share of the usual speed, 1 unless slow
-	gap       average // time between tokens, relative to the expected
-	first     average // time to first token, relative to the expected
+	gap       floor   // time between tokens, relative to the expected
 	slowSince time.Time
 	probeAt   time.Time
 	failed    time.Time // avoided until
@@ -82,6 +81,8 @@
 	engines map[burdockyard.EndpointID]*engine
 	prefix  *prefixIndex
 	detect  bool
+	nodes   int     // that share the engines, this one included
+	stretch float64 // how many times longer prompts take than their rate says
 }
 
 // Option sets an optional part of a Router.
@@ -103,6 +104,8 @@
 		engines: map[burdockyard.EndpointID]*engine{},
 		prefix:  newPrefixIndex(),
 		detect:  true,
+		nodes:   1,
+		stretch: 1,
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -175,12 +178,13 @@
 	if r.probeDue(s, now) {
 		speed = 1
 	}
-	rate := float64(model.PrefillRate) * speed
-	backlog := s.own.PrefillTokens + s.peers.PrefillTokens
+	rate := float64(model.PrefillRate) * speed / r.stretch
+	load := s.load(r.nodes)
+	backlog := load.PrefillTokens
 	if !w.Long() {
-		backlog -= s.own.LongTokens + s.peers.LongTokens // runs after it
+		backlog -= load.LongTokens // runs after it
 	}
-	streams := s.own.Streams + s.peers.Streams
+	streams := load.Streams
 	uncached := w.PromptTokens - r.prefix.cachedTokens(w.Prefix, e.ID())
 	c := Choice{Engine: e, Uncached: uncached, Streams: streams, Backlog: seconds(float64(backlog) / rate)}
 	c.Wait = c.Backlog + seconds(float64(uncached)/rate)
@@ -194,6 +198,31 @@
 	return c
 }
 
+// load returns the work at an engine as it probably is now.
+//
+// What the peers last said is half a second old, longer than most prompts take.
+// Nodes that all go by it send the next half second's calls to the same few
+// engines, and fill the same free places within the second in which a district
+// wakes. Callers choose their node at random, so a node's own open work, which
+// it knows at once, times the nodes is the better estimate. Only long prompts
+// last long enough for what the peers said of them.
+func (e *engine) load(nodes int) bymember.Load {
+	long := e.own.LongTokens + e.peers.LongTokens
+	return bymember.Load{
+		PrefillTokens: (e.own.PrefillTokens-e.own.LongTokens)*nodes + long,
+		LongTokens:    long,
+		Streams:       e.own.Streams * nodes,
+	}
+}
+
+// notePrefill learns how much longer prompts take than the rate of an engine
+// that does nothing else.
+func (r *Router) notePrefill(took, expected time.Duration) {
+	const weight, most = 0.02, 4.0
+	x := min(max(relative(took, expected), 1), most)
+	r.stretch += weight * (x - r.stretch)
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Avoid keeps new work from an engine for a short while, after it refused or
@@ -248,7 +277,7 @@
 	model := c.Engine.Model()
 	return &Flight{
 		r: r, id: c.Engine.ID(), uncached: c.Uncached, long: w.Long(), began: now,
-		expected: c.Backlog + seconds(float64(c.Uncached)/float64(model.PrefillRate)),
+		expected: seconds(c.Backlog.Seconds()/r.stretch + float64(c.Uncached)/float64(model.PrefillRate)),
 		gap:      seconds(float64(c.Streams+1) / float64(model.DecodeRate)),
 	}
 }
@@ -259,7 +288,7 @@
 	defer f.r.mu.Unlock()
 	s := f.r.entry(f.id)
 	if f.last.IsZero() {
-		s.first.add(relative(now.Sub(f.began), f.expected), now)
+		f.r.notePrefill(now.Sub(f.began), f.expected)
 		s.addPrompt(-f.uncached, f.long)
 		f.uncached = 0
 	} else {
@@ -281,10 +310,11 @@
 	s.own.Streams--
 }
 
-// Tick takes in the peers' open work and compares the engines' speeds.
-func (r *Router) Tick(peers map[burdockyard.EndpointID]bymember.Load, now time.Time) {
+// Tick takes in the open work of the other nodes and compares the engines' speeds.
+func (r *Router) Tick(peers map[burdockyard.EndpointID]bymember.Load, nodes int, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.nodes = max(nodes, 1)
 	for id, e := range r.engines {
 		e.peers = peers[id]
 	}
--- a/core/byroute/speed.go
+++ b/core/byroute/speed.go
@@ -6,16 +6,16 @@
 )
 
 const (
-	// averageWeight is the weight of a new observation.
-	averageWeight = 0.1
+	// floorRise is how far a floor rises towards a larger observation.
+	floorRise = 0.05
 	// minObservations is how many are needed before an engine is judged.
-	minObservations = 8
-	// freshFor is how long an average counts after its last observation.
+	minObservations = 16
+	// freshFor is how long a floor counts after its last observation.
 	freshFor = 10 * time.Second
 	// slowRatio is how many times the median's delay makes an engine slow.
-	slowRatio = 2.0
+	slowRatio = 2.5
 	// restoreRatio is the ratio below which a slow engine counts as usual again.
-	restoreRatio = 1.4
+	restoreRatio = 1.6
 	// minSpeed bounds how far an engine is weighted down.
 	minSpeed = 0.02
 	// probeEvery is how often a slow engine is offered a call as if it were not.
@@ -24,27 +24,30 @@
 	minExpected = 5 * time.Millisecond
 )
 
-// average is an exponentially weighted average of ratios.
-type average struct {
+// floor follows the lower edge of delays, as multiples of the expected: it falls
+// at once and rises slowly.
+//
+// An average would take an engine for slow that has a long prompt between its
+// tokens. Such an engine still makes some tokens as fast as any; one that is
+// slowed makes none.
+type floor struct {
 	value float64
 	count int
 	last  time.Time
 }
 
-func (a *average) add(x float64, now time.Time) {
-	a.count++
-	a.last = now
-	if a.count == 1 {
-		a.value = x
+func (f *floor) add(x float64, now time.Time) {
+	f.count++
+	f.last = now
+	if f.count == 1 || x < f.value {
+		f.value = x
 		return
 	}
-	// The first observations weigh evenly, so that one early outlier fades.
-	weight := max(averageWeight, 1/float64(a.count))
-	a.value += weight * (x - a.value)
+	f.value += floorRise * (x - f.value)
 }
 
-func (a *average) known(now time.Time) bool {
-	return a.count >= minObservations && now.Sub(a.last) < freshFor
+func (f *floor) known(now time.Time) bool {
+	return f.count >= minObservations && now.Sub(f.last) < freshFor
 }
 
 // relative returns a delay as a multiple of the expected.
@@ -58,19 +61,17 @@
 // a rate that is written too high would make every engine look slow, and a
 // crest that delays all of them alike is no sign of a straggler.
 func (r *Router) compareSpeeds(now time.Time) {
-	gap := r.median(now, func(e *engine) *average { return &e.gap })
-	first := r.median(now, func(e *engine) *average { return &e.first })
+	median := r.median(now)
 	for _, e := range r.engines {
-		ratio := max(ratioTo(&e.gap, gap, now), ratioTo(&e.first, first, now))
-		e.judge(ratio, now)
+		e.judge(ratioTo(&e.gap, median, now), now)
 	}
 }
 
-func (r *Router) median(now time.Time, pick func(*engine) *average) float64 {
+func (r *Router) median(now time.Time) float64 {
 	var values []float64
 	for _, e := range r.engines {
-		if a := pick(e); a.known(now) {
-			values = append(values, a.value)
+		if e.gap.known(now) {
+			values = append(values, e.gap.value)
 		}
 	}
 	if len(values) < 3 {
@@ -80,11 +81,11 @@
 	return values[len(values)/2]
 }
 
-func ratioTo(a *average, median float64, now time.Time) float64 {
-	if median <= 0 || !a.known(now) {
+func ratioTo(f *floor, median float64, now time.Time) float64 {
+	if median <= 0 || !f.known(now) {
 		return 0
 	}
-	return a.value / median
+	return f.value / median
 }
 
 // judge weights an engine down or restores it. A ratio of 0 is no evidence: a
@@ -107,16 +108,14 @@
 	return e.speed < 1 && !now.Before(e.probeAt)
 }
 
-// takeProbe notes that a due probe was used. Its observations count as the
-// engine's newest, so that a few of them restore it.
+// takeProbe notes that a due probe was used. Its first fast token restores the
+// engine.
 func (r *Router) takeProbe(c Choice, now time.Time) {
 	e := r.entry(c.Engine.ID())
 	if !r.probeDue(e, now) {
 		return
 	}
 	e.probeAt = now.Add(probeEvery)
-	e.gap.count = min(e.gap.count, minObservations)
-	e.first.count = min(e.first.count, minObservations)
 }
 
 // Slow returns the engines that are weighted down now.
--- a/core/byserve/dispatch.go
+++ b/core/byserve/dispatch.go
@@ -11,9 +11,13 @@
 	"burdockyard/core/byroute"
 )
 
-// backlogTarget is how much prompt work may lie at an engine before a call
-// waits at the node, where it can still be reordered, refused or sent elsewhere.
-const backlogTarget = 100 * time.Millisecond
+// backlogTarget is how much prompt work may always lie at an engine before a
+// call waits at the node, where it can be reordered, refused or sent elsewhere.
+const (
+	backlogTarget = 100 * time.Millisecond
+	// maxBacklog bounds it for calls that have more time.
+	maxBacklog = 500 * time.Millisecond
+)
 
 // Offered is a call that wants to start, with its owner's value.
 type Offered[V any] struct {
@@ -129,7 +133,7 @@
 	t := d.queue(model).Next(now, long, func(t *byadmit.Ticket[Offered[V]]) bool {
 		var ok bool
 		choice, ok = d.router.Pick(engines, t.Value().Work, nil, now)
-		return ok && d.hasRoom(choice)
+		return ok && d.hasRoom(choice, t.Call().StartBy.Sub(now))
 	})
 	if t == nil {
 		return Start[V]{}, false
@@ -141,8 +145,13 @@
 	}, true
 }
 
-func (d *Dispatcher[V]) hasRoom(c byroute.Choice) bool {
-	return c.Backlog <= d.backlog && c.Streams < c.Engine.Model().MaxStreams
+// hasRoom reports whether a call with some time left should start at an engine
+// now. It may lie there for half of that time: longer, and a better order or
+// another engine would come too late for it; shorter, and engines idle between
+// calls that wait at the nodes.
+func (d *Dispatcher[V]) hasRoom(c byroute.Choice, left time.Duration) bool {
+	backlog := max(d.backlog, min(left/2, maxBacklog))
+	return c.Backlog <= backlog && c.Streams < c.Engine.Model().MaxStreams
 }
 
 // Move picks another engine for a call that has started before.
@@ -172,7 +181,7 @@
 
 // Tick takes in what the peers have open and how many nodes share the engines.
 func (d *Dispatcher[V]) Tick(peers map[burdockyard.EndpointID]bymember.Load, nodes int, now time.Time) {
-	d.router.Tick(peers, now)
+	d.router.Tick(peers, nodes, now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.nodes = max(nodes, 1)
--- a/core/byserve/run.go
+++ b/core/byserve/run.go
@@ -120,7 +120,6 @@
 	return burdockyard.NewRequestID()
 }
 
-
 // detached returns a context that outlives the caller by a grace, in which the
 // caller may come back through another node.
 func (r *run) detached(ctx context.Context) (context.Context, context.CancelFunc) {
