Start calls early enough for a busy engine, and probe slow engines less

Cause: at 3x load half of the answers came a little too late: an overloaded node started each call at the last moment that an idle engine allows. With one engine slowed, the nodes' probes were 3% of all calls and made the p99.

Change: a call must start in time for 1.5 times its prompt and 100 ms; a slow engine is probed every 8 s by each node.

The price is a slower return of a restored engine.

--- a/core/byroute/speed.go
+++ b/core/byroute/speed.go
@@ -19,7 +19,7 @@
 	// minSpeed bounds how far an engine is weighted down.
 	minSpeed = 0.02
 	// probeEvery is how often a slow engine is offered a call as if it were not.
-	probeEvery = 2 * time.Second
+	probeEvery = 8 * time.Second
 	// minExpected keeps tiny expected times from making huge ratios.
 	minExpected = 5 * time.Millisecond
 )
--- a/core/byserve/byserve.go
+++ b/core/byserve/byserve.go
@@ -34,6 +34,10 @@
 	maxAttempts = 4
 	// maxResumes bounds how often one engine's stream is opened again.
 	maxResumes = 3
+	// busyPrefill is how many times longer a prompt takes at a busy engine than at
+	// an idle one, and busyIteration the time that its other work adds.
+	busyPrefill   = 1.5
+	busyIteration = 100 * time.Millisecond
 	// cancelTimeout bounds telling an engine to stop.
 	cancelTimeout = 2 * time.Second
 )
@@ -234,11 +238,16 @@
 }
 
 // AdmissionCall describes a call to the admission queue.
+//
+// It must start early enough for its first token to come in time at a busy
+// engine. With the time of an idle one in place of that, an overloaded node
+// starts every call at the last moment, and each answer comes a little too late.
 func AdmissionCall(m bymanifest.ModelSpec, class bymanifest.ClassSpec, tenant burdockyard.Tenant, weight int, w byroute.Work, now time.Time) byadmit.Call {
 	alone := time.Duration(float64(w.PromptTokens) / float64(max(m.PrefillRate, 1)) * float64(time.Second))
+	busy := time.Duration(busyPrefill*float64(alone)) + busyIteration
 	return byadmit.Call{
 		Tenant: tenant, Weight: weight, Class: class.Name, Long: w.Long(), Priority: class.Priority,
-		Queue: class.Queue, Cost: Cost(m, w), StartBy: now.Add(max(class.FirstToken-alone, 0)),
+		Queue: class.Queue, Cost: Cost(m, w), StartBy: now.Add(max(class.FirstToken-busy, 0)),
 	}
 }
 
