Read engines' load off the distance of tokens, and share out their batches

Cause: at 90% load prompts of 3,000 tokens were still late: a node learns of the prompts that other nodes sent half a second late. With 9 engines and 7 nodes the own-times-nodes estimate let 35 streams into a batch of 32, and at 3x load the streams that waited at the engines came late.

Change: an engine whose tokens come farther apart is taken for busy with prompts; places of a batch are shared out, with more for a busy node while half is free; short-first order removed; only tenants with waiting calls are looked at; a holder reads an engine's row once in place of each second; leases are renewed at 70% of their TTL; expected distances of tokens follow the digests, which ends false stragglers.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,14 @@
 demo: build ## a whole deployment on loopback, with a node lost and an engine drained
 	$(BIN)/burdock-demo --bin $(BIN) --manifest examples/demo.yaml
 
+bench: build ## the policy in virtual time, then the node's overhead, written to docs/EXPERIMENTS.md
+	$(BIN)/burdock-lab policy --page docs/EXPERIMENTS.md
+	$(BIN)/burdock-lab ablation --page docs/EXPERIMENTS.md
+	$(GO) test -run xxx -bench . -benchtime 2s ./io/bynode ./core/byserve
+
+capacity: build ## the slopes behind docs/CAPACITY.md
+	$(BIN)/burdock-lab capacity --page docs/CAPACITY.md
+
 faults: ## the whole fault matrix, written to docs/FAULTS.md
 	BURDOCK_FAULTS=full $(GO) test -count=1 -timeout 30m -run 'TestFaultMatrix|TestMutants' ./core/byproof
 	@sed -n '/^| fault/,/^faults:/p' docs/FAULTS.md
--- a/cmd/burdock-lab/policy.go
+++ b/cmd/burdock-lab/policy.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"burdockyard/io/bylab"
+	"burdockyard/io/bypage"
 )
 
 // seeds are those of every figure.
@@ -50,6 +52,12 @@
 		{func(d bylab.Deployment) bylab.Workload { return bylab.Steady(d, 3, overloadSpan) }, []figure{
 			{"load 3×: good output tokens/s", "%.0f", "≥ 0.95 of 1×", goodTokens},
 		}},
+		{bylab.Flood, []figure{
+			{"one tenant floods: others served in time at once", "%.3f", "", (*bylab.Result).OthersServed},
+		}},
+		{bylab.Reread, []figure{
+			{"plans read before: p95 whole answer, s", "%.1f", "", func(r *bylab.Result) float64 { d, _ := r.LongWhole(0.95); return d.Seconds() }},
+		}},
 		{func(d bylab.Deployment) bylab.Workload { return bylab.Mixed(d, 0.6, 0) }, waits("short alone")},
 		{func(d bylab.Deployment) bylab.Workload { return bylab.Mixed(d, 0.8, 0.25) }, append(waits("short with long"),
 			figure{"long: p95 whole answer, s", "%.1f", "", func(r *bylab.Result) float64 { d, _ := r.LongWhole(0.95); return d.Seconds() }},
@@ -86,41 +94,63 @@
 	}
 	if n > 0 {
 		list = append(list,
-			figure{what + "noticed after, s", "%.1f", "", func(r *bylab.Result) float64 { return r.Noticed().Seconds() }},
-			figure{what + "restored after, s", "%.1f", "", func(r *bylab.Result) float64 { return r.Restored().Seconds() }})
+			figure{what + "noticed after, s", "%.1f", "", (*bylab.Result).Noticed},
+			figure{what + "restored after, s", "%.1f", "", (*bylab.Result).Restored})
 	}
 	return list
 }
 
-type policyCommand struct{}
+// tableCommand prints a table, and puts it on a page if one is named.
+type tableCommand struct {
+	Page string `long:"page" description:"file whose table of this name is replaced"`
+}
+
+func (c tableCommand) show(name string, policies []bylab.PolicyMaker) error {
+	var t table
+	if err := t.fill(policies, measures()); err != nil {
+		return err
+	}
+	fmt.Print(t.String())
+	if c.Page == "" {
+		return nil
+	}
+	return bypage.Replace(c.Page, name, t.String())
+}
+
+type policyCommand struct{ tableCommand }
 
 // Execute implements flags.Commander.
 func (c *policyCommand) Execute([]string) error {
-	return printTable([]bylab.PolicyMaker{bylab.RoundRobin(), bylab.LeastRequests(), bylab.Burdock()}, measures())
+	return c.show("policy", []bylab.PolicyMaker{bylab.RoundRobin(), bylab.LeastRequests(), bylab.Burdock()})
 }
 
-// printTable prints a row for each deployment and figure and a column for each
-// policy: the mean over the seeds, with the least and the greatest.
-func printTable(policies []bylab.PolicyMaker, list []measure) error {
+// table is the text of a table.
+type table struct{ strings.Builder }
+
+func (t *table) row(cells []string) { t.WriteString("| " + strings.Join(cells, " | ") + " |\n") }
+
+// fill writes a row for each deployment and figure and a column for each policy:
+// the mean over the seeds, with the least and the greatest.
+func (t *table) fill(policies []bylab.PolicyMaker, list []measure) error {
 	header := []string{"deployment", "measure"}
 	for _, p := range policies {
 		header = append(header, p.Name)
 	}
 	header = append(header, "target")
-	printRow(header)
-	printRow(strings.Split(strings.Repeat("---,", len(header)-1)+"---", ","))
+	t.row(header)
+	t.row(strings.Split(strings.Repeat("---,", len(header)-1)+"---", ","))
 	for _, d := range []bylab.Deployment{bylab.Jadepeak, bylab.Bluebonnet} {
 		for _, m := range list {
-			if err := printMeasure(d, m, policies); err != nil {
+			if err := t.measure(d, m, policies); err != nil {
 				return err
 			}
 		}
 	}
-	fmt.Printf("\nseeds %v; a cell is the mean over them (least to greatest)\n", seeds)
+	fmt.Fprintf(t, "\nseeds %v; a cell is the mean over them (least to greatest)\n", seeds)
 	return nil
 }
 
-func printMeasure(d bylab.Deployment, m measure, policies []bylab.PolicyMaker) error {
+func (t *table) measure(d bylab.Deployment, m measure, policies []bylab.PolicyMaker) error {
 	results := make([][]*bylab.Result, len(policies))
 	var group errgroup.Group
 	for i, p := range policies {
@@ -140,12 +170,15 @@
 		for i := range policies {
 			row = append(row, cell(f, results[i]))
 		}
-		printRow(append(row, f.target))
+		t.row(append(row, f.target))
 	}
 	return nil
 }
 
 func cell(f figure, results []*bylab.Result) string {
+	if math.IsNaN(f.of(results[0])) {
+		return "—"
+	}
 	sum, least, greatest := 0.0, 0.0, 0.0
 	for i, r := range results {
 		x := f.of(r)
@@ -159,5 +192,3 @@
 	}
 	return fmt.Sprintf(f.format+" ("+f.format+" to "+f.format+")", sum/float64(len(results)), least, greatest)
 }
-
-func printRow(cells []string) { fmt.Println("| " + strings.Join(cells, " | ") + " |") }
--- a/core/byadmit/byadmit.go
+++ b/core/byadmit/byadmit.go
@@ -24,9 +24,6 @@
 )
 
 const (
-	// aging is how much engine time a call's cost shrinks for each unit of its
-	// wait, so that a long call is not overtaken for ever.
-	aging = 0.25
 	// minRetryAfter is the shortest time to come back that is ever told.
 	minRetryAfter = time.Second
 	// maxRetryAfter is the longest.
@@ -36,8 +33,6 @@
 	returnShare = 0.7
 	// minDrain keeps predictions finite while no engine serves.
 	minDrain = 0.01
-	// priorityStep is the engine time that one step of class priority is worth.
-	priorityStep = 200 * time.Millisecond
 )
 
 // Call is one call that wants to start.
@@ -94,8 +89,9 @@
 	mu       sync.Mutex
 	drain    float64 // engine seconds served per second
 	cost     time.Duration
-	virtual  float64 // of the last start
-	shares   map[burdockyard.Tenant]*share[V]
+	virtual  float64                          // of the last start
+	shares   map[burdockyard.Tenant]*share[V] // of tenants that are ahead of the others
+	active   map[burdockyard.Tenant]*share[V] // of tenants with waiting calls
 	byClass  map[string]int
 	returnAt time.Time // when the last refused caller was told to come back
 }
@@ -104,7 +100,6 @@
 type options struct {
 	rnd     *rand.Rand
 	fair    bool
-	ordered bool
 	predict bool
 }
 
@@ -117,9 +112,6 @@
 // WithoutFairness starts calls regardless of their tenant.
 func WithoutFairness() Option { return func(o *options) { o.fair = false } }
 
-// WithoutOrder starts calls as they came.
-func WithoutOrder() Option { return func(o *options) { o.ordered = false } }
-
 // WithoutPrediction takes every call for which the queue has room.
 func WithoutPrediction() Option { return func(o *options) { o.predict = false } }
 
@@ -128,9 +120,10 @@
 	q := &Queue[V]{
 		options: options{
 			rnd:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-			fair: true, ordered: true, predict: true,
+			fair: true, predict: true,
 		},
-		drain: 1, shares: map[burdockyard.Tenant]*share[V]{}, byClass: map[string]int{},
+		drain: 1, shares: map[burdockyard.Tenant]*share[V]{}, active: map[burdockyard.Tenant]*share[V]{},
+		byClass: map[string]int{},
 	}
 	for _, opt := range opts {
 		opt(&q.options)
@@ -158,6 +151,7 @@
 	t := &Ticket[V]{call: c, value: value, arrived: now}
 	s := q.share(c.Tenant)
 	s.waiting = append(s.waiting, t)
+	q.active[c.Tenant] = s
 	q.byClass[c.Class]++
 	q.cost += c.Cost
 	return t, nil
@@ -182,11 +176,11 @@
 // weighted share of the same span, since the fair order lets no more through.
 func (q *Queue[V]) wait(c Call) time.Duration {
 	var own time.Duration
-	if s := q.shares[c.Tenant]; s != nil {
+	if s := q.active[c.Tenant]; s != nil {
 		own = q.aheadOf(c, s)
 	}
 	ahead := own
-	for tenant, s := range q.shares {
+	for tenant, s := range q.active {
 		if tenant == c.Tenant || len(s.waiting) == 0 {
 			continue
 		}
@@ -199,7 +193,7 @@
 func (q *Queue[V]) aheadOf(c Call, s *share[V]) time.Duration {
 	var sum time.Duration
 	for _, t := range s.waiting {
-		if !q.ordered || newKey(t.call) <= newKey(c) {
+		if t.call.Priority >= c.Priority {
 			sum += t.call.Cost
 		}
 	}
@@ -238,13 +232,6 @@
 	return min(max(q.returnAt.Sub(now), minRetryAfter)+jitter, maxRetryAfter)
 }
 
-func newKey(c Call) time.Duration { return c.Cost - time.Duration(c.Priority)*priorityStep }
-
-// key orders the calls of one tenant: short before long, less what they waited.
-func key[V any](t *Ticket[V], now time.Time) time.Duration {
-	return newKey(t.call) - time.Duration(aging*float64(now.Sub(t.arrived)))
-}
-
 // Next takes the call of a lane that should start next out of the queue, if
 // mayStart agrees; nil if nothing waits or it does not. Calls whose time is
 // over are left for Expire.
@@ -262,14 +249,30 @@
 	q.remove(s, i)
 	q.virtual = max(q.virtual, s.virtual)
 	s.virtual += t.call.Cost.Seconds() / float64(max(t.call.Weight, 1))
+	q.forgetLevel()
 	return t
 }
 
+// forgetLevel forgets a few tenants that have nothing waiting and are not ahead
+// of the others: coming back they would start level anyway.
+func (q *Queue[V]) forgetLevel() {
+	const few = 4
+	n := 0
+	for tenant, s := range q.shares {
+		if n++; n > few {
+			return
+		}
+		if len(s.waiting) == 0 && s.virtual <= q.virtual {
+			delete(q.shares, tenant)
+		}
+	}
+}
+
 // first returns the share and index of the lane's call that should start next.
 func (q *Queue[V]) first(now time.Time, long bool) (*share[V], int) {
 	var best *share[V]
 	bestIndex := -1
-	for _, s := range q.shares {
+	for _, s := range q.active {
 		i := q.firstOf(s, now, long)
 		if i < 0 {
 			continue
@@ -294,13 +297,15 @@
 	return ta.call.Tenant < tb.call.Tenant
 }
 
+// firstOf returns the index of a tenant's next call: the highest priority, then
+// the first that came; -1 if there is none.
 func (q *Queue[V]) firstOf(s *share[V], now time.Time, long bool) int {
 	best := -1
 	for i, t := range s.waiting {
 		if t.call.Long != long || q.predict && t.call.StartBy.Before(now) {
 			continue
 		}
-		if best < 0 || (q.ordered && key(t, now) < key(s.waiting[best], now)) {
+		if best < 0 || t.call.Priority > s.waiting[best].call.Priority {
 			best = i
 		}
 	}
@@ -312,6 +317,9 @@
 	s.waiting = slices.Delete(s.waiting, i, i+1)
 	q.byClass[t.call.Class]--
 	q.cost -= t.call.Cost
+	if len(s.waiting) == 0 {
+		delete(q.active, t.call.Tenant)
+	}
 }
 
 // Expire takes out the calls that can no longer start in time, with when each
@@ -323,7 +331,7 @@
 		return nil
 	}
 	expired := map[*Ticket[V]]*Refusal{}
-	for _, s := range q.shares {
+	for _, s := range q.active {
 		for i := len(s.waiting) - 1; i >= 0; i-- {
 			t := s.waiting[i]
 			if t.call.StartBy.Before(now) {
@@ -339,7 +347,10 @@
 func (q *Queue[V]) Remove(t *Ticket[V]) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	s := q.shares[t.call.Tenant]
+	s := q.active[t.call.Tenant]
+	if s == nil {
+		return false
+	}
 	i := slices.Index(s.waiting, t)
 	if i < 0 {
 		return false
@@ -353,7 +364,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n := 0
-	for _, s := range q.shares {
+	for _, s := range q.active {
 		n += len(s.waiting)
 	}
 	return n
--- /dev/null
+++ b/core/byadmit/byadmit_test.go
@@ -0,0 +1,112 @@
+package byadmit_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/byadmit"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newQueue() *byadmit.Queue[string] {
+	return byadmit.New[string](byadmit.WithRand(rand.New(rand.NewPCG(1, 1))))
+}
+
+func call(tenant string, cost time.Duration) byadmit.Call {
+	return byadmit.Call{Tenant: burdockyard.Tenant(tenant), Weight: 1, Class: "c", Queue: 1000, Cost: cost, StartBy: start.Add(time.Hour)}
+}
+
+func offer(t *testing.T, q *byadmit.Queue[string], c byadmit.Call, value string) {
+	t.Helper()
+	if _, refusal := q.Offer(c, value, start); refusal != nil {
+		t.Fatalf("%s: %s", value, refusal.Cause())
+	}
+}
+
+func drain(q *byadmit.Queue[string], long bool) []string {
+	var order []string
+	for {
+		ticket := q.Next(start, long, func(*byadmit.Ticket[string]) bool { return true })
+		if ticket == nil {
+			return order
+		}
+		order = append(order, ticket.Value())
+	}
+}
+
+func TestOrder(t *testing.T) {
+	q := newQueue()
+	offer(t, q, call("flood", time.Second), "flood 1")
+	offer(t, q, call("flood", time.Second), "flood 2")
+	offer(t, q, call("flood", time.Second), "flood 3")
+	urgent := call("flood", time.Second)
+	urgent.Priority = 1
+	offer(t, q, urgent, "flood urgent")
+	offer(t, q, call("small", time.Second), "small 1")
+	long := call("small", time.Minute)
+	long.Long = true
+	offer(t, q, long, "small long")
+	want := []string{"flood urgent", "small 1", "flood 1", "flood 2", "flood 3"}
+	if got := drain(q, false); !slices.Equal(got, want) {
+		t.Errorf("short lane: got %q, want %q", got, want)
+	}
+	if got := drain(q, true); !slices.Equal(got, []string{"small long"}) {
+		t.Errorf("long lane: got %q", got)
+	}
+}
+
+// TestLanes checks that a plan which finds no engine holds up no question.
+func TestLanes(t *testing.T) {
+	q := newQueue()
+	long := call("a", time.Minute)
+	long.Long = true
+	offer(t, q, long, "plan")
+	offer(t, q, call("a", time.Second), "question")
+	if q.Next(start, true, func(*byadmit.Ticket[string]) bool { return false }) != nil {
+		t.Error("the plan started without room")
+	}
+	if got := drain(q, false); !slices.Equal(got, []string{"question"}) {
+		t.Errorf("got %q", got)
+	}
+}
+
+// TestRefusal checks that a call which cannot start in time is refused at once,
+// and that a thousand refused callers come back no faster than they are served.
+func TestRefusal(t *testing.T) {
+	q := newQueue()
+	q.SetDrain(1)
+	offer(t, q, call("a", 10*time.Second), "first")
+	late := call("a", time.Second)
+	late.StartBy = start.Add(5 * time.Second)
+	var returns []time.Duration
+	for range 100 {
+		_, refusal := q.Offer(late, "late", start)
+		if refusal == nil {
+			t.Fatal("taken, although ten seconds of work are ahead")
+		}
+		returns = append(returns, refusal.RetryAfter())
+	}
+	slices.Sort(returns)
+	for i := 10; i < len(returns); i++ {
+		if returns[i]-returns[i-10] < 8*time.Second {
+			t.Errorf("ten seconds of work come back within %s", returns[i]-returns[i-10])
+		}
+	}
+}
+
+func TestExpire(t *testing.T) {
+	q := newQueue()
+	c := call("a", time.Second)
+	c.StartBy = start.Add(time.Second)
+	offer(t, q, c, "a")
+	if n := len(q.Expire(start.Add(time.Second))); n != 0 {
+		t.Errorf("%d calls expired in time", n)
+	}
+	if n := len(q.Expire(start.Add(time.Second + 1))); n != 1 || q.Len() != 0 || q.Backlog() != 0 {
+		t.Errorf("%d calls expired, %d wait, backlog %s", n, q.Len(), q.Backlog())
+	}
+}
--- a/core/bylease/bylease.go
+++ b/core/bylease/bylease.go
@@ -33,6 +33,8 @@
 	DefaultTTL = 6 * time.Second
 	// DefaultMargin is added to the TTL by a process that waits to take over.
 	DefaultMargin = 2 * time.Second
+	// renewBelow is the part of the TTL, in percent, below which a lease is renewed.
+	renewBelow = 70
 	// DefaultTransit bounds how long an order may still be on its way to an
 	// engine after its sender stopped.
 	DefaultTransit = 5 * time.Second
@@ -152,7 +154,11 @@
 	defer func() { <-k.turn }()
 	k.mu.Lock()
 	held, row, version := k.held, k.row, k.rowVersion
+	early := held && k.until.Sub(k.clock.Now()) > k.ttl*renewBelow/100
 	k.mu.Unlock()
+	if early {
+		return nil
+	}
 	if held {
 		return k.renew(ctx, row, version)
 	}
--- a/core/bymanifest/manifest.go
+++ b/core/bymanifest/manifest.go
@@ -92,6 +92,7 @@
 	spec       Spec
 	generation uint64
 	engines    []*Engine
+	byID       map[burdockyard.EndpointID]*Engine
 	byModel    map[string][]*Engine
 	services   map[string]*Service
 	classes    map[string]ClassSpec
@@ -101,7 +102,7 @@
 // New returns the aggregate of a Spec without problems.
 func New(s Spec, generation uint64) *Manifest {
 	m := &Manifest{
-		spec: s, generation: generation, byModel: map[string][]*Engine{},
+		spec: s, generation: generation, byID: map[burdockyard.EndpointID]*Engine{}, byModel: map[string][]*Engine{},
 		services: map[string]*Service{}, classes: map[string]ClassSpec{},
 		tenants: map[burdockyard.Tenant]TenantSpec{},
 	}
@@ -132,6 +133,7 @@
 		count[group]++
 		e := &Engine{spec: spec, model: models[spec.Model], shard: shard}
 		m.engines = append(m.engines, e)
+		m.byID[e.ID()] = e
 		m.byModel[spec.Model] = append(m.byModel[spec.Model], e)
 	}
 }
@@ -150,11 +152,8 @@
 
 // Engine returns the engine with an id.
 func (m *Manifest) Engine(id burdockyard.EndpointID) (*Engine, bool) {
-	i := slices.IndexFunc(m.engines, func(e *Engine) bool { return e.ID() == id })
-	if i < 0 {
-		return nil, false
-	}
-	return m.engines[i], true
+	e, ok := m.byID[id]
+	return e, ok
 }
 
 // ModelEngines returns the engines of a model, serving or not.
--- a/core/byorder/byorder.go
+++ b/core/byorder/byorder.go
@@ -69,6 +69,7 @@
 	gate Gate
 
 	mu     sync.Mutex
+	known  map[burdockyard.EndpointID]known     // rows that this holder wrote last
 	sends  int                                  // orders on their way
 	quiet  map[burdockyard.EndpointID]time.Time // no next order before this time
 	onSent func(burdockyard.Order)
@@ -111,6 +112,7 @@
 		quiet:   map[burdockyard.EndpointID]time.Time{},
 		onSent:  func(burdockyard.Order) {},
 		gate:    openGate{},
+		known:   map[burdockyard.EndpointID]known{},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -143,7 +145,7 @@
 	if err != nil {
 		return err
 	}
-	row, rec, err := c.read(ctx, t.Engine)
+	row, rec, err := c.read(ctx, grant, t.Engine)
 	if err != nil {
 		return err
 	}
@@ -156,6 +158,7 @@
 	}
 	if !needsOrder(t, row, rec, report) {
 		c.releaseGate(t, report)
+		c.remember(t.Engine, known{grant.Fence(), row.Version, rec})
 		return nil
 	}
 	if c.inQuiet(t.Engine) {
@@ -178,8 +181,34 @@
 	return grant, nil
 }
 
-func (c *Controller) read(ctx context.Context, id burdockyard.EndpointID) (burdockyard.Row, record, error) {
+// known is a concluded row as this process wrote it under a fence. While it
+// holds the lease under the same fence nobody else writes the row, so that an
+// engine which wants nothing costs no read of the table.
+type known struct {
+	fence   uint64
+	version uint64
+	rec     record
+}
+
+func (c *Controller) remember(id burdockyard.EndpointID, k known) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.known[id] = k
+}
+
+func (c *Controller) recall(grant bylease.Grant, id burdockyard.EndpointID) (known, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k, ok := c.known[id]
+	delete(c.known, id) // until this step has shown that it still holds
+	return k, ok && k.fence == grant.Fence()
+}
+
+func (c *Controller) read(ctx context.Context, grant bylease.Grant, id burdockyard.EndpointID) (burdockyard.Row, record, error) {
 	var rec record
+	if k, ok := c.recall(grant, id); ok {
+		return burdockyard.Row{Key: Key(id), Version: k.version}, k.rec, nil
+	}
 	rows, err := c.table.Get(ctx, Key(id))
 	if err != nil {
 		return burdockyard.Row{}, rec, err
--- a/core/byproof/matrix_test.go
+++ b/core/byproof/matrix_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"testing"
+
+	"burdockyard/io/bypage"
 )
 
 const (
@@ -19,8 +21,6 @@
 	pairsSampled = 10
 	pairsFull    = 300
 	faultsPage   = "../../docs/FAULTS.md"
-	pageBegin    = "<!-- matrix: written by make faults -->\n"
-	pageEnd      = "<!-- end of matrix -->\n"
 )
 
 func full() bool { return os.Getenv("BURDOCK_FAULTS") == "full" }
@@ -153,7 +153,7 @@
 	fmt.Fprintf(&b, "\nfaults: %d runs, %d steps, %d red\n", runs, m.steps, red)
 	fmt.Print(b.String())
 	if full() {
-		if err := writePage(b.String()); err != nil {
+		if err := bypage.Replace(faultsPage, "matrix", b.String()); err != nil {
 			t.Error(err)
 		}
 	}
@@ -173,17 +173,3 @@
 	}
 	return names
 }
-
-// writePage replaces the matrix on the page about faults.
-func writePage(table string) error {
-	page, err := os.ReadFile(faultsPage)
-	if err != nil {
-		return err
-	}
-	before, rest, ok1 := strings.Cut(string(page), pageBegin)
-	_, after, ok2 := strings.Cut(rest, pageEnd)
-	if !ok1 || !ok2 {
-		return fmt.Errorf("%s has no place for the matrix", faultsPage)
-	}
-	return os.WriteFile(faultsPage, []byte(before+pageBegin+"\n"+table+"\n"+pageEnd+after), 0o644)
-}
--- a/core/byproof/node_test.go
+++ b/core/byproof/node_test.go
@@ -73,7 +73,7 @@
 	w.nodes[self.Addr] = n
 	w.mu.Unlock()
 	n.loop(bymember.HeartbeatEvery, n.beatAll)
-	n.loop(500*time.Millisecond, n.followManifest)
+	n.loop(time.Second, n.followManifest)
 	n.loop(time.Second, n.control)
 	n.loop(time.Second, func() { n.desk.Sweep(proc.ctx) })
 	n.group.Go(func() { _ = n.server.Run(proc.ctx) })
@@ -151,8 +151,8 @@
 			return nil
 		}, func() { peer.view.Hear(b) })
 	}
-	alive := n.view.Alive()
-	n.server.Dispatcher().Tick(n.view.PeerLoads(), len(alive)+1, time.Now())
+	place := byroute.Place{Nodes: len(n.view.Alive()) + 1}
+	n.server.Dispatcher().Tick(n.view.PeerLoads(), place, time.Now())
 	n.server.Dispatcher().Router().Hold(append(n.view.Holds(), n.gate.Held()...))
 }
 
--- a/core/byroute/byroute.go
+++ b/core/byroute/byroute.go
@@ -8,7 +8,7 @@
 //	flight := r.Start(choice, work, now)
 //	flight.Token(now) // for each token
 //	flight.End()
-//	r.Tick(peerLoads, nodes, now) // with each heartbeat
+//	r.Tick(peerLoads, place, now) // with each heartbeat
 //
 // The estimate counts work that this node and its peers have open at an engine.
 // The engine's own load report is not used: it tells of a straggler late.
@@ -19,6 +19,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"burdockyard"
 	"burdockyard/core/bymanifest"
 	"burdockyard/core/bymember"
@@ -37,6 +39,15 @@
 	fullPenalty = 200 * time.Millisecond
 	// decodeWeight is the wait that a batch full of other streams counts for.
 	decodeWeight = 60 * time.Millisecond
+	// gapFresh is how long the distance of two tokens tells of an engine's prompts.
+	gapFresh = 100 * time.Millisecond
+	// promptingGap is the distance up to which an engine only makes output, and
+	// promptingWeight the wait for what is beyond it, up to promptingMost.
+	promptingGap    = 15 * time.Millisecond
+	promptingWeight = 5.0
+	promptingMost   = 100 * time.Millisecond
+	// promptingUnknown is the wait at an engine where no call is open.
+	promptingUnknown = 50 * time.Millisecond
 	// failHold is how long an engine that refused or dropped a call is avoided.
 	failHold = 2 * time.Second
 )
@@ -59,14 +70,19 @@
 	Backlog  time.Duration // part of Wait that is other calls' prompts
 	Uncached int           // prompt tokens to process
 	Streams  int           // open there, as far as is known
+	Seat     bool          // the batch has a place for one more stream of this node
 }
 
 // engine is what a Router knows of one engine.
 type engine struct {
+	hash      uint64
 	own       bymember.Load
+	atTick    bymember.Load // own, when peers was read
 	peers     bymember.Load
-	speed     float64 // share of the usual speed, 1 unless slow
-	gap       floor   // time between tokens, relative to the expected
+	speed     float64       // share of the usual speed, 1 unless slow
+	gap       floor         // time between tokens, relative to the expected
+	lastGap   time.Duration // between the last two tokens of one call
+	lastAt    time.Time     // when the last of them arrived
 	slowSince time.Time
 	probeAt   time.Time
 	failed    time.Time // avoided until
@@ -81,8 +97,10 @@
 	engines map[burdockyard.EndpointID]*engine
 	prefix  *prefixIndex
 	detect  bool
-	nodes   int     // that share the engines, this one included
-	stretch float64 // how many times longer prompts take than their rate says
+	// distance is whether the distance of tokens counts.
+	distance bool
+	place    Place
+	stretch  float64 // how many times longer prompts take than their rate says
 }
 
 // Option sets an optional part of a Router.
@@ -94,6 +112,9 @@
 // WithoutDetection takes every engine for equally fast.
 func WithoutDetection() Option { return func(r *Router) { r.detect = false } }
 
+// WithoutTokenDistance ignores what the distance of tokens tells of an engine.
+func WithoutTokenDistance() Option { return func(r *Router) { r.distance = false } }
+
 // WithoutAffinity ignores what engines may have cached.
 func WithoutAffinity() Option { return func(r *Router) { r.prefix = nil } }
 
@@ -103,8 +124,8 @@
 		rnd:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		engines: map[burdockyard.EndpointID]*engine{},
 		prefix:  newPrefixIndex(),
-		detect:  true,
-		nodes:   1,
+		detect:  true, distance: true,
+		place:   Place{Nodes: 1},
 		stretch: 1,
 	}
 	for _, opt := range opts {
@@ -116,7 +137,7 @@
 func (r *Router) entry(id burdockyard.EndpointID) *engine {
 	e := r.engines[id]
 	if e == nil {
-		e = &engine{speed: 1}
+		e = &engine{speed: 1, hash: xxhash.Sum64String(string(id))}
 		r.engines[id] = e
 	}
 	return e
@@ -174,24 +195,27 @@
 func (r *Router) estimate(e *bymanifest.Engine, w Work, now time.Time) Choice {
 	s := r.entry(e.ID())
 	model := e.Model()
-	speed := s.speed
+	speed, prompting := s.speed, s.prompting(now)
 	if r.probeDue(s, now) {
-		speed = 1
+		speed, prompting = 1, 0
 	}
 	rate := float64(model.PrefillRate) * speed / r.stretch
-	load := s.load(r.nodes)
+	load := s.load(r.place.Nodes)
 	backlog := load.PrefillTokens
 	if !w.Long() {
 		backlog -= load.LongTokens // runs after it
 	}
 	streams := load.Streams
 	uncached := w.PromptTokens - r.prefix.cachedTokens(w.Prefix, e.ID())
-	c := Choice{Engine: e, Uncached: uncached, Streams: streams, Backlog: seconds(float64(backlog) / rate)}
+	c := Choice{Engine: e, Uncached: uncached, Streams: streams, Seat: s.seat(r.place, model.MaxStreams), Backlog: seconds(float64(backlog) / rate)}
 	c.Wait = c.Backlog + seconds(float64(uncached)/rate)
 	c.Wait += time.Duration(float64(decodeWeight) * float64(streams) / float64(model.MaxStreams) / speed)
 	if over := streams + 1 - model.MaxStreams; over > 0 {
 		c.Wait += time.Duration(over) * fullPenalty
 	}
+	if r.distance {
+		c.Wait += prompting
+	}
 	if now.Before(s.failed) {
 		c.Wait += failHold
 	}
@@ -215,6 +239,44 @@
 	}
 }
 
+// prompting returns the wait that an engine's last tokens tell of.
+//
+// An engine that processes prompts makes its tokens farther apart at once. The
+// calls that a node has open anywhere thus tell it which engines are busy now
+// with prompts that other nodes sent, long before any digest does.
+func (e *engine) prompting(now time.Time) time.Duration {
+	if now.Sub(e.lastAt) > gapFresh {
+		return promptingUnknown
+	}
+	return min(time.Duration(promptingWeight*float64(max(e.lastGap-promptingGap, 0))), promptingMost)
+}
+
+// Place is a node's place among the nodes that share the engines.
+type Place struct {
+	Index int // from 0, another for each node
+	Nodes int
+}
+
+// seat reports whether the node may take one more place of the engine's batch.
+//
+// The places are shared out: of 32, each of 7 nodes has 4, and 4 of the nodes,
+// others at each engine, have one more. Nodes that all took what looks free
+// would overfill the batch at a crest, and a stream that waits at the engine
+// gets its first token too late. A node that has more callers than the others
+// may go beyond its share while half of the batch stays free, even if all the
+// others grew like it since they last told.
+func (e *engine) seat(p Place, places int) bool {
+	share := places / p.Nodes
+	if (uint64(p.Index)+e.hash)%uint64(p.Nodes) < uint64(places%p.Nodes) {
+		share++
+	}
+	if e.own.Streams < share {
+		return true
+	}
+	grown := (p.Nodes - 1) * max(0, e.own.Streams-e.atTick.Streams)
+	return e.own.Streams+e.peers.Streams+grown < places/2
+}
+
 // notePrefill learns how much longer prompts take than the rate of an engine
 // that does nothing else.
 func (r *Router) notePrefill(took, expected time.Duration) {
@@ -278,7 +340,7 @@
 	return &Flight{
 		r: r, id: c.Engine.ID(), uncached: c.Uncached, long: w.Long(), began: now,
 		expected: seconds(c.Backlog.Seconds()/r.stretch + float64(c.Uncached)/float64(model.PrefillRate)),
-		gap:      seconds(float64(c.Streams+1) / float64(model.DecodeRate)),
+		gap:      usualIteration + seconds(float64(s.own.Streams+s.peers.Streams)/float64(model.DecodeRate)),
 	}
 }
 
@@ -293,6 +355,7 @@
 		f.uncached = 0
 	} else {
 		s.gap.add(relative(now.Sub(f.last), f.gap), now)
+		s.lastGap, s.lastAt = now.Sub(f.last), now
 	}
 	f.last = now
 }
@@ -311,12 +374,13 @@
 }
 
 // Tick takes in the open work of the other nodes and compares the engines' speeds.
-func (r *Router) Tick(peers map[burdockyard.EndpointID]bymember.Load, nodes int, now time.Time) {
+func (r *Router) Tick(peers map[burdockyard.EndpointID]bymember.Load, place Place, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.nodes = max(nodes, 1)
+	r.place = place
 	for id, e := range r.engines {
 		e.peers = peers[id]
+		e.atTick = e.own
 	}
 	for id, l := range peers {
 		r.entry(id).peers = l
--- a/core/byroute/speed.go
+++ b/core/byroute/speed.go
@@ -7,9 +7,9 @@
 
 const (
 	// floorRise is how far a floor rises towards a larger observation.
-	floorRise = 0.05
+	floorRise = 0.02
 	// minObservations is how many are needed before an engine is judged.
-	minObservations = 16
+	minObservations = 32
 	// freshFor is how long a floor counts after its last observation.
 	freshFor = 10 * time.Second
 	// slowRatio is how many times the median's delay makes an engine slow.
@@ -20,8 +20,8 @@
 	minSpeed = 0.02
 	// probeEvery is how often a slow engine is offered a call as if it were not.
 	probeEvery = 8 * time.Second
-	// minExpected keeps tiny expected times from making huge ratios.
-	minExpected = 5 * time.Millisecond
+	// usualIteration is the part of the distance of tokens that no load changes.
+	usualIteration = 5 * time.Millisecond
 )
 
 // floor follows the lower edge of delays, as multiples of the expected: it falls
@@ -52,7 +52,7 @@
 
 // relative returns a delay as a multiple of the expected.
 func relative(d, expected time.Duration) float64 {
-	return float64(d) / float64(max(expected, minExpected))
+	return float64(d) / float64(max(expected, usualIteration))
 }
 
 // compareSpeeds sets each engine's speed from its delay against the median.
--- a/core/byserve/dispatch.go
+++ b/core/byserve/dispatch.go
@@ -151,7 +151,7 @@
 // calls that wait at the nodes.
 func (d *Dispatcher[V]) hasRoom(c byroute.Choice, left time.Duration) bool {
 	backlog := max(d.backlog, min(left/2, maxBacklog))
-	return c.Backlog <= backlog && c.Streams < c.Engine.Model().MaxStreams
+	return c.Backlog <= backlog && c.Seat
 }
 
 // Move picks another engine for a call that has started before.
@@ -179,12 +179,12 @@
 	return refused
 }
 
-// Tick takes in what the peers have open and how many nodes share the engines.
-func (d *Dispatcher[V]) Tick(peers map[burdockyard.EndpointID]bymember.Load, nodes int, now time.Time) {
-	d.router.Tick(peers, nodes, now)
+// Tick takes in what the peers have open and the node's place among them.
+func (d *Dispatcher[V]) Tick(peers map[burdockyard.EndpointID]bymember.Load, place byroute.Place, now time.Time) {
+	d.router.Tick(peers, place, now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.nodes = max(nodes, 1)
+	d.nodes = place.Nodes
 	for model, q := range d.queues {
 		d.setDrain(model, q)
 	}
--- /dev/null
+++ b/io/bylab/bylab_test.go
@@ -0,0 +1,40 @@
+package bylab
+
+import (
+	"testing"
+	"time"
+)
+
+const seed = 11
+
+// TestSameFigures checks that a seed gives the same figures at each run.
+func TestSameFigures(t *testing.T) {
+	a := Run(Bluebonnet, Mixed(Bluebonnet, 0.5, 0.2), Burdock(), seed)
+	b := Run(Bluebonnet, Mixed(Bluebonnet, 0.5, 0.2), Burdock(), seed)
+	if x, y := a.FirstToken(0.95, 0, time.Hour), b.FirstToken(0.95, 0, time.Hour); x != y || a.Goodput() != b.Goodput() {
+		t.Errorf("p95 %s and %s, goodput %g and %g", x, y, a.Goodput(), b.Goodput())
+	}
+}
+
+// TestTargets checks those stated targets that are met, in virtual time.
+func TestTargets(t *testing.T) {
+	for _, d := range []Deployment{Jadepeak, Bluebonnet} {
+		span := 30 * time.Second
+		once := Run(d, Steady(d, 1, span), Burdock(), seed).GoodTokensPerSecond(span)
+		thrice := Run(d, Steady(d, 3, span), Burdock(), seed).GoodTokensPerSecond(span)
+		if thrice < 0.95*once {
+			t.Errorf("%s: %.0f good tokens/s at 3x, %.0f at 1x", d.Name, thrice, once)
+		}
+		alone := Run(d, Mixed(d, 0.6, 0), Burdock(), seed).FirstToken(0.99, 0, time.Hour)
+		beside := Run(d, Mixed(d, 0.8, 0.25), Burdock(), seed).FirstToken(0.99, 0, time.Hour)
+		if beside > 2*alone {
+			t.Errorf("%s: p99 first token %s beside long plans, %s alone", d.Name, beside, alone)
+		}
+		from, to := 30*time.Second, 90*time.Second
+		none := Run(d, Straggler(d, 0), Burdock(), seed)
+		one := Run(d, Straggler(d, 1), Burdock(), seed)
+		if x, y := one.FirstToken(0.99, from, to), none.FirstToken(0.99, from, to); 2*x > 3*y {
+			t.Errorf("%s: p99 first token %s with one engine slowed, %s with none", d.Name, x, y)
+		}
+	}
+}
--- a/io/bylab/policies.go
+++ b/io/bylab/policies.go
@@ -116,7 +116,7 @@
 		own[l.Engine] = l
 	}
 	p.digests[i] = own
-	p.nodes[i].Tick(p.peerLoads(i), len(p.nodes), p.s.clock())
+	p.nodes[i].Tick(p.peerLoads(i), byroute.Place{Index: i, Nodes: len(p.nodes)}, p.s.clock())
 	p.noteSlow(i)
 	p.s.after(beatEvery, func() { p.beat(i) })
 }
--- a/io/bylab/result.go
+++ b/io/bylab/result.go
@@ -1,6 +1,7 @@
 package bylab
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -40,6 +41,25 @@
 	return float64(served) / float64(max(refused, 1))
 }
 
+// OthersServed returns the share of the calls of every tenant but the first that
+// were answered in time at once.
+func (r *Result) OthersServed() float64 {
+	n, served := 0, 0
+	for _, c := range r.calls {
+		if c.Tenant.Name == r.Deployment.Tenants[0].Name {
+			continue
+		}
+		n++
+		if c.InTime() && c.refused == 0 {
+			served++
+		}
+	}
+	if n == 0 {
+		return math.NaN() // there is one tenant only
+	}
+	return float64(served) / float64(n)
+}
+
 func (r *Result) share(good func(*Call) bool) float64 {
 	n := 0
 	for _, c := range r.calls {
@@ -132,12 +152,19 @@
 	return quantile(all, q), float64(len(all)) / float64(max(n, 1))
 }
 
-// Noticed returns how long it took to weight a slow engine down, and Restored
-// how long after its recovery the last one was.
-func (r *Result) Noticed() time.Duration { return r.noticed - r.Workload.Slow.From }
+// Noticed returns how long it took to weight a slow engine down; negative if one
+// was before it was slow, and NaN if none ever was.
+func (r *Result) Noticed() float64 { return sinceSeen(r.noticed, r.Workload.Slow.From) }
 
 // Restored returns how long after the slow-down the last engine was restored.
-func (r *Result) Restored() time.Duration { return r.restored - r.Workload.Slow.To }
+func (r *Result) Restored() float64 { return sinceSeen(r.restored, r.Workload.Slow.To) }
+
+func sinceSeen(at, from time.Duration) float64 {
+	if at == 0 {
+		return math.NaN()
+	}
+	return (at - from).Seconds()
+}
 
 func quantile(all []time.Duration, q float64) time.Duration {
 	if len(all) == 0 {
--- a/io/bylab/workloads.go
+++ b/io/bylab/workloads.go
@@ -31,10 +31,16 @@
 	if rnd.Float64() < knownDocuments {
 		document = uint64(rnd.IntN(documents))
 	}
+	c.read(document)
+	return c
+}
+
+// read makes the prompt begin with a document.
+func (c *Call) read(document uint64) {
+	c.Prefix = nil
 	for i := range c.Prompt / byroute.PieceTokens {
 		c.Prefix = append(c.Prefix, document<<8|uint64(i))
 	}
-	return c
 }
 
 const (
@@ -117,6 +123,42 @@
 	}}
 }
 
+// Flood is one tenant with three times the capacity, while each of the others
+// asks for a tenth of it.
+func Flood(d Deployment) Workload {
+	return Workload{Name: "flood", Calls: func(rnd *rand.Rand) []*Call {
+		var calls []*Call
+		rate := d.Capacity(question.prompt, question.output)
+		for i, t := range d.Tenants {
+			share := 0.1
+			if i == 0 {
+				share = 3
+			}
+			poisson(rnd, 0, time.Minute, share*rate, func(at time.Duration) {
+				c := d.call(rnd, at, question)
+				c.Tenant = t
+				calls = append(calls, c)
+			})
+		}
+		return calls
+	}}
+}
+
+// Reread is long plans most of which were read before.
+func Reread(d Deployment) Workload {
+	return Workload{Name: "reread", Calls: func(rnd *rand.Rand) []*Call {
+		var calls []*Call
+		poisson(rnd, 0, 3*time.Minute, 0.7*d.Capacity(longPlan.prompt, longPlan.output), func(at time.Duration) {
+			c := d.call(rnd, at, longPlan)
+			if rnd.Float64() < 0.8 {
+				c.read(uint64(rnd.IntN(documents)))
+			}
+			calls = append(calls, c)
+		})
+		return calls
+	}}
+}
+
 // Straggler is questions while some engines are five times as slow for a minute.
 func Straggler(d Deployment, engines int) Workload {
 	w := Steady(d, 0.5, 2*time.Minute)
--- a/io/bynode/bynode.go
+++ b/io/bynode/bynode.go
@@ -33,9 +33,9 @@
 )
 
 const (
-	manifestEvery = 500 * time.Millisecond
+	manifestEvery = time.Second
 	sweepEvery    = time.Second
-	listEvery     = 2 * time.Second
+	listEvery     = 10 * time.Second
 	controlEvery  = time.Second
 	stopPoll      = 100 * time.Millisecond
 	shutdownLimit = 5 * time.Second
--- a/io/bynode/loops.go
+++ b/io/bynode/loops.go
@@ -11,6 +11,7 @@
 
 	"burdockyard/core/bymanifest"
 	"burdockyard/core/bymember"
+	"burdockyard/core/byroute"
 	"burdockyard/io/bylog"
 	"burdockyard/io/bypeer"
 	"burdockyard/io/bypeer/bypeerpb"
@@ -37,11 +38,25 @@
 	_ = group.Wait()
 	n.view.Forget()
 	now := n.clock.Now()
-	alive := n.view.Alive()
-	n.server.Dispatcher().Tick(n.view.PeerLoads(), len(alive)+1, now)
+	n.server.Dispatcher().Tick(n.view.PeerLoads(), n.place(), now)
 	n.server.Dispatcher().Router().Hold(append(n.view.Holds(), n.gate.Held()...))
 }
 
+// place returns the node's place among those that take callers.
+func (n *Node) place() byroute.Place {
+	p := byroute.Place{Nodes: 1}
+	for _, b := range n.view.Alive() {
+		if b.Leaving {
+			continue
+		}
+		p.Nodes++
+		if b.Member.Node < n.self.Node {
+			p.Index++
+		}
+	}
+	return p
+}
+
 // confirm takes the word of a peer that is itself in touch: two nodes that are
 // both cut off must not confirm each other's old manifest.
 func (n *Node) confirm(b bymember.Heartbeat, asked time.Time) {
