Prove a lost VM gone that left the list before anyone looked

Cause: a new holder counted a former one's VM as gone only if it had itself seen it on the VM list. If the list dropped the VM before the takeover, engines that ignore fencing numbers were never ordered again. The measurement of what their rule costs never ended for that loss.

Ruled out: remembering every VM ever listed on each node (a node that starts after the loss would still never know).

Change: a former holder that stays off the list for its lag (60 s) is gone: it held a lease, so that it is no new VM which the list has yet to show.

TestRegainControl keeps it.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(BIN)/burdock-lab capacity --page docs/CAPACITY.md
 
 faults: ## the whole fault matrix, written to docs/FAULTS.md
-	BURDOCK_FAULTS=full $(GO) test -count=1 -timeout 30m -run 'TestFaultMatrix|TestMutants' ./core/byproof
+	BURDOCK_FAULTS=full $(GO) test -count=1 -timeout 30m -run 'TestFaultMatrix|TestMutants|TestRegainControl' ./core/byproof
 	@sed -n '/^| fault/,/^faults:/p' docs/FAULTS.md
 
 generate: ## protobuf, twirp and wire; needs protoc
--- a/core/bylease/bylease.go
+++ b/core/bylease/bylease.go
@@ -33,6 +33,8 @@
 	DefaultTTL = 6 * time.Second
 	// DefaultMargin is added to the TTL by a process that waits to take over.
 	DefaultMargin = 2 * time.Second
+	// ListLag bounds how late the VM list tells of a VM that has started.
+	ListLag = time.Minute
 	// renewBelow is the part of the TTL, in percent, below which a lease is renewed.
 	renewBelow = 70
 	// DefaultTransit bounds how long an order may still be on its way to an
@@ -103,7 +105,8 @@
 	fence        fenceRow
 	fenceVersion uint64
 	watchedSince time.Time
-	listed       map[string]bool      // addresses seen on the VM list
+	listed       map[string]bool      // former holders' addresses seen on the VM list
+	absentSince  map[string]time.Time // those that are not on it
 	provedAt     map[string]time.Time // incarnation to the time of proof
 }
 
@@ -125,7 +128,7 @@
 	k := &Keeper{
 		table: table, clock: clock, shard: shard, self: self,
 		ttl: DefaultTTL, margin: DefaultMargin, transit: DefaultTransit, turn: make(chan struct{}, 1),
-		listed: map[string]bool{}, provedAt: map[string]time.Time{},
+		listed: map[string]bool{}, absentSince: map[string]time.Time{}, provedAt: map[string]time.Time{},
 	}
 	for _, opt := range opts {
 		opt(k)
@@ -322,6 +325,7 @@
 	k.row, k.rowVersion = row, version
 	k.fence, k.fenceVersion = fence, fenceVersion
 	clear(k.provedAt)
+	clear(k.absentSince)
 }
 
 // Release gives the lease back, so that another process may take it at once.
--- a/core/bylease/prove.go
+++ b/core/bylease/prove.go
@@ -14,7 +14,8 @@
 // write sends when it wakes, however long that takes. What does prove it is
 // its own word, another process at its address, a refused connection there, or its
 // VM gone from the list. The list lags, and a VM that is too new for it is missing as
-// well, so only a VM that was seen on it can be seen to be gone.
+// well. So a VM counts as gone if it was seen on the list before, or if it stays
+// off for longer than the list lags: a former holder is no new VM.
 func (k *Keeper) Prove(ctx context.Context, former burdockyard.FormerHolders, vms burdockyard.VMList) error {
 	k.turn <- struct{}{}
 	defer func() { <-k.turn }()
@@ -58,18 +59,34 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now := map[string]bool{}
+	present := map[string]bool{}
 	for _, vm := range list {
-		now[vm.Addr] = true
-		k.listed[vm.Addr] = true
+		present[vm.Addr] = true
 	}
 	gone := map[string]bool{}
 	for _, m := range members {
-		gone[m.Addr] = k.listed[m.Addr] && !now[m.Addr]
+		gone[m.Addr] = k.noteListed(m.Addr, present[m.Addr])
 	}
 	return gone
 }
 
+// noteListed reports whether an address has left the VM list: it was on it, or
+// has not come onto it for longer than the list lags. The caller holds mu.
+func (k *Keeper) noteListed(addr string, present bool) bool {
+	if present {
+		k.listed[addr] = true
+		delete(k.absentSince, addr)
+		return false
+	}
+	now := k.clock.Now()
+	since, known := k.absentSince[addr]
+	if !known {
+		k.absentSince[addr] = now
+		since = now
+	}
+	return k.listed[addr] || now.Sub(since) >= ListLag
+}
+
 func (k *Keeper) recordProof(m burdockyard.Member) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/core/byproof/endpoints_test.go
+++ b/core/byproof/endpoints_test.go
@@ -34,7 +34,7 @@
 	state    burdockyard.EngineState
 	highest  uint64 // fencing number; survives a crash, as the store of a real one does
 	last     burdockyard.Order
-	applied  int
+	since    time.Time // of the state
 	changing time.Time
 	streams  map[burdockyard.RequestID]*answer
 	decided  []time.Time // when a node began to send work that the engine took
@@ -110,7 +110,7 @@
 	}
 	e.last = o
 	e.state = o.State
-	e.applied++
+	e.since = time.Now()
 }
 
 func (e *engine) start(req burdockyard.GenerateRequest) (*answer, error) {
--- a/core/byproof/node_test.go
+++ b/core/byproof/node_test.go
@@ -292,6 +292,10 @@
 
 func (x peers) Yield(_ context.Context, m burdockyard.Member, shard burdockyard.ShardID, fence uint64) (ok bool, err error) {
 	peer := x.n.w.node(m.Addr)
+	if peer != nil && peer.proc.lostVM() {
+		time.Sleep(callTimeout)
+		return false, errLost
+	}
 	if peer == nil || peer.proc.isDead() || peer.self.Incarnation != m.Incarnation {
 		return true, nil // refused, or another process
 	}
@@ -344,6 +348,12 @@
 	}, again)
 }
 
+func (p *process) lostVM() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.vmLost
+}
+
 func (p *process) isPaused() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/core/byproof/regain_test.go
@@ -0,0 +1,110 @@
+package byproof
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/bymanifest"
+	"burdockyard/io/bypage"
+)
+
+// loss is a way in which a shard loses its holder.
+type loss struct {
+	name string
+	do   func(s *sim, holder *node)
+}
+
+var losses = []loss{
+	{"stopped on purpose", func(s *sim, n *node) { s.background.Go(n.stop) }},
+	{"killed, started again after 2 s", func(_ *sim, n *node) { n.proc.kill() }},
+	{"paused for 12 s", func(_ *sim, n *node) { n.proc.pause(pauseFor) }},
+	{"paused for 60 s", func(_ *sim, n *node) { n.proc.pause(time.Minute) }},
+	{"cut off from the platform for 12 s", func(_ *sim, n *node) { n.proc.cut(toPlatform) }},
+	{"cut off from platform and peers for 12 s", func(_ *sim, n *node) { n.proc.cut(toPlatform); n.proc.cut(toPeers) }},
+	{"VM lost, off the list after 10 s", func(s *sim, n *node) { s.loseVM(n, 10*time.Second) }},
+	{"VM lost, off the list at once", func(s *sim, n *node) { s.loseVM(n, 0) }},
+}
+
+// regain returns how long after the loss each engine has reached a state that
+// was asked for at the same moment.
+func regain(t *testing.T, l loss) (fencing, ignoring time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &sim{world: newWorld(nil)}
+		s.run(scenario{nodes: 2, script: func(s *sim) {
+			lost := time.Now()
+			l.do(s, s.holder())
+			s.publish(withRole("decode"), bymanifest.AnyGeneration)
+			fencing = s.waitRole("127.0.0.1:1", "decode").Sub(lost)
+			ignoring = s.waitRole("127.0.0.1:2", "decode").Sub(lost)
+		}, check: noCheck})
+		expectNone(t, l.name, s.violations)
+	})
+	return fencing, ignoring
+}
+
+func (s *sim) holder() *node {
+	for _, n := range s.allNodes() {
+		n.mu.Lock()
+		for _, sh := range n.shards {
+			if _, held := sh.keeper.Grant(); held {
+				n.mu.Unlock()
+				return n
+			}
+		}
+		n.mu.Unlock()
+	}
+	return nil
+}
+
+// waitRole returns when the engine has a role. Both engines are waited for in
+// turn, so that the first must not hide when the second came.
+func (s *sim) waitRole(addr string, role burdockyard.Role) time.Time {
+	e := s.engines[addr]
+	for {
+		e.mu.Lock()
+		at, ok := e.since, e.state.Role == role
+		e.mu.Unlock()
+		if ok {
+			return at
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// loseVM ends a node whose address answers nobody any more. After the lag the
+// VM list no longer has it.
+func (s *sim) loseVM(n *node, lag time.Duration) {
+	n.proc.cut(toPeers)
+	n.proc.mu.Lock()
+	n.proc.cutUntil[toPeers] = time.Now().Add(time.Hour)
+	n.proc.vmLost = true
+	n.proc.mu.Unlock()
+	n.proc.kill()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.offList[n.self.Addr] = time.Now().Add(lag)
+}
+
+// TestRegainControl states what the rule for engines that ignore fencing numbers
+// costs, and writes it on the page about faults in a full run.
+func TestRegainControl(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("| the holder is | engine that checks | engine that ignores |\n|---|---|---|\n")
+	for _, l := range losses {
+		fencing, ignoring := regain(t, l)
+		fmt.Fprintf(&b, "| %s | %.1f s | %.1f s |\n", l.name, fencing.Seconds(), ignoring.Seconds())
+		if fencing > livenessBound || ignoring > time.Minute+livenessBound {
+			t.Errorf("%s: %s and %s", l.name, fencing, ignoring)
+		}
+	}
+	fmt.Print(b.String())
+	if full() {
+		if err := bypage.Replace(faultsPage, "regain", b.String()); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/core/byproof/sim_test.go
+++ b/core/byproof/sim_test.go
@@ -161,7 +161,7 @@
 }
 
 func (s *sim) restart(n *node, deadSince map[*node]time.Time) {
-	if !n.proc.isDead() {
+	if !n.proc.isDead() || n.proc.lostVM() {
 		return
 	}
 	if deadSince[n].IsZero() {
@@ -216,6 +216,9 @@
 	var want *bymanifest.Manifest
 	for _, n := range s.allNodes() {
 		m := n.follower().Current()
+		if n.proc.lostVM() {
+			continue
+		}
 		if n.proc.isDead() || m == nil || m.Generation() != s.newestGeneration() {
 			return fmt.Sprintf("node %s is not on generation %d", n.self.Node, s.newestGeneration())
 		}
--- a/core/byproof/world_test.go
+++ b/core/byproof/world_test.go
@@ -83,6 +83,7 @@
 	dead        bool
 	pausedUntil time.Time
 	cutUntil    map[callClass]time.Time
+	vmLost      bool // its address answers nobody, and it is not started again
 }
 
 func newProcess(name burdockyard.NodeID) *process {
@@ -154,6 +155,7 @@
 	nodes      map[string]*node // by peer address
 	engines    map[string]*engine
 	services   map[string]*service
+	offList    map[string]time.Time // addresses of lost VMs, to when the list drops them
 	race       func()
 	violations []string
 	background sync.WaitGroup
@@ -162,7 +164,7 @@
 func newWorld(faults []fault) *world {
 	return &world{
 		table: bymem.NewTable(), objects: bymem.NewObjects(), faults: faults, nodes: map[string]*node{},
-		engines: map[string]*engine{}, services: map[string]*service{}, race: func() {}, lastFault: time.Now(),
+		engines: map[string]*engine{}, services: map[string]*service{}, offList: map[string]time.Time{}, race: func() {}, lastFault: time.Now(),
 	}
 }
 
@@ -343,9 +345,19 @@
 		func() { _ = x.w.table.Commit(ctx, txn) })
 }
 
-// VMs implements burdockyard.VMList: it never tells of a loss, so that proof
-// has to come from the processes.
-func (x platform) VMs(context.Context) ([]burdockyard.VM, error) { return nil, nil }
+// VMs implements burdockyard.VMList. In the matrix no VM is ever lost, so that
+// proof has to come from the processes.
+func (x platform) VMs(context.Context) ([]burdockyard.VM, error) {
+	x.w.mu.Lock()
+	defer x.w.mu.Unlock()
+	var vms []burdockyard.VM
+	for addr := range x.w.nodes {
+		if at, lost := x.w.offList[addr]; !lost || time.Now().Before(at) {
+			vms = append(vms, burdockyard.VM{ID: addr, Addr: addr})
+		}
+	}
+	return vms, nil
+}
 
 type objects struct{ platform }
 
