Let a node of many find places in batches, and measure what breaks

The new test found no place at its fourth call. The estimate also preferred a full engine to one with a place.

Ruled out: comparing more random engines (40 for four places on average).

Change: a node also compares some of the engines whose batches have places for it; an engine without one counts as 200 ms farther. The lab kills a node, loses an engine and stops digests.

--- a/cmd/burdock-lab/policy.go
+++ b/cmd/burdock-lab/policy.go
@@ -67,9 +67,31 @@
 	for n := range 4 {
 		list = append(list, measure{func(d bylab.Deployment) bylab.Workload { return bylab.Straggler(d, n) }, stragglerFigures(n)})
 	}
+	for _, b := range []struct {
+		name  string
+		fault bylab.Fault
+	}{
+		{"nothing breaks", bylab.Fault{}},
+		{"a node is killed", bylab.Fault{At: breakAt, Node: true}},
+		{"an engine is lost", bylab.Fault{At: breakAt, Engine: true}},
+		{"digests stop for 20 s", bylab.Fault{At: breakAt, Silence: 20 * time.Second}},
+	} {
+		list = append(list, measure{func(d bylab.Deployment) bylab.Workload { return bylab.Broken(d, b.fault) }, brokenFigures(b.name)})
+	}
 	return list
 }
 
+// breakAt is when something breaks; the ten seconds after it are measured.
+const breakAt = 20 * time.Second
+
+func brokenFigures(name string) []figure {
+	const after = breakAt + 10*time.Second
+	return []figure{
+		{name + ": calls of the next 10 s served in time at once", "%.4f", "", func(r *bylab.Result) float64 { return r.ServedBetween(breakAt, after) }},
+		{name + ": p99 first token of the next 10 s, ms", "%.0f", "", func(r *bylab.Result) float64 { return ms(r.FirstToken(0.99, breakAt, after)) }},
+	}
+}
+
 const overloadSpan = time.Minute
 
 func goodTokens(r *bylab.Result) float64 { return r.GoodTokensPerSecond(overloadSpan) }
--- a/core/byroute/byroute.go
+++ b/core/byroute/byroute.go
@@ -33,9 +33,9 @@
 	LongPrompt = 2 * PieceTokens
 	// scanAll is the number of engines up to which every one is compared.
 	scanAll = 24
-	// sampleSize is the number of engines compared when there are more.
-	sampleSize = 8
-	// fullPenalty is the estimated wait for each stream beyond a full batch.
+	// sampleSize is the number of engines of each kind compared when there are more.
+	sampleSize = 6
+	// fullPenalty is the estimated wait where the batch has no place for the node.
 	fullPenalty = 200 * time.Millisecond
 	// decodeWeight is the wait that a batch full of other streams counts for.
 	decodeWeight = 60 * time.Millisecond
@@ -75,18 +75,17 @@
 
 // engine is what a Router knows of one engine.
 type engine struct {
-	hash      uint64
-	own       bymember.Load
-	atTick    bymember.Load // own, when peers was read
-	peers     bymember.Load
-	speed     float64       // share of the usual speed, 1 unless slow
-	gap       floor         // time between tokens, relative to the expected
-	lastGap   time.Duration // between the last two tokens of one call
-	lastAt    time.Time     // when the last of them arrived
-	slowSince time.Time
-	probeAt   time.Time
-	failed    time.Time // avoided until
-	held      bool      // about to be taken away
+	hash    uint64
+	own     bymember.Load
+	atTick  bymember.Load // own, when peers was read
+	peers   bymember.Load
+	speed   float64       // share of the usual speed, 1 unless slow
+	gap     floor         // time between tokens, relative to the expected
+	lastGap time.Duration // between the last two tokens of one call
+	lastAt  time.Time     // when the last of them arrived
+	probeAt time.Time
+	failed  time.Time // avoided until
+	held    bool      // about to be taken away
 }
 
 // Router chooses engines. Its methods may be called from several goroutines.
@@ -100,7 +99,8 @@
 	// distance is whether the distance of tokens counts.
 	distance bool
 	place    Place
-	stretch  float64 // how many times longer prompts take than their rate says
+	homes    map[string]home // by model
+	stretch  float64         // how many times longer prompts take than their rate says
 }
 
 // Option sets an optional part of a Router.
@@ -125,7 +125,7 @@
 		engines: map[burdockyard.EndpointID]*engine{},
 		prefix:  newPrefixIndex(),
 		detect:  true, distance: true,
-		place:   Place{Nodes: 1},
+		place: Place{Nodes: 1}, homes: map[string]home{},
 		stretch: 1,
 	}
 	for _, opt := range opts {
@@ -165,14 +165,20 @@
 	return best, found
 }
 
-// sample returns the engines to compare: all of a few, else a random handful
-// and those that are likely to have the prompt's prefix cached.
+// sample returns the engines to compare: all of a few, else some of those whose
+// batches have places for this node, a random handful, and those that are likely
+// to have the prompt's prefix cached.
 func (r *Router) sample(engines []*bymanifest.Engine, w Work) []*bymanifest.Engine {
 	n := len(engines)
 	if n <= scanAll {
 		return r.rotated(engines)
 	}
-	picked := make([]*bymanifest.Engine, 0, sampleSize+cachedEngines)
+	picked := make([]*bymanifest.Engine, 0, 2*sampleSize+cachedEngines)
+	if own := r.homeOf(engines); len(own) > 0 {
+		for range sampleSize {
+			picked = append(picked, own[r.rnd.IntN(len(own))])
+		}
+	}
 	for range sampleSize {
 		picked = append(picked, engines[r.rnd.IntN(n)])
 	}
@@ -210,8 +216,8 @@
 	c := Choice{Engine: e, Uncached: uncached, Streams: streams, Seat: s.seat(r.place, model.MaxStreams), Backlog: seconds(float64(backlog) / rate)}
 	c.Wait = c.Backlog + seconds(float64(uncached)/rate)
 	c.Wait += time.Duration(float64(decodeWeight) * float64(streams) / float64(model.MaxStreams) / speed)
-	if over := streams + 1 - model.MaxStreams; over > 0 {
-		c.Wait += time.Duration(over) * fullPenalty
+	if !c.Seat {
+		c.Wait += fullPenalty
 	}
 	if r.distance {
 		c.Wait += prompting
@@ -222,71 +228,6 @@
 	return c
 }
 
-// load returns the work at an engine as it probably is now.
-//
-// What the peers last said is half a second old, longer than most prompts take.
-// Nodes that all go by it send the next half second's calls to the same few
-// engines, and fill the same free places within the second in which a district
-// wakes. Callers choose their node at random, so a node's own open work, which
-// it knows at once, times the nodes is the better estimate. Only long prompts
-// last long enough for what the peers said of them.
-func (e *engine) load(nodes int) bymember.Load {
-	long := e.own.LongTokens + e.peers.LongTokens
-	return bymember.Load{
-		PrefillTokens: (e.own.PrefillTokens-e.own.LongTokens)*nodes + long,
-		LongTokens:    long,
-		Streams:       e.own.Streams * nodes,
-	}
-}
-
-// prompting returns the wait that an engine's last tokens tell of.
-//
-// An engine that processes prompts makes its tokens farther apart at once. The
-// calls that a node has open anywhere thus tell it which engines are busy now
-// with prompts that other nodes sent, long before any digest does.
-func (e *engine) prompting(now time.Time) time.Duration {
-	if now.Sub(e.lastAt) > gapFresh {
-		return promptingUnknown
-	}
-	return min(time.Duration(promptingWeight*float64(max(e.lastGap-promptingGap, 0))), promptingMost)
-}
-
-// Place is a node's place among the nodes that share the engines.
-type Place struct {
-	Index int // from 0, another for each node
-	Nodes int
-}
-
-// seat reports whether the node may take one more place of the engine's batch.
-//
-// The places are shared out: of 32, each of 7 nodes has 4, and 4 of the nodes,
-// others at each engine, have one more. Nodes that all took what looks free
-// would overfill the batch at a crest, and a stream that waits at the engine
-// gets its first token too late. A node that has more callers than the others
-// may go beyond its share while half of the batch stays free, even if all the
-// others grew like it since they last told.
-func (e *engine) seat(p Place, places int) bool {
-	share := places / p.Nodes
-	if (uint64(p.Index)+e.hash)%uint64(p.Nodes) < uint64(places%p.Nodes) {
-		share++
-	}
-	if e.own.Streams < share {
-		return true
-	}
-	grown := (p.Nodes - 1) * max(0, e.own.Streams-e.atTick.Streams)
-	return e.own.Streams+e.peers.Streams+grown < places/2
-}
-
-// notePrefill learns how much longer prompts take than the rate of an engine
-// that does nothing else.
-func (r *Router) notePrefill(took, expected time.Duration) {
-	const weight, most = 0.02, 4.0
-	x := min(max(relative(took, expected), 1), most)
-	r.stretch += weight * (x - r.stretch)
-}
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 // Avoid keeps new work from an engine for a short while, after it refused or
 // dropped a call.
 func (r *Router) Avoid(id burdockyard.EndpointID, now time.Time) {
--- a/core/byroute/byroute_test.go
+++ b/core/byroute/byroute_test.go
@@ -1,6 +1,8 @@
 package byroute
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -52,6 +54,28 @@
 	}
 }
 
+// TestSeatsAtSize checks that a node among 330 finds places at 3,800 engines
+// whose batches are more than half full.
+func TestSeatsAtSize(t *testing.T) {
+	s := bymanifest.Spec{Models: []bymanifest.ModelSpec{{Name: "m", Version: "1", PrefillRate: 24000, DecodeRate: 2400, MaxStreams: 32}}}
+	peers := map[burdockyard.EndpointID]bymember.Load{}
+	for i := range 3800 {
+		name := fmt.Sprintf("engine-%d", i)
+		s.Engines = append(s.Engines, bymanifest.EngineSpec{Name: name, Model: "m", Role: "mixed"})
+		peers[burdockyard.EndpointID(name)] = bymember.Load{Streams: 24}
+	}
+	engines := bymanifest.New(s, 1).Engines()
+	r := New(WithRand(rand.New(rand.NewPCG(1, 1))))
+	r.Tick(peers, Place{Index: 100, Nodes: 330}, start)
+	for i := range 60 {
+		c, ok := r.Pick(engines, Work{PromptTokens: 300}, nil, start)
+		if !ok || !c.Seat {
+			t.Fatalf("call %d found no place", i)
+		}
+		r.Start(c, Work{PromptTokens: 300}, start)
+	}
+}
+
 // feed gives every engine tokens at a distance, and lets the last one make some
 // much later.
 func feed(r *Router, engines []*bymanifest.Engine, n int, distance func(engine, token int) time.Duration) time.Time {
--- a/core/byroute/speed.go
+++ b/core/byroute/speed.go
@@ -94,7 +94,6 @@
 	switch {
 	case ratio >= slowRatio:
 		if e.speed == 1 {
-			e.slowSince = now
 			e.probeAt = now.Add(probeEvery)
 		}
 		e.speed = max(minSpeed, 1/ratio)
--- a/io/bylab/result.go
+++ b/io/bylab/result.go
@@ -60,6 +60,22 @@
 	return float64(served) / float64(n)
 }
 
+// ServedBetween returns the share of the calls that arrived in a span and were
+// answered in time at once.
+func (r *Result) ServedBetween(from, to time.Duration) float64 {
+	n, served := 0, 0
+	for _, c := range r.calls {
+		if c.At < from || c.At >= to {
+			continue
+		}
+		n++
+		if c.InTime() && c.refused == 0 {
+			served++
+		}
+	}
+	return float64(served) / float64(max(n, 1))
+}
+
 func (r *Result) share(good func(*Call) bool) float64 {
 	n := 0
 	for _, c := range r.calls {
--- a/io/bylab/workloads.go
+++ b/io/bylab/workloads.go
@@ -159,6 +159,14 @@
 	}}
 }
 
+// Broken is questions at half the bound while something breaks.
+func Broken(d Deployment, f Fault) Workload {
+	w := Steady(d, 0.5, time.Minute)
+	w.Name = "broken"
+	w.Fault = f
+	return w
+}
+
 // Straggler is questions while some engines are five times as slow for a minute.
 func Straggler(d Deployment, engines int) Workload {
 	w := Steady(d, 0.5, 2*time.Minute)
