Let most nodes agree on a manifest, and never call a resumed answer not run

Cause: a run of the processes with the platform out for 60 s, on a machine kept busy by the lab, ended with every node 'out of touch': all had missed 3 s of heartbeats once, and none was left whose word counted, for as long as the table was down. Reading byserve showed another: a call that came back for the rest of its answer, whose engine was gone, went through the queue again and could be refused as not run.

Ruled out: a longer time of trust (a pause can be as long); a table that answers 'unavailable' as a sign of touch (an outage can be partial).

Change: more than half of the nodes, none of which knows a newer manifest, confirm it. Resumed calls go to another engine without a queue, and fail as 'failed'. The caller's client comes back as often as it is told, within its time.

TestResumedIsNeverNotRun red before, green after.

A majority that is cut off with its callers goes on by the manifest that it knows; docs/FAULTS.md says so.

--- a/cmd/burdock-demo/calls.go
+++ b/cmd/burdock-demo/calls.go
@@ -140,16 +140,7 @@
 }
 
 func addEffects(ctx context.Context, addr string, effects map[string]int) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/admin/effects", nil)
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	counts, err := bywire.ReadJSON[map[string]int](resp.Body)
+	counts, err := bywire.GetJSON[map[string]int](ctx, "http://"+addr+"/admin/effects")
 	for key, n := range counts {
 		effects[key] += n
 	}
--- a/core/bymanifest/follow.go
+++ b/core/bymanifest/follow.go
@@ -82,6 +82,25 @@
 	}
 }
 
+// Agree takes the word of most nodes for it that no newer manifest is known,
+// when the peers that answered a round of heartbeats have these generations.
+//
+// While the table is down the nodes keep each other in touch. If all lose touch
+// once, for one pause of the machine that they share perhaps, nobody is left
+// whose word counts. Most nodes together may give it to each other: whoever
+// accepts a manifest hands it to every node, so that one of them would know.
+func (f *Follower) Agree(nodes int, generations []uint64, asked time.Time) {
+	own := f.Generation()
+	for _, g := range generations {
+		if g > own {
+			return
+		}
+	}
+	if 2*(len(generations)+1) > nodes {
+		f.Confirm(own, asked)
+	}
+}
+
 // Step reads which generation is in force and takes it up if it is newer.
 func (f *Follower) Step(ctx context.Context) error {
 	asked := f.clock.Now()
--- /dev/null
+++ b/core/bymanifest/follow_test.go
@@ -0,0 +1,95 @@
+package bymanifest_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"burdockyard/core/bymanifest"
+	"burdockyard/io/bymem"
+)
+
+type handClock struct{ now time.Time }
+
+func (c *handClock) Now() time.Time { return c.now }
+
+func spec() bymanifest.Spec {
+	return bymanifest.Spec{
+		Name:    "n",
+		Models:  []bymanifest.ModelSpec{{Name: "m", Version: "1", PrefillRate: 1, DecodeRate: 1, MaxStreams: 1, MaxPrompt: 1}},
+		Engines: []bymanifest.EngineSpec{{Name: "e", Address: "10.0.0.1:1", Model: "m", Domain: "a", Role: "mixed"}},
+		Classes: []bymanifest.ClassSpec{{Name: "c", FirstToken: time.Second, Deadline: time.Second, Queue: 1}},
+		Tenants: []bymanifest.TenantSpec{{Name: "t", Weight: 1}},
+	}
+}
+
+// TestFresh checks whose word keeps a manifest in use while the table is down.
+func TestFresh(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		nodes       int
+		generations []uint64 // of the peers that answered
+		want        bool
+	}{
+		{"nobody answers", 3, nil, false},
+		{"a lone node", 1, nil, true},
+		{"one of four peers", 5, []uint64{1}, false},
+		{"two of four peers", 5, []uint64{1, 0}, true},
+		{"most peers, one of which knows a newer manifest", 5, []uint64{1, 2, 1}, false},
+	} {
+		clock := &handClock{now: time.Now()}
+		table, objects := bymem.NewTable(), bymem.NewObjects()
+		if _, err := bymanifest.Publish(context.Background(), table, objects, spec(), 0); err != nil {
+			t.Fatal(err)
+		}
+		f := bymanifest.NewFollower(table, objects, clock)
+		if err := f.Step(context.Background()); err != nil || !f.Fresh() {
+			t.Fatalf("not fresh after a read: %v", err)
+		}
+		clock.now = clock.now.Add(bymanifest.FreshFor)
+		if f.Fresh() {
+			t.Fatal("fresh for too long")
+		}
+		f.Agree(c.nodes, c.generations, clock.now)
+		if f.Fresh() != c.want {
+			t.Errorf("%s: fresh %t, want %t", c.name, f.Fresh(), c.want)
+		}
+	}
+}
+
+// TestOverrideOutlastsPublication checks that a drained endpoint stays drained
+// over the next publication, and that a withdrawn endpoint's override goes with it.
+func TestOverrideOutlastsPublication(t *testing.T) {
+	ctx := context.Background()
+	table, objects := bymem.NewTable(), bymem.NewObjects()
+	f := bymanifest.NewFollower(table, objects, &handClock{now: time.Now()})
+	publish := func(s bymanifest.Spec) {
+		t.Helper()
+		if _, err := bymanifest.Publish(ctx, table, objects, s, bymanifest.AnyGeneration); err != nil {
+			t.Fatal(err)
+		}
+	}
+	serving := func() bool {
+		t.Helper()
+		if err := f.Step(ctx); err != nil {
+			t.Fatal(err)
+		}
+		e, ok := f.Current().Engine("e")
+		return ok && e.Serving()
+	}
+	publish(spec())
+	if _, err := bymanifest.SetState(ctx, table, objects, "e", bymanifest.StateDrained); err != nil {
+		t.Fatal(err)
+	}
+	publish(spec())
+	if serving() {
+		t.Error("the next publication undid the drain")
+	}
+	other := spec()
+	other.Engines[0].Name = "other"
+	publish(other)
+	publish(spec())
+	if !serving() {
+		t.Error("the override outlived its endpoint")
+	}
+}
--- a/core/byproof/node_test.go
+++ b/core/byproof/node_test.go
@@ -139,6 +139,8 @@
 }
 
 func (n *node) beatAll() {
+	round := time.Now()
+	var generations []uint64
 	for _, peer := range n.w.others(n) {
 		b := n.beat()
 		asked := time.Now()
@@ -149,9 +151,11 @@
 			if reply.Fresh {
 				n.follower().Confirm(reply.Generation, asked)
 			}
+			generations = append(generations, reply.Generation)
 			return nil
 		}, func() { peer.view.Hear(b) })
 	}
+	n.follower().Agree(n.w.nodeCount(), generations, round)
 	place := byroute.Place{Nodes: len(n.view.Alive()) + 1}
 	n.server.Dispatcher().Tick(n.view.PeerLoads(), place, time.Now())
 	n.server.Dispatcher().Router().Hold(append(n.view.Holds(), n.gate.Held()...))
@@ -325,6 +329,12 @@
 	return w.nodes[addr]
 }
 
+func (w *world) nodeCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.nodes)
+}
+
 func (w *world) others(n *node) []*node {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/core/byserve/byserve_test.go
+++ b/core/byserve/byserve_test.go
@@ -57,6 +57,37 @@
 	}
 }
 
+// refusing is an engine that lost a stream and takes no new work.
+type refusing struct{ hanging }
+
+func (refusing) Generate(context.Context, burdockyard.GenerateRequest) (burdockyard.TokenStream, error) {
+	return nil, burdockyard.ErrNotStarted
+}
+
+type refusingEndpoints struct{ hangingEndpoints }
+
+func (refusingEndpoints) Engine(string) burdockyard.Engine { return refusing{} }
+
+// TestResumedIsNeverNotRun checks that a call which comes back for the rest of
+// its answer is not told that it did not run: not by the engines, and not by a
+// queue that would not let it start.
+func TestResumedIsNeverNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := manifestOf(1, 1)
+		s := byserve.New(burdockyard.SystemClock{}, refusingEndpoints{}, func() *bymanifest.Manifest { return m })
+		class, _ := m.Class("")
+		class.Queue = 0
+		call := byserve.Call{
+			ID: "r", Tenant: "tenant-0000", Class: class, Model: "m", Delivered: "text ",
+			Body:   func(string, int) ([]byte, error) { return nil, nil },
+			Resume: &bystream.Position{Request: "r", Engine: "engine-0000", Next: 1},
+		}
+		expectOutcome(t, s.Generate(t.Context(), call, noSink{}), burdockyard.Failed)
+		call.Resume, call.Delivered = nil, ""
+		expectOutcome(t, s.Generate(t.Context(), call, noSink{}), burdockyard.NotRun)
+	})
+}
+
 // TestDeadlineAndLimit checks that a call is given up at its deadline and not
 // after a grace, and that a tenant's calls beyond its limit are refused at once.
 func TestDeadlineAndLimit(t *testing.T) {
--- a/core/byserve/run.go
+++ b/core/byserve/run.go
@@ -59,9 +59,9 @@
 }
 
 // place admits the call the first time, and after that picks another engine:
-// the call has been admitted, and its caller is in the middle of an answer.
+// the call has been admitted, and its caller may be in the middle of an answer.
 func (r *run) place(ctx context.Context, n int, tried map[burdockyard.EndpointID]bool) (Start[*waiter], error) {
-	if n == 0 {
+	if n == 0 && !r.sent {
 		return r.s.admit(ctx, r.call)
 	}
 	start, ok := r.s.dispatch.Move(r.call.Model, r.call.Work, tried, r.s.clock.Now())
--- a/io/bycall/bycall.go
+++ b/io/bycall/bycall.go
@@ -29,8 +29,8 @@
 )
 
 const (
-	// maxTries bounds how often one call is sent.
-	maxTries = 12
+	// maxCuts bounds how often one call finds no node or loses its connection.
+	maxCuts = 12
 	// cutPause is the pause after a cut connection.
 	cutPause = 100 * time.Millisecond
 	// askTimeout bounds asking one node for addresses.
@@ -203,19 +203,24 @@
 	if !errors.As(err, &call) {
 		return cutPause, true
 	}
-	again := call.Detail.Type == burdockyard.NotRun && call.Detail.RetryAfterMs > 0
-	return time.Duration(call.Detail.RetryAfterMs) * time.Millisecond, again
+	again := call.Detail.Type == burdockyard.NotRun || call.Detail.Type == burdockyard.Failed
+	return time.Duration(call.Detail.RetryAfterMs) * time.Millisecond, again && call.Detail.RetryAfterMs > 0
 }
 
-// retry calls once until it succeeds, fails for good, or the time is up.
+// retry calls once until it succeeds, fails for good, or the time is up. A
+// refused call comes back for as long as its context lasts.
 func retry(ctx context.Context, once func() error) error {
-	var err error
-	for range maxTries {
-		if err = once(); err == nil {
+	cuts := 0
+	for {
+		err := once()
+		if err == nil {
 			return nil
 		}
 		pause, again := pauseBefore(err)
-		if !again {
+		if pause == cutPause {
+			cuts++
+		}
+		if !again || cuts > maxCuts {
 			return err
 		}
 		select {
@@ -224,7 +229,6 @@
 			return errors.Join(err, ctx.Err())
 		}
 	}
-	return err
 }
 
 // ServiceCall is one call of a plain service.
--- a/io/bynode/loops.go
+++ b/io/bynode/loops.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -22,24 +23,55 @@
 
 // beatAll exchanges heartbeats with every known peer, then takes in what they said.
 func (n *Node) beatAll(ctx context.Context) {
+	n.agree(n.exchange(ctx))
+	n.view.Forget()
+	now := n.clock.Now()
+	n.server.Dispatcher().Tick(n.view.PeerLoads(), n.place(), now)
+	n.server.Dispatcher().Router().Hold(append(n.view.Holds(), n.gate.Held()...))
+}
+
+// round is what a round of heartbeats heard.
+type round struct {
+	asked time.Time
+	nodes int // with this one
+	heard []bymember.Heartbeat
+}
+
+func (n *Node) exchange(ctx context.Context) round {
+	addrs := n.peerAddrs()
+	r := round{asked: n.clock.Now(), nodes: len(addrs) + 1}
+	var mu sync.Mutex // guards r.heard
 	var group errgroup.Group
 	group.SetLimit(beatWorkers)
-	for _, addr := range n.peerAddrs() {
+	for _, addr := range addrs {
 		group.Go(func() error {
-			asked := n.clock.Now()
 			reply, err := n.clients.Beat(ctx, addr, n.beat())
-			if err == nil {
-				n.view.Hear(reply)
-				n.confirm(reply, asked)
+			if err != nil {
+				return nil // a silent peer becomes suspect by its silence
 			}
-			return nil // a silent peer becomes suspect by its silence
+			n.view.Hear(reply)
+			mu.Lock()
+			defer mu.Unlock()
+			r.heard = append(r.heard, reply)
+			return nil
 		})
 	}
 	_ = group.Wait()
-	n.view.Forget()
-	now := n.clock.Now()
-	n.server.Dispatcher().Tick(n.view.PeerLoads(), n.place(), now)
-	n.server.Dispatcher().Router().Hold(append(n.view.Holds(), n.gate.Held()...))
+	return r
+}
+
+// agree confirms the manifest in force by a peer that is itself in touch, or by
+// most nodes together. Two nodes of many that are both cut off must not confirm
+// each other's old manifest.
+func (n *Node) agree(r round) {
+	var generations []uint64
+	for _, b := range r.heard {
+		if b.Fresh {
+			n.follower.Confirm(b.Generation, r.asked)
+		}
+		generations = append(generations, b.Generation)
+	}
+	n.follower.Agree(r.nodes, generations, r.asked)
 }
 
 // place returns the node's place among those that take callers.
@@ -57,14 +89,6 @@
 	return p
 }
 
-// confirm takes the word of a peer that is itself in touch: two nodes that are
-// both cut off must not confirm each other's old manifest.
-func (n *Node) confirm(b bymember.Heartbeat, asked time.Time) {
-	if b.Fresh {
-		n.follower.Confirm(b.Generation, asked)
-	}
-}
-
 func (n *Node) peerAddrs() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/io/byproc/byproc_test.go
+++ b/io/byproc/byproc_test.go
@@ -14,6 +14,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"golang.org/x/sync/errgroup"
 
+	"burdockyard"
 	"burdockyard/io/bycall"
 	"burdockyard/io/byconfig"
 	"burdockyard/io/byemu"
@@ -179,16 +180,7 @@
 
 func effects(ctx context.Context, t *testing.T, d *byproc.Deployment) map[string]int {
 	t.Helper()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Spec.Services[0].Endpoints[0].Address+"/admin/effects", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	counts, err := bywire.ReadJSON[map[string]int](resp.Body)
+	counts, err := bywire.GetJSON[map[string]int](ctx, "http://"+d.Spec.Services[0].Endpoints[0].Address+"/admin/effects")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -254,19 +246,7 @@
 // checkOrders judges that an engine's accepted orders rose in their fencing number.
 func checkOrders(ctx context.Context, t *testing.T, name, addr string) {
 	t.Helper()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/admin/orders", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	orders, err := bywire.ReadJSON[[]struct {
-		ID      string `json:"id"`
-		Fencing uint64 `json:"fencing"`
-	}](resp.Body)
+	orders, err := bywire.GetJSON[[]burdockyard.Order](ctx, "http://"+addr+"/admin/orders")
 	if err != nil || len(orders) == 0 {
 		t.Fatalf("%s: orders %v, %v", name, orders, err)
 	}
@@ -277,14 +257,22 @@
 	}
 }
 
+// TestPlatformOutage has an outage of 5 s, or of BURDOCK_OUTAGE.
 func TestPlatformOutage(t *testing.T) {
+	outage := 5 * time.Second
+	if text := os.Getenv("BURDOCK_OUTAGE"); text != "" {
+		var err error
+		if outage, err = time.ParseDuration(text); err != nil {
+			t.Fatal(err)
+		}
+	}
 	d, ctx := published(t)
 	p := byplatform.New(d.Platform)
 	load(ctx, t, d, func() error {
 		if err := p.SetFaults(ctx, byplatform.Faults{Outage: true}); err != nil {
 			return err
 		}
-		time.Sleep(5 * time.Second)
+		time.Sleep(outage)
 		return p.SetFaults(ctx, byplatform.Faults{LoseAnswers: 3})
 	})
 }
--- a/io/bywire/bywire.go
+++ b/io/bywire/bywire.go
@@ -9,6 +9,7 @@
 package bywire
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -49,6 +50,21 @@
 	return v, merry.Prepend(err, "decoding JSON")
 }
 
+// GetJSON fetches one JSON value.
+func GetJSON[T any](ctx context.Context, url string) (T, error) {
+	var none T
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return none, merry.Wrap(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return none, merry.Wrap(err)
+	}
+	defer Discard(resp.Body)
+	return ReadJSON[T](resp.Body)
+}
+
 // WriteJSON writes one JSON value with a status.
 func WriteJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
