Expire waiting calls in the order in which they came

Calls of several tenants that expire at the same moment were refused in the order of a map, and each refusal moves the next time to come back.

Ruled out: the map of idle tenants (forgetting one changes nothing that is read later).

Change: expired calls are refused by arrival, then tenant.

--- a/core/byadmit/byadmit.go
+++ b/core/byadmit/byadmit.go
@@ -15,6 +15,7 @@
 package byadmit
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -322,24 +323,37 @@
 	}
 }
 
-// Expire takes out the calls that can no longer start in time, with when each
-// caller should come back.
-func (q *Queue[V]) Expire(now time.Time) map[*Ticket[V]]*Refusal {
+// Expired is a call that can no longer start in time.
+type Expired[V any] struct {
+	Ticket  *Ticket[V]
+	Refusal *Refusal
+}
+
+// Expire takes out the calls that can no longer start in time, in the order in
+// which they came, with when each caller should come back.
+func (q *Queue[V]) Expire(now time.Time) []Expired[V] {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if !q.predict {
 		return nil
 	}
-	expired := map[*Ticket[V]]*Refusal{}
+	var late []*Ticket[V]
 	for _, s := range q.active {
-		for i := len(s.waiting) - 1; i >= 0; i-- {
-			t := s.waiting[i]
+		for _, t := range s.waiting {
 			if t.call.StartBy.Before(now) {
-				q.remove(s, i)
-				expired[t] = q.refuse("the call did not start in time", t.call, now)
+				late = append(late, t)
 			}
 		}
 	}
+	slices.SortFunc(late, func(a, b *Ticket[V]) int {
+		return cmp.Or(a.arrived.Compare(b.arrived), cmp.Compare(a.call.Tenant, b.call.Tenant), cmp.Compare(a.call.Cost, b.call.Cost))
+	})
+	expired := make([]Expired[V], len(late))
+	for i, t := range late {
+		s := q.active[t.call.Tenant]
+		q.remove(s, slices.Index(s.waiting, t))
+		expired[i] = Expired[V]{t, q.refuse("the call did not start in time", t.call, now)}
+	}
 	return expired
 }
 
--- a/core/byserve/dispatch.go
+++ b/core/byserve/dispatch.go
@@ -172,8 +172,8 @@
 	defer d.mu.Unlock()
 	var refused []Refused[V]
 	for _, q := range d.queues {
-		for t, r := range q.Expire(now) {
-			refused = append(refused, Refused[V]{Value: t.Value().Value, Refusal: r})
+		for _, e := range q.Expire(now) {
+			refused = append(refused, Refused[V]{Value: e.Ticket.Value().Value, Refusal: e.Refusal})
 		}
 	}
 	return refused
--- a/io/bylab/bylab_test.go
+++ b/io/bylab/bylab_test.go
@@ -1,18 +1,25 @@
 package bylab
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
 
 const seed = 11
 
-// TestSameFigures checks that a seed gives the same figures at each run.
+// TestSameFigures checks that a seed gives the same figures at each run, also
+// when calls of several tenants are refused at the same moment.
 func TestSameFigures(t *testing.T) {
-	a := Run(Bluebonnet, Mixed(Bluebonnet, 0.5, 0.2), Burdock(), seed)
-	b := Run(Bluebonnet, Mixed(Bluebonnet, 0.5, 0.2), Burdock(), seed)
-	if x, y := a.FirstToken(0.95, 0, time.Hour), b.FirstToken(0.95, 0, time.Hour); x != y || a.Goodput() != b.Goodput() {
-		t.Errorf("p95 %s and %s, goodput %g and %g", x, y, a.Goodput(), b.Goodput())
+	figures := func() string {
+		r := Run(Bluebonnet, Crest(Bluebonnet), Burdock(), seed)
+		return fmt.Sprint(r.Goodput(), r.Served(), r.ServedFirst(), r.ServedOnReturn(), r.FirstToken(0.95, 0, time.Hour), r.Gap(0.95, 0, time.Hour))
+	}
+	first := figures()
+	for range 3 {
+		if again := figures(); again != first {
+			t.Errorf("got %s and %s", first, again)
+		}
 	}
 }
 
