--- a/core/byproof/endpoints_test.go
+++ b/core/byproof/endpoints_test.go
@@ -50,6 +50,8 @@
 
 func newEngine(w *world, id burdockyard.EndpointID, addr string, fencing bool) *engine {
 	e := &engine{w: w, id: id, fencing: fencing, inc: burdockyard.NewIncarnation(), streams: map[burdockyard.RequestID]*answer{}}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.engines[addr] = e
 	return e
 }
--- a/core/byproof/scenarios_test.go
+++ b/core/byproof/scenarios_test.go
@@ -60,8 +60,8 @@
 	time.Sleep(12 * time.Second)
 }
 
-// changeScript changes every engine's role, drains one and takes it back, under
-// long answers and a booking.
+// changeScript changes every engine's role, drains one and takes it back, gives it
+// another address, and withdraws the other, under long answers and bookings.
 func changeScript(s *sim) {
 	for i := range 2 {
 		s.stream(i, 20)
@@ -74,6 +74,15 @@
 	time.Sleep(6 * time.Second)
 	s.setState("e1", bymanifest.StateServing)
 	time.Sleep(2 * time.Second)
+	newEngine(s.world, "e1", "127.0.0.1:5", true)
+	s.stream(2, 20)
+	s.stream(3, 20)
+	time.Sleep(500 * time.Millisecond)
+	s.replace("e1", "127.0.0.1:5")
+	s.book(1, "k2", "body")
+	time.Sleep(time.Second)
+	s.setState("e2", bymanifest.StateWithdrawn)
+	time.Sleep(4 * time.Second)
 }
 
 // checkNothingCut judges that no order found an answer open. Where the holder
@@ -199,7 +208,8 @@
 	}
 }
 
-// stopScript stops a node on purpose under answers and bookings.
+// stopScript stops a node and a service's endpoint on purpose under answers and
+// bookings.
 func stopScript(s *sim) {
 	for i := range 4 {
 		s.stream(i, 15)
@@ -208,6 +218,7 @@
 	time.Sleep(700 * time.Millisecond)
 	n := s.pick(0)
 	s.callers.Go(n.stop)
+	s.setState("s1", bymanifest.StateDrained)
 	s.book(1, "k1", "body")
 	time.Sleep(200 * time.Millisecond)
 	s.callers.Go(n.stop) // a stop during a stop
--- a/core/byproof/sim_test.go
+++ b/core/byproof/sim_test.go
@@ -234,7 +234,7 @@
 		if !held[e.Shard()] {
 			return fmt.Sprintf("shard %s has no holder", e.Shard())
 		}
-		fake := s.engines[e.Addr()]
+		fake := s.engineAt(e.Addr())
 		fake.mu.Lock()
 		got := fake.state
 		fake.mu.Unlock()
@@ -245,6 +245,12 @@
 	return ""
 }
 
+func (s *sim) engineAt(addr string) *engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engines[addr]
+}
+
 func (s *sim) newestGeneration() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -270,6 +276,12 @@
 	})
 }
 
+func (s *sim) replace(id, address string) bymanifest.Accepted {
+	return s.operate(bymanifest.AnyGeneration, func(t burdockyard.Table, o burdockyard.ObjectStore) (bymanifest.Accepted, error) {
+		return bymanifest.Replace(context.Background(), t, o, id, address)
+	})
+}
+
 func (s *sim) operate(expect uint64, do func(burdockyard.Table, burdockyard.ObjectStore) (bymanifest.Accepted, error)) bymanifest.Accepted {
 	for {
 		from := time.Now()
