Name the burst by its usual word

Cause: comments and a workload used the users' word for many callers at once. Ruled out: nothing. Change: names and comments only, and the rows of two tables. Measured: tests of core and io/bylab green.

--- a/cmd/burdock-lab/policy.go
+++ b/cmd/burdock-lab/policy.go
@@ -40,11 +40,11 @@
 			{"shifts: p95 first token, ms", "%.0f", "≤ 360", func(r *bylab.Result) float64 { return ms(r.FirstToken(0.95, 0, forever)) }},
 			{"shifts: p95 between tokens, ms", "%.0f", "≤ 55", func(r *bylab.Result) float64 { return ms(r.Gap(0.95, 0, forever)) }},
 		}},
-		{bylab.Crest, []figure{
-			{"crest: callers served in time at once", "%.3f", "", (*bylab.Result).ServedFirst},
-			{"crest: callers served in time, at once or on return", "%.3f", "", (*bylab.Result).Served},
-			{"crest: refused callers served when they first return", "%.3f", "1", (*bylab.Result).ServedOnReturn},
-			{"crest: output made too late", "%.3f", "0", (*bylab.Result).Wasted},
+		{bylab.Burst, []figure{
+			{"burst: callers served in time at once", "%.3f", "", (*bylab.Result).ServedFirst},
+			{"burst: callers served in time, at once or on return", "%.3f", "", (*bylab.Result).Served},
+			{"burst: refused callers served when they first return", "%.3f", "1", (*bylab.Result).ServedOnReturn},
+			{"burst: output made too late", "%.3f", "0", (*bylab.Result).Wasted},
 		}},
 		{func(d bylab.Deployment) bylab.Workload { return bylab.Steady(d, 1, overloadSpan) }, []figure{
 			{"load 1×: good output tokens/s", "%.0f", "", goodTokens},
--- a/core/byadmit/byadmit.go
+++ b/core/byadmit/byadmit.go
@@ -220,7 +220,7 @@
 // comeBack spreads returns at the rate at which work is served.
 //
 // Telling every refused caller the predicted length of the backlog would bring
-// a whole district back in the same second. Each refusal instead takes the next
+// all of them back in the same second. Each refusal instead takes the next
 // free place behind the backlog, so that callers return as fast as they can be
 // served, with a little jitter against callers that round to whole seconds.
 func (q *Queue[V]) comeBack(c Call, now time.Time) time.Duration {
--- a/core/bybooking/burst_test.go
+++ b/core/bybooking/burst_test.go
@@ -108,7 +108,7 @@
 	}
 }
 
-// TestBurst checks that a district's bookings in one second, three thousand
+// TestBurst checks that the bookings of one second, three thousand
 // against three hundred writes a second, each run once, and are all confirmed
 // within the time that half of the platform's writes would take for them.
 func TestBurst(t *testing.T) {
--- a/core/byroute/byroute_test.go
+++ b/core/byroute/byroute_test.go
@@ -102,7 +102,7 @@
 		want     int
 	}{
 		{"all alike", func(int, int) time.Duration { return usual }, 0},
-		{"all slow at a crest", func(int, int) time.Duration { return slow }, 0},
+		{"all slow in a burst", func(int, int) time.Duration { return slow }, 0},
 		{"one slow", func(e, _ int) time.Duration {
 			if e == 2 {
 				return slow
--- a/core/byroute/load.go
+++ b/core/byroute/load.go
@@ -11,8 +11,8 @@
 //
 // What the peers last said is half a second old, longer than most prompts take.
 // Nodes that all go by it send the next half second's calls to the same few
-// engines, and fill the same free places within the second in which a district
-// wakes. Callers choose their node at random, so a node's own open work, which
+// engines, and fill the same free places within the second of a burst of
+// callers. Callers choose their node at random, so a node's own open work, which
 // it knows at once, times the nodes is the better estimate. Only long prompts
 // last long enough for what the peers said of them.
 func (e *engine) load(nodes int) bymember.Load {
@@ -81,7 +81,7 @@
 //
 // The places are shared out: of 32, each of 7 nodes has 4, and 4 of the nodes,
 // others at each engine, have one more. Nodes that all took what looks free
-// would overfill the batch at a crest, and a stream that waits at the engine
+// would overfill the batch in a burst, and a stream that waits at the engine
 // gets its first token too late. A node that has more callers than the others
 // may go beyond its share while half of the batch stays free, even if all the
 // others grew like it since they last told.
--- a/core/byroute/speed.go
+++ b/core/byroute/speed.go
@@ -59,7 +59,7 @@
 //
 // The median of the engines is the measure, and not the rate in the manifest:
 // a rate that is written too high would make every engine look slow, and a
-// crest that delays all of them alike is no sign of a straggler.
+// burst that delays all of them alike is no sign of a straggler.
 func (r *Router) compareSpeeds(now time.Time) {
 	median := r.median(now)
 	for _, e := range r.engines {
--- a/io/bylab/bylab_test.go
+++ b/io/bylab/bylab_test.go
@@ -12,7 +12,7 @@
 // when calls of several tenants are refused at the same moment.
 func TestSameFigures(t *testing.T) {
 	figures := func() string {
-		r := Run(Bluebonnet, Crest(Bluebonnet), Burdock(), seed)
+		r := Run(Bluebonnet, Burst(Bluebonnet), Burdock(), seed)
 		return fmt.Sprint(r.Goodput(), r.Served(), r.ServedFirst(), r.ServedOnReturn(), r.FirstToken(0.95, 0, time.Hour), r.Gap(0.95, 0, time.Hour))
 	}
 	first := figures()
--- a/io/bylab/workloads.go
+++ b/io/bylab/workloads.go
@@ -92,11 +92,11 @@
 	}}
 }
 
-// Crest is a quiet time in which every caller wakes within one second: as many
+// Burst is a quiet time in which many callers come within one second: as many
 // questions as the engines serve in ten.
-func Crest(d Deployment) Workload {
+func Burst(d Deployment) Workload {
 	const wake, work = 20 * time.Second, 10.0
-	return Workload{Name: "crest", Calls: func(rnd *rand.Rand) []*Call {
+	return Workload{Name: "burst", Calls: func(rnd *rand.Rand) []*Call {
 		var calls []*Call
 		add := func(at time.Duration) { calls = append(calls, d.call(rnd, at, question)) }
 		rate := d.Capacity(question.prompt, question.output)
