Remove what nothing uses

Cause: reading as a newcomer found a scan of the table that no part makes, a cache event hook that nobody calls and a log prefix without a speaker. Ruled out: keeping the scan for listing bookings (no command does).

--- a/core/byproof/world_test.go
+++ b/core/byproof/world_test.go
@@ -332,14 +332,6 @@
 	return rows, err
 }
 
-func (x platform) Scan(ctx context.Context, prefix, after string, limit int) (rows []burdockyard.Row, err error) {
-	err = x.w.call(x.p, toPlatform, "", func() error {
-		rows, err = x.w.table.Scan(ctx, prefix, after, limit)
-		return err
-	}, nil)
-	return rows, err
-}
-
 func (x platform) Commit(ctx context.Context, txn burdockyard.Txn) error {
 	return x.w.call(x.p, toPlatform, "", func() error { return x.w.table.Commit(ctx, txn) },
 		func() { _ = x.w.table.Commit(ctx, txn) })
--- a/core/byroute/prefix.go
+++ b/core/byroute/prefix.go
@@ -114,16 +114,3 @@
 	}
 	return picked
 }
-
-// Forget removes a prefix that an engine said it evicted.
-func (r *Router) Forget(id burdockyard.EndpointID, hash uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.prefix == nil {
-		return
-	}
-	if el, ok := r.prefix.entries[hash]; ok {
-		e := el.Value.(*prefixEntry)
-		e.engines = slices.DeleteFunc(e.engines, func(x burdockyard.EndpointID) bool { return x == id })
-	}
-}
--- a/io/bylog/bylog.go
+++ b/io/bylog/bylog.go
@@ -18,7 +18,6 @@
 const (
 	Node     = "node"
 	Calls    = "calls"
-	Bookings = "bookings"
 	Leases   = "leases"
 	Orders   = "orders"
 	Manifest = "manifest"
--- a/io/bymem/bymem.go
+++ b/io/bymem/bymem.go
@@ -9,8 +9,6 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync"
 
 	"burdockyard"
@@ -20,7 +18,6 @@
 type Table struct {
 	mu   sync.Mutex
 	rows map[string]burdockyard.Row
-	keys []string // sorted
 }
 
 // NewTable returns an empty Table.
@@ -38,24 +35,6 @@
 	return rows, nil
 }
 
-// Scan implements burdockyard.Table.
-func (t *Table) Scan(_ context.Context, prefix, after string, limit int) ([]burdockyard.Row, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	i, _ := slices.BinarySearch(t.keys, max(prefix, after))
-	var rows []burdockyard.Row
-	for ; i < len(t.keys) && len(rows) < limit; i++ {
-		k := t.keys[i]
-		if !strings.HasPrefix(k, prefix) {
-			break
-		}
-		if k > after {
-			rows = append(rows, t.rows[k])
-		}
-	}
-	return rows, nil
-}
-
 // Commit implements burdockyard.Table.
 func (t *Table) Commit(_ context.Context, txn burdockyard.Txn) error {
 	t.mu.Lock()
@@ -72,17 +51,10 @@
 }
 
 func (t *Table) apply(w burdockyard.Write) {
-	i, found := slices.BinarySearch(t.keys, w.Key)
 	if w.Delete {
-		if found {
-			t.keys = slices.Delete(t.keys, i, i+1)
-		}
 		delete(t.rows, w.Key)
 		return
 	}
-	if !found {
-		t.keys = slices.Insert(t.keys, i, w.Key)
-	}
 	t.rows[w.Key] = burdockyard.Row{Key: w.Key, Value: w.Value, Version: t.rows[w.Key].Version + 1}
 }
 
--- a/io/byplatform/byplatform.go
+++ b/io/byplatform/byplatform.go
@@ -31,13 +31,6 @@
 	Keys []string `json:"keys"`
 }
 
-// ScanRequest asks for rows by prefix.
-type ScanRequest struct {
-	Prefix string `json:"prefix"`
-	After  string `json:"after,omitempty"`
-	Limit  int    `json:"limit"`
-}
-
 // RowsReply carries rows.
 type RowsReply struct {
 	Rows []burdockyard.Row `json:"rows"`
@@ -142,11 +135,6 @@
 	return reply.Rows, err
 }
 
-func (t table) Scan(ctx context.Context, prefix, after string, limit int) ([]burdockyard.Row, error) {
-	reply, err := call[ScanRequest, RowsReply](ctx, t.p, "/v1/table/scan", ScanRequest{Prefix: prefix, After: after, Limit: limit})
-	return reply.Rows, err
-}
-
 func (t table) Commit(ctx context.Context, txn burdockyard.Txn) error {
 	_, err := call[burdockyard.Txn, struct{}](ctx, t.p, "/v1/table/commit", txn)
 	return err
--- a/io/bystandin/platform.go
+++ b/io/bystandin/platform.go
@@ -67,7 +67,6 @@
 		vms:     map[string]listedVM{},
 	}
 	p.mux.HandleFunc("POST /v1/table/get", p.limited(p.reads, p.get))
-	p.mux.HandleFunc("POST /v1/table/scan", p.limited(p.reads, p.scan))
 	p.mux.HandleFunc("POST /v1/table/commit", p.limited(p.writes, p.commit))
 	p.mux.HandleFunc("PUT /v1/objects/{key}", p.limited(p.writes, p.putObject))
 	p.mux.HandleFunc("GET /v1/objects/{key}", p.limited(p.reads, p.getObject))
@@ -125,13 +124,6 @@
 	})
 }
 
-func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
-	handle(w, r, func(ctx context.Context, req byplatform.ScanRequest) (byplatform.RowsReply, error) {
-		rows, err := p.table.Scan(ctx, req.Prefix, req.After, req.Limit)
-		return byplatform.RowsReply{Rows: rows}, err
-	})
-}
-
 func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
 	handle(w, r, func(ctx context.Context, txn burdockyard.Txn) (struct{}, error) {
 		err := p.table.Commit(ctx, txn)
--- a/platform.go
+++ b/platform.go
@@ -39,8 +39,6 @@
 type Table interface {
 	// Get reads the rows of the given keys in one consistent read, in that order.
 	Get(ctx context.Context, keys ...string) ([]Row, error)
-	// Scan reads up to limit rows whose keys have the prefix and follow after, in key order.
-	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 	// Commit applies a transaction.
 	Commit(ctx context.Context, txn Txn) error
 }
