Never delete a booking's row

Cause: reading the desk again: a claim that was freed had its row deleted, so that the next claim stood at the same version. A late copy of the delete then removed the next claim while its call was on the way, and a third caller ran the booking again. The matrix delivers late copies of single commits and had not met the three in this order.

Ruled out: versions that are never used again (a promise that the platform does not make).

Change: a freed row stays, marked free, and is claimed over at its version.

Conclusion: no row of ours is deleted any more.

--- a/core/bybooking/attempt.go
+++ b/core/bybooking/attempt.go
@@ -155,7 +155,7 @@
 	}
 }
 
-// Sweep records outcomes that the table did not take, and deletes rows of
+// Sweep records outcomes that the table did not take, and frees rows of
 // abandoned attempts. It is called every second or so.
 func (d *Desk) Sweep(ctx context.Context) {
 	unsaved, abandoned := d.pending()
--- a/core/bybooking/bybooking.go
+++ b/core/bybooking/bybooking.go
@@ -48,6 +48,7 @@
 	stateClaimed state = "claimed"
 	stateDone    state = "done"
 	stateUnknown state = "unknown"
+	stateFree    state = "free" // claimed and certainly not sent; may be claimed again
 )
 
 // record is the value of a booking row.
@@ -110,7 +111,7 @@
 type attempt struct {
 	key       string
 	sent      bool
-	abandoned bool          // never to be sent; its row is to be deleted
+	abandoned bool          // never to be sent; its row is to be freed
 	since     time.Time     // when it was abandoned
 	done      chan struct{} // closed once resp and err are final
 	resp      burdockyard.ServiceResponse
@@ -150,22 +151,24 @@
 // returns the answer that the key already has. Every error is a *CallError.
 func (d *Desk) Call(ctx context.Context, c Call) (burdockyard.ServiceResponse, error) {
 	key := Key(c.Tenant, c.Key)
+	var over uint64 // version of the free row to claim, 0 for none
 	for range maxClaimTries {
 		rec := record{
 			BodyHash: hashRequest(c.Request), Attempt: string(burdockyard.NewRequestID()),
 			Claimant: d.self, State: stateClaimed,
 		}
-		version, err := d.claim(ctx, key, rec)
+		version, err := d.claim(ctx, key, rec, over)
 		if err == nil {
 			return d.run(ctx, c, key, rec, version)
 		}
 		if !errors.Is(err, burdockyard.ErrConflict) {
 			return burdockyard.ServiceResponse{}, d.notClaimed(err)
 		}
-		resp, again, err := d.follow(ctx, key, rec.BodyHash)
-		if !again {
+		resp, free, err := d.follow(ctx, key, rec.BodyHash)
+		if free == nil {
 			return resp, err
 		}
+		over = free.Version
 	}
 	return burdockyard.ServiceResponse{}, d.notClaimed(burdockyard.ErrConflict)
 }
@@ -195,17 +198,17 @@
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
 
-// claim inserts the row and returns its version. After an error other than
-// ErrConflict the attempt is abandoned: it will not be sent, and Sweep deletes
-// the row if it appears after all.
-func (d *Desk) claim(ctx context.Context, key string, rec record) (uint64, error) {
+// claim writes the row, over none or a free one, and returns its version. After an error other than
+// ErrConflict the attempt is abandoned: it will not be sent, and Sweep frees the
+// row if it appears after all.
+func (d *Desk) claim(ctx context.Context, key string, rec record, over uint64) (uint64, error) {
 	d.remember(rec.Attempt, key)
 	err := d.table.Commit(ctx, burdockyard.Txn{
-		Checks: []burdockyard.Check{{Key: key}},
+		Checks: []burdockyard.Check{{Key: key, Version: over}},
 		Writes: []burdockyard.Write{{Key: key, Value: encode(rec)}},
 	})
 	if err == nil {
-		return 1, nil
+		return over + 1, nil
 	}
 	certain := errors.Is(err, burdockyard.ErrConflict) || errors.Is(err, burdockyard.ErrUnavailable)
 	if certain {
@@ -237,30 +240,33 @@
 	return rows[0], rec, nil
 }
 
-// follow answers a call whose key has a row already. It asks for another try at
-// claiming if the row is gone or was freed.
-func (d *Desk) follow(ctx context.Context, key, bodyHash string) (resp burdockyard.ServiceResponse, again bool, err error) {
+// follow answers a call whose key has a row already, or returns the row if it is
+// free to be claimed.
+func (d *Desk) follow(ctx context.Context, key, bodyHash string) (resp burdockyard.ServiceResponse, free *burdockyard.Row, err error) {
 	for {
 		row, rec, err := d.read(ctx, key)
 		if err != nil {
-			return resp, false, unknown("the table did not say what became of the first call with this key", err)
+			return resp, nil, unknown("the table did not say what became of the first call with this key", err)
 		}
-		if !row.Exists() {
-			return resp, true, nil
+		if !row.Exists() || rec.State == stateFree {
+			return resp, &row, nil
 		}
 		if rec.BodyHash != bodyHash {
-			return resp, false, burdockyard.NewCallError(burdockyard.Invalid,
+			return resp, nil, burdockyard.NewCallError(burdockyard.Invalid,
 				"the idempotency key was used for another request; use a new key", burdockyard.WithStatus(422))
 		}
 		if rec.State == stateDone {
-			return *rec.Result, false, nil
+			return *rec.Result, nil, nil
 		}
 		if rec.State == stateUnknown {
-			return resp, false, unknown("the first call with this key was sent and its outcome is not known", nil)
+			return resp, nil, unknown("the first call with this key was sent and its outcome is not known", nil)
 		}
 		resp, verdict, err := d.waitClaimant(ctx, row, rec)
-		if verdict != keepWaiting {
-			return resp, verdict == claimAgain, err
+		if verdict == answered {
+			return resp, nil, err
+		}
+		if err != nil && !sleep(ctx, d.poll) {
+			return resp, nil, unknown("the table did not let the first claim with this key be freed", err)
 		}
 	}
 }
@@ -269,7 +275,6 @@
 
 const (
 	keepWaiting verdict = iota
-	claimAgain
 	answered
 )
 
@@ -283,7 +288,7 @@
 		return d.afterClaimantGone(ctx, row, rec)
 	}
 	if said == NeverSent {
-		return burdockyard.ServiceResponse{}, claimAgain, d.free(ctx, row)
+		return burdockyard.ServiceResponse{}, keepWaiting, d.free(ctx, row)
 	}
 	if !sleep(ctx, d.poll) {
 		return burdockyard.ServiceResponse{}, answered, unknown("the first call with this key is still in progress", ctx.Err())
@@ -310,7 +315,7 @@
 		return burdockyard.ServiceResponse{}, answered, unknown("the first call with this key has no recorded outcome", nil)
 	}
 	if d.ownState(rec.Attempt) == NeverSent {
-		return burdockyard.ServiceResponse{}, claimAgain, d.free(ctx, row)
+		return burdockyard.ServiceResponse{}, keepWaiting, d.free(ctx, row)
 	}
 	select {
 	case <-a.done:
@@ -320,11 +325,16 @@
 	}
 }
 
-// free deletes the row of an attempt that will never be sent.
+// free lets a key be claimed again whose attempt will never be sent.
+//
+// The row stays and its version rises. If it were deleted, the next claim would
+// insert it with the version of the last one, and a late copy of the delete
+// would remove that claim while its call is on the way: a third caller would
+// then run the booking again.
 func (d *Desk) free(ctx context.Context, row burdockyard.Row) error {
 	return d.table.Commit(ctx, burdockyard.Txn{
 		Checks: []burdockyard.Check{{Key: row.Key, Version: row.Version}},
-		Writes: []burdockyard.Write{{Key: row.Key, Delete: true}},
+		Writes: []burdockyard.Write{{Key: row.Key, Value: encode(record{State: stateFree})}},
 	})
 }
 
