Run every test afresh in make test

Cause: the process tests build the programs themselves, so that the test cache does not see when the programs change; the last run showed them as cached. Ruled out: importing the programs' packages for the cache's sake. Change: -count=1.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(GO) tool staticcheck ./...
 
 test: check ## everything that CI runs
-	$(GO) test -race ./...
+	$(GO) test -race -count=1 ./...  # never from the cache: some tests run the built programs
 
 demo: build ## a whole deployment on loopback, with a node lost and an engine drained
 	$(BIN)/burdock-demo --bin $(BIN) --manifest examples/demo.yaml
