Answer a second caller whose read came before the outcome

Cause: the last reading as a newcomer. A second caller of the same node that read the claim, and looked for the attempt after it had been recorded and forgotten, was told outcome_unknown although the result stood in the row.

Ruled out: keeping attempts for a while (the row already says it).

Change: the row is read once more, as for a claimant that is gone. Also: a field that was only written and one that only held a constant are gone, and two package comments say what the code now does.

--- a/core/bybooking/attempt.go
+++ b/core/bybooking/attempt.go
@@ -111,7 +111,6 @@
 // take is kept for Sweep, and the caller still gets it now.
 func (d *Desk) finish(a *attempt, rec record, resp burdockyard.ServiceResponse, err error) {
 	d.mu.Lock()
-	a.sent = true
 	a.unsaved = &rec
 	d.mu.Unlock()
 	d.save(a)
--- a/core/bybooking/bybooking.go
+++ b/core/bybooking/bybooking.go
@@ -12,7 +12,8 @@
 // booking/<tenant>/<key> is inserted before the first byte goes to an endpoint
 // and names the attempt and its claimant. Nobody but the claimant ever sends
 // the attempt, and it does so once. The row then holds the result, which every
-// later call with the key is answered with.
+// later call with the key is answered with, or it is free again if nothing was
+// sent. It is never deleted.
 package bybooking
 
 import (
@@ -110,7 +111,6 @@
 // attempt is this process's memory of one of its own attempts.
 type attempt struct {
 	key       string
-	sent      bool
 	abandoned bool          // never to be sent; its row is to be freed
 	since     time.Time     // when it was abandoned
 	done      chan struct{} // closed once resp and err are final
@@ -285,7 +285,7 @@
 	}
 	said, err := d.claimants.SendState(ctx, rec.Claimant, rec.Attempt)
 	if errors.Is(err, burdockyard.ErrNotFound) {
-		return d.afterClaimantGone(ctx, row, rec)
+		return d.afterClaimGone(ctx, row, rec)
 	}
 	if said == NeverSent {
 		return burdockyard.ServiceResponse{}, keepWaiting, d.free(ctx, row)
@@ -296,9 +296,9 @@
 	return burdockyard.ServiceResponse{}, keepWaiting, nil
 }
 
-// afterClaimantGone reads the row once more: the claimant may have recorded the
-// result between our read and its end.
-func (d *Desk) afterClaimantGone(ctx context.Context, row burdockyard.Row, rec record) (burdockyard.ServiceResponse, verdict, error) {
+// afterClaimGone reads the row once more: the claimant may have recorded the
+// result, and forgotten the attempt or stopped, after our read.
+func (d *Desk) afterClaimGone(ctx context.Context, row burdockyard.Row, rec record) (burdockyard.ServiceResponse, verdict, error) {
 	latest, _, err := d.read(ctx, row.Key)
 	if err == nil && latest.Version != row.Version {
 		return burdockyard.ServiceResponse{}, keepWaiting, nil
@@ -312,7 +312,7 @@
 	a := d.attempts[rec.Attempt]
 	d.mu.Unlock()
 	if a == nil {
-		return burdockyard.ServiceResponse{}, answered, unknown("the first call with this key has no recorded outcome", nil)
+		return d.afterClaimGone(ctx, row, rec)
 	}
 	if d.ownState(rec.Attempt) == NeverSent {
 		return burdockyard.ServiceResponse{}, keepWaiting, d.free(ctx, row)
--- a/core/bybooking/late_test.go
+++ b/core/bybooking/late_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"burdockyard"
 	"burdockyard/core/bybooking"
@@ -78,3 +79,31 @@
 		}
 	})
 }
+
+// lateReads is a table whose reads are answered a while after they were made.
+type lateReads struct{ *bymem.Table }
+
+func (l lateReads) Get(ctx context.Context, keys ...string) ([]burdockyard.Row, error) {
+	rows, err := l.Table.Get(ctx, keys...)
+	time.Sleep(time.Second)
+	return rows, err
+}
+
+// TestOutcomeRecordedMeanwhile checks that a second caller of the same node, who
+// read the row before the outcome was recorded, gets the outcome.
+func TestOutcomeRecordedMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := &counter{effects: map[string]int{}} // takes less than the read
+		desk := bybooking.New(lateReads{bymem.NewTable()}, burdockyard.SystemClock{}, burdockyard.Member{Node: "a"})
+		call := bybooking.Call{Tenant: "t", Key: "k", Senders: []burdockyard.Service{service}}
+		var group sync.WaitGroup
+		for range 2 {
+			group.Go(func() {
+				if _, err := desk.Call(t.Context(), call); err != nil {
+					t.Errorf("got %v", err)
+				}
+			})
+		}
+		group.Wait()
+	})
+}
--- a/core/byroute/byroute.go
+++ b/core/byroute/byroute.go
@@ -10,8 +10,9 @@
 //	flight.End()
 //	r.Tick(peerLoads, place, now) // with each heartbeat
 //
-// The estimate counts work that this node and its peers have open at an engine.
-// The engine's own load report is not used: it tells of a straggler late.
+// The estimate goes by the node's own open work and by the distance of its tokens;
+// what peers say counts for long prompts only. The engine's own load report is
+// not used: it tells of a straggler late.
 package byroute
 
 import (
--- a/core/byserve/dispatch.go
+++ b/core/byserve/dispatch.go
@@ -49,7 +49,6 @@
 type Dispatcher[V any] struct {
 	router   *byroute.Router
 	options  []byadmit.Option
-	backlog  time.Duration
 	manifest func() *bymanifest.Manifest
 	fresh    func() bool
 
@@ -62,7 +61,7 @@
 // nothing while fresh says that the manifest may be out of date.
 func NewDispatcher[V any](router *byroute.Router, manifest func() *bymanifest.Manifest, fresh func() bool, opts ...byadmit.Option) *Dispatcher[V] {
 	return &Dispatcher[V]{
-		router: router, options: opts, backlog: backlogTarget, manifest: manifest, fresh: fresh,
+		router: router, options: opts, manifest: manifest, fresh: fresh,
 		queues: map[string]*byadmit.Queue[Offered[V]]{}, nodes: 1,
 	}
 }
@@ -150,7 +149,7 @@
 // another engine would come too late for it; shorter, and engines idle between
 // calls that wait at the nodes.
 func (d *Dispatcher[V]) hasRoom(c byroute.Choice, left time.Duration) bool {
-	backlog := max(d.backlog, min(left/2, maxBacklog))
+	backlog := max(backlogTarget, min(left/2, maxBacklog))
 	return c.Backlog <= backlog && c.Seat
 }
 
