--- a/cmd/burdock/main.go
+++ b/cmd/burdock/main.go
@@ -40,6 +40,7 @@
 	Version func() `long:"version" description:"print the version and exit"`
 
 	Serve    serveCommand    `command:"serve" description:"run an entry node"`
+	Node     nodeCommand     `command:"node" description:"run an entry node on the users' platform"`
 	Check    checkCommand    `command:"check" description:"check a manifest, or settings with --settings"`
 	Publish  publishCommand  `command:"publish" description:"take a manifest into force"`
 	Status   statusCommand   `command:"status" description:"show what nodes say of themselves"`
--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -37,6 +37,13 @@
 	Streams       int
 }
 
+// Cached is a part of a prompt that an engine has just read.
+type Cached struct {
+	Engine burdockyard.EndpointID
+	Part   uint64
+	Tokens int
+}
+
 // Heartbeat is what a node tells its peers of itself.
 type Heartbeat struct {
 	Member     burdockyard.Member
@@ -48,6 +55,9 @@
 	Seq        uint64 // rises within an incarnation
 	Loads      []Load
 	Holds      []burdockyard.EndpointID // engines that get no new work for now
+	Reads      []Cached                 // parts of prompts that engines have read since the last one
+	Ready      bool                     // takes callers
+	Capacity   float64                  // share of a core, for the directory's answers
 }
 
 type peer struct {
@@ -86,13 +96,17 @@
 }
 
 // Alive returns the last heartbeats of the peers that are not suspect, ordered by node.
-func (v *View) Alive() []Heartbeat {
+func (v *View) Alive() []Heartbeat { return v.HeardWithin(SuspectAfter) }
+
+// HeardWithin returns the last heartbeats of the peers that were heard within a
+// time, ordered by node.
+func (v *View) HeardWithin(d time.Duration) []Heartbeat {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	now := v.clock.Now()
 	var beats []Heartbeat
 	for _, p := range v.peers {
-		if now.Sub(p.heard) < SuspectAfter {
+		if now.Sub(p.heard) < d {
 			beats = append(beats, p.beat)
 		}
 	}
--- /dev/null
+++ b/core/byplace/byplace.go
@@ -0,0 +1,306 @@
+// Package byplace chooses the endpoints of a request: which engine reads its
+// prompt and which one runs it, or which endpoint of a plain service serves it.
+//
+// # Usage
+//
+//	ledger := byplace.NewLedger(clock)
+//	plan, ok := ledger.PlanPrompt(need, fleet.Usable(service))
+//	flight := ledger.Begin(plan.Reader.ID, byplace.Work{Read: plan.Read})
+//	… send …
+//	flight.Done()
+//
+// # How an engine is chosen
+//
+// Each engine reads prompts one after another, so that a prompt waits for all
+// that was sent there before it, by any node. The ledger adds up this node's own
+// work and what its peers told of theirs. A plan's cost is the predicted time to
+// the first event, plus what it takes from others: reading a shared part again
+// that another engine keeps takes time from every prompt behind it, and a long
+// prompt on a decoding engine holds up the streams there.
+package byplace
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"burdockyard"
+	"burdockyard/core/byfleet"
+)
+
+// The usual speed of an engine, from the users' sheet. Each engine's own speed
+// is learnt as a multiple.
+const (
+	// usualTokensPerMS is how many prompt tokens are read in a millisecond.
+	usualTokensPerMS = 93.0
+	// pairMS is the time, in milliseconds, that a million pairs of tokens add.
+	pairMS = 0.442
+	// readSetup is the fixed part of reading a prompt.
+	readSetup = 3 * time.Millisecond
+	// decodeReadFactor is how much longer a decoding engine reads.
+	decodeReadFactor = 2.0
+	// transferSetup is the fixed part of fetching a kept prompt.
+	transferSetup = 4 * time.Millisecond
+	// farTransfer is how much longer a transfer between failure domains takes.
+	farTransfer = 2.0
+)
+
+// The weights of a plan's cost.
+const (
+	// rereadWeight counts the reading of parts twice and more: it also takes the
+	// time of every prompt behind it, and the memory of another part.
+	rereadWeight = 1.5
+	// homeBonus is the share of the reading that the engine saves in the choice
+	// which rendezvous hashing names for the prompt's shared part, so that nodes
+	// that don't know of each other's reading choose the same one.
+	homeBonus = 0.5
+	// streamCost is what one open stream adds to the time of the next one.
+	streamCost = 4 * time.Millisecond
+	// fullCost is what waiting for a place in a full batch costs.
+	fullCost = 120 * time.Millisecond
+	// stallFree is how long reading may hold up open streams unnoticed.
+	stallFree = 40 * time.Millisecond
+	// stallWeight counts the rest of it, for each stream that is held up.
+	stallWeight = 0.5
+	// handOffGain is how much sooner a short prompt must start through a reading
+	// engine to be worth the second hop.
+	handOffGain = 12 * time.Millisecond
+	// farCost is the cost of an endpoint in another failure domain.
+	farCost = 2 * time.Millisecond
+	// failCost is the cost of an endpoint at which every attempt fails lately.
+	failCost = 400 * time.Millisecond
+	// slowCost is the cost of an engine in a stall by its neighbours, for each
+	// multiple of the usual time.
+	slowCost = 10 * time.Millisecond
+	// loadFor is how long an endpoint's own word of its load counts.
+	loadFor = 250 * time.Millisecond
+)
+
+// Need is what a request asks for.
+type Need struct {
+	Prompt *burdockyard.Prompt
+	Model  *burdockyard.ModelSpec
+	Domain string // this node's failure domain
+}
+
+// Plan says where a prompt is read and where the request runs. Without a reader
+// the runner reads the prompt itself.
+type Plan struct {
+	Reader  *byfleet.Endpoint
+	Runner  byfleet.Endpoint
+	Read    time.Duration // reading at the reader, or at the runner without one
+	Predict time.Duration // to the first event
+	Wait    time.Duration // of Predict, for prompts before it
+	Cached  int           // tokens that the reading engine probably keeps
+	cost    time.Duration
+}
+
+// shared returns the id of the longest part that others may share, or 0.
+func shared(p *burdockyard.Prompt) uint64 {
+	best := burdockyard.PromptPart{Tokens: minCachedPart - 1}
+	for i, part := range p.Parts {
+		if i < len(p.Parts)-1 && part.Tokens > best.Tokens {
+			best = part
+		}
+	}
+	return best.ID
+}
+
+// readTime is how long an engine of usual speed reads the tokens that come after
+// those that it keeps.
+func readTime(total, cached int) time.Duration {
+	fresh := float64(max(total-cached, 0))
+	pairs := fresh * (float64(cached) + fresh/2) / 1e6
+	return readSetup + time.Duration((fresh/usualTokensPerMS+pairs*pairMS)*float64(time.Millisecond))
+}
+
+// cachedTokens returns how many leading tokens of a prompt an engine keeps.
+func (c *cache) cachedTokens(p *burdockyard.Prompt) int {
+	sum := 0
+	for _, part := range p.Parts {
+		if part.Tokens >= minCachedPart && !c.has(part.ID) {
+			break
+		}
+		sum += part.Tokens
+	}
+	return sum
+}
+
+func promptTokens(p *burdockyard.Prompt) int {
+	sum := 0
+	for _, part := range p.Parts {
+		sum += part.Tokens
+	}
+	return max(sum, p.Input)
+}
+
+// PlanPrompt chooses the engines of a prompt; false if no engine can run it.
+func (l *Ledger) PlanPrompt(n Need, engines []byfleet.Endpoint) (Plan, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var readers, runners []state
+	for _, e := range engines {
+		s := l.state(e)
+		s.cache.shrink(n.Model.CacheTokens)
+		if e.Role == burdockyard.RolePrefill {
+			readers = append(readers, s)
+		} else {
+			runners = append(runners, s)
+		}
+	}
+	if len(runners) == 0 {
+		return Plan{}, false
+	}
+	best := n.direct(runners)
+	if handed, ok := n.handedOff(readers, runners); ok {
+		gain := handOffGain
+		if promptTokens(n.Prompt) >= longPrompt {
+			gain = 0
+		}
+		if handed.cost+gain < best.cost {
+			best = handed
+		}
+	}
+	return best, true
+}
+
+// longPrompt is the size, in tokens, from which a prompt is read by a reading
+// engine as a matter of course.
+const longPrompt = 2048
+
+// direct is the best plan in which the running engine reads the prompt itself.
+func (n Need) direct(runners []state) Plan {
+	var best Plan
+	total := promptTokens(n.Prompt)
+	for _, r := range runners {
+		cached := r.cache.cachedTokens(n.Prompt)
+		read := time.Duration(decodeReadFactor * float64(readTime(total, cached)))
+		own := time.Duration(float64(read) * r.slowdown)
+		p := Plan{Runner: r.endpoint, Read: read, Wait: r.wait, Cached: cached}
+		p.Predict = r.wait + own + n.startCost(r)
+		stalled := time.Duration(float64(r.streams) * stallWeight * float64(max(own-stallFree, 0)))
+		p.cost = p.Predict + stalled + n.bias(r)
+		if best.cost == 0 || p.cost < best.cost {
+			best = p
+		}
+	}
+	return best
+}
+
+// handedOff is the best plan in which one engine reads and another one runs.
+func (n Need) handedOff(readers, runners []state) (Plan, bool) {
+	var best Plan
+	total := promptTokens(n.Prompt)
+	home := n.home(readers)
+	transfer := n.transfer(total)
+	for i := range readers {
+		p := &readers[i]
+		cached := p.cache.cachedTokens(n.Prompt)
+		read := readTime(total, cached)
+		own := time.Duration(float64(read) * p.slowdown)
+		weight := rereadWeight
+		if p.endpoint.ID == home {
+			weight -= homeBonus
+		}
+		base := p.wait + own
+		cost := base + time.Duration(weight*float64(read)) + n.bias(*p)
+		for _, r := range runners {
+			move := transfer
+			if r.endpoint.Domain != p.endpoint.Domain {
+				move = time.Duration(farTransfer * float64(transfer))
+			}
+			plan := Plan{Reader: &p.endpoint, Runner: r.endpoint, Read: read, Wait: p.wait, Cached: cached}
+			plan.Predict = base + transferSetup + move + n.startCost(r)
+			plan.cost = cost + transferSetup + 2*move + n.startCost(r) + r.wait/4 + n.bias(r)
+			if best.Reader == nil || plan.cost < best.cost {
+				best = plan
+			}
+		}
+	}
+	return best, best.Reader != nil
+}
+
+// home is the reading engine that rendezvous hashing names for the shared part.
+func (n Need) home(readers []state) burdockyard.EndpointID {
+	id := shared(n.Prompt)
+	if id == 0 {
+		return ""
+	}
+	var best burdockyard.EndpointID
+	var top uint64
+	for _, r := range readers {
+		score := rendezvous(id, r.endpoint.ID)
+		if best == "" || score > top {
+			best, top = r.endpoint.ID, score
+		}
+	}
+	return best
+}
+
+func rendezvous(part uint64, id burdockyard.EndpointID) uint64 {
+	b := make([]byte, 0, 64)
+	for shift := 0; shift < 64; shift += 8 {
+		b = append(b, byte(part>>shift))
+	}
+	return xxhash.Sum64(append(b, id...))
+}
+
+// transfer is how long the memory of a prompt takes between two engines of one
+// failure domain.
+func (n Need) transfer(tokens int) time.Duration {
+	if n.Model.LinkMbps <= 0 {
+		return 0
+	}
+	bits := float64(tokens) * float64(n.Model.TokenBytes) * 8
+	return time.Duration(bits / (n.Model.LinkMbps * 1e6) * float64(time.Second))
+}
+
+// startCost is how much the streams at an engine delay a new one.
+func (n Need) startCost(s state) time.Duration {
+	d := time.Duration(float64(s.streams)*s.slowdown) * streamCost
+	if s.streams >= s.endpoint.Slots {
+		d += fullCost * time.Duration(1+s.streams-s.endpoint.Slots)
+	}
+	return d
+}
+
+// bias is what is known against an endpoint beside its load.
+func (n Need) bias(s state) time.Duration {
+	d := time.Duration(s.endpoint.FailRate * float64(failCost))
+	d += time.Duration((s.slowdown - 1) * float64(slowCost))
+	if s.endpoint.Domain != n.Domain {
+		d += farCost
+	}
+	if s.endpoint.Cold > 0 {
+		d += slowCost
+	}
+	return d
+}
+
+// PlanCall orders the endpoints of a plain service, the best first.
+func (l *Ledger) PlanCall(domain string, endpoints []byfleet.Endpoint) (byfleet.Endpoint, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := Need{Domain: domain}
+	var best byfleet.Endpoint
+	var least time.Duration
+	for _, e := range endpoints {
+		s := l.state(e)
+		b := l.book(e.ID)
+		open := s.streams
+		if b.load.Known && l.clock.Now().Sub(b.loadAt) < loadFor {
+			open = max(open, b.load.Running+b.load.Waiting)
+		}
+		share := time.Duration(open) * callCost / time.Duration(e.Slots)
+		if open >= e.Slots {
+			share += callCost
+		}
+		if cost := share + n.bias(s) + 1; least == 0 || cost < least {
+			best, least = e, cost
+		}
+	}
+	return best, least > 0
+}
+
+// callCost is the cost of an endpoint of which all places are taken.
+const callCost = 60 * time.Millisecond
--- /dev/null
+++ b/core/byplace/ledger.go
@@ -0,0 +1,267 @@
+package byplace
+
+import (
+	"sync"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/byfleet"
+	"burdockyard/core/bymember"
+)
+
+const (
+	// peerLoadFor is how long a peer's figures count after they were heard. Live
+	// peers repeat them several times within this time.
+	peerLoadFor = 1500 * time.Millisecond
+	// speedWeight is the weight of the newest observation of an engine's speed.
+	speedWeight = 0.2
+	// minSlowdown and maxSlowdown bound what one observation can say.
+	minSlowdown = 0.7
+	maxSlowdown = 5.0
+)
+
+// Work is what one attempt asks of an endpoint.
+type Work struct {
+	Read    time.Duration // of the prompt, at an engine of usual speed
+	Streams int           // places that the answer takes in the batch
+}
+
+// Flight is one attempt that is open at an endpoint.
+type Flight struct {
+	ledger *Ledger
+	id     burdockyard.EndpointID
+	work   Work
+	began  time.Time
+	alone  bool // nothing else was open there
+	closed bool
+}
+
+// book is what is known of the work at one endpoint.
+type book struct {
+	flights  map[*Flight]struct{}
+	lastDone time.Time
+	slowdown float64 // time that work takes over the usual
+	load     burdockyard.LoadReport
+	loadAt   time.Time
+	cache    *cache
+	changed  bool // since the last digest
+}
+
+// peerBook is one peer's figures for one endpoint.
+type peerBook struct {
+	load  bymember.Load
+	heard time.Time
+}
+
+// Ledger holds the work that is open at each endpoint: this node's own, and
+// what peers told of theirs. Its methods may be called from several goroutines;
+// mu is a leaf lock.
+type Ledger struct {
+	clock burdockyard.Clock
+
+	mu    sync.Mutex
+	books map[burdockyard.EndpointID]*book
+	peers map[burdockyard.EndpointID]map[burdockyard.NodeID]peerBook
+	reads []bymember.Cached // read lately, for the next digest
+}
+
+// NewLedger returns an empty Ledger.
+func NewLedger(clock burdockyard.Clock) *Ledger {
+	return &Ledger{
+		clock: clock,
+		books: map[burdockyard.EndpointID]*book{},
+		peers: map[burdockyard.EndpointID]map[burdockyard.NodeID]peerBook{},
+	}
+}
+
+func (l *Ledger) book(id burdockyard.EndpointID) *book {
+	b := l.books[id]
+	if b == nil {
+		b = &book{flights: map[*Flight]struct{}{}, slowdown: 1, cache: newCache()}
+		l.books[id] = b
+	}
+	return b
+}
+
+// Begin notes an attempt that is about to be sent.
+func (l *Ledger) Begin(id burdockyard.EndpointID, w Work) *Flight {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.book(id)
+	read, streams := l.peerWork(id)
+	f := &Flight{ledger: l, id: id, work: w, began: l.clock.Now(), alone: len(b.flights) == 0 && read == 0 && streams == 0}
+	b.flights[f] = struct{}{}
+	b.changed = true
+	return f
+}
+
+// ReadDone notes that the prompt has been read: the attempt goes on as a stream
+// only. took is the time that reading took, zero if that is not known.
+func (f *Flight) ReadDone(took time.Duration) {
+	f.ledger.mu.Lock()
+	defer f.ledger.mu.Unlock()
+	if f.closed || f.work.Read == 0 {
+		return
+	}
+	b := f.ledger.book(f.id)
+	if f.alone && took > 0 {
+		seen := min(max(float64(took)/float64(f.work.Read), minSlowdown), maxSlowdown)
+		b.slowdown += speedWeight * (seen - b.slowdown)
+	}
+	f.work.Read = 0
+	b.lastDone = f.ledger.clock.Now()
+	b.changed = true
+}
+
+// Done notes that the attempt is over.
+func (f *Flight) Done() {
+	f.ledger.mu.Lock()
+	defer f.ledger.mu.Unlock()
+	if f.closed {
+		return
+	}
+	f.closed = true
+	b := f.ledger.book(f.id)
+	delete(b.flights, f)
+	if f.work.Read > 0 {
+		b.lastDone = f.ledger.clock.Now()
+	}
+	b.changed = true
+}
+
+// Observe takes in what an endpoint said of its load beside an answer.
+func (l *Ledger) Observe(id burdockyard.EndpointID, r burdockyard.LoadReport) {
+	if !r.Known {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.book(id)
+	b.load, b.loadAt = r, l.clock.Now()
+}
+
+// Hear takes in a peer's figures: those for endpoints that it names replace the
+// earlier ones.
+func (l *Ledger) Hear(node burdockyard.NodeID, loads []bymember.Load, reads []bymember.Cached) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	for _, load := range loads {
+		m := l.peers[load.Engine]
+		if m == nil {
+			m = map[burdockyard.NodeID]peerBook{}
+			l.peers[load.Engine] = m
+		}
+		m[node] = peerBook{load, now}
+	}
+	for _, r := range reads {
+		l.book(r.Engine).cache.touch(r.Part, r.Tokens)
+	}
+}
+
+// Digest returns this node's figures for its peers: of the endpoints whose
+// figures changed since the last digest, or of all that it uses.
+func (l *Ledger) Digest(all bool) ([]bymember.Load, []bymember.Cached) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var loads []bymember.Load
+	for id, b := range l.books {
+		if !b.changed && !(all && len(b.flights) > 0) {
+			continue
+		}
+		b.changed = false
+		load := bymember.Load{Engine: id}
+		for f := range b.flights {
+			load.Streams += f.work.Streams
+			load.PrefillTokens += int(f.work.Read.Seconds() * 1e3 * usualTokensPerMS)
+		}
+		loads = append(loads, load)
+	}
+	reads := l.reads
+	l.reads = nil
+	return loads, reads
+}
+
+// Changed reports whether a digest would say something new.
+func (l *Ledger) Changed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range l.books {
+		if b.changed {
+			return true
+		}
+	}
+	return len(l.reads) > 0
+}
+
+// NoteRead notes that an engine has read a prompt, and so keeps its parts.
+func (l *Ledger) NoteRead(id burdockyard.EndpointID, p *burdockyard.Prompt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.book(id)
+	for _, part := range p.Parts {
+		if part.Tokens < minCachedPart {
+			continue
+		}
+		b.cache.touch(part.ID, part.Tokens)
+		l.reads = append(l.reads, bymember.Cached{Engine: id, Part: part.ID, Tokens: part.Tokens})
+	}
+}
+
+// Keep drops what is known of endpoints other than those given.
+func (l *Ledger) Keep(known func(burdockyard.EndpointID) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, b := range l.books {
+		if !known(id) && len(b.flights) == 0 {
+			delete(l.books, id)
+			delete(l.peers, id)
+		}
+	}
+}
+
+// peerWork returns what peers have open at an endpoint.
+func (l *Ledger) peerWork(id burdockyard.EndpointID) (read time.Duration, streams int) {
+	now := l.clock.Now()
+	for node, p := range l.peers[id] {
+		if now.Sub(p.heard) > peerLoadFor {
+			delete(l.peers[id], node)
+			continue
+		}
+		read += time.Duration(float64(p.load.PrefillTokens) / usualTokensPerMS * float64(time.Millisecond))
+		streams += p.load.Streams
+	}
+	return read, streams
+}
+
+// state is the work that is open at one endpoint, this node's and its peers'.
+type state struct {
+	endpoint byfleet.Endpoint
+	wait     time.Duration // until a new prompt would be read, at the engine's speed
+	streams  int
+	slowdown float64
+	cache    *cache
+}
+
+func (l *Ledger) state(e byfleet.Endpoint) state {
+	b := l.book(e.ID)
+	read, streams := l.peerWork(e.ID)
+	now := l.clock.Now()
+	since := now
+	for f := range b.flights {
+		read += f.work.Read
+		streams += f.work.Streams
+		if f.work.Read > 0 && f.began.Before(since) {
+			since = f.began
+		}
+	}
+	// The engine works on the open prompts at least since the later of these.
+	if b.lastDone.After(since) {
+		since = b.lastDone
+	}
+	wait := time.Duration(float64(read)*b.slowdown) - now.Sub(since)
+	if read > 0 {
+		wait = max(wait, read/8)
+	}
+	return state{endpoint: e, wait: max(wait, 0), streams: streams, slowdown: b.slowdown, cache: b.cache}
+}
--- a/core/byserve/byserve.go
+++ b/core/byserve/byserve.go
@@ -19,6 +19,7 @@
 	"burdockyard"
 	"burdockyard/core/byadmit"
 	"burdockyard/core/bybooking"
+	"burdockyard/core/bybudget"
 	"burdockyard/core/bymanifest"
 	"burdockyard/core/byroute"
 	"burdockyard/core/bystream"
@@ -93,7 +94,7 @@
 	manifest  func() *bymanifest.Manifest
 	fresh     func() bool
 	dispatch  *Dispatcher[*waiter]
-	budget    *Budget
+	budget    *bybudget.Budget
 	desk      *bybooking.Desk
 	observer  Observer
 	done      chan struct{}
@@ -125,7 +126,7 @@
 // New returns a Server for the manifest in force.
 func New(clock burdockyard.Clock, endpoints burdockyard.Endpoints, manifest func() *bymanifest.Manifest, opts ...Option) *Server {
 	s := &Server{
-		clock: clock, endpoints: endpoints, manifest: manifest, budget: NewBudget(),
+		clock: clock, endpoints: endpoints, manifest: manifest, budget: bybudget.New(),
 		fresh: func() bool { return true }, observer: noObserver{}, done: make(chan struct{}), open: map[string]int{},
 		tenants: map[burdockyard.Tenant]int{},
 	}
--- a/errors.go
+++ b/errors.go
@@ -13,6 +13,11 @@
 	ErrConflict = merry.Sentinel("conflict")
 	// ErrUnavailable means that the platform refused the call before doing anything.
 	ErrUnavailable = merry.Sentinel("platform unavailable")
+	// ErrHistoryGone means that the store no longer knows what has changed since
+	// the version that was asked for.
+	ErrHistoryGone = merry.Sentinel("history no longer kept")
+	// ErrUnreadable means that a row holds something that cannot be understood.
+	ErrUnreadable = merry.Sentinel("unreadable")
 	// ErrNotFound means that no such object exists.
 	ErrNotFound = merry.Sentinel("not found")
 )
--- /dev/null
+++ b/io/byentry/call.go
@@ -0,0 +1,250 @@
+package byentry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/byfleet"
+	"burdockyard/core/byplace"
+	"burdockyard/io/byforward"
+	"burdockyard/io/bylog"
+)
+
+const (
+	// maxSends bounds the endpoints to which one request is sent, also where all
+	// of them said that they have not run it.
+	maxSends = 3
+	// answerBuffer is the size up to which an answer is read whole before the
+	// caller gets a byte, so that one which breaks off can be replaced.
+	answerBuffer = 256 << 10
+	// unsafeIdle is how long a connection may have been idle that is used for a
+	// request which may run only once: an endpoint that has just closed it leaves
+	// the outcome unknown.
+	unsafeIdle = time.Second
+	// noEndpointReturn is how soon a service without endpoints is worth asking again.
+	noEndpointReturn = 300 * time.Millisecond
+	// fullReturn is how soon an endpoint that was full has a place again.
+	fullReturn = 120 * time.Millisecond
+)
+
+// outcome is what came of one send.
+type outcome int
+
+const (
+	answered  outcome = iota // an answer that can be delivered
+	notRun                   // certainly not run; another endpoint may get it
+	broken                   // it may have run, and there is no whole answer
+	abandoned                // the caller has left or the time is up
+)
+
+// send sends the request to an endpoint and sorts what comes back.
+func (c *call) send(ctx context.Context, e byfleet.Endpoint, a burdockyard.Attempt) (*byforward.Response, outcome, error) {
+	n := c.node
+	if !n.fleet.MayGet(e.ID) {
+		c.tried[e.ID] = true
+		return nil, notRun, burdockyard.ErrNotStarted
+	}
+	a.Expect, a.Deadline = e.ID, c.left()
+	req := &byforward.Request{
+		ID: c.info.ID, Method: c.r.Method, Path: c.path, Host: c.r.Host, Body: c.body, Deadline: c.until,
+		Header: n.platform.Protocol.EncodeRequest(c.r.Header, a),
+	}
+	if !c.route.Idempotent() {
+		req.MaxIdle = unsafeIdle
+	}
+	c.sends++
+	c.tried[e.ID] = true
+	resp, err := n.forward.Send(ctx, byforward.Target{Addr: e.Addr, MaxConns: n.connShare(c.service)}, req)
+	if err != nil {
+		return nil, c.sortError(ctx, e, err), err
+	}
+	info := n.platform.Protocol.DecodeAnswer(resp.Status, resp.Header)
+	n.ledger.Observe(e.ID, info.Load)
+	switch {
+	case info.Other:
+		n.report(e, byfleet.Stranger, nil)
+	case info.NotRun:
+		n.report(e, byfleet.Shed, nil)
+	case resp.Status >= http.StatusInternalServerError:
+		n.report(e, byfleet.Failed, nil)
+	}
+	if info.NotRun {
+		c.drain(resp)
+		return nil, notRun, burdockyard.ErrNotStarted
+	}
+	return resp, answered, nil
+}
+
+func (c *call) sortError(ctx context.Context, e byfleet.Endpoint, err error) outcome {
+	if c.gone() {
+		return abandoned
+	}
+	if errors.Is(err, burdockyard.ErrNotStarted) {
+		c.node.report(e, byfleet.Unreachable, err)
+		c.sends-- // nothing has left
+		return notRun
+	}
+	if ctx.Err() != nil || c.left() <= 0 {
+		c.node.report(e, byfleet.NoAnswer, err)
+		return abandoned
+	}
+	c.node.report(e, byfleet.Unreachable, err)
+	return broken
+}
+
+// drain reads the rest of an answer that is not delivered, to keep its connection.
+func (c *call) drain(resp *byforward.Response) {
+	if _, err := resp.ReadAll(answerBuffer); err != nil {
+		c.node.log.calls.Debug("refusal cut off", bylog.Str("request", string(c.info.ID)), bylog.Err(err))
+	}
+	resp.Close()
+}
+
+// connShare is how many connections to one endpoint this node may hold, so that
+// all nodes together stay within the service's limit.
+func (n *Node) connShare(s *burdockyard.ServiceSpec) int {
+	return max(s.MaxConns/(1+len(n.view.Alive())), minConns)
+}
+
+// minConns lets every node hold this many connections to an endpoint.
+const minConns = 2
+
+// report tells the fleet what came of an attempt.
+func (n *Node) report(e byfleet.Endpoint, r byfleet.Result, err error) {
+	if n.fleet.Report(e.ID, r) {
+		n.log.fleet.Info("endpoint set aside", bylog.Str("endpoint", string(e.ID)), bylog.Str("addr", e.Addr),
+			bylog.Int("result", int(r)), bylog.Err(err))
+	}
+}
+
+// mayRepeat reports whether the request may be sent to one more endpoint after
+// an outcome, and pays for it.
+func (c *call) mayRepeat(o outcome) bool {
+	switch {
+	case o == abandoned || c.gone() || c.left() <= 0 || c.sends >= maxSends:
+		return false
+	case o == notRun && c.sends == 0:
+		return len(c.tried) < maxSends // nothing has left yet, so it costs nothing
+	case o == broken && (!c.route.Idempotent() || c.tries >= c.route.Attempts):
+		return false
+	}
+	return c.node.budgets.of(c.service.Name).Spend()
+}
+
+// serveCall serves a request of a plain service.
+func (c *call) serveCall(ctx context.Context) {
+	last := notRun
+	var lastErr error
+	var failure *answer // an endpoint's own failure, delivered if nothing better comes
+	for {
+		e, ok := c.node.ledger.PlanCall(c.node.settings.Domain, c.usable())
+		if !ok {
+			break
+		}
+		flight := c.node.ledger.Begin(e.ID, byplace.Work{Streams: 1})
+		resp, o, err := c.send(ctx, e, burdockyard.Attempt{Priority: -1})
+		if o != notRun {
+			c.tries++
+		}
+		var a *answer
+		if o == answered {
+			a, o, err = c.take(e, resp)
+		}
+		flight.Done()
+		last, lastErr = o, err
+		if o == answered && a.status < http.StatusInternalServerError {
+			c.deliver(a)
+			return
+		}
+		if o == answered {
+			failure, last = a, broken
+		}
+		if !c.mayRepeat(last) {
+			break
+		}
+	}
+	if failure != nil && !c.gone() {
+		c.deliver(failure)
+		return
+	}
+	c.finish(last, lastErr)
+}
+
+// finish gives the final answer to a request that has got none.
+func (c *call) finish(last outcome, err error) {
+	switch {
+	case c.gone():
+		c.log("caller left")
+	case last == notRun && c.tries > 0:
+		c.fail("endpoint_failed", err) // an earlier send may have run
+	case last == notRun && len(c.tried) == 0:
+		c.refuse("no_endpoint", noEndpointReturn)
+	case last == notRun:
+		c.refuse("endpoints_full", fullReturn)
+	default:
+		c.fail("no_answer", err)
+	}
+}
+
+// answer is an endpoint's answer, read as far as answerBuffer.
+type answer struct {
+	endpoint burdockyard.EndpointID
+	status   int
+	header   http.Header
+	body     []byte
+	rest     *byforward.Response // what is still to be read, nil if nothing is
+}
+
+// take reads an answer. One that breaks off is an outcome that may be repeated,
+// since the caller has not got a byte of it.
+func (c *call) take(e byfleet.Endpoint, resp *byforward.Response) (*answer, outcome, error) {
+	a := &answer{endpoint: e.ID, status: resp.Status, header: c.node.platform.Protocol.AnswerHeaders(resp.Header)}
+	var err error
+	a.body, err = io.ReadAll(io.LimitReader(resp, answerBuffer))
+	if err != nil {
+		resp.Close()
+		c.node.report(e, byfleet.Failed, err)
+		if c.gone() || c.left() <= 0 {
+			return nil, abandoned, err
+		}
+		return nil, broken, err
+	}
+	if len(a.body) == answerBuffer {
+		a.rest = resp
+	} else {
+		resp.Close()
+	}
+	if resp.Status < http.StatusInternalServerError {
+		c.node.report(e, byfleet.Succeeded, nil)
+	}
+	return a, answered, nil
+}
+
+// deliver passes an answer on.
+func (c *call) deliver(a *answer) {
+	h := c.w.Header()
+	for key, values := range a.header {
+		h[key] = values
+	}
+	if a.rest == nil {
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	} else if a.rest.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.rest.Length, 10))
+	}
+	c.w.WriteHeader(a.status)
+	_, err := c.w.Write(a.body)
+	if err == nil && a.rest != nil {
+		defer a.rest.Close()
+		_, err = io.Copy(c.w, a.rest)
+	}
+	if err != nil {
+		c.log("answer cut", bylog.Str("endpoint", string(a.endpoint)), bylog.Err(err))
+		panic(http.ErrAbortHandler) // the caller must not take it for a whole one
+	}
+	c.log("answered", bylog.Int("status", a.status), bylog.Str("endpoint", string(a.endpoint)))
+}
--- /dev/null
+++ b/io/byentry/entry.go
@@ -0,0 +1,274 @@
+// Package byentry runs an entry node: it takes callers' requests, chooses the
+// endpoints that serve them, and forwards them.
+//
+// # Usage
+//
+//	node := byentry.New(settings, platform, byentry.WithLog(log))
+//	err := node.Run(ctx) // returns after a graceful stop once ctx ends
+//
+// # Parts
+//
+// The configuration and the registry of endpoints are followed by the loops of
+// watch.go; peers are heard and told of this node's work in peers.go. A request
+// passes ingress.go, then call.go or prompt.go, and its answer relay.go.
+package byentry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"burdockyard"
+	"burdockyard/core/byfleet"
+	"burdockyard/core/bymember"
+	"burdockyard/core/byplace"
+	"burdockyard/core/byroutes"
+	"burdockyard/io/byforward"
+	"burdockyard/io/bylog"
+	"burdockyard/io/bymetrics"
+)
+
+const (
+	// sweepEvery is the time between two looks at idle connections.
+	sweepEvery = 500 * time.Millisecond
+	// stopPoll is how often a stopping node looks whether it is empty.
+	stopPoll = 50 * time.Millisecond
+	// stopReserve is kept of the grace for the last steps of a stop.
+	stopReserve = 1200 * time.Millisecond
+	// stopServe is how long a stopping node goes on serving: callers keep the
+	// address for the lifetime of the directory's answer, some for longer.
+	stopServe = 6 * time.Second
+	// readHeaderTimeout bounds a caller's header before a configuration says more.
+	readHeaderTimeout = 10 * time.Second
+)
+
+// Settings are what the node knows at its start.
+type Settings struct {
+	Node          burdockyard.NodeID
+	Domain        string
+	FrontAddr     string // for callers
+	ReadyAddr     string // for readiness checks
+	DirectoryAddr string // for callers that ask where to connect
+	GossipAddr    string // for heartbeats from other nodes
+	Capacity      float64
+	MemoryBytes   int64
+	Grace         time.Duration // from the signal to the end of the process
+	RetryRatio    float64       // second sends over requests, of all nodes
+	RetrySlack    float64       // second sends that are free, of all nodes
+	AnswerTTL     time.Duration // how long callers keep an answer of the directory
+}
+
+// Platform is what the node needs of the platform it runs on.
+type Platform struct {
+	Registry       burdockyard.Registry
+	Table          burdockyard.Table
+	Protocol       burdockyard.Protocol
+	ConfigTable    string
+	ConfigKey      string
+	InstanceTable  string
+	DecodeConfig   func([]byte) (*burdockyard.RouteConfig, error)
+	DecodeInstance func(burdockyard.Row) (burdockyard.Instance, error)
+	// NewDirectory and NewReadiness make the handlers of the entry calls.
+	NewDirectory func(lookup func(host, domain string) ([]string, time.Duration)) http.Handler
+	NewReadiness func(ready func() bool) http.Handler
+}
+
+// Node is one entry node. Its parts lock for themselves.
+type Node struct {
+	settings Settings
+	platform Platform
+	clock    burdockyard.Clock
+	self     burdockyard.Member
+	routes   byroutes.Follower
+	fleet    *byfleet.Fleet
+	ledger   *byplace.Ledger
+	forward  *byforward.Forwarder
+	budgets  *budgets
+	view     *bymember.View
+	peers    *peers
+	callers  *callers
+	metrics  *bymetrics.Metrics
+	log      logs
+	leaving  atomic.Bool
+	open     atomic.Int64 // requests in work
+	held     atomic.Int64 // bytes of their bodies
+	beatSeq  atomic.Uint64
+	done     chan struct{}
+}
+
+// logs are the loggers of a node's parts.
+type logs struct {
+	node, calls, members, config, fleet bylog.Logger
+}
+
+// Option sets an optional part of a Node.
+type Option func(*Node)
+
+// WithLog sets where the node's sentences go.
+func WithLog(z zerolog.Logger) Option {
+	return func(n *Node) {
+		n.log = logs{
+			node: bylog.Part(z, bylog.Node), calls: bylog.Part(z, bylog.Calls), members: bylog.Part(z, bylog.Members),
+			config: bylog.Part(z, bylog.Config), fleet: bylog.Part(z, bylog.Fleet),
+		}
+	}
+}
+
+// WithClock sets the node's clock.
+func WithClock(c burdockyard.Clock) Option { return func(n *Node) { n.clock = c } }
+
+// New returns a node that does not run yet.
+func New(s Settings, p Platform, opts ...Option) *Node {
+	n := &Node{
+		settings: s, platform: p, clock: burdockyard.SystemClock{}, metrics: bymetrics.New(),
+		self: burdockyard.Member{Node: s.Node, Incarnation: burdockyard.NewIncarnation(), Addr: s.GossipAddr},
+		done: make(chan struct{}),
+	}
+	WithLog(zerolog.Nop())(n)
+	for _, opt := range opts {
+		opt(n)
+	}
+	n.fleet = byfleet.New(n.clock)
+	n.ledger = byplace.NewLedger(n.clock)
+	n.forward = byforward.New(n.clock, func(h http.Header) burdockyard.RequestID { return p.Protocol.DecodeAnswer(http.StatusOK, h).ID })
+	n.view = bymember.New(n.clock, n.self)
+	n.budgets = newBudgets(s.RetryRatio, s.RetrySlack)
+	n.peers = newPeers(n)
+	n.callers = newCallers(n.clock)
+	return n
+}
+
+// Done is closed once Run has returned.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// Run serves until ctx ends, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	defer close(n.done)
+	listeners, err := listenAll(n.settings.FrontAddr, n.settings.ReadyAddr, n.settings.DirectoryAddr)
+	if err != nil {
+		return err
+	}
+	if err := n.peers.listen(); err != nil {
+		return err
+	}
+	n.log.node.Info("serving", bylog.Str("callers", n.settings.FrontAddr), bylog.Str("incarnation", string(n.self.Incarnation)))
+
+	// The loops outlive ctx: a stopping node still serves.
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	group, life := errgroup.WithContext(life)
+	front := &http.Server{Handler: n, ReadHeaderTimeout: readHeaderTimeout, ConnState: n.callers.track, ErrorLog: nil}
+	servers := []*http.Server{
+		front,
+		{Handler: n.platform.NewReadiness(n.ready), ReadHeaderTimeout: readHeaderTimeout},
+		{Handler: n.platform.NewDirectory(n.lookup), ReadHeaderTimeout: readHeaderTimeout},
+	}
+	for i, s := range servers {
+		group.Go(func() error { return serve(s, listeners[i]) })
+	}
+	n.startLoops(life, group)
+	group.Go(func() error {
+		defer end()
+		select {
+		case <-ctx.Done():
+			n.stop(servers)
+		case <-life.Done():
+		}
+		for _, s := range servers {
+			s.Close()
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+func listenAll(addrs ...string) ([]net.Listener, error) {
+	var all []net.Listener
+	for _, addr := range addrs {
+		l, err := net.Listen("tcp4", addr)
+		if err != nil {
+			for _, open := range all {
+				open.Close()
+			}
+			return nil, merry.Prepend(err, "listening")
+		}
+		all = append(all, l)
+	}
+	return all, nil
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); err != http.ErrServerClosed {
+		return merry.Wrap(err)
+	}
+	return nil
+}
+
+func (n *Node) startLoops(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { return n.followConfig(ctx) })
+	group.Go(func() error { return n.followInstances(ctx) })
+	group.Go(func() error { return n.peers.gossip.Run(ctx) })
+	group.Go(func() error { return n.peers.register(ctx) })
+	group.Go(func() error { return n.peers.tellLoop(ctx) })
+	group.Go(func() error { return every(ctx, sweepEvery, n.sweep) })
+}
+
+// every calls f at each interval, until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func(context.Context)) error {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			f(ctx)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (n *Node) sweep(context.Context) {
+	n.forward.Sweep()
+	n.ledger.Keep(n.fleet.Known)
+	n.budgets.share(1 + len(n.view.Alive()))
+	if t := n.routes.Current(); t != nil {
+		n.callers.closeIdle(t.Limits())
+	}
+}
+
+// ready reports whether callers may be sent here.
+func (n *Node) ready() bool {
+	return !n.leaving.Load() && n.routes.Current() != nil && n.fleet.Len() > 0
+}
+
+// stop serves on for a while, since callers still hold this node's address, and
+// asks each of them to close its connection. It returns once the node is empty.
+func (n *Node) stop(servers []*http.Server) {
+	n.leaving.Store(true)
+	n.log.node.Info("leaving", bylog.Int("open_requests", int(n.open.Load())))
+	n.peers.tell(true)
+	began := n.clock.Now()
+	limit := n.settings.Grace - stopReserve
+	for {
+		time.Sleep(stopPoll)
+		gone := n.clock.Now().Sub(began)
+		if gone >= limit || gone >= min(stopServe, limit) && n.open.Load() == 0 {
+			break
+		}
+	}
+	n.peers.leave()
+	last, cancel := context.WithTimeout(context.Background(), stopReserve/2)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(last); err != nil {
+			n.log.node.Warn("requests are cut by the stop", bylog.Int("open_requests", int(n.open.Load())), bylog.Err(err))
+		}
+	}
+	n.log.node.Info("stopped", bylog.Int("open_requests", int(n.open.Load())))
+}
--- /dev/null
+++ b/io/byentry/ingress.go
@@ -0,0 +1,233 @@
+package byentry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/byfleet"
+	"burdockyard/core/byroutes"
+	"burdockyard/io/bylog"
+)
+
+const (
+	// bodyShare is the part of the memory that bodies in work may take.
+	bodyShare = 0.25
+	// defaultDeadline is the time of a request that names none.
+	defaultDeadline = 30 * time.Second
+	// patienceTimes and leastPatience tell when callers give a stream up that has
+	// not begun: after four objectives, eight pauses or two seconds.
+	patienceObjectives = 4
+	patienceGaps       = 8
+	leastPatience      = 2 * time.Second
+	// longestReturn is the part of the time left that a refusal may ask for.
+	longestReturn = 3
+	// shortestReturn keeps callers from coming back before anything has changed.
+	shortestReturn = 50 * time.Millisecond
+	// unconfiguredReturn is how long a node takes to learn its configuration.
+	unconfiguredReturn = 500 * time.Millisecond
+)
+
+// call is one request in work.
+type call struct {
+	node    *Node
+	r       *http.Request
+	w       http.ResponseWriter
+	info    burdockyard.RequestInfo
+	route   *burdockyard.Route
+	service *burdockyard.ServiceSpec
+	path    string // with the query, as the caller sent it
+	body    []byte
+	began   time.Time
+	until   time.Time // the caller's deadline or the route's timeout
+	tries   int       // endpoints to which it was sent and that may have run it
+	sends   int       // all sends, also those that were refused
+	tried   map[burdockyard.EndpointID]bool
+}
+
+// ServeHTTP implements http.Handler.
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n.open.Add(1)
+	defer n.open.Add(-1)
+	if n.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c := &call{node: n, r: r, w: w, began: n.clock.Now(), tried: map[burdockyard.EndpointID]bool{}}
+	table := n.routes.Current()
+	if table == nil {
+		c.until = c.began.Add(defaultDeadline)
+		c.refuse("no_configuration", unconfiguredReturn)
+		return
+	}
+	if status, cause := c.open(table); status != 0 {
+		c.reject(status, cause)
+		return
+	}
+	size := r.ContentLength
+	if size < 0 {
+		size = int64(table.Limits().BodyBytes)
+	}
+	defer n.held.Add(-size)
+	if n.held.Add(size) > int64(bodyShare*float64(n.settings.MemoryBytes)) {
+		c.refuse("memory", unconfiguredReturn)
+		return
+	}
+	if status, cause := c.readBody(int64(table.Limits().BodyBytes)); status != 0 {
+		c.reject(status, cause)
+		return
+	}
+	n.budgets.of(c.service.Name).Earn()
+	ctx, cancel := context.WithDeadline(r.Context(), c.until)
+	defer cancel()
+	if c.route.Kind == burdockyard.KindStream {
+		c.serveStream(ctx)
+		return
+	}
+	c.serveCall(ctx)
+}
+
+// open finds out what the request is. A status other than 0 rejects it.
+func (c *call) open(table *byroutes.Table) (status int, cause string) {
+	limits := table.Limits()
+	if limits.HeaderBytes > 0 && headerSize(c.r) > limits.HeaderBytes {
+		return http.StatusRequestHeaderFieldsTooLarge, "the header is too long"
+	}
+	c.path = c.r.RequestURI
+	if i := strings.Index(c.path, "://"); i > 0 && !strings.HasPrefix(c.path, "/") {
+		rest := c.path[i+len("://"):]
+		c.path = "/"
+		if j := strings.IndexByte(rest, '/'); j >= 0 {
+			c.path = rest[j:]
+		}
+	}
+	plain, _, _ := strings.Cut(c.path, "?")
+	if c.route = table.Match(c.r.Host, plain); c.route == nil {
+		return http.StatusNotFound, "no route for " + c.r.Host + plain
+	}
+	info, err := c.node.platform.Protocol.DecodeRequest(c.r.Header)
+	if err != nil {
+		return http.StatusBadRequest, err.Error()
+	}
+	c.info = info
+	name := byroutes.PickService(c.route, rand.Float64())
+	if c.service = table.Service(name); c.service == nil {
+		c.service = &burdockyard.ServiceSpec{Name: name, MaxConns: defaultMaxConns}
+	}
+	left := defaultDeadline
+	if info.Deadline > 0 {
+		left = info.Deadline
+	}
+	if c.route.Timeout > 0 {
+		left = min(left, c.route.Timeout)
+	}
+	c.until = c.began.Add(left)
+	if limits.BodyBytes > 0 && c.r.ContentLength > int64(limits.BodyBytes) {
+		return http.StatusRequestEntityTooLarge, "the body is too long"
+	}
+	return 0, ""
+}
+
+// defaultMaxConns bounds the connections to an endpoint of a service that the
+// configuration does not describe.
+const defaultMaxConns = 32
+
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI)
+	for key, values := range r.Header {
+		for _, v := range values {
+			size += len(key) + len(v) + len(": \r\n")
+		}
+	}
+	return size
+}
+
+func (c *call) readBody(limit int64) (status int, cause string) {
+	if c.r.ContentLength == 0 {
+		return 0, ""
+	}
+	var err error
+	if c.r.ContentLength > 0 {
+		c.body = make([]byte, c.r.ContentLength)
+		_, err = io.ReadFull(c.r.Body, c.body)
+	} else {
+		c.body, err = io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	}
+	switch {
+	case err != nil:
+		return http.StatusBadRequest, "the body ends early"
+	case limit > 0 && int64(len(c.body)) > limit:
+		return http.StatusRequestEntityTooLarge, "the body is too long"
+	}
+	return 0, ""
+}
+
+func (c *call) left() time.Duration { return c.until.Sub(c.node.clock.Now()) }
+
+// patience is how much longer the caller waits for a stream to begin.
+func (c *call) patience() time.Duration {
+	whole := max(leastPatience, patienceObjectives*c.route.Objective, patienceGaps*c.route.MaxGap)
+	return min(c.left(), c.began.Add(whole).Sub(c.node.clock.Now()))
+}
+
+// reject answers a request that is wrong in itself.
+func (c *call) reject(status int, cause string) {
+	c.log("rejected", bylog.Int("status", status), bylog.Str("cause", cause))
+	if status == http.StatusRequestEntityTooLarge || status == http.StatusBadRequest {
+		c.w.Header().Set("Connection", "close") // the rest of the body is not read
+	}
+	http.Error(c.w, cause, status)
+}
+
+// refuse answers a request that has not run and never will, with the time to
+// come back.
+func (c *call) refuse(cause string, back time.Duration) {
+	back = min(max(back, shortestReturn), c.left()/longestReturn)
+	c.log("refused", bylog.Str("cause", cause), bylog.Millis("back_ms", back))
+	if back > 0 {
+		c.w.Header().Set("Retry-After", strconv.FormatFloat(back.Seconds(), 'f', 3, 64))
+	}
+	http.Error(c.w, "not run: "+cause, http.StatusServiceUnavailable)
+}
+
+// fail answers a request that may have run.
+func (c *call) fail(cause string, err error) {
+	status := http.StatusBadGateway
+	if c.left() <= 0 || errors.Is(err, context.DeadlineExceeded) {
+		status = http.StatusGatewayTimeout
+	}
+	c.log("failed", bylog.Int("status", status), bylog.Str("cause", cause), bylog.Err(err))
+	http.Error(c.w, "outcome unknown: "+cause, status)
+}
+
+// gone reports whether the caller has left.
+func (c *call) gone() bool { return c.r.Context().Err() != nil }
+
+func (c *call) log(outcome string, fields ...bylog.Field) {
+	fields = append(fields, bylog.Str("request", string(c.info.ID)), bylog.Int("sends", c.sends),
+		bylog.Millis("after_ms", c.node.clock.Now().Sub(c.began)))
+	if c.route != nil {
+		fields = append(fields, bylog.Str("route", c.route.Name))
+	}
+	c.node.log.calls.Info(outcome, fields...)
+}
+
+// usable returns the endpoints of the service that were not tried yet.
+func (c *call) usable() []byfleet.Endpoint {
+	all := c.node.fleet.Usable(c.service.Name)
+	if len(c.tried) == 0 {
+		return all
+	}
+	rest := all[:0]
+	for _, e := range all {
+		if !c.tried[e.ID] {
+			rest = append(rest, e)
+		}
+	}
+	return rest
+}
--- /dev/null
+++ b/io/byentry/peers.go
@@ -0,0 +1,193 @@
+package byentry
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"sync"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/bymember"
+	"burdockyard/io/bygossip"
+	"burdockyard/io/bylog"
+)
+
+const (
+	// nodeTable holds a row for each node, by which a new one finds the others.
+	nodeTable = "nodes"
+	// tellEvery is the shortest time between two heartbeats.
+	tellEvery = 20 * time.Millisecond
+	// beatEvery is the longest one.
+	beatEvery = 300 * time.Millisecond
+	// rescanEvery is the time between two looks for nodes that were not heard.
+	rescanEvery = 10 * time.Second
+	// reachableFor is the silence after which callers are no longer sent to a node.
+	reachableFor = time.Second
+	// leaveTimeout bounds the removal of this node's row.
+	leaveTimeout = 300 * time.Millisecond
+	// maxAddresses bounds an answer of the directory.
+	maxAddresses = 64
+)
+
+// nodeRow is the value of a node's row.
+type nodeRow struct {
+	Incarnation burdockyard.Incarnation `json:"incarnation"`
+	Gossip      string                  `json:"gossip"`
+}
+
+// peers tells the other nodes of this one, and hears them. mu is a leaf lock.
+type peers struct {
+	node   *Node
+	gossip *bygossip.Gossip
+
+	mu    sync.Mutex
+	addrs map[burdockyard.NodeID]netip.AddrPort
+}
+
+func newPeers(n *Node) *peers {
+	return &peers{node: n, addrs: map[burdockyard.NodeID]netip.AddrPort{}}
+}
+
+func (p *peers) listen() error {
+	bad := func(err error) { p.node.log.members.Debug("heartbeat not passed on", bylog.Err(err)) }
+	g, err := bygossip.Listen(p.node.settings.GossipAddr, p.hear, bygossip.WithBad(bad))
+	p.gossip = g
+	return err
+}
+
+func (p *peers) hear(b bymember.Heartbeat) {
+	n := p.node
+	if b.Member.Node == n.self.Node {
+		return
+	}
+	p.learn(b.Member.Node, b.Member.Addr)
+	n.view.Hear(b)
+	n.ledger.Hear(b.Member.Node, b.Loads, b.Reads)
+}
+
+func (p *peers) learn(id burdockyard.NodeID, addr string) {
+	at, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		p.node.log.members.Debug("node without a readable address", bylog.Str("peer", string(id)), bylog.Err(err))
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.addrs[id] != at {
+		p.addrs[id] = at
+		p.node.log.members.Info("node found", bylog.Str("peer", string(id)), bylog.Str("addr", addr))
+	}
+}
+
+// register writes this node's row, and looks for the others now and then.
+func (p *peers) register(ctx context.Context) error {
+	for !p.write(ctx) && ctx.Err() == nil {
+		sleep(ctx, retryPause)
+	}
+	for ctx.Err() == nil {
+		pause := rescanEvery
+		if err := p.findOthers(ctx); err != nil {
+			pause = retryPause
+		}
+		sleep(ctx, pause)
+	}
+	return nil
+}
+
+func (p *peers) rowKey() string { return nodeTable + "/" + string(p.node.self.Node) }
+
+// write writes this node's row without a condition: the row is the node's alone,
+// and a late write of an earlier process of it names the same address.
+func (p *peers) write(ctx context.Context) bool {
+	value, err := json.Marshal(nodeRow{Incarnation: p.node.self.Incarnation, Gossip: p.node.self.Addr})
+	if err == nil {
+		err = p.node.platform.Table.Commit(ctx, burdockyard.Txn{Writes: []burdockyard.Write{{Key: p.rowKey(), Value: value}}})
+	}
+	if err != nil {
+		p.node.log.members.Debug("row of this node not written yet", bylog.Err(err))
+	}
+	return err == nil
+}
+
+// leave removes this node's row.
+func (p *peers) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	err := p.node.platform.Table.Commit(ctx, burdockyard.Txn{Writes: []burdockyard.Write{{Key: p.rowKey(), Delete: true}}})
+	if err != nil {
+		p.node.log.members.Warn("row of this node stays", bylog.Err(err))
+	}
+}
+
+func (p *peers) findOthers(ctx context.Context) error {
+	snap, err := p.node.platform.Registry.Scan(ctx, nodeTable)
+	if err != nil {
+		p.node.log.members.Debug("list of nodes not read", bylog.Err(err))
+		return err
+	}
+	for _, row := range snap.Rows {
+		var r nodeRow
+		if err := json.Unmarshal(row.Value, &r); err != nil {
+			p.node.log.members.Warn("row of a node is unreadable", bylog.Str("row", row.Key), bylog.Err(err))
+			continue
+		}
+		id := burdockyard.NodeID(row.Key[len(nodeTable)+1:])
+		if id != p.node.self.Node {
+			p.learn(id, r.Gossip)
+		}
+	}
+	return nil
+}
+
+// tellLoop sends heartbeats: soon after this node's work has changed, and now
+// and then in any case.
+func (p *peers) tellLoop(ctx context.Context) error {
+	var last time.Time
+	return every(ctx, tellEvery, func(context.Context) {
+		now := p.node.clock.Now()
+		full := now.Sub(last) >= beatEvery
+		if full {
+			last = now
+		}
+		if full || p.node.ledger.Changed() {
+			p.tell(full)
+		}
+	})
+}
+
+// tell sends one heartbeat. A full one names all endpoints that this node uses.
+func (p *peers) tell(full bool) {
+	n := p.node
+	loads, reads := n.ledger.Digest(full)
+	beat := bymember.Heartbeat{
+		Member: n.self, CallerAddr: n.settings.FrontAddr, Domain: n.settings.Domain,
+		Leaving: n.leaving.Load(), Ready: n.ready(), Capacity: n.settings.Capacity,
+		Seq: n.beatSeq.Add(1), Loads: loads, Reads: reads,
+	}
+	if t := n.routes.Current(); t != nil {
+		beat.Generation = t.Version()
+	}
+	p.mu.Lock()
+	addrs := make([]netip.AddrPort, 0, len(p.addrs))
+	for _, at := range p.addrs {
+		addrs = append(addrs, at)
+	}
+	p.mu.Unlock()
+	p.gossip.Send(beat, addrs)
+}
+
+// lookup answers callers that ask where to connect: this node and those that
+// were heard lately, unless they are leaving.
+func (n *Node) lookup(_, _ string) ([]string, time.Duration) {
+	var addrs []string
+	if n.ready() {
+		addrs = append(addrs, n.settings.FrontAddr)
+	}
+	for _, b := range n.view.HeardWithin(reachableFor) {
+		if b.Ready && !b.Leaving && len(addrs) < maxAddresses {
+			addrs = append(addrs, b.CallerAddr)
+		}
+	}
+	return addrs, n.settings.AnswerTTL
+}
--- /dev/null
+++ b/io/byentry/prompt.go
@@ -0,0 +1,233 @@
+package byentry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/byfleet"
+	"burdockyard/core/byplace"
+	"burdockyard/io/byforward"
+	"burdockyard/io/bylog"
+)
+
+const (
+	// releaseTimeout bounds the call that frees a kept prompt.
+	releaseTimeout = 500 * time.Millisecond
+	// memoryAnswer bounds the answer of an engine that has read a prompt, in bytes.
+	memoryAnswer = 16 << 10
+	// enginePlanTries bounds how often a request is planned anew.
+	enginePlanTries = 4
+)
+
+// serveStream serves a request whose answer is a stream of events.
+func (c *call) serveStream(ctx context.Context) {
+	if c.info.Prompt == nil || c.service.Model == nil {
+		c.servePlainStream(ctx)
+		return
+	}
+	relay := newRelay(c)
+	last, lastErr := notRun, error(nil)
+	for range enginePlanTries {
+		plan, ok := c.plan()
+		if !ok {
+			break
+		}
+		if !relay.started && plan.Predict > c.patience() {
+			c.log("too late to start", bylog.Millis("predict_ms", plan.Predict), bylog.Millis("wait_ms", plan.Wait))
+			if c.sends == 0 {
+				c.refuse("overload", plan.Predict-c.patience())
+				return
+			}
+			break
+		}
+		last, lastErr = c.runPlan(ctx, plan, relay)
+		if last == answered {
+			return
+		}
+		if !c.mayRepeat(last) {
+			break
+		}
+	}
+	c.endStream(relay, last, lastErr)
+}
+
+// endStream ends a stream that has no more endpoints to go on with.
+func (c *call) endStream(relay *relay, last outcome, err error) {
+	if !relay.started {
+		c.finish(last, err)
+		return
+	}
+	c.log("stream cut", bylog.Int("events", relay.events), bylog.Err(err))
+	panic(http.ErrAbortHandler) // the caller must not take it for a whole one
+}
+
+func (c *call) plan() (byplace.Plan, bool) {
+	need := byplace.Need{Prompt: c.info.Prompt, Model: c.service.Model, Domain: c.node.settings.Domain}
+	return c.node.ledger.PlanPrompt(need, c.usable())
+}
+
+// runPlan lets the prompt be read and run as planned.
+func (c *call) runPlan(ctx context.Context, plan byplace.Plan, relay *relay) (outcome, error) {
+	n := c.node
+	attempt := burdockyard.Attempt{Priority: -1, Resume: relay.resume()}
+	work := byplace.Work{Read: plan.Read, Streams: 1}
+	var kept *keptPrompt
+	if plan.Reader != nil {
+		work.Read = 0
+		var o outcome
+		var err error
+		if kept, o, err = c.readPrompt(ctx, plan); o != answered {
+			return o, err
+		}
+		defer kept.release(n)
+		attempt.Memory = n.platform.Protocol.MemorySource(kept.endpoint.Addr, kept.memory.Handle)
+	}
+	flight := n.ledger.Begin(plan.Runner.ID, work)
+	defer flight.Done()
+	resp, o, err := c.send(ctx, plan.Runner, attempt)
+	if o != notRun {
+		c.tries++
+	}
+	if o != answered {
+		if o == broken && kept != nil {
+			kept.taken = true // the engine may have fetched it
+		}
+		return o, err
+	}
+	if kept != nil {
+		kept.taken = true
+	}
+	defer resp.Close()
+	return c.passStream(plan, resp, relay, flight)
+}
+
+// passStream passes the events of an answer on.
+func (c *call) passStream(plan byplace.Plan, resp *byforward.Response, relay *relay, flight *byplace.Flight) (outcome, error) {
+	n := c.node
+	if resp.Status >= http.StatusInternalServerError {
+		a, o, err := c.take(plan.Runner, resp)
+		if o != answered || c.route.Idempotent() && c.tries < c.route.Attempts && c.left() > 0 {
+			return broken, err
+		}
+		if relay.started {
+			return broken, burdockyard.ErrInterrupted
+		}
+		c.deliver(a)
+		return answered, nil
+	}
+	sent := n.clock.Now()
+	first := func() {
+		took := time.Duration(0)
+		if plan.Reader == nil {
+			took = n.clock.Now().Sub(sent)
+			n.ledger.NoteRead(plan.Runner.ID, c.info.Prompt)
+		}
+		flight.ReadDone(took)
+		c.log("first event", bylog.Str("endpoint", string(plan.Runner.ID)), bylog.Millis("predict_ms", plan.Predict),
+			bylog.Millis("wait_ms", plan.Wait), bylog.Int("cached", plan.Cached), bylog.Str("reader", readerID(plan)))
+	}
+	err := relay.pass(resp, first)
+	switch {
+	case err == nil:
+		n.report(plan.Runner, byfleet.Succeeded, nil)
+		c.log("answered", bylog.Int("status", resp.Status), bylog.Str("endpoint", string(plan.Runner.ID)), bylog.Int("events", relay.events))
+		return answered, nil
+	case c.gone() || c.left() <= 0:
+		return abandoned, err
+	default:
+		n.report(plan.Runner, byfleet.Failed, err)
+		return broken, err
+	}
+}
+
+func readerID(p byplace.Plan) string {
+	if p.Reader == nil {
+		return ""
+	}
+	return string(p.Reader.ID)
+}
+
+// keptPrompt is a prompt that an engine has read and keeps for another one.
+type keptPrompt struct {
+	endpoint byfleet.Endpoint
+	memory   burdockyard.PromptMemory
+	maxConns int
+	taken    bool
+}
+
+// readPrompt lets the plan's reader read the prompt.
+func (c *call) readPrompt(ctx context.Context, plan byplace.Plan) (*keptPrompt, outcome, error) {
+	n := c.node
+	e := *plan.Reader
+	flight := n.ledger.Begin(e.ID, byplace.Work{Read: plan.Read})
+	defer flight.Done()
+	sent := n.clock.Now()
+	resp, o, err := c.send(ctx, e, burdockyard.Attempt{ReadOnly: true, Priority: -1})
+	if o == broken {
+		o = notRun // reading is not running: another engine may get the request
+	}
+	if o != answered {
+		return nil, o, err
+	}
+	defer resp.Close()
+	body, err := resp.ReadAll(memoryAnswer)
+	var memory burdockyard.PromptMemory
+	if err == nil && resp.Status == http.StatusOK {
+		memory, err = n.platform.Protocol.DecodeMemory(body)
+	}
+	if err != nil || resp.Status != http.StatusOK {
+		n.report(e, byfleet.Failed, err)
+		c.log("prompt not read", bylog.Str("endpoint", string(e.ID)), bylog.Int("status", resp.Status), bylog.Err(err))
+		return nil, notRun, err
+	}
+	took := n.clock.Now().Sub(sent)
+	flight.ReadDone(took)
+	n.ledger.NoteRead(e.ID, c.info.Prompt)
+	n.report(e, byfleet.Succeeded, nil)
+	c.log("prompt read", bylog.Str("endpoint", string(e.ID)), bylog.Millis("took_ms", took), bylog.Millis("wait_ms", plan.Wait),
+		bylog.Millis("read_ms", plan.Read), bylog.Int("tokens", memory.Tokens), bylog.Int("cached", plan.Cached))
+	return &keptPrompt{endpoint: e, memory: memory, maxConns: n.connShare(c.service)}, answered, nil
+}
+
+// release frees a prompt that no engine has fetched. It also runs when the
+// caller has left, so it has a time of its own.
+func (k *keptPrompt) release(n *Node) {
+	if k.taken {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	method, path := n.platform.Protocol.ReleaseCall(k.memory.Handle)
+	resp, err := n.forward.Send(ctx, byforward.Target{Addr: k.endpoint.Addr, MaxConns: k.maxConns}, &byforward.Request{
+		Method: method, Path: path, Host: k.endpoint.Addr, Header: http.Header{}, Deadline: n.clock.Now().Add(releaseTimeout), AnyID: true,
+	})
+	if err == nil {
+		_, err = resp.ReadAll(memoryAnswer)
+		resp.Close()
+	}
+	if err != nil {
+		n.log.calls.Debug("kept prompt not freed, it lapses by itself", bylog.Str("endpoint", string(k.endpoint.ID)), bylog.Err(err))
+	}
+}
+
+// servePlainStream serves a stream of a service without a described prompt.
+func (c *call) servePlainStream(ctx context.Context) {
+	relay := newRelay(c)
+	last, lastErr := notRun, error(nil)
+	for range enginePlanTries {
+		e, ok := c.node.ledger.PlanCall(c.node.settings.Domain, c.usable())
+		if !ok {
+			break
+		}
+		last, lastErr = c.runPlan(ctx, byplace.Plan{Runner: e}, relay)
+		if last == answered {
+			return
+		}
+		if !c.mayRepeat(last) {
+			break
+		}
+	}
+	c.endStream(relay, last, lastErr)
+}
--- /dev/null
+++ b/io/byentry/relay.go
@@ -0,0 +1,122 @@
+package byentry
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+
+	"burdockyard"
+	"burdockyard/io/byforward"
+)
+
+const (
+	// relayBuffer is the size of one read of a stream, in bytes.
+	relayBuffer = 4 << 10
+	// maxEvent bounds one event, in bytes.
+	maxEvent = 1 << 20
+)
+
+// relay passes the events of a stream on to the caller.
+//
+// Only whole events are passed on. An engine may break off in the middle of one,
+// and another engine then goes on after the last whole event: half an event that
+// had gone out already would be joined to the next one.
+type relay struct {
+	c       *call
+	started bool   // the caller has the header
+	events  int    // passed on
+	lastID  string // of the last event that the caller has
+	pending []byte // the beginning of an event
+}
+
+func newRelay(c *call) *relay { return &relay{c: c, lastID: c.info.Resume} }
+
+// resume returns the id after which the next engine goes on.
+func (r *relay) resume() string { return r.lastID }
+
+// pass passes an answer on until its end. first is called before the first event
+// goes out.
+func (r *relay) pass(resp *byforward.Response, first func()) error {
+	r.pending = r.pending[:0]
+	if r.started && resp.Status != http.StatusOK {
+		return burdockyard.ErrInterrupted
+	}
+	buf := make([]byte, relayBuffer)
+	begun := false
+	for {
+		n, err := resp.Read(buf)
+		if n > 0 && !begun {
+			begun = true
+			first()
+		}
+		r.pending = append(r.pending, buf[:n]...)
+		if werr := r.flush(resp); werr != nil {
+			return werr
+		}
+		if errors.Is(err, io.EOF) {
+			return r.end(resp)
+		}
+		if err != nil {
+			return err
+		}
+		if len(r.pending) > maxEvent {
+			return burdockyard.ErrInterrupted
+		}
+	}
+}
+
+// end passes on what is left after the last event of a whole answer. Without a
+// length or chunks an answer ends with its connection; one that ends inside an
+// event was cut.
+func (r *relay) end(resp *byforward.Response) error {
+	if len(r.pending) > 0 && !resp.Framed() {
+		return burdockyard.ErrInterrupted
+	}
+	r.start(resp)
+	_, err := r.c.w.Write(r.pending)
+	return err
+}
+
+// flush passes on the whole events that have arrived.
+func (r *relay) flush(resp *byforward.Response) error {
+	end := bytes.LastIndex(r.pending, []byte("\n\n"))
+	if end < 0 {
+		return nil
+	}
+	end += len("\n\n")
+	whole := r.pending[:end]
+	r.note(whole)
+	r.start(resp)
+	if _, err := r.c.w.Write(whole); err != nil {
+		return err
+	}
+	r.pending = append(r.pending[:0], r.pending[end:]...)
+	return http.NewResponseController(r.c.w).Flush()
+}
+
+// note counts events and keeps the id of the last one.
+func (r *relay) note(events []byte) {
+	for line := range bytes.Lines(events) {
+		line = bytes.TrimRight(line, "\r\n")
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			r.lastID = string(bytes.TrimSpace(id))
+		}
+		if len(line) == 0 {
+			r.events++
+		}
+	}
+}
+
+// start sends the header of the first engine's answer.
+func (r *relay) start(resp *byforward.Response) {
+	if r.started {
+		return
+	}
+	r.started = true
+	h := r.c.w.Header()
+	for key, values := range r.c.node.platform.Protocol.AnswerHeaders(resp.Header) {
+		h[key] = values
+	}
+	r.c.w.WriteHeader(resp.Status)
+}
--- a/io/bylog/bylog.go
+++ b/io/bylog/bylog.go
@@ -10,6 +10,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -22,6 +23,8 @@
 	Orders   = "orders"
 	Manifest = "manifest"
 	Members  = "members"
+	Config   = "config"
+	Fleet    = "fleet"
 )
 
 // Logger writes the sentences of one part.
@@ -55,6 +58,11 @@
 	return func(e *zerolog.Event) { e.Int(name, value) }
 }
 
+// Millis adds a time in milliseconds.
+func Millis(name string, d time.Duration) Field {
+	return func(e *zerolog.Event) { e.Float64(name, float64(d.Microseconds())/1e3) }
+}
+
 // Err adds an error.
 func Err(err error) Field {
 	return func(e *zerolog.Event) { e.AnErr("error", err) }
--- a/io/bypeer/server.go
+++ b/io/bypeer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
@@ -94,6 +95,10 @@
 	out := &bypeerpb.Heartbeat{
 		Member: toMember(b.Member), CallerAddr: b.CallerAddr, Domain: b.Domain,
 		Leaving: b.Leaving, Generation: b.Generation, Fresh: b.Fresh, Seq: b.Seq,
+		Ready: b.Ready, Capacity: b.Capacity,
+	}
+	for _, r := range b.Reads {
+		out.Reads = append(out.Reads, &bypeerpb.Cached{Engine: string(r.Engine), Part: r.Part, Tokens: int64(r.Tokens)})
 	}
 	for _, l := range b.Loads {
 		out.Loads = append(out.Loads, &bypeerpb.Load{
@@ -111,6 +116,10 @@
 	out := bymember.Heartbeat{
 		Member: fromMember(b.GetMember()), CallerAddr: b.GetCallerAddr(), Domain: b.GetDomain(),
 		Leaving: b.GetLeaving(), Generation: b.GetGeneration(), Fresh: b.GetFresh(), Seq: b.GetSeq(),
+		Ready: b.GetReady(), Capacity: b.GetCapacity(),
+	}
+	for _, r := range b.GetReads() {
+		out.Reads = append(out.Reads, bymember.Cached{Engine: burdockyard.EndpointID(r.GetEngine()), Part: r.GetPart(), Tokens: int(r.GetTokens())})
 	}
 	for _, l := range b.GetLoads() {
 		out.Loads = append(out.Loads, bymember.Load{
@@ -124,5 +133,17 @@
 	return out
 }
 
+// MarshalBeat encodes a heartbeat for a datagram.
+func MarshalBeat(b bymember.Heartbeat) ([]byte, error) { return proto.Marshal(toBeat(b)) }
+
+// UnmarshalBeat decodes a heartbeat.
+func UnmarshalBeat(data []byte) (bymember.Heartbeat, error) {
+	var b bypeerpb.Heartbeat
+	if err := proto.Unmarshal(data, &b); err != nil {
+		return bymember.Heartbeat{}, merry.Prepend(err, "heartbeat")
+	}
+	return fromBeat(&b), nil
+}
+
 // BeatSize returns the bytes of a heartbeat on the wire, without HTTP headers.
 func BeatSize(b bymember.Heartbeat) int { return proto.Size(toBeat(b)) }
