Fetch kept parts of prompts, and count what a reading costs the streams beside it

Cause: the queue at the prefill engines was the long class's whole loss. A shared part was read again (200 ms) wherever its home was busy, although the links move it in 19 ms. Ruled out by traces: queueing at the decode engines (hand-off 23 to 60 ms), wrong read rates (an engine alone is within 5 ms of the model once the fixed 82 ms of every answer are taken off; with them in, every engine looked five times too slow to the speed estimate).

Change: an engine fetches what another one keeps where that beats reading. The fixed latency is learnt apart from the engine's speed. A peer's shrinking figure tells that an engine has gone on. Short readings go first at an engine. Direct reading is charged for each stream that it holds up.

--- a/core/byplace/byplace.go
+++ b/core/byplace/byplace.go
@@ -49,22 +49,21 @@
 const (
 	// rereadWeight counts the reading of parts twice and more: it also takes the
 	// time of every prompt behind it, and the memory of another part.
-	rereadWeight = 1.5
+	rereadWeight = 0.5
 	// homeBonus is the share of the reading that the engine saves in the choice
 	// which rendezvous hashing names for the prompt's shared part, so that nodes
 	// that don't know of each other's reading choose the same one.
 	homeBonus = 0.5
 	// streamCost is what one open stream adds to the time of the next one.
-	streamCost = 4 * time.Millisecond
+	streamCost = 6 * time.Millisecond
 	// fullCost is what waiting for a place in a full batch costs.
 	fullCost = 120 * time.Millisecond
-	// stallFree is how long reading may hold up open streams unnoticed.
-	stallFree = 40 * time.Millisecond
-	// stallWeight counts the rest of it, for each stream that is held up.
-	stallWeight = 0.5
+	// stallWeight counts the time for which a running engine's reading holds up
+	// each of the streams there.
+	stallWeight = 0.7
 	// handOffGain is how much sooner a short prompt must start through a reading
 	// engine to be worth the second hop.
-	handOffGain = 12 * time.Millisecond
+	handOffGain = 20 * time.Millisecond
 	// farCost is the cost of an endpoint in another failure domain.
 	farCost = 2 * time.Millisecond
 	// failCost is the cost of an endpoint at which every attempt fails lately.
@@ -81,6 +80,9 @@
 	Prompt *burdockyard.Prompt
 	Model  *burdockyard.ModelSpec
 	Domain string // this node's failure domain
+
+	latency time.Duration // part of every answer that no work explains
+	sources []state
 }
 
 // Plan says where a prompt is read and where the request runs. Without a reader
@@ -92,6 +94,7 @@
 	Predict time.Duration // to the first event
 	Wait    time.Duration // of Predict, for prompts before it
 	Cached  int           // tokens that the reading engine probably keeps
+	Source  string        // address of an engine from which it fetches more of them
 	cost    time.Duration
 }
 
@@ -142,6 +145,7 @@
 	for _, e := range engines {
 		s := l.state(e)
 		s.cache.shrink(n.Model.CacheTokens)
+		s.kept = s.cache.cachedTokens(n.Prompt)
 		if e.Role == burdockyard.RolePrefill {
 			readers = append(readers, s)
 		} else {
@@ -151,6 +155,8 @@
 	if len(runners) == 0 {
 		return Plan{}, false
 	}
+	n.latency = l.latency
+	n.sources = append(append(n.sources, readers...), runners...)
 	best := n.direct(runners)
 	if handed, ok := n.handedOff(readers, runners); ok {
 		gain := handOffGain
@@ -173,13 +179,12 @@
 	var best Plan
 	total := promptTokens(n.Prompt)
 	for _, r := range runners {
-		cached := r.cache.cachedTokens(n.Prompt)
-		read := time.Duration(decodeReadFactor * float64(readTime(total, cached)))
-		own := time.Duration(float64(read) * r.slowdown)
-		p := Plan{Runner: r.endpoint, Read: read, Wait: r.wait, Cached: cached}
-		p.Predict = r.wait + own + n.startCost(r)
-		stalled := time.Duration(float64(r.streams) * stallWeight * float64(max(own-stallFree, 0)))
-		p.cost = p.Predict + stalled + n.bias(r)
+		got := n.gather(r, total, decodeReadFactor)
+		own := time.Duration(float64(got.read) * r.slowdown)
+		p := Plan{Runner: r.endpoint, Read: got.read, Wait: r.wait, Cached: got.cached, Source: got.source}
+		p.Predict = n.latency + r.wait + got.fetch + own + n.startCost(r)
+		stalled := time.Duration(float64(r.streams) * stallWeight * float64(own))
+		p.cost = p.Predict - n.latency + stalled + n.bias(r)
 		if best.cost == 0 || p.cost < best.cost {
 			best = p
 		}
@@ -192,25 +197,20 @@
 	var best Plan
 	total := promptTokens(n.Prompt)
 	home := n.home(readers)
-	transfer := n.transfer(total)
 	for i := range readers {
 		p := &readers[i]
-		cached := p.cache.cachedTokens(n.Prompt)
-		read := readTime(total, cached)
-		own := time.Duration(float64(read) * p.slowdown)
+		got := n.gather(*p, total, 1)
+		own := time.Duration(float64(got.read) * p.slowdown)
 		weight := rereadWeight
 		if p.endpoint.ID == home {
 			weight -= homeBonus
 		}
-		base := p.wait + own
-		cost := base + time.Duration(weight*float64(read)) + n.bias(*p)
+		base := p.wait + got.fetch + own
+		cost := base + time.Duration(weight*float64(got.read)) + got.fetch + n.bias(*p)
 		for _, r := range runners {
-			move := transfer
-			if r.endpoint.Domain != p.endpoint.Domain {
-				move = time.Duration(farTransfer * float64(transfer))
-			}
-			plan := Plan{Reader: &p.endpoint, Runner: r.endpoint, Read: read, Wait: p.wait, Cached: cached}
-			plan.Predict = base + transferSetup + move + n.startCost(r)
+			move := n.transferBetween(*p, r, total)
+			plan := Plan{Reader: &p.endpoint, Runner: r.endpoint, Read: got.read, Wait: p.wait, Cached: got.cached, Source: got.source}
+			plan.Predict = n.latency + base + transferSetup + move + n.startCost(r)
 			plan.cost = cost + transferSetup + 2*move + n.startCost(r) + r.wait/4 + n.bias(r)
 			if best.Reader == nil || plan.cost < best.cost {
 				best = plan
@@ -220,6 +220,47 @@
 	return best, best.Reader != nil
 }
 
+// gathered is how an engine comes by a prompt.
+type gathered struct {
+	read   time.Duration
+	fetch  time.Duration // of what another engine keeps
+	cached int           // tokens that need no reading
+	source string
+}
+
+// gather finds out whether an engine reads all that it lacks of a prompt, or
+// fetches a part from another engine first. Fetching takes about a tenth of the
+// time of reading, and takes it from the links alone.
+func (n Need) gather(s state, total int, factor float64) gathered {
+	read := func(cached int) time.Duration { return time.Duration(factor * float64(readTime(total, cached))) }
+	best := gathered{read: read(s.kept), cached: s.kept}
+	for _, other := range n.sources {
+		if other.kept < s.kept+minFetched || other.endpoint.ID == s.endpoint.ID {
+			continue
+		}
+		fetch := transferSetup + n.transferBetween(other, s, other.kept-s.kept)
+		g := gathered{read: read(other.kept), fetch: fetch, cached: other.kept, source: other.endpoint.Addr}
+		if g.read+g.fetch+busyLink*time.Duration(other.streams) < best.read+best.fetch {
+			best = g
+		}
+	}
+	return best
+}
+
+// minFetched is the least number of tokens worth fetching.
+const minFetched = 1024
+
+// busyLink is what each stream at the source of a transfer counts against it.
+const busyLink = time.Millisecond
+
+func (n Need) transferBetween(a, b state, tokens int) time.Duration {
+	d := n.transfer(tokens)
+	if a.endpoint.Domain != b.endpoint.Domain {
+		d = time.Duration(farTransfer * float64(d))
+	}
+	return d
+}
+
 // home is the reading engine that rendezvous hashing names for the shared part.
 func (n Need) home(readers []state) burdockyard.EndpointID {
 	id := shared(n.Prompt)
--- a/core/byplace/ledger.go
+++ b/core/byplace/ledger.go
@@ -15,6 +15,10 @@
 	peerLoadFor = 1500 * time.Millisecond
 	// speedWeight is the weight of the newest observation of an engine's speed.
 	speedWeight = 0.2
+	// latencyRise is how far the fixed latency rises towards a larger observation.
+	latencyRise = 0.01
+	// judgedRead is how long a reading must be to tell the engine's speed.
+	judgedRead = 25 * time.Millisecond
 	// minSlowdown and maxSlowdown bound what one observation can say.
 	minSlowdown = 0.7
 	maxSlowdown = 5.0
@@ -63,6 +67,9 @@
 	books map[burdockyard.EndpointID]*book
 	peers map[burdockyard.EndpointID]map[burdockyard.NodeID]peerBook
 	reads []bymember.Cached // read lately, for the next digest
+	// latency is the part of the time to an answer that no work explains. It
+	// follows the lower edge of what is seen: it falls at once and rises slowly.
+	latency time.Duration
 }
 
 // NewLedger returns an empty Ledger.
@@ -105,14 +112,33 @@
 	}
 	b := f.ledger.book(f.id)
 	if f.alone && took > 0 {
-		seen := min(max(float64(took)/float64(f.work.Read), minSlowdown), maxSlowdown)
-		b.slowdown += speedWeight * (seen - b.slowdown)
+		f.ledger.learn(b, f.work.Read, took)
 	}
 	f.work.Read = 0
 	b.lastDone = f.ledger.clock.Now()
 	b.changed = true
 }
 
+// learn takes in how long an engine took for a prompt that had it to itself.
+//
+// An answer is late by a part that is the same for every prompt, in which the
+// engine already works on the next one. Only what comes on top of it tells how
+// fast the engine is: taken as a whole, a short prompt would make every engine
+// look many times too slow.
+func (l *Ledger) learn(b *book, read, took time.Duration) {
+	extra := max(took-read, 0)
+	if l.latency == 0 || extra < l.latency {
+		l.latency = extra
+	} else {
+		l.latency += time.Duration(latencyRise * float64(min(extra, 2*l.latency)-l.latency))
+	}
+	if read < judgedRead {
+		return
+	}
+	seen := min(max(float64(took-l.latency)/float64(read), minSlowdown), maxSlowdown)
+	b.slowdown += speedWeight * (seen - b.slowdown)
+}
+
 // Done notes that the attempt is over.
 func (f *Flight) Done() {
 	f.ledger.mu.Lock()
@@ -152,6 +178,9 @@
 			m = map[burdockyard.NodeID]peerBook{}
 			l.peers[load.Engine] = m
 		}
+		if load.PrefillTokens < m[node].load.PrefillTokens {
+			l.book(load.Engine).lastDone = now // the engine has gone on to the next prompt
+		}
 		m[node] = peerBook{load, now}
 	}
 	for _, r := range reads {
@@ -241,6 +270,7 @@
 	streams  int
 	slowdown float64
 	cache    *cache
+	kept     int // leading tokens of the prompt in question that it keeps
 }
 
 func (l *Ledger) state(e byfleet.Endpoint) state {
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -74,7 +74,9 @@
 	attempt := burdockyard.Attempt{Priority: -1, Resume: relay.resume()}
 	work := byplace.Work{Read: plan.Read, Streams: 1}
 	var kept *keptPrompt
-	if plan.Reader != nil {
+	if plan.Reader == nil {
+		attempt.Fetch = plan.Source
+	} else {
 		work.Read = 0
 		var o outcome
 		var err error
@@ -82,6 +84,7 @@
 			return o, err
 		}
 		defer kept.release(n)
+		n.ledger.NoteRead(plan.Runner.ID, c.info.Prompt)
 		attempt.Memory = n.platform.Protocol.MemorySource(kept.endpoint.Addr, kept.memory.Handle)
 	}
 	flight := n.ledger.Begin(plan.Runner.ID, work)
@@ -126,7 +129,8 @@
 		}
 		flight.ReadDone(took)
 		c.log("first event", bylog.Str("endpoint", string(plan.Runner.ID)), bylog.Millis("predict_ms", plan.Predict),
-			bylog.Millis("wait_ms", plan.Wait), bylog.Int("cached", plan.Cached), bylog.Str("reader", readerID(plan)))
+			bylog.Millis("wait_ms", plan.Wait), bylog.Int("cached", plan.Cached), bylog.Str("reader", readerID(plan)),
+			bylog.Str("source", plan.Source), bylog.Int("tokens", c.info.Prompt.Input))
 	}
 	err := relay.pass(resp, first)
 	switch {
@@ -164,7 +168,7 @@
 	flight := n.ledger.Begin(e.ID, byplace.Work{Read: plan.Read})
 	defer flight.Done()
 	sent := n.clock.Now()
-	resp, o, err := c.send(ctx, e, burdockyard.Attempt{ReadOnly: true, Priority: -1})
+	resp, o, err := c.send(ctx, e, burdockyard.Attempt{ReadOnly: true, Fetch: plan.Source, Priority: min(9, 1+int(plan.Read/(60*time.Millisecond)))})
 	if o == broken {
 		o = notRun // reading is not running: another engine may get the request
 	}
@@ -187,7 +191,7 @@
 	n.ledger.NoteRead(e.ID, c.info.Prompt)
 	n.report(e, byfleet.Succeeded, nil)
 	c.log("prompt read", bylog.Str("endpoint", string(e.ID)), bylog.Millis("took_ms", took), bylog.Millis("wait_ms", plan.Wait),
-		bylog.Millis("read_ms", plan.Read), bylog.Int("tokens", memory.Tokens), bylog.Int("cached", plan.Cached))
+		bylog.Millis("read_ms", plan.Read), bylog.Int("tokens", memory.Tokens), bylog.Int("cached", plan.Cached), bylog.Str("source", plan.Source))
 	return &keptPrompt{endpoint: e, memory: memory, maxConns: n.connShare(c.service)}, answered, nil
 }
 
--- a/protocol.go
+++ b/protocol.go
@@ -20,6 +20,7 @@
 	Deadline time.Duration // time left
 	ReadOnly bool          // read the prompt and keep its memory, without running
 	Memory   string        // where the engine fetches the prompt's memory from
+	Fetch    string        // address of an engine that keeps a part of the prompt
 	Priority int           // 0 first; negative leaves the engine's default
 	Resume   string        // continue after this event, empty from the start
 }
