Read the store once a failure domain, and pass readings on

Change: a node reads when its copy is older than its patience, which grows with its rank in its failure domain; readings that peers pass on count like own ones. core/bymirror keeps rows from going back whatever the order of arrival. Ruled out: a watch on every node (heartbeats change a row every 70 ms), one reader for the whole fleet (bytes between domains, one cut for all).

--- a/cmd/burdock/node.go
+++ b/cmd/burdock/node.go
@@ -76,7 +76,7 @@
 func entrySettings(s platform.Settings) byentry.Settings {
 	return byentry.Settings{
 		Node: s.Node, Domain: s.Domain, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, DirectoryAddr: s.DirectoryAddr,
-		GossipAddr: s.IP + ":" + strconv.Itoa(s.PeerPort), Capacity: s.CPUShare, MemoryBytes: s.MemoryBytes,
+		PeerAddr: s.IP + ":" + strconv.Itoa(s.PeerPort), Capacity: s.CPUShare, MemoryBytes: s.MemoryBytes,
 		Grace: s.Bounds.Grace, RetryRatio: s.Bounds.RetryRatio, RetrySlack: float64(s.Bounds.RetrySlack),
 		AnswerTTL: min(directoryTTL, s.Bounds.MaxAnswer),
 	}
--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -4,11 +4,9 @@
 // # Usage
 //
 //	f := byfleet.New(clock)
-//	f.SeeAll(instances, sentAt)     // a whole scan of the registry
-//	f.See(instance, sentAt)         // one changed entry
-//	f.Remove(id, sentAt)            // one removed entry
+//	f.Apply(changed, removed, askedAt) // what a reading of the registry changed
 //	for _, e := range f.Usable("quote-llm") { … }
-//	f.Report(id, byfleet.Succeeded) // after each attempt
+//	f.Report(id, byfleet.Succeeded)    // after each attempt
 package byfleet
 
 import (
@@ -85,23 +83,6 @@
 	return &Fleet{clock: clock, entries: map[burdockyard.EndpointID]*entry{}}
 }
 
-// SeeAll takes in a whole scan that was asked for at a time.
-func (f *Fleet) SeeAll(instances []burdockyard.Instance, askedAt time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.noteReading(askedAt)
-	there := make(map[burdockyard.EndpointID]bool, len(instances))
-	for _, in := range instances {
-		there[in.ID] = true
-		f.see(in)
-	}
-	for id := range f.entries {
-		if !there[id] {
-			f.remove(id)
-		}
-	}
-}
-
 // Apply takes in the entries that changed and those that are gone.
 func (f *Fleet) Apply(changed []burdockyard.Instance, removed []burdockyard.EndpointID, askedAt time.Time) {
 	f.mu.Lock()
--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -178,6 +178,23 @@
 	return rank
 }
 
+// RankByCapacity returns this node's place, from 0, among the nodes of its
+// failure domain: those with more capacity come first, equal ones in the order
+// of rendezvous hashing for the job named key.
+func (v *View) RankByCapacity(key, ownDomain string, ownCapacity float64) int {
+	own := score(key, v.self.Node)
+	rank := 0
+	for _, b := range v.Alive() {
+		if b.Leaving || b.Domain != ownDomain || b.Capacity < ownCapacity {
+			continue
+		}
+		if b.Capacity > ownCapacity || score(key, b.Member.Node) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
 func before(aNear bool, a uint64, bNear bool, b uint64) bool {
 	if aNear != bNear {
 		return aNear
--- /dev/null
+++ b/core/bymirror/bymirror.go
@@ -0,0 +1,124 @@
+// Package bymirror keeps a copy of one table of the platform's store, from
+// readings of the store and from what peers pass on.
+//
+// # Usage
+//
+//	m := bymirror.New()
+//	m.Whole(rows, version)                  // after a scan
+//	d, ok := m.Advance(changes, from, to)   // after a reading of changes
+//	if !ok { … a whole reading is needed … }
+//
+// Readings reach a node on several ways and in any order. Each row carries the
+// version of its last change, so that an older one never replaces a newer one.
+package bymirror
+
+import (
+	"sync"
+
+	"burdockyard"
+)
+
+// Delta is what a reading has changed.
+type Delta struct {
+	Changed []burdockyard.Row
+	Removed []string // keys
+}
+
+// Mirror is the copy of one table. mu is a leaf lock.
+type Mirror struct {
+	mu      sync.Mutex
+	rows    map[string]burdockyard.Row
+	gone    map[string]uint64 // removed rows, with the version of the removal
+	version uint64
+}
+
+// maxGone bounds the removals that are remembered. One that is forgotten could
+// only be undone by a message that is older than all of them.
+const maxGone = 4096
+
+// New returns an empty Mirror.
+func New() *Mirror {
+	return &Mirror{rows: map[string]burdockyard.Row{}, gone: map[string]uint64{}}
+}
+
+// Version returns the version of the store up to which the copy is complete.
+func (m *Mirror) Version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
+}
+
+// Rows returns all rows and the version at which they were the whole table.
+func (m *Mirror) Rows() ([]burdockyard.Row, uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rows := make([]burdockyard.Row, 0, len(m.rows))
+	for _, r := range m.rows {
+		rows = append(rows, r)
+	}
+	return rows, m.version
+}
+
+// Whole takes in a reading of the whole table. An older one than the copy
+// changes nothing.
+func (m *Mirror) Whole(rows []burdockyard.Row, version uint64) Delta {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var d Delta
+	if version < m.version {
+		return d
+	}
+	there := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		there[r.Key] = true
+		m.put(r, &d)
+	}
+	for key := range m.rows {
+		if !there[key] {
+			m.drop(key, version, &d)
+		}
+	}
+	m.version = version
+	return d
+}
+
+// Advance takes in the changes between two versions. It returns false if changes
+// before them are missing.
+func (m *Mirror) Advance(changes []burdockyard.Change, from, to uint64) (Delta, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var d Delta
+	if m.version < from {
+		return d, false
+	}
+	for _, c := range changes {
+		if c.Removed {
+			m.drop(c.Row.Key, max(c.Row.Version, from+1), &d)
+		} else {
+			m.put(c.Row, &d)
+		}
+	}
+	m.version = max(m.version, to)
+	return d, true
+}
+
+func (m *Mirror) put(r burdockyard.Row, d *Delta) {
+	if r.Version <= m.rows[r.Key].Version || r.Version <= m.gone[r.Key] {
+		return
+	}
+	delete(m.gone, r.Key)
+	m.rows[r.Key] = r
+	d.Changed = append(d.Changed, r)
+}
+
+func (m *Mirror) drop(key string, version uint64, d *Delta) {
+	if old, ok := m.rows[key]; !ok || version < old.Version {
+		return
+	}
+	delete(m.rows, key)
+	if len(m.gone) >= maxGone {
+		clear(m.gone)
+	}
+	m.gone[key] = version
+	d.Removed = append(d.Removed, key)
+}
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -32,6 +32,7 @@
 	"burdockyard/io/byforward"
 	"burdockyard/io/bylog"
 	"burdockyard/io/bymetrics"
+	"burdockyard/io/bypeer"
 )
 
 const (
@@ -55,7 +56,7 @@
 	FrontAddr     string // for callers
 	ReadyAddr     string // for readiness checks
 	DirectoryAddr string // for callers that ask where to connect
-	GossipAddr    string // for heartbeats from other nodes
+	PeerAddr      string // for other nodes: heartbeats as datagrams, readings as calls
 	Capacity      float64
 	MemoryBytes   int64
 	Grace         time.Duration // from the signal to the end of the process
@@ -92,6 +93,8 @@
 	budgets  *budgets
 	view     *bymember.View
 	peers    *peers
+	watches  []*watch
+	relays   *bypeer.RelayClients
 	callers  *callers
 	metrics  *bymetrics.Metrics
 	log      logs
@@ -127,7 +130,7 @@
 func New(s Settings, p Platform, opts ...Option) *Node {
 	n := &Node{
 		settings: s, platform: p, clock: burdockyard.SystemClock{}, metrics: bymetrics.New(),
-		self: burdockyard.Member{Node: s.Node, Incarnation: burdockyard.NewIncarnation(), Addr: s.GossipAddr},
+		self: burdockyard.Member{Node: s.Node, Incarnation: burdockyard.NewIncarnation(), Addr: s.PeerAddr},
 		done: make(chan struct{}),
 	}
 	WithLog(zerolog.Nop())(n)
@@ -141,6 +144,11 @@
 	n.budgets = newBudgets(s.RetryRatio, s.RetrySlack)
 	n.peers = newPeers(n)
 	n.callers = newCallers(n.clock)
+	n.relays = bypeer.NewRelayClients()
+	n.watches = []*watch{
+		newWatch(n, p.ConfigTable, n.log.config, n.applyConfig),
+		newWatch(n, p.InstanceTable, n.log.fleet, n.applyInstances),
+	}
 	return n
 }
 
@@ -150,7 +158,7 @@
 // Run serves until ctx ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.done)
-	listeners, err := listenAll(n.settings.FrontAddr, n.settings.ReadyAddr, n.settings.DirectoryAddr)
+	listeners, err := listenAll(n.settings.FrontAddr, n.settings.ReadyAddr, n.settings.DirectoryAddr, n.settings.PeerAddr)
 	if err != nil {
 		return err
 	}
@@ -168,6 +176,7 @@
 		front,
 		{Handler: n.platform.NewReadiness(n.ready), ReadHeaderTimeout: readHeaderTimeout},
 		{Handler: n.platform.NewDirectory(n.lookup), ReadHeaderTimeout: readHeaderTimeout},
+		{Handler: bypeer.NewRelayHandler(n.takeRelayed), ReadHeaderTimeout: readHeaderTimeout},
 	}
 	for i, s := range servers {
 		group.Go(func() error { return serve(s, listeners[i]) })
@@ -211,8 +220,9 @@
 }
 
 func (n *Node) startLoops(ctx context.Context, group *errgroup.Group) {
-	group.Go(func() error { return n.followConfig(ctx) })
-	group.Go(func() error { return n.followInstances(ctx) })
+	for _, w := range n.watches {
+		group.Go(func() error { return w.run(ctx) })
+	}
 	group.Go(func() error { return n.peers.gossip.Run(ctx) })
 	group.Go(func() error { return n.peers.register(ctx) })
 	group.Go(func() error { return n.peers.tellLoop(ctx) })
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -33,7 +33,7 @@
 // nodeRow is the value of a node's row.
 type nodeRow struct {
 	Incarnation burdockyard.Incarnation `json:"incarnation"`
-	Gossip      string                  `json:"gossip"`
+	Addr        string                  `json:"addr"` // for other nodes
 }
 
 // peers tells the other nodes of this one, and hears them. mu is a leaf lock.
@@ -51,7 +51,7 @@
 
 func (p *peers) listen() error {
 	bad := func(err error) { p.node.log.members.Debug("heartbeat not passed on", bylog.Err(err)) }
-	g, err := bygossip.Listen(p.node.settings.GossipAddr, p.hear, bygossip.WithBad(bad))
+	g, err := bygossip.Listen(p.node.settings.PeerAddr, p.hear, bygossip.WithBad(bad))
 	p.gossip = g
 	return err
 }
@@ -88,7 +88,7 @@
 	for ctx.Err() == nil {
 		pause := rescanEvery
 		if err := p.findOthers(ctx); err != nil {
-			pause = retryPause
+			pause = longPause
 		}
 		sleep(ctx, pause)
 	}
@@ -100,7 +100,7 @@
 // write writes this node's row without a condition: the row is the node's alone,
 // and a late write of an earlier process of it names the same address.
 func (p *peers) write(ctx context.Context) bool {
-	value, err := json.Marshal(nodeRow{Incarnation: p.node.self.Incarnation, Gossip: p.node.self.Addr})
+	value, err := json.Marshal(nodeRow{Incarnation: p.node.self.Incarnation, Addr: p.node.self.Addr})
 	if err == nil {
 		err = p.node.platform.Table.Commit(ctx, burdockyard.Txn{Writes: []burdockyard.Write{{Key: p.rowKey(), Value: value}}})
 	}
@@ -134,7 +134,7 @@
 		}
 		id := burdockyard.NodeID(row.Key[len(nodeTable)+1:])
 		if id != p.node.self.Node {
-			p.learn(id, r.Gossip)
+			p.learn(id, r.Addr)
 		}
 	}
 	return nil
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -3,146 +3,256 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"burdockyard"
+	"burdockyard/core/bymirror"
 	"burdockyard/io/bylog"
+	"burdockyard/io/bypeer"
 )
 
+// Calls of the store are limited for all nodes together, so that one node of each
+// failure domain reads and passes on what has changed. Nobody is appointed: each
+// node reads by itself once its copy is older than its patience, which grows with
+// its rank, and a reading that it hears of counts like one of its own. If the
+// first node is cut off, from the store or from its peers, the second one's
+// patience ends a moment later.
 const (
-	// configWait is how long one call waits for a change of the configuration. It
-	// bounds how long a connection that has gone silent goes unnoticed.
-	configWait = 1000 * time.Millisecond
-	// instancesEvery is the time between two readings of the registry. Endpoints
+	// readEvery is the patience of the first node of a failure domain. Endpoints
 	// that leave must get no work 2 s after they say so.
-	instancesEvery = 600 * time.Millisecond
-	// retryPause follows a failed call.
-	retryPause = 150 * time.Millisecond
+	readEvery = 500 * time.Millisecond
+	// secondRead is that of the second node, and rankStep what each further one
+	// waits longer, up to lastRead.
+	secondRead = 800 * time.Millisecond
+	rankStep   = 50 * time.Millisecond
+	lastRead   = 1100 * time.Millisecond
+	// retryPause follows a failed call, longer on nodes of a higher rank.
+	retryPause = 200 * time.Millisecond
+	longPause  = 1500 * time.Millisecond
+	// lookEvery is how often a node compares a copy's age with its patience.
+	lookEvery = 50 * time.Millisecond
+	// relayWorkers is how many nodes are told at a time.
+	relayWorkers = 8
 )
 
-// follower reads one table: whole at first, then what changes.
-type follower struct {
-	registry burdockyard.Registry
-	table    string
-	wait     time.Duration
-	version  uint64
-	lost     bool // the last call failed
+// watch follows one table of the store. mu is a leaf lock.
+type watch struct {
+	node   *Node
+	table  string
+	log    bylog.Logger
+	mirror *bymirror.Mirror
+	apply  func(d bymirror.Delta, asked time.Time)
+
+	mu    sync.Mutex
+	asked time.Time // when the newest reading was asked for
+	lost  bool      // the last call failed
 }
 
-// next returns the next reading.
-func (f *follower) next(ctx context.Context) (burdockyard.Snapshot, bool, error) {
-	if f.version == 0 {
-		snap, err := f.registry.Scan(ctx, f.table)
-		f.version = snap.Version
-		return snap, true, err
-	}
-	snap, err := f.registry.Changes(ctx, f.table, f.version, f.wait)
-	if errors.Is(err, burdockyard.ErrHistoryGone) {
-		f.version = 0
-		return f.next(ctx)
+func newWatch(n *Node, table string, log bylog.Logger, apply func(bymirror.Delta, time.Time)) *watch {
+	return &watch{node: n, table: table, log: log, mirror: bymirror.New(), apply: apply}
+}
+
+func (w *watch) age() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.asked.IsZero() {
+		return lastRead
 	}
-	if err == nil {
-		f.version = snap.Version
+	return w.node.clock.Now().Sub(w.asked)
+}
+
+func (w *watch) note(asked time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if asked.After(w.asked) {
+		w.asked = asked
 	}
-	return snap, false, err
 }
 
-// note logs when the store is lost and when it is back.
-func (f *follower) note(l bylog.Logger, err error) {
-	switch {
-	case err != nil && !f.lost:
-		f.lost = true
-		l.Warn("store lost", bylog.Str("table", f.table), bylog.Err(err))
-	case err == nil && f.lost:
-		f.lost = false
-		l.Info("store regained", bylog.Str("table", f.table), bylog.Int("version", int(f.version)))
+// patience is the age from which on this node reads by itself.
+func patience(rank int) time.Duration {
+	if rank == 0 {
+		return readEvery
 	}
+	return min(secondRead+time.Duration(rank-1)*rankStep, lastRead)
+}
+
+func (w *watch) rank() int {
+	n := w.node
+	return n.view.RankByCapacity("reader", n.settings.Domain, n.settings.Capacity)
 }
 
-func (n *Node) followConfig(ctx context.Context) error {
-	f := &follower{registry: n.platform.Registry, table: n.platform.ConfigTable, wait: configWait}
+// run reads whenever the copy is too old, until ctx ends.
+func (w *watch) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		snap, _, err := f.next(ctx)
-		f.note(n.log.config, err)
-		if err != nil {
-			sleep(ctx, retryPause)
+		rank := w.rank()
+		if w.age() < patience(rank) {
+			sleep(ctx, lookEvery)
 			continue
 		}
-		for _, row := range snap.Rows {
-			n.offerConfig(row)
-		}
-		for _, c := range snap.Changes {
-			if !c.Removed {
-				n.offerConfig(c.Row)
-			}
-		}
-		if n.routes.Current() == nil {
-			sleep(ctx, retryPause)
+		if err := w.read(ctx); err != nil {
+			sleep(ctx, min(retryPause*time.Duration(1+rank), longPause))
 		}
 	}
 	return nil
 }
 
-func (n *Node) offerConfig(row burdockyard.Row) {
-	if row.Key != n.platform.ConfigKey {
-		return
+// read reads the store once and passes on what it has learnt.
+func (w *watch) read(ctx context.Context) error {
+	asked := w.node.clock.Now()
+	from := w.mirror.Version()
+	changes, version, err := w.fetch(ctx, from)
+	if errors.Is(err, burdockyard.ErrHistoryGone) {
+		from = 0
+		changes, version, err = w.fetch(ctx, 0)
 	}
-	config, err := n.platform.DecodeConfig(row.Value)
+	w.noteStore(err)
 	if err != nil {
-		n.log.config.Warn("configuration not taken, the last one stays in force", bylog.Int("row_version", int(row.Version)), bylog.Err(err))
-		return
+		return err
+	}
+	r := bypeer.Reading{Table: w.table, From: from, Version: version, Changes: changes}
+	w.take(r, asked)
+	w.pass(ctx, r, asked)
+	return nil
+}
+
+// fetch returns what has changed since a version, or the whole table after 0.
+func (w *watch) fetch(ctx context.Context, from uint64) ([]burdockyard.Change, uint64, error) {
+	registry := w.node.platform.Registry
+	if from > 0 {
+		snap, err := registry.Changes(ctx, w.table, from, 0)
+		return snap.Changes, snap.Version, err
 	}
-	if n.routes.Offer(config) {
-		n.log.config.Info("configuration in force", bylog.Int("version", int(config.Version)), bylog.Int("routes", len(config.Routes)))
+	snap, err := registry.Scan(ctx, w.table)
+	changes := make([]burdockyard.Change, 0, len(snap.Rows))
+	for _, row := range snap.Rows {
+		changes = append(changes, burdockyard.Change{Row: row})
 	}
+	return changes, snap.Version, err
 }
 
-func (n *Node) followInstances(ctx context.Context) error {
-	f := &follower{registry: n.platform.Registry, table: n.platform.InstanceTable}
-	for ctx.Err() == nil {
-		asked := n.clock.Now()
-		snap, whole, err := f.next(ctx)
-		f.note(n.log.fleet, err)
+// take brings the copy up to a reading that was asked for at a time. It returns
+// false if changes before the reading are missing.
+func (w *watch) take(r bypeer.Reading, asked time.Time) bool {
+	var d bymirror.Delta
+	ok := true
+	if r.From == 0 {
+		rows := make([]burdockyard.Row, 0, len(r.Changes))
+		for _, c := range r.Changes {
+			rows = append(rows, c.Row)
+		}
+		d = w.mirror.Whole(rows, r.Version)
+	} else {
+		d, ok = w.mirror.Advance(r.Changes, r.From, r.Version)
+	}
+	if ok {
+		w.apply(d, asked)
+		w.note(asked)
+	}
+	return ok
+}
+
+// pass tells the other nodes of this failure domain. One that lacks earlier
+// changes gets the whole table.
+func (w *watch) pass(ctx context.Context, r bypeer.Reading, asked time.Time) {
+	n := w.node
+	var group errgroup.Group
+	group.SetLimit(relayWorkers)
+	for _, b := range n.view.Alive() {
+		if b.Domain != n.settings.Domain {
+			continue
+		}
+		group.Go(func() error {
+			r := r
+			r.Age = n.clock.Now().Sub(asked)
+			has, err := n.relays.Tell(ctx, b.Member.Addr, r)
+			if err == nil && has < r.From {
+				_, err = n.relays.Tell(ctx, b.Member.Addr, w.whole(asked))
+			}
+			if err != nil {
+				w.log.Debug("reading not passed on", bylog.Str("peer", string(b.Member.Node)), bylog.Err(err))
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		w.log.Debug("readings not passed on", bylog.Err(err))
+	}
+}
+
+func (w *watch) whole(asked time.Time) bypeer.Reading {
+	rows, version := w.mirror.Rows()
+	r := bypeer.Reading{Table: w.table, Version: version, Age: w.node.clock.Now().Sub(asked)}
+	for _, row := range rows {
+		r.Changes = append(r.Changes, burdockyard.Change{Row: row})
+	}
+	return r
+}
+
+// noteStore logs when the store is lost and when it is back.
+func (w *watch) noteStore(err error) {
+	w.mu.Lock()
+	was := w.lost
+	w.lost = err != nil
+	w.mu.Unlock()
+	switch {
+	case err != nil && !was:
+		w.log.Warn("store lost", bylog.Str("table", w.table), bylog.Err(err))
+	case err == nil && was:
+		w.log.Info("store regained", bylog.Str("table", w.table), bylog.Int("version", int(w.mirror.Version())))
+	}
+}
+
+// takeRelayed takes in what another node has read.
+func (n *Node) takeRelayed(r bypeer.Reading) uint64 {
+	for _, w := range n.watches {
+		if w.table == r.Table {
+			w.take(r, n.clock.Now().Add(-r.Age))
+			return w.mirror.Version()
+		}
+	}
+	return 0
+}
+
+func (n *Node) applyConfig(d bymirror.Delta, _ time.Time) {
+	for _, row := range d.Changed {
+		if row.Key != n.platform.ConfigKey {
+			continue
+		}
+		config, err := n.platform.DecodeConfig(row.Value)
 		if err != nil {
-			sleep(ctx, retryPause)
+			n.log.config.Warn("configuration not taken, the last one stays in force", bylog.Int("row_version", int(row.Version)), bylog.Err(err))
 			continue
 		}
-		n.takeInstances(snap, whole, asked)
-		sleep(ctx, instancesEvery-n.clock.Now().Sub(asked))
+		if n.routes.Offer(config) {
+			n.log.config.Info("configuration in force", bylog.Int("version", int(config.Version)), bylog.Int("routes", len(config.Routes)))
+		}
 	}
-	return nil
 }
 
-func (n *Node) takeInstances(snap burdockyard.Snapshot, whole bool, asked time.Time) {
+func (n *Node) applyInstances(d bymirror.Delta, asked time.Time) {
 	var seen []burdockyard.Instance
 	var removed []burdockyard.EndpointID
-	add := func(row burdockyard.Row) {
+	for _, row := range d.Changed {
 		in, err := n.platform.DecodeInstance(row)
 		if err != nil {
 			n.log.fleet.Debug("entry names no endpoint", bylog.Str("row", row.Key), bylog.Err(err))
-			return
+			removed = append(removed, n.instanceID(row.Key))
+			continue
 		}
 		seen = append(seen, in)
 	}
-	for _, row := range snap.Rows {
-		add(row)
-	}
-	for _, c := range snap.Changes {
-		if c.Removed {
-			removed = append(removed, n.instanceID(c.Row))
-		} else {
-			add(c.Row)
-		}
-	}
-	if whole {
-		n.fleet.SeeAll(seen, asked)
-	} else {
-		n.fleet.Apply(seen, removed, asked)
+	for _, key := range d.Removed {
+		removed = append(removed, n.instanceID(key))
 	}
+	n.fleet.Apply(seen, removed, asked)
 }
 
-func (n *Node) instanceID(row burdockyard.Row) burdockyard.EndpointID {
-	return burdockyard.EndpointID(row.Key[len(n.platform.InstanceTable)+1:])
+func (n *Node) instanceID(key string) burdockyard.EndpointID {
+	return burdockyard.EndpointID(key[len(n.platform.InstanceTable)+1:])
 }
 
 // sleep waits for a time, or until ctx ends.
