Send fewer heartbeats as nodes grow in number

Nearly all were sent for changes of short streams. Change: only news of long readings goes out at once; the rest waits for a beat whose time grows with the number of peers.

--- a/core/byplace/ledger.go
+++ b/core/byplace/ledger.go
@@ -49,6 +49,7 @@
 	loadAt   time.Time
 	cache    *cache
 	changed  bool // since the last digest
+	urgent   bool // changed in a way that peers must know soon
 }
 
 // peerBook is one peer's figures for one endpoint.
@@ -98,7 +99,7 @@
 	read, streams := l.peerWork(id)
 	f := &Flight{ledger: l, id: id, work: w, began: l.clock.Now(), alone: len(b.flights) == 0 && read == 0 && streams == 0}
 	b.flights[f] = struct{}{}
-	b.changed = true
+	b.mark(w.Read)
 	return f
 }
 
@@ -114,9 +115,9 @@
 	if f.alone && took > 0 {
 		f.ledger.learn(b, f.work.Read, took)
 	}
+	b.mark(f.work.Read)
 	f.work.Read = 0
 	b.lastDone = f.ledger.clock.Now()
-	b.changed = true
 }
 
 // learn takes in how long an engine took for a prompt that had it to itself.
@@ -152,7 +153,14 @@
 	if f.work.Read > 0 {
 		b.lastDone = f.ledger.clock.Now()
 	}
+	b.mark(f.work.Read)
+}
+
+// mark notes that the figures have changed. Peers must hear at once of a reading
+// that would hold up another prompt; the rest can wait for the next digest.
+func (b *book) mark(read time.Duration) {
 	b.changed = true
+	b.urgent = b.urgent || read >= judgedRead
 }
 
 // Observe takes in what an endpoint said of its load beside an answer.
@@ -198,7 +206,7 @@
 		if !b.changed && !(all && len(b.flights) > 0) {
 			continue
 		}
-		b.changed = false
+		b.changed, b.urgent = false, false
 		load := bymember.Load{Engine: id}
 		for f := range b.flights {
 			load.Streams += f.work.Streams
@@ -211,16 +219,16 @@
 	return loads, reads
 }
 
-// Changed reports whether a digest would say something new.
-func (l *Ledger) Changed() bool {
+// Urgent reports whether peers should hear of a change at once.
+func (l *Ledger) Urgent() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, b := range l.books {
-		if b.changed {
+		if b.urgent {
 			return true
 		}
 	}
-	return len(l.reads) > 0
+	return false
 }
 
 // NoteRead notes that an engine has read a prompt, and so keeps its parts.
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -16,14 +16,18 @@
 const (
 	// nodeTable holds a row for each node, by which a new one finds the others.
 	nodeTable = "nodes"
-	// tellEvery is the shortest time between two heartbeats.
+	// tellEvery is the shortest time between two heartbeats, which is kept while
+	// there is news of long prompts.
 	tellEvery = 20 * time.Millisecond
-	// beatEvery is the longest one.
-	beatEvery = 300 * time.Millisecond
+	// beatEvery is the time between two others. It grows by beatPerPeer with each
+	// peer, up to longestBeat, since each heartbeat goes to all of them.
+	beatEvery   = 20 * time.Millisecond
+	beatPerPeer = 5 * time.Millisecond
+	longestBeat = 500 * time.Millisecond
 	// rescanEvery is the time between two looks for nodes that were not heard.
 	rescanEvery = 10 * time.Second
 	// reachableFor is the silence after which callers are no longer sent to a node.
-	reachableFor = time.Second
+	reachableFor = 1200 * time.Millisecond
 	// leaveTimeout bounds the removal of this node's row.
 	leaveTimeout = 300 * time.Millisecond
 	// maxAddresses bounds an answer of the directory.
@@ -140,22 +144,28 @@
 	return nil
 }
 
-// tellLoop sends heartbeats: soon after this node's work has changed, and now
-// and then in any case.
+// tellLoop sends heartbeats: at once while there is news of long prompts, and
+// now and then in any case.
 func (p *peers) tellLoop(ctx context.Context) error {
 	var last time.Time
 	return every(ctx, tellEvery, func(context.Context) {
 		now := p.node.clock.Now()
-		full := now.Sub(last) >= beatEvery
+		full := now.Sub(last) >= min(beatEvery+time.Duration(p.count())*beatPerPeer, longestBeat)
 		if full {
 			last = now
 		}
-		if full || p.node.ledger.Changed() {
+		if full || p.node.ledger.Urgent() {
 			p.tell(full)
 		}
 	})
 }
 
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.addrs)
+}
+
 // tell sends one heartbeat. A full one names all endpoints that this node uses.
 func (p *peers) tell(full bool) {
 	n := p.node
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -32,8 +32,8 @@
 	// retryPause follows a failed call, longer on nodes of a higher rank.
 	retryPause = 200 * time.Millisecond
 	longPause  = 1500 * time.Millisecond
-	// lookEvery is how often a node compares a copy's age with its patience.
-	lookEvery = 50 * time.Millisecond
+	// lookEvery is the least time between two looks at a copy's age.
+	lookEvery = 20 * time.Millisecond
 	// relayWorkers is how many nodes are told at a time.
 	relayWorkers = 8
 )
@@ -89,8 +89,8 @@
 func (w *watch) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		rank := w.rank()
-		if w.age() < patience(rank) {
-			sleep(ctx, lookEvery)
+		if left := patience(rank) - w.age(); left > 0 {
+			sleep(ctx, max(left, lookEvery))
 			continue
 		}
 		if err := w.read(ctx); err != nil {
