--- /dev/null
+++ b/io/byentry/byentry_test.go
@@ -0,0 +1,351 @@
+package byentry_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"burdockyard/platform/bystub"
+)
+
+// plainWorld has two runners of a plain service and one node.
+func plainWorld(t *testing.T) (*world, *testNode) {
+	w := newWorld(t)
+	w.config(3, nil)
+	w.runner(bystub.RunnerConfig{ID: "app-1", Service: "app", Zone: "a"})
+	w.runner(bystub.RunnerConfig{ID: "app-2", Service: "app", Zone: "a"})
+	n := w.node("n1")
+	w.ready(n)
+	return w, n
+}
+
+// runs returns how often the service's runners have run anything.
+func (w *world) runs() int {
+	n := 0
+	for _, r := range w.runners {
+		n += len(r.Runs())
+	}
+	return n
+}
+
+func (w *world) failAll(f bystub.RunnerFaults) {
+	for _, r := range w.runners {
+		r.Fail(f)
+	}
+}
+
+func TestPassThrough(t *testing.T) {
+	w, n := plainWorld(t)
+	got := n.call("POST", "/book/van/7?slate=1&b=%2F", "two vans", "X-Kv-Source: 10.0.0.1:1/h")
+	if got.status != 200 || !strings.HasPrefix(got.body, "POST /book/van/7?slate=1&b=%2F r") || !strings.HasSuffix(got.body, " 8") {
+		t.Errorf("answer is %+v", got)
+	}
+	if !strings.HasPrefix(got.header.Get("X-Response-Stamp"), "stamp-app-") {
+		t.Errorf("the runner's signature is missing: %v", got.header)
+	}
+	for _, r := range w.runners {
+		for _, run := range r.Runs() {
+			if run.Deadline <= 0 || run.Deadline > 2000 || run.Source != "" {
+				t.Errorf("runner got %+v", run)
+			}
+		}
+	}
+}
+
+// TestRefusals tells for each failure what the caller may conclude, and how
+// often the request ran.
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name    string
+		path    string
+		faults  bystub.RunnerFaults // of every runner
+		status  int
+		minRuns int
+		maxRuns int
+	}{
+		{"unsafe, all full", "/book/1", bystub.RunnerFaults{Shed: 9}, 503, 0, 0},
+		{"unsafe, first full", "/book/1", bystub.RunnerFaults{}, 200, 1, 1},
+		{"unsafe, answer lost", "/book/1", bystub.RunnerFaults{Lose: 9}, 502, 1, 1},
+		{"unsafe, fails", "/book/1", bystub.RunnerFaults{Error: 9}, 500, 1, 1},
+		{"unsafe, crossed", "/book/1", bystub.RunnerFaults{Cross: 9}, 502, 1, 1},
+		{"safe, answer lost", "/read/1", bystub.RunnerFaults{Lose: 9}, 502, 2, 2},
+		{"safe, fails once at each", "/read/1", bystub.RunnerFaults{Error: 9}, 500, 2, 2},
+		{"safe, crossed", "/read/1", bystub.RunnerFaults{Cross: 9}, 502, 2, 2},
+		{"safe, all full", "/read/1", bystub.RunnerFaults{Shed: 9}, 503, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w, n := plainWorld(t)
+			w.failAll(tt.faults)
+			got := n.call("POST", tt.path, "x")
+			if got.status != tt.status || got.err != nil {
+				t.Errorf("answer is %+v, want %d", got, tt.status)
+			}
+			if (got.status == 503) != (got.header.Get("Retry-After") != "") {
+				t.Errorf("Retry-After %q with status %d", got.header.Get("Retry-After"), got.status)
+			}
+			if runs := w.runs(); runs < tt.minRuns || runs > tt.maxRuns {
+				t.Errorf("%d runs, want %d to %d", runs, tt.minRuns, tt.maxRuns)
+			}
+		})
+	}
+}
+
+// TestOneBadRunner: another runner takes what one has refused, or what may run
+// again.
+func TestOneBadRunner(t *testing.T) {
+	for _, tt := range []struct {
+		name, path string
+		faults     bystub.RunnerFaults
+	}{
+		{"safe, fails", "/read/1", bystub.RunnerFaults{Error: 1}},
+		{"safe, lost", "/read/1", bystub.RunnerFaults{Lose: 1}},
+		{"unsafe, full", "/book/1", bystub.RunnerFaults{Shed: 1}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			w, n := plainWorld(t)
+			w.runners["app-1"].Fail(tt.faults)
+			for range 6 {
+				if got := n.call("POST", tt.path, "x"); got.status != 200 {
+					t.Errorf("answer is %+v", got)
+				}
+			}
+		})
+	}
+}
+
+func TestRejects(t *testing.T) {
+	w, n := plainWorld(t)
+	tests := []struct {
+		name   string
+		got    func() reply
+		status int
+	}{
+		{"no route", func() reply { return n.call("GET", "/nowhere/1", "") }, 404},
+		{"long body", func() reply { return n.call("POST", "/book/1", strings.Repeat("x", 70_000)) }, 413},
+		{"long header", func() reply { return n.call("GET", "/read/1", "", "X-Long: "+strings.Repeat("x", 9_000)) }, 431},
+		{"bad deadline", func() reply { return n.call("GET", "/quick/1", "", "X-Token-Usage: many", shortPrompt) }, 400},
+	}
+	for _, tt := range tests {
+		if got := tt.got(); got.status != tt.status {
+			t.Errorf("%s: answer is %+v, want %d", tt.name, got, tt.status)
+		}
+	}
+	if w.runs() != 0 {
+		t.Errorf("%d rejected requests ran", w.runs())
+	}
+}
+
+func TestNoConfiguration(t *testing.T) {
+	w := newWorld(t)
+	n := w.node("n1")
+	w.until("node listens", func() bool { return w.status(n.settings.ReadyAddr, "/-/readiness") != 0 })
+	got := n.call("GET", "/read/1", "")
+	if got.status != 503 || got.header.Get("Retry-After") == "" {
+		t.Errorf("without a configuration the answer is %+v", got)
+	}
+	if s := w.status(n.settings.ReadyAddr, "/-/readiness"); s != 503 {
+		t.Errorf("readiness is %d", s)
+	}
+	if s := w.status(n.settings.DirectoryAddr, "/-/resolve?name=h.example"); s != 503 {
+		t.Errorf("directory answers %d", s)
+	}
+}
+
+// TestConfiguration: a new version comes into force by itself, an unreadable or
+// older one does not.
+func TestConfiguration(t *testing.T) {
+	w, n := plainWorld(t)
+	drop := func(routes []map[string]any) { routes[0]["prefix"] = "/other/" }
+	w.config(9, drop)
+	w.until("the new version is in force", func() bool { return n.call("GET", "/other/1", "").status == 200 })
+	w.config(8, nil)
+	w.store.Set("op", "config", []byte(`{"version":20,"routes":[{"kind":"maybe"}]}`))
+	w.config(10, func(routes []map[string]any) { drop(routes); routes[1]["prefix"] = "/mark/" })
+	w.until("the mark is in force", func() bool { return n.call("POST", "/mark/1", "x").status == 200 })
+	if got := n.call("GET", "/read/1", ""); got.status != 404 {
+		t.Errorf("a dropped route answers %d", got.status)
+	}
+}
+
+func TestLeavingRunner(t *testing.T) {
+	w, n := plainWorld(t)
+	w.state("app-1", "draining", 2)
+	before := 0
+	w.until("the leaving runner gets no more work", func() bool {
+		runs := len(w.runners["app-1"].Runs())
+		for range 4 {
+			n.call("GET", "/read/1", "")
+		}
+		before = len(w.runners["app-1"].Runs())
+		return runs == before
+	})
+	w.store.Fail(bystub.Faults{Down: true})
+	for range 10 {
+		if got := n.call("GET", "/read/1", ""); got.status != 200 {
+			t.Errorf("with the store down the answer is %+v", got)
+		}
+	}
+	if runs := len(w.runners["app-1"].Runs()); runs != before {
+		t.Errorf("a leaving runner got %d more requests", runs-before)
+	}
+}
+
+// engineWorld has one engine that reads, two that run, and a node.
+func engineWorld(t *testing.T, events int) (*world, *testNode) {
+	w := newWorld(t)
+	w.config(3, nil)
+	w.runner(bystub.RunnerConfig{ID: "p", Service: "llm", Zone: "a", Stage: "prefill"})
+	w.runner(bystub.RunnerConfig{ID: "d1", Service: "llm", Zone: "a", Stage: "decode", Events: events, Gap: 2 * time.Millisecond})
+	w.runner(bystub.RunnerConfig{ID: "d2", Service: "llm", Zone: "a", Stage: "decode", Events: events, Gap: 2 * time.Millisecond})
+	n := w.node("n1")
+	w.ready(n)
+	return w, n
+}
+
+func wholeStream(events int, body string) bool {
+	for i := 1; i <= events; i++ {
+		if strings.Count(body, fmt.Sprintf("id: %d\n", i)) != 1 {
+			return false
+		}
+	}
+	return strings.Count(body, "id:") == events
+}
+
+func TestLongPromptIsHandedOff(t *testing.T) {
+	w, n := engineWorld(t, 5)
+	got := n.call("POST", "/long/1", "survey", longPrompt, longTokens)
+	if got.status != 200 || got.err != nil || !wholeStream(5, got.body) {
+		t.Fatalf("answer is %+v", got)
+	}
+	for _, id := range []string{"d1", "d2"} {
+		for _, run := range w.runners[id].Runs() {
+			if !strings.HasPrefix(run.Source, w.addrs["p"]+"/p-") {
+				t.Errorf("run without the kept prompt: %+v", run)
+			}
+		}
+	}
+	if w.runs() != 1 {
+		t.Errorf("%d runs", w.runs())
+	}
+}
+
+// TestReaderFails: a long prompt is served although the reading engine refuses.
+func TestReaderFails(t *testing.T) {
+	w, n := engineWorld(t, 3)
+	w.runners["p"].Fail(bystub.RunnerFaults{Shed: 9})
+	if got := n.call("POST", "/long/1", "survey", longPrompt, longTokens); got.status != 200 || !wholeStream(3, got.body) {
+		t.Errorf("answer is %+v", got)
+	}
+}
+
+// TestKeptPromptIsFreed: a prompt that was read is freed if no engine takes it.
+func TestKeptPromptIsFreed(t *testing.T) {
+	w, n := engineWorld(t, 3)
+	w.runners["d1"].Fail(bystub.RunnerFaults{Shed: 9})
+	w.runners["d2"].Fail(bystub.RunnerFaults{Shed: 9})
+	got := n.call("POST", "/long/1", "survey", longPrompt, longTokens)
+	if got.status != 503 || w.runs() != 0 {
+		t.Errorf("answer is %+v after %d runs", got, w.runs())
+	}
+	w.until("kept prompts are freed", func() bool {
+		kept, freed := w.runners["p"].Handles()
+		return kept == 0 && freed > 0
+	})
+}
+
+// TestCutStream: a stream that may be resumed goes on at another engine; any
+// other one breaks off at the caller too.
+func TestCutStream(t *testing.T) {
+	w, n := engineWorld(t, 6)
+	w.runners["d1"].Fail(bystub.RunnerFaults{Cut: 1})
+	w.runners["d2"].Fail(bystub.RunnerFaults{Cut: 1})
+	got := n.call("POST", "/long/1", "survey", longPrompt, longTokens)
+	if got.err == nil || strings.Contains(got.body, "da\n") || w.runs() != 1 {
+		t.Errorf("a cut answer looks whole, or ran again (%d runs): %+v", w.runs(), got)
+	}
+	for _, r := range w.runners {
+		r.Fail(bystub.RunnerFaults{Cut: 0})
+	}
+	for i, id := range []string{"d1", "d2"} {
+		w.runners[id].Fail(bystub.RunnerFaults{Cut: 1})
+		got := n.call("POST", "/quick/"+fmt.Sprint(i), "q", shortPrompt, shortTokens)
+		if got.err != nil || got.status != 200 || !wholeStream(6, got.body) {
+			t.Errorf("a stream that may be resumed: %+v", got)
+		}
+		w.runners[id].Fail(bystub.RunnerFaults{})
+	}
+}
+
+func TestCallerLeaves(t *testing.T) {
+	w, n := engineWorld(t, 100_000)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.settings.FrontAddr+"/quick/1", strings.NewReader("q"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header = http.Header{"X-Request-Id": {"leaver"}, "X-Deadline-Ms": {"30000"}, "X-Prompt-Prefix": {"1:92,2:290"}, "X-Token-Usage": {"382,40"}}
+	resp, err := client.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(resp.Body, make([]byte, 64)); err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	w.until("the engine's connection is closed", func() bool {
+		for _, id := range []string{"d1", "d2"} {
+			for _, run := range w.runners[id].Runs() {
+				if run.ID == "leaver" && run.Ended {
+					return true
+				}
+			}
+		}
+		return false
+	})
+}
+
+// TestDirectoryAndStop: nodes find each other, and one that leaves is named no
+// more while it still serves.
+func TestDirectoryAndStop(t *testing.T) {
+	w, a := plainWorld(t)
+	w.grace = 4 * time.Second
+	b := w.node("n2")
+	w.ready(b)
+	named := func(n *testNode) map[string]bool {
+		resp, err := http.Get("http://" + n.settings.DirectoryAddr + "/-/resolve?name=h.example&region=r&zone=a")
+		if err != nil {
+			return nil
+		}
+		defer resp.Body.Close()
+		var answer struct {
+			Addresses []string `json:"addresses"`
+			TTLS      float64  `json:"ttlS"`
+		}
+		if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil || answer.TTLS <= 0 {
+			return nil
+		}
+		set := map[string]bool{}
+		for _, addr := range answer.Addresses {
+			set[addr] = true
+		}
+		return set
+	}
+	w.until("both name both", func() bool {
+		return named(a)[b.settings.FrontAddr] && named(b)[a.settings.FrontAddr] && named(a)[a.settings.FrontAddr]
+	})
+	b.stop()
+	w.until("the leaving node is named no more", func() bool { return !named(a)[b.settings.FrontAddr] && !named(b)[b.settings.FrontAddr] })
+	got := b.call("GET", "/read/1", "")
+	if got.status != 200 || !got.closes {
+		t.Errorf("a leaving node answers %+v", got)
+	}
+	if s := w.status(b.settings.ReadyAddr, "/-/readiness"); s != 503 {
+		t.Errorf("a leaving node's readiness is %d", s)
+	}
+}
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -146,8 +146,8 @@
 	n.callers = newCallers(n.clock)
 	n.relays = bypeer.NewRelayClients()
 	n.watches = []*watch{
-		newWatch(n, p.ConfigTable, n.log.config, n.applyConfig),
-		newWatch(n, p.InstanceTable, n.log.fleet, n.applyInstances),
+		newWatch(n, p.ConfigTable, configEvery, n.log.config, n.applyConfig),
+		newWatch(n, p.InstanceTable, instancesEvery, n.log.fleet, n.applyInstances),
 	}
 	return n
 }
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -26,8 +26,9 @@
 	nearBeat    = 2 * time.Millisecond
 	farBeat     = 6 * time.Millisecond
 	longestBeat = 500 * time.Millisecond
-	// rescanEvery is the time between two looks for nodes that were not heard.
-	rescanEvery = 10 * time.Second
+	// rescanEvery is the time between two looks for nodes that were not heard. Each
+	// node that starts writes to all that it finds, so this is rarely needed.
+	rescanEvery = time.Minute
 	// reachableFor is the silence after which callers are no longer sent to a node.
 	reachableFor = 1200 * time.Millisecond
 	// leaveTimeout bounds the removal of this node's row.
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -21,14 +21,16 @@
 // first node is cut off, from the store or from its peers, the second one's
 // patience ends a moment later.
 const (
-	// readEvery is the patience of the first node of a failure domain. Endpoints
-	// that leave must get no work 2 s after they say so.
-	readEvery = 500 * time.Millisecond
-	// secondRead is that of the second node, and rankStep what each further one
-	// waits longer, up to lastRead.
-	secondRead = 800 * time.Millisecond
+	// instancesEvery and configEvery are the patience of the first node of a
+	// failure domain. Endpoints that leave must get no work 2 s after they say so,
+	// and a configuration must be in force 2 s after it was accepted.
+	instancesEvery = 500 * time.Millisecond
+	configEvery    = 700 * time.Millisecond
+	// secondRead is how much longer the second node waits, and rankStep each
+	// further one, up to lastRead.
+	secondRead = 300 * time.Millisecond
 	rankStep   = 50 * time.Millisecond
-	lastRead   = 1100 * time.Millisecond
+	lastRead   = 600 * time.Millisecond
 	// retryPause follows a failed call, longer on nodes of a higher rank.
 	retryPause = 200 * time.Millisecond
 	longPause  = 1500 * time.Millisecond
@@ -42,6 +44,7 @@
 type watch struct {
 	node   *Node
 	table  string
+	every  time.Duration // between two readings, on the node that reads first
 	log    bylog.Logger
 	mirror *bymirror.Mirror
 	apply  func(d bymirror.Delta, asked time.Time)
@@ -51,15 +54,15 @@
 	lost  bool      // the last call failed
 }
 
-func newWatch(n *Node, table string, log bylog.Logger, apply func(bymirror.Delta, time.Time)) *watch {
-	return &watch{node: n, table: table, log: log, mirror: bymirror.New(), apply: apply}
+func newWatch(n *Node, table string, every time.Duration, log bylog.Logger, apply func(bymirror.Delta, time.Time)) *watch {
+	return &watch{node: n, table: table, every: every, log: log, mirror: bymirror.New(), apply: apply}
 }
 
 func (w *watch) age() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.asked.IsZero() {
-		return lastRead
+		return w.every + lastRead
 	}
 	return w.node.clock.Now().Sub(w.asked)
 }
@@ -73,11 +76,11 @@
 }
 
 // patience is the age from which on this node reads by itself.
-func patience(rank int) time.Duration {
+func (w *watch) patience(rank int) time.Duration {
 	if rank == 0 {
-		return readEvery
+		return w.every
 	}
-	return min(secondRead+time.Duration(rank-1)*rankStep, lastRead)
+	return w.every + min(secondRead+time.Duration(rank-1)*rankStep, lastRead)
 }
 
 func (w *watch) rank() int {
@@ -89,7 +92,7 @@
 func (w *watch) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		rank := w.rank()
-		if left := patience(rank) - w.age(); left > 0 {
+		if left := w.patience(rank) - w.age(); left > 0 {
 			sleep(ctx, max(left, lookEvery))
 			continue
 		}
--- /dev/null
+++ b/io/byentry/world_test.go
@@ -0,0 +1,207 @@
+package byentry_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"burdockyard"
+	"burdockyard/io/byentry"
+	"burdockyard/platform"
+	"burdockyard/platform/bystub"
+)
+
+// waitLimit only ends a test that hangs.
+const waitLimit = 20 * time.Second
+
+// world is a store, runners and nodes in this process, on loopback.
+type world struct {
+	t       *testing.T
+	store   *bystub.Store
+	addr    string // of the store
+	runners map[string]*bystub.Runner
+	addrs   map[string]string // of the runners
+	nodes   []*testNode
+	grace   time.Duration // of the nodes
+}
+
+type testNode struct {
+	settings byentry.Settings
+	stop     context.CancelFunc
+	group    *errgroup.Group
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{t: t, store: bystub.NewStore(), runners: map[string]*bystub.Runner{}, addrs: map[string]string{}, grace: 1300 * time.Millisecond}
+	w.addr = w.listen(w.store)
+	return w
+}
+
+// listen serves a handler until the test ends.
+func (w *world) listen(h http.Handler) string {
+	srv := httptest.NewServer(h)
+	w.t.Cleanup(func() {
+		srv.CloseClientConnections() // else Close waits for calls that stay silent
+		srv.Close()
+	})
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+func (w *world) runner(cfg bystub.RunnerConfig) *bystub.Runner {
+	r := bystub.NewRunner(cfg)
+	w.runners[cfg.ID] = r
+	w.addrs[cfg.ID] = w.listen(r)
+	w.state(cfg.ID, "ready", 1)
+	return r
+}
+
+func (w *world) state(id, state string, sequence int) {
+	w.store.Set("servers", id, w.runners[id].Entry(w.addrs[id], state, sequence))
+}
+
+// config publishes a configuration: a safe, an unsafe and two streaming routes.
+func (w *world) config(version int, change func(routes []map[string]any)) {
+	routes := []map[string]any{
+		{"name": "read", "host": "h.example", "prefix": "/read/", "kind": "safe", "timeoutMs": 2000, "targetLatencyMs": 100, "attempts": 2, "service": "app"},
+		{"name": "book", "host": "h.example", "prefix": "/book/", "kind": "unsafe", "timeoutMs": 2000, "targetLatencyMs": 100, "attempts": 1, "service": "app"},
+		{"name": "quick", "host": "h.example", "prefix": "/quick/", "kind": "streaming", "timeoutMs": 5000, "targetLatencyMs": 300,
+			"targetGapMs": 150, "attempts": 2, "service": "llm", "stickySessions": true, "resumable": true},
+		{"name": "long", "host": "h.example", "prefix": "/long/", "kind": "streaming", "timeoutMs": 5000, "targetLatencyMs": 600,
+			"targetGapMs": 150, "attempts": 1, "service": "llm", "stickySessions": true},
+	}
+	if change != nil {
+		change(routes)
+	}
+	data, err := json.Marshal(map[string]any{
+		"version": version, "routes": routes,
+		"services": []map[string]any{
+			{"name": "app", "healthPath": "/health", "maxConnections": 50},
+			{"name": "llm", "healthPath": "/health", "maxConnections": 50, "engine": map[string]any{
+				"slots": 12, "kvCapacityTokens": 360000, "kvTokenBytes": 131072, "linkMbps": 740000.0, "handleTtlS": 5.0, "stageSwitchS": 3.0}},
+		},
+		"limits": map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.store.Set("op", "config", data)
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// node starts a node; it is stopped with the test.
+func (w *world) node(name string) *testNode {
+	store := platform.NewStore(w.addr)
+	s := byentry.Settings{
+		Node: burdockyard.NodeID(name), Domain: "a", Capacity: 0.4, MemoryBytes: 256 << 20, Grace: w.grace,
+		RetryRatio: 0.2, RetrySlack: 50, AnswerTTL: time.Second,
+		FrontAddr: freeAddr(w.t), ReadyAddr: freeAddr(w.t), DirectoryAddr: freeAddr(w.t), PeerAddr: freeAddr(w.t),
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n := &testNode{settings: s, stop: stop, group: &errgroup.Group{}}
+	node := byentry.New(s, byentry.Platform{
+		Registry: store, Table: store, Protocol: platform.Protocol{},
+		ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigRow, InstanceTable: platform.InstanceTable,
+		DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance,
+		NewDirectory: func(lookup func(host, domain string) ([]string, time.Duration)) http.Handler {
+			return platform.NewDirectory(func(q platform.DirectoryQuery) ([]string, time.Duration) { return lookup(q.Host, q.Domain) })
+		},
+		NewReadiness: platform.NewReadiness,
+	})
+	n.group.Go(func() error { return node.Run(ctx) })
+	w.nodes = append(w.nodes, n)
+	w.t.Cleanup(func() {
+		stop()
+		if err := n.group.Wait(); err != nil {
+			w.t.Errorf("node %s: %v", name, err)
+		}
+	})
+	return n
+}
+
+// ready waits until a node is ready and knows a number of ready runners.
+func (w *world) ready(n *testNode) {
+	w.t.Helper()
+	w.until("node is ready", func() bool { return w.status(n.settings.ReadyAddr, "/-/readiness") == http.StatusOK })
+}
+
+func (w *world) until(what string, holds func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(waitLimit); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func (w *world) status(addr, path string) int {
+	resp, err := http.Get("http://" + addr + path)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// reply is what a caller got. err tells of an answer that is not whole.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	closes bool // the node ends the connection
+	err    error
+}
+
+var requests int
+
+// call sends a request as a caller does, on a connection of its own.
+func (n *testNode) call(method, path string, body string, header ...string) reply {
+	requests++
+	conn, err := net.Dial("tcp4", n.settings.FrontAddr)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer conn.Close()
+	req := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r%d\r\nX-Deadline-Ms: 3000\r\n", method, path, requests)
+	for _, h := range header {
+		req += h + "\r\n"
+	}
+	if body != "" {
+		req += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	if _, err := io.WriteString(conn, req+"\r\n"+body); err != nil {
+		return reply{err: err}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	if err != nil {
+		return reply{err: err}
+	}
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(data), closes: resp.Close, err: err}
+}
+
+const (
+	longPrompt  = "X-Prompt-Prefix: 5c1e:13300,91bd:3700"
+	longTokens  = "X-Token-Usage: 17000,100"
+	shortPrompt = "X-Prompt-Prefix: 7c1e:92,a1bd:290"
+	shortTokens = "X-Token-Usage: 382,40"
+)
