Explain a request afterwards: bounded logs, metrics, burdock explain

Cause: on-call engineers have only logs and metrics. Change: one line for each decision on a request with its inputs and their age, through a ring that never blocks and counts what it drops; counters and histograms at port 9464; a command that puts the lines of one request from any number of nodes in order. Ruled out: writing from the request's own goroutine, since a reader that stops would stop callers.

--- a/cmd/burdock/main.go
+++ b/cmd/burdock/main.go
@@ -41,6 +41,7 @@
 
 	Serve    serveCommand    `command:"serve" description:"run an entry node"`
 	Node     nodeCommand     `command:"node" description:"run an entry node on the users' platform"`
+	Explain  explainCommand  `command:"explain" description:"show what logs say of one request"`
 	Check    checkCommand    `command:"check" description:"check a manifest, or settings with --settings"`
 	Publish  publishCommand  `command:"publish" description:"take a manifest into force"`
 	Status   statusCommand   `command:"status" description:"show what nodes say of themselves"`
--- a/cmd/burdock/node.go
+++ b/cmd/burdock/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"os"
 	"os/signal"
@@ -22,6 +23,8 @@
 	heapShare = 0.5
 	// gcPercent trades processor time for memory: an entry node allocates little.
 	gcPercent = 50
+	// metricsPort is where /metrics is served; deploy/system.toml names it too.
+	metricsPort = 9464
 	// directoryTTL is how long callers keep an answer of the directory.
 	directoryTTL = 2 * time.Second
 )
@@ -39,7 +42,8 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * heapShare))
 	debug.SetGCPercent(gcPercent)
 	store := platform.NewStore(s.StoreAddr)
-	root := bylog.New(os.Stdout, c.LogLevel, string(s.Node))
+	ring := bylog.NewRing(os.Stdout)
+	root := bylog.New(ring, c.LogLevel, string(s.Node))
 	log := bylog.Part(root, bylog.Node)
 	node := byentry.New(entrySettings(s), entryPlatform(store), byentry.WithLog(root))
 	ctx, stop := untilSignal()
@@ -47,13 +51,18 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
+	logging, endLogging := context.WithCancel(context.WithoutCancel(ctx))
+	var logs errgroup.Group
+	logs.Go(func() error { return ring.Run(logging) })
 	group, life := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		reloadOnSignal(life, hup, log)
 		return nil
 	})
 	group.Go(func() error { return node.Run(ctx) })
-	return group.Wait()
+	err = group.Wait()
+	endLogging()
+	return errors.Join(err, logs.Wait())
 }
 
 // reloadOnSignal reads the settings again when they may have changed. Addresses
@@ -77,7 +86,8 @@
 	return byentry.Settings{
 		Node: s.Node, Domain: s.Domain, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, DirectoryAddr: s.DirectoryAddr,
 		PeerAddr: s.IP + ":" + strconv.Itoa(s.PeerPort), Capacity: s.CPUShare, MemoryBytes: s.MemoryBytes,
-		Grace: s.Bounds.Grace, RetryRatio: s.Bounds.RetryRatio, RetrySlack: float64(s.Bounds.RetrySlack),
+		MetricsAddr: s.IP + ":" + strconv.Itoa(metricsPort),
+		Grace:       s.Bounds.Grace, RetryRatio: s.Bounds.RetryRatio, RetrySlack: float64(s.Bounds.RetrySlack),
 		AnswerTTL: min(directoryTTL, s.Bounds.MaxAnswer),
 	}
 }
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -61,6 +61,7 @@
 	c.tried[e.ID] = true
 	resp, err := n.forward.Send(ctx, byforward.Target{Addr: e.Addr, MaxConns: n.connShare(c.service)}, req)
 	if err != nil {
+		c.log("send failed", bylog.Str("endpoint", string(e.ID)), bylog.Str("addr", e.Addr), bylog.Err(err))
 		return nil, c.sortError(ctx, e, err), err
 	}
 	info := n.platform.Protocol.DecodeAnswer(resp.Status, resp.Header)
@@ -74,6 +75,7 @@
 		n.report(e, byfleet.Failed, nil)
 	}
 	if info.NotRun {
+		c.log("endpoint refused", bylog.Str("endpoint", string(e.ID)), bylog.Int("status", resp.Status))
 		c.drain(resp)
 		return nil, notRun, burdockyard.ErrNotStarted
 	}
@@ -179,7 +181,7 @@
 func (c *call) finish(last outcome, err error) {
 	switch {
 	case c.gone():
-		c.log("caller left")
+		c.finished(outLeft)
 	case last == notRun && c.tries > 0:
 		c.fail("endpoint_failed", err) // an earlier send may have run
 	case last == notRun && len(c.tried) == 0:
@@ -236,6 +238,7 @@
 	} else if a.rest.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(a.rest.Length, 10))
 	}
+	c.node.metrics.RouteFirstByte(c.route.Name).Update(c.node.clock.Now().Sub(c.began).Seconds())
 	c.w.WriteHeader(a.status)
 	_, err := c.w.Write(a.body)
 	if err == nil && a.rest != nil {
@@ -243,8 +246,8 @@
 		_, err = io.Copy(c.w, a.rest)
 	}
 	if err != nil {
-		c.log("answer cut", bylog.Str("endpoint", string(a.endpoint)), bylog.Err(err))
+		c.finished(outCut, bylog.Str("endpoint", string(a.endpoint)), bylog.Err(err))
 		panic(http.ErrAbortHandler) // the caller must not take it for a whole one
 	}
-	c.log("answered", bylog.Int("status", a.status), bylog.Str("endpoint", string(a.endpoint)))
+	c.finished(outAnswered, bylog.Int("status", a.status), bylog.Str("endpoint", string(a.endpoint)))
 }
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -17,6 +17,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +58,7 @@
 	ReadyAddr     string // for readiness checks
 	DirectoryAddr string // for callers that ask where to connect
 	PeerAddr      string // for other nodes: heartbeats as datagrams, readings as calls
+	MetricsAddr   string // for /metrics; empty serves none
 	Capacity      float64
 	MemoryBytes   int64
 	Grace         time.Duration // from the signal to the end of the process
@@ -158,7 +160,11 @@
 // Run serves until ctx ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.done)
-	listeners, err := listenAll(n.settings.FrontAddr, n.settings.ReadyAddr, n.settings.DirectoryAddr, n.settings.PeerAddr)
+	addrs := []string{n.settings.FrontAddr, n.settings.ReadyAddr, n.settings.DirectoryAddr, n.settings.PeerAddr}
+	if n.settings.MetricsAddr != "" {
+		addrs = append(addrs, n.settings.MetricsAddr)
+	}
+	listeners, err := listenAll(addrs...)
 	if err != nil {
 		return err
 	}
@@ -178,6 +184,9 @@
 		{Handler: n.platform.NewDirectory(n.lookup), ReadHeaderTimeout: readHeaderTimeout},
 		{Handler: bypeer.NewRelayHandler(n.takeRelayed), ReadHeaderTimeout: readHeaderTimeout},
 	}
+	if n.settings.MetricsAddr != "" {
+		servers = append(servers, &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: readHeaderTimeout})
+	}
 	for i, s := range servers {
 		group.Go(func() error { return serve(s, listeners[i]) })
 	}
@@ -197,6 +206,25 @@
 	return group.Wait()
 }
 
+// metricsHandler serves the node's metrics in the Prometheus text format.
+func (n *Node) metricsHandler() http.Handler {
+	n.metrics.Gauge("burdock_open_requests", func() float64 { return float64(n.open.Load()) })
+	n.metrics.Gauge("burdock_body_bytes", func() float64 { return float64(n.held.Load()) })
+	n.metrics.Gauge("burdock_known_endpoints", func() float64 { return float64(n.fleet.Len()) })
+	n.metrics.Gauge("burdock_registry_age_seconds", func() float64 { return n.fleet.Age().Seconds() })
+	n.metrics.Gauge("burdock_alive_peers", func() float64 { return float64(len(n.view.Alive())) })
+	n.metrics.Gauge("burdock_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
+	n.metrics.Gauge("burdock_config_version", func() float64 {
+		if t := n.routes.Current(); t != nil {
+			return float64(t.Version())
+		}
+		return 0
+	})
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
+	return mux
+}
+
 func listenAll(addrs ...string) ([]net.Listener, error) {
 	var all []net.Listener
 	for _, addr := range addrs {
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -42,6 +42,7 @@
 	info    burdockyard.RequestInfo
 	route   *burdockyard.Route
 	service *burdockyard.ServiceSpec
+	version uint64 // of the configuration that the route is from
 	path    string // with the query, as the caller sent it
 	body    []byte
 	began   time.Time
@@ -110,6 +111,7 @@
 	if c.route = table.Match(c.r.Host, plain); c.route == nil {
 		return http.StatusNotFound, "no route for " + c.r.Host + plain
 	}
+	c.version = table.Version()
 	info, err := c.node.platform.Protocol.DecodeRequest(c.r.Header)
 	if err != nil {
 		return http.StatusBadRequest, err.Error()
@@ -177,7 +179,7 @@
 
 // reject answers a request that is wrong in itself.
 func (c *call) reject(status int, cause string) {
-	c.log("rejected", bylog.Int("status", status), bylog.Str("cause", cause))
+	c.finished(outRejected, bylog.Int("status", status), bylog.Str("cause", cause))
 	if status == http.StatusRequestEntityTooLarge || status == http.StatusBadRequest {
 		c.w.Header().Set("Connection", "close") // the rest of the body is not read
 	}
@@ -188,7 +190,7 @@
 // come back.
 func (c *call) refuse(cause string, back time.Duration) {
 	back = min(max(back, shortestReturn), c.left()/longestReturn)
-	c.log("refused", bylog.Str("cause", cause), bylog.Millis("back_ms", back))
+	c.finished(outRefused, bylog.Str("cause", cause), bylog.Millis("back_ms", back))
 	if back > 0 {
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(back.Seconds(), 'f', 3, 64))
 	}
@@ -201,20 +203,42 @@
 	if c.left() <= 0 || errors.Is(err, context.DeadlineExceeded) {
 		status = http.StatusGatewayTimeout
 	}
-	c.log("failed", bylog.Int("status", status), bylog.Str("cause", cause), bylog.Err(err))
+	c.finished(outFailed, bylog.Int("status", status), bylog.Str("cause", cause), bylog.Err(err))
 	http.Error(c.w, "outcome unknown: "+cause, status)
 }
 
 // gone reports whether the caller has left.
 func (c *call) gone() bool { return c.r.Context().Err() != nil }
 
-func (c *call) log(outcome string, fields ...bylog.Field) {
+// outcomes are the words for what became of a request, in logs and metrics.
+const (
+	outAnswered = "answered"
+	outRejected = "rejected"
+	outRefused  = "refused"
+	outFailed   = "failed"
+	outCut      = "answer cut"
+	outLeft     = "caller left"
+)
+
+// finished logs and counts the end of a request.
+func (c *call) finished(outcome string, fields ...bylog.Field) {
+	kind := burdockyard.RouteKind("none")
+	if c.route != nil {
+		kind = c.route.Kind
+	}
+	c.node.metrics.Request(kind, strings.ReplaceAll(outcome, " ", "_")).Inc()
+	c.log(outcome, fields...)
+}
+
+// log writes one line on a decision about the request, with the age of what the
+// decision rests on.
+func (c *call) log(sentence string, fields ...bylog.Field) {
 	fields = append(fields, bylog.Str("request", string(c.info.ID)), bylog.Int("sends", c.sends),
-		bylog.Millis("after_ms", c.node.clock.Now().Sub(c.began)))
+		bylog.Millis("after_ms", c.node.clock.Now().Sub(c.began)), bylog.Millis("registry_age_ms", c.node.fleet.Age()))
 	if c.route != nil {
-		fields = append(fields, bylog.Str("route", c.route.Name))
+		fields = append(fields, bylog.Str("route", c.route.Name), bylog.Int("config", int(c.version)))
 	}
-	c.node.log.calls.Info(outcome, fields...)
+	c.node.log.calls.Info(sentence, fields...)
 }
 
 // usable returns the endpoints of the service that were not tried yet.
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -60,7 +60,7 @@
 		c.finish(last, err)
 		return
 	}
-	c.log("stream cut", bylog.Int("events", relay.events), bylog.Err(err))
+	c.finished(outCut, bylog.Int("events", relay.events), bylog.Err(err))
 	panic(http.ErrAbortHandler) // the caller must not take it for a whole one
 }
 
@@ -133,6 +133,7 @@
 			n.ledger.NoteRead(plan.Runner.ID, c.info.Prompt)
 		}
 		flight.ReadDone(took)
+		n.metrics.RouteFirstByte(c.route.Name).Update(n.clock.Now().Sub(c.began).Seconds())
 		c.log("first event", bylog.Str("endpoint", string(plan.Runner.ID)), bylog.Millis("predict_ms", plan.Predict),
 			bylog.Millis("wait_ms", plan.Wait), bylog.Int("cached", plan.Cached), bylog.Str("reader", readerID(plan)),
 			bylog.Str("source", plan.Source), bylog.Int("tokens", c.info.Prompt.Input))
@@ -141,7 +142,7 @@
 	switch {
 	case err == nil:
 		n.report(plan.Runner, byfleet.Succeeded, nil)
-		c.log("answered", bylog.Int("status", resp.Status), bylog.Str("endpoint", string(plan.Runner.ID)), bylog.Int("events", relay.events))
+		c.finished(outAnswered, bylog.Int("status", resp.Status), bylog.Str("endpoint", string(plan.Runner.ID)), bylog.Int("events", relay.events))
 		return answered, nil
 	case c.gone() || c.left() <= 0:
 		return abandoned, err
@@ -192,6 +193,7 @@
 		return nil, notRun, err
 	}
 	took := n.clock.Now().Sub(sent)
+	n.metrics.PromptRead().Update(took.Seconds())
 	flight.ReadDone(took)
 	n.ledger.NoteRead(e.ID, c.info.Prompt)
 	n.report(e, byfleet.Succeeded, nil)
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -197,6 +197,11 @@
 
 // noteStore logs when the store is lost and when it is back.
 func (w *watch) noteStore(err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+	}
+	w.node.metrics.StoreCall(w.table, outcome).Inc()
 	w.mu.Lock()
 	was := w.lost
 	w.lost = err != nil
--- a/io/bylog/bylog.go
+++ b/io/bylog/bylog.go
@@ -33,12 +33,16 @@
 	part string
 }
 
+// timeFormat has milliseconds, so that lines of several nodes can be put in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns the root logger of a node.
 func New(w io.Writer, level, node string) zerolog.Logger {
 	l, err := zerolog.ParseLevel(level)
 	if err != nil {
 		l = zerolog.InfoLevel
 	}
+	zerolog.TimeFieldFormat = timeFormat
 	return zerolog.New(w).Level(l).With().Timestamp().Str("node", node).Logger()
 }
 
--- /dev/null
+++ b/io/bylog/ring_test.go
@@ -0,0 +1,65 @@
+package bylog_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/rs/zerolog"
+
+	"burdockyard/io/bylog"
+)
+
+// blocked is a reader that reads nothing.
+type blocked struct{ release chan struct{} }
+
+func (b blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+func TestRingNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := blocked{make(chan struct{})}
+		r := bylog.NewRing(b)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = r.Run(ctx) }() // never fails
+		log := zerolog.New(r)
+		for range 10_000 {
+			log.Info().Msg("calls: answered")
+			log.Warn().Msg("config: store lost")
+		}
+		cancel()
+		close(b.release)
+		<-r.Done()
+	})
+}
+
+func TestRingKeepsWarningsAndCountsTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		r := bylog.NewRing(&out)
+		log := zerolog.New(r)
+		for range 3000 {
+			log.Info().Msg("calls: answered")
+		}
+		log.Warn().Msg("config: store lost")
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		if err := r.Run(ctx); err != nil {
+			t.Fatal(err)
+		}
+		text := out.String()
+		if !strings.Contains(text, "store lost") {
+			t.Error("a warning was pushed out by routine lines")
+		}
+		if kept := strings.Count(text, "answered"); kept != 500 {
+			t.Errorf("%d routine lines kept in one moment, not 500", kept)
+		}
+		if !strings.Contains(text, `"lines":2500`) {
+			t.Errorf("dropped lines are not counted: %s", text[:200])
+		}
+	})
+}
--- a/io/bymetrics/bymetrics.go
+++ b/io/bymetrics/bymetrics.go
@@ -80,3 +80,29 @@
 func (m *Metrics) LeaseChange(change string) *metrics.Counter {
 	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_lease_changes_total{change=%q}`, change))
 }
+
+// Request counts requests of an entry node by the kind of their route and what
+// the caller got.
+func (m *Metrics) Request(kind burdockyard.RouteKind, outcome string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_requests_total{kind=%q,outcome=%q}`, string(kind), outcome))
+}
+
+// RouteFirstByte is the time to an answer or its first event, in seconds. Routes
+// come from the configuration, so that callers cannot make new ones.
+func (m *Metrics) RouteFirstByte(route string) *metrics.Histogram {
+	return m.set.GetOrCreateHistogram(fmt.Sprintf(`burdock_route_first_byte_seconds{route=%q}`, route))
+}
+
+// PromptRead is the time in which an engine read a prompt, waiting included, in
+// seconds.
+func (m *Metrics) PromptRead() *metrics.Histogram {
+	return m.set.GetOrCreateHistogram("burdock_prompt_read_seconds")
+}
+
+// StoreCall counts calls of the platform's store by table and outcome.
+func (m *Metrics) StoreCall(table, outcome string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_store_calls_total{table=%q,outcome=%q}`, table, outcome))
+}
+
+// Gauge serves a number that is read when it is asked for.
+func (m *Metrics) Gauge(name string, read func() float64) { m.set.GetOrCreateGauge(name, read) }
