Give each soaked node a loopback address of its own

An address that was free when it was drawn was taken before the node bound it. Ruled out: the node itself, which had not started. Change: nodes of the soak and of the tests listen on addresses of their own, on ports below those of outgoing connections.

--- a/cmd/burdock-lab/main.go
+++ b/cmd/burdock-lab/main.go
@@ -6,6 +6,7 @@
 //	burdock-lab policy
 //	burdock-lab ablation
 //	burdock-lab capacity
+//	burdock-lab journal
 package main
 
 import (
@@ -20,6 +21,7 @@
 	Policy   policyCommand   `command:"policy" description:"the four measures beside baselines, bounds and targets"`
 	Capacity capacityCommand `command:"capacity" description:"the slopes behind docs/CAPACITY.md"`
 	Ablation ablationCommand `command:"ablation" description:"the measures with each mechanism off in turn"`
+	Journal  journalCommand  `command:"journal" description:"the scores of the users' bench, from its journal"`
 }
 
 func main() {
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -142,7 +142,8 @@
 	switch {
 	case err == nil:
 		n.report(plan.Runner, byfleet.Succeeded, nil)
-		c.finished(outAnswered, bylog.Int("status", resp.Status), bylog.Str("endpoint", string(plan.Runner.ID)), bylog.Int("events", relay.events))
+		c.finished(outAnswered, bylog.Int("status", resp.Status), bylog.Str("endpoint", string(plan.Runner.ID)),
+			bylog.Int("events", relay.events), bylog.Millis("max_gap_ms", relay.maxGap))
 		return answered, nil
 	case c.gone() || c.left() <= 0:
 		return abandoned, err
--- a/io/byentry/relay.go
+++ b/io/byentry/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"burdockyard"
 	"burdockyard/io/byforward"
@@ -28,6 +29,8 @@
 	events  int    // passed on
 	lastID  string // of the last event that the caller has
 	pending []byte // the beginning of an event
+	last    time.Time
+	maxGap  time.Duration // longest pause between two events
 }
 
 func newRelay(c *call) *relay { return &relay{c: c, lastID: c.info.Resume} }
@@ -87,6 +90,11 @@
 	end += len("\n\n")
 	whole := r.pending[:end]
 	r.note(whole)
+	now := r.c.node.clock.Now()
+	if !r.last.IsZero() {
+		r.maxGap = max(r.maxGap, now.Sub(r.last))
+	}
+	r.last = now
 	r.start(resp)
 	if _, err := r.c.w.Write(whole); err != nil {
 		return err
--- a/io/byentry/world_test.go
+++ b/io/byentry/world_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -98,23 +99,24 @@
 	w.store.Set("op", "config", data)
 }
 
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
+// nodeIP returns a loopback address that no other test and process uses. The
+// ports on it lie below those of outgoing connections.
+func nodeIP() string {
+	nodesStarted++
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&127, pid&255, nodesStarted)
 }
 
+var nodesStarted int
+
 // node starts a node; it is stopped with the test.
 func (w *world) node(name string) *testNode {
 	store := platform.NewStore(w.addr)
+	ip := nodeIP()
 	s := byentry.Settings{
 		Node: burdockyard.NodeID(name), Domain: "a", Capacity: 0.4, MemoryBytes: 256 << 20, Grace: w.grace,
 		RetryRatio: 0.2, RetrySlack: 50, AnswerTTL: time.Second,
-		FrontAddr: freeAddr(w.t), ReadyAddr: freeAddr(w.t), DirectoryAddr: freeAddr(w.t), PeerAddr: freeAddr(w.t),
+		FrontAddr: ip + ":20001", ReadyAddr: ip + ":20002", DirectoryAddr: ip + ":20003", PeerAddr: ip + ":20004",
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n := &testNode{settings: s, stop: stop, group: &errgroup.Group{}}
--- a/io/bysoak/bysoak.go
+++ b/io/bysoak/bysoak.go
@@ -88,7 +88,6 @@
 type node struct {
 	name                    string
 	front, ready, directory string
-	peer                    string
 	storeProxy              *proxy
 	conf                    string
 
@@ -166,7 +165,7 @@
 			return err
 		}
 		n := &node{name: fmt.Sprintf("n%d", i+1), storeProxy: p}
-		if err := n.configure(s.cfg.Dir); err != nil {
+		if err := n.configure(s.cfg.Dir, loopback(i)); err != nil {
 			return err
 		}
 		s.nodes = append(s.nodes, n)
@@ -193,16 +192,12 @@
 }
 
 // configure writes a node's settings in the platform's format.
-func (n *node) configure(dir string) error {
-	addrs, err := freeAddrs(4)
-	if err != nil {
-		return err
-	}
-	n.front, n.ready, n.directory, n.peer = addrs[0], addrs[1], addrs[2], addrs[3]
-	port := n.peer[strings.LastIndexByte(n.peer, ':')+1:]
+func (n *node) configure(dir, ip string) error {
+	addr := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+	n.front, n.ready, n.directory = addr(frontPort), addr(readyPort), addr(directoryPort)
 	text := strings.Join([]string{
-		"nodeName=" + n.name, "ip=127.0.0.1", "zone=a", "region=r", "listen.front=" + n.front, "listen.ready=" + n.ready,
-		"listen.directory=" + n.directory, "internalPorts=" + port + "," + port, "limits.cpuShare=0.4", "limits.memoryMb=284",
+		"nodeName=" + n.name, "ip=" + ip, "zone=a", "region=r", "listen.front=" + n.front, "listen.ready=" + n.ready,
+		"listen.directory=" + n.directory, fmt.Sprintf("internalPorts=%d,%d", peerPort, peerPort), "limits.cpuShare=0.4", "limits.memoryMb=284",
 		"limits.maxFds=4100", "limits.linkMbps=1000", "heartbeatMs=1200", "platform.address=" + n.storeProxy.addr(),
 		"bounds.drainMs=2000", "bounds.configMs=2000", fmt.Sprintf("bounds.graceS=%g", grace.Seconds()), "bounds.leaseMs=3000",
 		"bounds.ttl_max_s=5", "bounds.budgetRatio=0.2", "bounds.budgetSlack=58", "bounds.budgetWindowS=10", "bounds.fencingRequired=true",
--- a/io/bysoak/proxy.go
+++ b/io/bysoak/proxy.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -165,16 +167,18 @@
 	return l.Addr().String(), nil
 }
 
-// freeAddrs returns loopback addresses on which nothing listens.
-func freeAddrs(n int) ([]string, error) {
-	var addrs []string
-	for range n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close() // all at the end, so that no port comes twice
-		addrs = append(addrs, l.Addr().String())
-	}
-	return addrs, nil
+// The ports of a node on its own loopback address. They lie below those that
+// the system gives to outgoing connections, and no other process uses the
+// address, so that a node finds them free whenever it starts.
+const (
+	frontPort = 20001 + iota
+	readyPort
+	directoryPort
+	peerPort
+)
+
+// loopback returns the address of the i-th node of this process.
+func loopback(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&127, pid&255, 1+i)
 }
