--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -52,6 +52,11 @@
 	NoAnswer           // silent until the time ran out
 )
 
+// String returns the result as logs name it.
+func (r Result) String() string {
+	return [...]string{"succeeded", "failed", "unreachable", "full", "another endpoint at the address", "no answer"}[r]
+}
+
 // Endpoint is one endpoint as it was when it was read from the Fleet.
 type Endpoint struct {
 	burdockyard.Instance
--- a/core/byplace/byplace_test.go
+++ b/core/byplace/byplace_test.go
@@ -36,7 +36,9 @@
 		{ID: shared, Tokens: sharedTokens}, {ID: rand.Uint64(), Tokens: own}}}
 }
 
-func need(p *burdockyard.Prompt) byplace.Need { return byplace.Need{Prompt: p, Model: model, Domain: "a"} }
+func need(p *burdockyard.Prompt) byplace.Need {
+	return byplace.Need{Prompt: p, Model: model, Domain: "a"}
+}
 
 func plan(t *testing.T, l *byplace.Ledger, p *burdockyard.Prompt, engines []byfleet.Endpoint) byplace.Plan {
 	t.Helper()
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -120,7 +120,7 @@
 func (n *Node) report(e byfleet.Endpoint, r byfleet.Result, err error) {
 	if n.fleet.Report(e.ID, r) {
 		n.log.fleet.Info("endpoint set aside", bylog.Str("endpoint", string(e.ID)), bylog.Str("addr", e.Addr),
-			bylog.Int("result", int(r)), bylog.Err(err))
+			bylog.Str("result", r.String()), bylog.Err(err))
 	}
 }
 
