--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN      := bin
 GOFILES  := $(shell git ls-files '*.go' | grep -vE '(\.pb|\.twirp|wire_gen)\.go$$')
 
-.PHONY: build test check demo bench faults capacity generate clean
+.PHONY: build test check demo soak bench journal faults capacity generate clean
 
 build: ## both programs, into bin/
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -20,11 +20,19 @@
 demo: build ## a whole deployment on loopback, with a node lost and an engine drained
 	$(BIN)/burdock-demo --bin $(BIN) --manifest examples/demo.yaml
 
+	$(BIN)/burdock-soak --bin $(BIN)/burdock --nodes 3 --callers 6 --length 1s
+
+soak: build ## entry nodes on the users' protocol under seeded faults, ten fresh seeds
+	$(BIN)/burdock-soak --bin $(BIN)/burdock --seed $$(date +%s) --seeds 10
+
 bench: build ## the policy in virtual time, then the node's overhead, written to docs/EXPERIMENTS.md
 	$(BIN)/burdock-lab policy --page docs/EXPERIMENTS.md
 	$(BIN)/burdock-lab ablation --page docs/EXPERIMENTS.md
 	$(GO) test -run xxx -bench . -benchtime 2s ./io/bynode ./core/byserve
 
+journal: ## the scores of the users' bench, from journal/ to docs/EXPERIMENTS.md
+	$(GO) run ./cmd/burdock-lab journal --page docs/EXPERIMENTS.md
+
 capacity: build ## the slopes behind docs/CAPACITY.md
 	$(BIN)/burdock-lab capacity --page docs/CAPACITY.md
 
--- a/core/bymanifest/check.go
+++ b/core/bymanifest/check.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"net"
+	"net/netip"
 	"regexp"
 	"strings"
 	"time"
@@ -141,8 +141,8 @@
 }
 
 func (c *checker) address(path, address string) {
-	host, port, err := net.SplitHostPort(address)
-	if err != nil || net.ParseIP(host) == nil || port == "" || port == "0" {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil || at.Port() == 0 {
 		c.add(path, fmt.Sprintf("%q is not an address", address), "use an IP number and a port, such as 10.0.0.1:9000")
 		return
 	}
