Bound slow bodies in time, and count chunked ones by their size

Cause: found by reading: a caller that stopped in the middle of its body held its request for ever, and each chunked body counted as the largest allowed one, 4 MB, so that 17 of them at a time filled a node's share of memory and the next ones were refused. Change: a body must arrive before the request's time is up (408, nothing has run); bodies of unknown length count 64 KiB until they are read. Tests: TestStalledBody (hung before), TestManyChunkedBodies (503 before).

--- a/io/byentry/byentry_test.go
+++ b/io/byentry/byentry_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"burdockyard/platform/bystub"
 )
 
@@ -140,6 +142,51 @@
 	}
 }
 
+// TestStalledBody: a caller that stops in the middle of its body gets an answer
+// when its time is up, and nothing runs.
+func TestStalledBody(t *testing.T) {
+	w, n := plainWorld(t)
+	got := n.call("POST", "/book/1", "half", "X-Deadline-Ms: 200", "Content-Length: 4000")
+	if got.status != 400 && got.status != 408 || w.runs() != 0 {
+		t.Errorf("answer is %+v after %d runs", got, w.runs())
+	}
+}
+
+// TestManyChunkedBodies: bodies of unknown length count by their size, not by
+// what they might be.
+func TestManyChunkedBodies(t *testing.T) {
+	w := newWorld(t)
+	w.maxBody = 4 << 20
+	w.memory = 64 << 20 // a quarter of it for bodies: four of the largest size
+	w.config(3, nil)
+	w.runner(bystub.RunnerConfig{ID: "app-1", Service: "app", Zone: "a", Work: 100 * time.Millisecond})
+	n := w.node("n1")
+	w.ready(n)
+	var group errgroup.Group
+	for i := range 40 {
+		group.Go(func() error {
+			req, err := http.NewRequest(http.MethodPost, "http://"+n.settings.FrontAddr+"/book/1", io.MultiReader(strings.NewReader("chunked")))
+			if err != nil {
+				return err
+			}
+			req.Host = "h.example"
+			req.Header = http.Header{"X-Request-Id": {fmt.Sprint("chunked-", i)}, "X-Deadline-Ms": {"5000"}}
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				return err
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				return fmt.Errorf("status %d", resp.StatusCode)
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestNoConfiguration(t *testing.T) {
 	w := newWorld(t)
 	n := w.node("n1")
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -19,6 +20,8 @@
 const (
 	// bodyShare is the part of the memory that bodies in work may take.
 	bodyShare = 0.25
+	// chunkedReserve is what a body of unknown length counts until it is read.
+	chunkedReserve = 64 << 10
 	// defaultDeadline is the time of a request that names none.
 	defaultDeadline = 30 * time.Second
 	// patienceTimes and leastPatience tell when callers give a stream up that has
@@ -70,11 +73,11 @@
 		c.reject(status, cause)
 		return
 	}
-	size := r.ContentLength
-	if size < 0 {
-		size = int64(table.Limits().BodyBytes)
+	size := max(r.ContentLength, 0)
+	if r.ContentLength < 0 {
+		size = chunkedReserve
 	}
-	defer n.held.Add(-size)
+	defer func() { n.held.Add(-size) }()
 	if n.held.Add(size) > int64(bodyShare*float64(n.settings.MemoryBytes)) {
 		c.refuse("memory", unconfiguredReturn)
 		return
@@ -83,6 +86,10 @@
 		c.reject(status, cause)
 		return
 	}
+	if r.ContentLength < 0 {
+		n.held.Add(int64(len(c.body)) - size)
+		size = int64(len(c.body))
+	}
 	n.budgets.of(c.service.Name).Earn()
 	ctx, cancel := context.WithDeadline(r.Context(), c.until)
 	defer cancel()
@@ -153,6 +160,12 @@
 	if c.r.ContentLength == 0 {
 		return 0, ""
 	}
+	// A caller that stops sending must not hold its request for ever. The limit is
+	// lifted afterwards, since net/http reads on to notice that a caller leaves.
+	control := http.NewResponseController(c.w)
+	if err := control.SetReadDeadline(c.until); err != nil {
+		return http.StatusInternalServerError, "the connection has no deadline"
+	}
 	var err error
 	if c.r.ContentLength > 0 {
 		c.body = make([]byte, c.r.ContentLength)
@@ -160,7 +173,12 @@
 	} else {
 		c.body, err = io.ReadAll(io.LimitReader(c.r.Body, limit+1))
 	}
+	if err == nil {
+		err = control.SetReadDeadline(time.Time{})
+	}
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout, "the body did not arrive in time"
 	case err != nil:
 		return http.StatusBadRequest, "the body ends early"
 	case limit > 0 && int64(len(c.body)) > limit:
@@ -180,7 +198,7 @@
 // reject answers a request that is wrong in itself.
 func (c *call) reject(status int, cause string) {
 	c.finished(outRejected, bylog.Int("status", status), bylog.Str("cause", cause))
-	if status == http.StatusRequestEntityTooLarge || status == http.StatusBadRequest {
+	if status == http.StatusRequestEntityTooLarge || status == http.StatusBadRequest || status == http.StatusRequestTimeout {
 		c.w.Header().Set("Connection", "close") // the rest of the body is not read
 	}
 	http.Error(c.w, cause, status)
--- a/io/byentry/world_test.go
+++ b/io/byentry/world_test.go
@@ -34,6 +34,8 @@
 	addrs   map[string]string // of the runners
 	nodes   []*testNode
 	grace   time.Duration // of the nodes
+	memory  int64         // of each node, in bytes
+	maxBody int           // of the configuration, in bytes
 }
 
 type testNode struct {
@@ -44,7 +46,7 @@
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
-	w := &world{t: t, store: bystub.NewStore(), runners: map[string]*bystub.Runner{}, addrs: map[string]string{}, grace: 1300 * time.Millisecond}
+	w := &world{t: t, store: bystub.NewStore(), runners: map[string]*bystub.Runner{}, addrs: map[string]string{}, grace: 1300 * time.Millisecond, memory: 256 << 20, maxBody: 65536}
 	w.addr = w.listen(w.store)
 	return w
 }
@@ -91,7 +93,7 @@
 			{"name": "llm", "healthPath": "/health", "maxConnections": 50, "engine": map[string]any{
 				"slots": 12, "kvCapacityTokens": 360000, "kvTokenBytes": 131072, "linkMbps": 740000.0, "handleTtlS": 5.0, "stageSwitchS": 3.0}},
 		},
-		"limits": map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits": map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": w.maxBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 	if err != nil {
 		w.t.Fatal(err)
@@ -114,7 +116,7 @@
 	store := platform.NewStore(w.addr)
 	ip := nodeIP()
 	s := byentry.Settings{
-		Node: burdockyard.NodeID(name), Domain: "a", Capacity: 0.4, MemoryBytes: 256 << 20, Grace: w.grace,
+		Node: burdockyard.NodeID(name), Domain: "a", Capacity: 0.4, MemoryBytes: w.memory, Grace: w.grace,
 		RetryRatio: 0.2, RetrySlack: 50, AnswerTTL: time.Second,
 		FrontAddr: ip + ":20001", ReadyAddr: ip + ":20002", DirectoryAddr: ip + ":20003", PeerAddr: ip + ":20004",
 	}
@@ -183,11 +185,15 @@
 		return reply{err: err}
 	}
 	defer conn.Close()
-	req := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r%d\r\nX-Deadline-Ms: 3000\r\n", method, path, requests)
+	req := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r%d\r\n", method, path, requests)
+	all := strings.Join(header, "\r\n")
+	if !strings.Contains(all, "X-Deadline-Ms") {
+		header = append(header, "X-Deadline-Ms: 3000")
+	}
 	for _, h := range header {
 		req += h + "\r\n"
 	}
-	if body != "" {
+	if body != "" && !strings.Contains(all, "Content-Length") {
 		req += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
 	if _, err := io.WriteString(conn, req+"\r\n"+body); err != nil {
