Start a soaked node once, whoever waits for its end

Change: only the first to see a process's end starts the next one. Tests of heartbeats, relayed readings and ranks.

--- /dev/null
+++ b/core/bymember/bymember_test.go
@@ -0,0 +1,58 @@
+package bymember_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/bymember"
+)
+
+func beat(node, domain string, seq uint64, capacity float64) bymember.Heartbeat {
+	return bymember.Heartbeat{Member: burdockyard.Member{Node: burdockyard.NodeID(node), Incarnation: "i"}, Domain: domain, Seq: seq, Capacity: capacity}
+}
+
+// TestRankByCapacity: the largest VMs of a failure domain come first, and one
+// that leaves or falls silent makes room.
+func TestRankByCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := bymember.New(burdockyard.SystemClock{}, burdockyard.Member{Node: "n1"})
+		rank := func() int { return v.RankByCapacity("reader", "a", 0.4) }
+		v.Hear(beat("small", "a", 1, 0.2))
+		v.Hear(beat("far", "b", 1, 0.8))
+		if r := rank(); r != 0 {
+			t.Errorf("rank %d beside a smaller VM and one of another domain", r)
+		}
+		v.Hear(beat("large", "a", 1, 0.8))
+		if r := rank(); r != 1 {
+			t.Errorf("rank %d beside a larger VM", r)
+		}
+		leaving := beat("large", "a", 2, 0.8)
+		leaving.Leaving = true
+		v.Hear(leaving)
+		if r := rank(); r != 0 {
+			t.Errorf("rank %d after the larger VM leaves", r)
+		}
+		v.Hear(beat("other", "a", 1, 0.8))
+		time.Sleep(bymember.SuspectAfter + time.Millisecond)
+		if r := rank(); r != 0 {
+			t.Errorf("rank %d after the other VM fell silent", r)
+		}
+	})
+}
+
+func TestHeardWithin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := bymember.New(burdockyard.SystemClock{}, burdockyard.Member{Node: "n1"})
+		v.Hear(beat("a", "a", 1, 1))
+		time.Sleep(time.Second)
+		v.Hear(beat("b", "a", 1, 1))
+		if n := len(v.HeardWithin(900 * time.Millisecond)); n != 1 {
+			t.Errorf("%d nodes heard within 0.9 s", n)
+		}
+		if n := len(v.Alive()); n != 2 {
+			t.Errorf("%d nodes alive", n)
+		}
+	})
+}
--- /dev/null
+++ b/io/bygossip/bygossip_test.go
@@ -0,0 +1,69 @@
+package bygossip_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"reflect"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+
+	"burdockyard"
+	"burdockyard/core/bymember"
+	"burdockyard/io/bygossip"
+)
+
+func listen(t *testing.T, hear func(bymember.Heartbeat), bad func(error)) (*bygossip.Gossip, netip.AddrPort) {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := c.LocalAddr().String()
+	c.Close()
+	g, err := bygossip.Listen(addr, hear, bygossip.WithBad(bad))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return g.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	return g, netip.MustParseAddrPort(addr)
+}
+
+// TestHeartbeatArrivesWhole sends a heartbeat with everything in it, after a
+// datagram that is none: the socket goes on.
+func TestHeartbeatArrivesWhole(t *testing.T) {
+	heard := make(chan bymember.Heartbeat, 1)
+	bad := make(chan error, 1)
+	_, to := listen(t, func(b bymember.Heartbeat) { heard <- b }, func(err error) { bad <- err })
+	from, _ := listen(t, func(bymember.Heartbeat) {}, func(error) {})
+	conn, err := net.Dial("udp4", to.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := conn.Write([]byte{0xff, 0xff, 0xff}); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-bad; err == nil {
+		t.Error("a datagram that is no heartbeat is taken")
+	}
+	want := bymember.Heartbeat{
+		Member:     burdockyard.Member{Node: "n1", Incarnation: "abc", Addr: "10.0.0.1:7660"},
+		CallerAddr: "10.0.0.1:8144", Domain: "a", Leaving: true, Generation: 7, Seq: 3, Ready: true, Capacity: 0.4,
+		Loads: []bymember.Load{{Engine: "e1", PrefillTokens: 900, Streams: 2}},
+		Reads: []bymember.Cached{{Engine: "e1", Part: 0x5c1e07a2, Tokens: 800}},
+	}
+	from.Send(want, []netip.AddrPort{to})
+	if got := <-heard; !reflect.DeepEqual(got, want) {
+		t.Errorf("heard\n%+v, not\n%+v", got, want)
+	}
+}
--- /dev/null
+++ b/io/bypeer/relay_test.go
@@ -0,0 +1,30 @@
+package bypeer_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"burdockyard"
+	"burdockyard/io/bypeer"
+)
+
+func TestReadingArrivesWhole(t *testing.T) {
+	var got bypeer.Reading
+	srv := httptest.NewServer(bypeer.NewRelayHandler(func(r bypeer.Reading) uint64 { got = r; return 41 }))
+	defer srv.Close()
+	want := bypeer.Reading{
+		Table: "servers", From: 40, Version: 42, Age: 70 * time.Millisecond,
+		Changes: []burdockyard.Change{
+			{Row: burdockyard.Row{Key: "servers/i-1", Value: []byte("x"), Version: 41}},
+			{Row: burdockyard.Row{Key: "servers/i-2", Version: 42}, Removed: true},
+		},
+	}
+	version, err := bypeer.NewRelayClients().Tell(context.Background(), strings.TrimPrefix(srv.URL, "http://"), want)
+	if err != nil || version != 41 || !reflect.DeepEqual(got, want) {
+		t.Errorf("told %d, %v:\n%+v, not\n%+v", version, err, got, want)
+	}
+}
--- a/io/bysoak/bysoak.go
+++ b/io/bysoak/bysoak.go
@@ -91,6 +91,8 @@
 	storeProxy              *proxy
 	conf                    string
 
+	restart sync.Mutex // held while a process is replaced by the next; taken before mu
+
 	mu    sync.Mutex
 	cmd   *exec.Cmd
 	done  chan struct{} // closed once the process has ended
--- a/io/bysoak/faults.go
+++ b/io/bysoak/faults.go
@@ -37,14 +37,15 @@
 	r := s.runners[s.rng.IntN(len(s.runners))]
 	none := func() {}
 	switch s.rng.IntN(14) {
-	case 0:
-		s.note("kill %s", n.name)
-		n.signal(syscall.SIGKILL)
-		return func() { s.again(n) }
-	case 1:
-		s.note("stop %s", n.name)
-		n.signal(syscall.SIGTERM)
-		return func() { s.again(n) }
+	case 0, 1:
+		sig, word := syscall.SIGKILL, "kill"
+		if s.rng.IntN(2) == 0 {
+			sig, word = syscall.SIGTERM, "stop"
+		}
+		s.note("%s %s", word, n.name)
+		told := n.ended()
+		n.signal(sig)
+		return func() { s.again(n, told) }
 	case 2:
 		s.note("freeze %s for %v", n.name, lasts)
 		n.signal(syscall.SIGSTOP)
@@ -95,13 +96,20 @@
 	}
 }
 
-// again starts a node that was told to end.
-func (s *soak) again(n *node) {
+// again starts a node after the process that was told to end. Faults overlap, so
+// that two of them may wait for the same process; only the first one to see its
+// end starts the next.
+func (s *soak) again(n *node, told <-chan struct{}) {
+	n.restart.Lock()
+	defer n.restart.Unlock()
+	if n.ended() != told {
+		return
+	}
 	select {
-	case <-n.ended():
+	case <-told:
 	case <-time.After(grace + time.Second):
 		n.signal(syscall.SIGKILL)
-		<-n.ended()
+		<-told
 	}
 	if err := s.run(n); err != nil {
 		s.history.violate("node %s does not start again: %v", n.name, err)
@@ -120,15 +128,22 @@
 	for _, n := range s.nodes {
 		n.storeProxy.set(pass)
 		n.signal(syscall.SIGCONT)
-		select {
-		case <-n.ended():
-			s.again(n)
-		default:
+		if told := n.ended(); isClosed(told) {
+			s.again(n, told)
 		}
 	}
 	s.note("healed")
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // publish writes the next configuration. Each one has a route that only it has,
 // by which callers see which one a node acts on.
 func (s *soak) publish() int {
