Take a lack of connections for what it is

Cause: found by reading: a burst beyond a node's share of an endpoint's connections was reported as an unreachable endpoint, which then rested, and the burst went on to the next one. Change: byforward.ErrNoConnection says nothing against the endpoint. The time format of logs is set once, as the race detector found two nodes setting it. Test: TestBurstBeyondConnections (both endpoints were set aside before).

--- a/io/byentry/byentry_test.go
+++ b/io/byentry/byentry_test.go
@@ -187,6 +187,47 @@
 	}
 }
 
+// TestBurstBeyondConnections answers a burst that needs more connections than a
+// node may hold: what finds none is refused or served elsewhere, and no endpoint
+// is taken for broken.
+func TestBurstBeyondConnections(t *testing.T) {
+	w := newWorld(t)
+	w.maxConn = 2
+	w.config(3, nil)
+	for _, id := range []string{"app-1", "app-2"} {
+		w.runner(bystub.RunnerConfig{ID: id, Service: "app", Zone: "a", Work: 150 * time.Millisecond})
+	}
+	n := w.node("n1")
+	w.ready(n)
+	statuses := make(chan int, 12)
+	var group errgroup.Group
+	for i := range cap(statuses) {
+		group.Go(func() error {
+			statuses <- n.callAs(fmt.Sprint("burst-", i), "POST", "/book/1", "x").status
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	served := 0
+	for range cap(statuses) {
+		switch s := <-statuses; s {
+		case 200:
+			served++
+		case 503:
+		default:
+			t.Errorf("status %d", s)
+		}
+	}
+	if served < 4 {
+		t.Errorf("%d of 12 served with four connections", served)
+	}
+	if strings.Contains(w.logs.String(), "endpoint set aside") {
+		t.Error("an endpoint is set aside although only connections were lacking")
+	}
+}
+
 func TestNoConfiguration(t *testing.T) {
 	w := newWorld(t)
 	n := w.node("n1")
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -87,8 +87,10 @@
 		return abandoned
 	}
 	if errors.Is(err, burdockyard.ErrNotStarted) {
-		c.node.report(e, byfleet.Unreachable, err)
 		c.sends-- // nothing has left
+		if !errors.Is(err, byforward.ErrNoConnection) {
+			c.node.report(e, byfleet.Unreachable, err)
+		}
 		return notRun
 	}
 	if ctx.Err() != nil || c.left() <= 0 {
--- a/io/byentry/world_test.go
+++ b/io/byentry/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,6 +12,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +20,7 @@
 
 	"burdockyard"
 	"burdockyard/io/byentry"
+	"burdockyard/io/bylog"
 	"burdockyard/platform"
 	"burdockyard/platform/bystub"
 )
@@ -36,6 +39,26 @@
 	grace   time.Duration // of the nodes
 	memory  int64         // of each node, in bytes
 	maxBody int           // of the configuration, in bytes
+	maxConn int           // to one endpoint
+	logs    syncBuffer    // of all nodes
+}
+
+// syncBuffer is a bytes.Buffer for several writers.
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
 }
 
 type testNode struct {
@@ -46,7 +69,7 @@
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
-	w := &world{t: t, store: bystub.NewStore(), runners: map[string]*bystub.Runner{}, addrs: map[string]string{}, grace: 1300 * time.Millisecond, memory: 256 << 20, maxBody: 65536}
+	w := &world{t: t, store: bystub.NewStore(), runners: map[string]*bystub.Runner{}, addrs: map[string]string{}, grace: 1300 * time.Millisecond, memory: 256 << 20, maxBody: 65536, maxConn: 50}
 	w.addr = w.listen(w.store)
 	return w
 }
@@ -89,8 +112,8 @@
 	data, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes,
 		"services": []map[string]any{
-			{"name": "app", "healthPath": "/health", "maxConnections": 50},
-			{"name": "llm", "healthPath": "/health", "maxConnections": 50, "engine": map[string]any{
+			{"name": "app", "healthPath": "/health", "maxConnections": w.maxConn},
+			{"name": "llm", "healthPath": "/health", "maxConnections": w.maxConn, "engine": map[string]any{
 				"slots": 12, "kvCapacityTokens": 360000, "kvTokenBytes": 131072, "linkMbps": 740000.0, "handleTtlS": 5.0, "stageSwitchS": 3.0}},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": w.maxBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
@@ -130,7 +153,7 @@
 			return platform.NewDirectory(func(q platform.DirectoryQuery) ([]string, time.Duration) { return lookup(q.Host, q.Domain) })
 		},
 		NewReadiness: platform.NewReadiness,
-	})
+	}, byentry.WithLog(bylog.New(&w.logs, "debug", name)))
 	n.group.Go(func() error { return node.Run(ctx) })
 	w.nodes = append(w.nodes, n)
 	w.t.Cleanup(func() {
@@ -178,14 +201,18 @@
 var requests int
 
 // call sends a request as a caller does, on a connection of its own.
-func (n *testNode) call(method, path string, body string, header ...string) reply {
+func (n *testNode) call(method, path, body string, header ...string) reply {
 	requests++
+	return n.callAs(fmt.Sprint("r", requests), method, path, body, header...)
+}
+
+func (n *testNode) callAs(id, method, path, body string, header ...string) reply {
 	conn, err := net.Dial("tcp4", n.settings.FrontAddr)
 	if err != nil {
 		return reply{err: err}
 	}
 	defer conn.Close()
-	req := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r%d\r\n", method, path, requests)
+	req := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\n", method, path, id)
 	all := strings.Join(header, "\r\n")
 	if !strings.Contains(all, "X-Deadline-Ms") {
 		header = append(header, "X-Deadline-Ms: 3000")
--- a/io/byforward/byforward.go
+++ b/io/byforward/byforward.go
@@ -147,15 +147,16 @@
 	return merry.Wrap(burdockyard.ErrInterrupted, merry.WithCause(err))
 }
 
-// errTooMany tells that this node may open no more connections to the endpoint.
-var errTooMany = merry.Sentinel("all connections to the endpoint are in use")
+// ErrNoConnection means that this node may open no more connections to the
+// endpoint. It says nothing against the endpoint.
+var ErrNoConnection = merry.Sentinel("all connections to the endpoint are in use")
 
 // take returns a connection that is idle and sound, or a new one.
 func (f *Forwarder) take(ctx context.Context, t Target, r *Request) (*conn, error) {
 	for {
 		c, full := f.takeIdle(t, r)
 		if full {
-			return nil, notStarted(errTooMany)
+			return nil, notStarted(ErrNoConnection)
 		}
 		if c == nil {
 			return f.dial(ctx, t, r)
--- a/io/byforward/byforward_test.go
+++ b/io/byforward/byforward_test.go
@@ -209,7 +209,7 @@
 		}
 		defer resp.Close()
 	}
-	if _, _, err := send(f, e.addr, "r", nil); !errors.Is(err, burdockyard.ErrNotStarted) {
+	if _, _, err := send(f, e.addr, "r", nil); !errors.Is(err, burdockyard.ErrNotStarted) || !errors.Is(err, byforward.ErrNoConnection) {
 		t.Errorf("a fifth connection: %v", err)
 	}
 }
--- a/io/bylog/bylog.go
+++ b/io/bylog/bylog.go
@@ -36,13 +36,15 @@
 // timeFormat has milliseconds, so that lines of several nodes can be put in order.
 const timeFormat = "2006-01-02T15:04:05.000Z07:00"
 
+// zerolog keeps the format for the whole process, and reads it without a lock.
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // New returns the root logger of a node.
 func New(w io.Writer, level, node string) zerolog.Logger {
 	l, err := zerolog.ParseLevel(level)
 	if err != nil {
 		l = zerolog.InfoLevel
 	}
-	zerolog.TimeFieldFormat = timeFormat
 	return zerolog.New(w).Level(l).With().Timestamp().Str("node", node).Logger()
 }
 
