Serve streams without a described prompt, and keep the engine's own failure

Cause: found by reading the diff as a newcomer: a stream whose request describes no prompt panicked before its first event (the connection closed without an answer); a stream that failed at its last engine was answered 502 instead of the engine's own 500; a caller that left was taken for a broken engine, and a stream that may be resumed was sent again for it; a resumed stream could be handed off. Change: as named. Tests: TestStreamWithoutPrompt (panic before), TestFailedStream.

--- a/core/byplace/byplace.go
+++ b/core/byplace/byplace.go
@@ -32,6 +32,7 @@
 	Model  *burdockyard.ModelSpec
 	Domain string // this node's failure domain
 	Nodes  int    // that place requests at the same engines, this one included
+	Direct bool   // the running engine reads the prompt itself
 	// Draw returns a number in [0, n), uniformly. Nil takes every engine into account.
 	Draw func(n int) int
 
@@ -79,7 +80,7 @@
 		runners = n.sample(runners)
 	}
 	best := n.direct(runners)
-	if handed, ok := n.handedOff(readers, runners); ok {
+	if handed, ok := n.handedOff(readers, runners); ok && !n.Direct {
 		gain := handOffGain
 		if !short {
 			gain = 0
--- a/io/byentry/byentry_test.go
+++ b/io/byentry/byentry_test.go
@@ -369,6 +369,40 @@
 	}
 }
 
+// TestStreamWithoutPrompt: a stream whose request describes no prompt is served.
+func TestStreamWithoutPrompt(t *testing.T) {
+	w, n := engineWorld(t, 4)
+	if got := n.call("POST", "/quick/1", "q"); got.status != 200 || got.err != nil || !wholeStream(4, got.body) {
+		t.Errorf("answer is %+v", got)
+	}
+	if w.runs() != 1 {
+		t.Errorf("%d runs", w.runs())
+	}
+}
+
+// TestFailedStream: the caller gets the engine's own failure if no other engine
+// does better, and another engine's answer if the stream may run again.
+func TestFailedStream(t *testing.T) {
+	w, n := engineWorld(t, 4)
+	w.failAll(bystub.RunnerFaults{Error: 9})
+	for _, path := range []string{"/quick/1", "/long/1"} {
+		got := n.call("POST", path, "q", shortPrompt, shortTokens)
+		if got.status != 500 || !strings.HasPrefix(got.header.Get("X-Response-Stamp"), "stamp-d") {
+			t.Errorf("%s: answer is %+v", path, got)
+		}
+	}
+	if w.runs() != 3 { // two attempts of the first, one of the second
+		t.Errorf("%d runs", w.runs())
+	}
+	w.failAll(bystub.RunnerFaults{})
+	w.runners["d1"].Fail(bystub.RunnerFaults{Error: 1})
+	for range 3 {
+		if got := n.call("POST", "/quick/2", "q", shortPrompt, shortTokens); got.status != 200 || !wholeStream(4, got.body) {
+			t.Errorf("answer is %+v", got)
+		}
+	}
+}
+
 func TestCallerLeaves(t *testing.T) {
 	w, n := engineWorld(t, 100_000)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -144,7 +144,6 @@
 func (c *call) serveCall(ctx context.Context) {
 	last := notRun
 	var lastErr error
-	var failure *answer // an endpoint's own failure, delivered if nothing better comes
 	for {
 		e, ok := c.node.ledger.PlanCall(c.node.settings.Domain, c.usable())
 		if !ok {
@@ -162,28 +161,36 @@
 		flight.Done()
 		last, lastErr = o, err
 		if o == answered && a.status < http.StatusInternalServerError {
+			c.failure.close()
 			c.deliver(a)
 			return
 		}
 		if o == answered {
-			failure, last = a, broken
+			c.keepFailure(a)
+			last = broken
 		}
 		if !c.mayRepeat(last) {
 			break
 		}
 	}
-	if failure != nil && !c.gone() {
-		c.deliver(failure)
-		return
-	}
 	c.finish(last, lastErr)
 }
 
+// keepFailure keeps an endpoint's own failure, which the caller gets if no other
+// endpoint does better.
+func (c *call) keepFailure(a *answer) {
+	c.failure.close()
+	c.failure = a
+}
+
 // finish gives the final answer to a request that has got none.
 func (c *call) finish(last outcome, err error) {
 	switch {
 	case c.gone():
+		c.failure.close()
 		c.finished(outLeft)
+	case c.failure != nil:
+		c.deliver(c.failure)
 	case last == notRun && c.tries > 0:
 		c.fail("endpoint_failed", err) // an earlier send may have run
 	case last == notRun && len(c.tried) == 0:
@@ -204,6 +211,13 @@
 	rest     *byforward.Response // what is still to be read, nil if nothing is
 }
 
+// close ends an answer that is not delivered.
+func (a *answer) close() {
+	if a != nil && a.rest != nil {
+		a.rest.Close()
+	}
+}
+
 // take reads an answer. One that breaks off is an outcome that may be repeated,
 // since the caller has not got a byte of it.
 func (c *call) take(e byfleet.Endpoint, resp *byforward.Response) (*answer, outcome, error) {
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -53,6 +53,7 @@
 	tries   int       // endpoints to which it was sent and that may have run it
 	sends   int       // all sends, also those that were refused
 	tried   map[burdockyard.EndpointID]bool
+	failure *answer // an endpoint's own, nil if none has failed
 }
 
 // ServeHTTP implements http.Handler.
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -31,7 +32,7 @@
 	relay := newRelay(c)
 	last, lastErr := notRun, error(nil)
 	for range enginePlanTries {
-		plan, ok := c.plan()
+		plan, ok := c.plan(relay.resume() != "")
 		if !ok {
 			break
 		}
@@ -60,15 +61,18 @@
 		c.finish(last, err)
 		return
 	}
+	c.failure.close()
 	c.finished(outCut, bylog.Int("events", relay.events), bylog.Err(err))
 	panic(http.ErrAbortHandler) // the caller must not take it for a whole one
 }
 
-func (c *call) plan() (byplace.Plan, bool) {
+// plan chooses engines. A stream that goes on after an event needs one engine
+// that reads and runs it.
+func (c *call) plan(resumed bool) (byplace.Plan, bool) {
 	near, far := c.node.peers.count()
 	need := byplace.Need{
 		Prompt: c.info.Prompt, Model: c.service.Model, Domain: c.node.settings.Domain,
-		Nodes: 1 + near + far, Draw: rand.IntN,
+		Nodes: 1 + near + far, Draw: rand.IntN, Direct: resumed,
 	}
 	return c.node.ledger.PlanPrompt(need, c.usable())
 }
@@ -116,27 +120,27 @@
 	n := c.node
 	if resp.Status >= http.StatusInternalServerError {
 		a, o, err := c.take(plan.Runner, resp)
-		if o != answered || c.route.Idempotent() && c.tries < c.route.Attempts && c.left() > 0 {
-			return broken, err
-		}
-		if relay.started {
-			return broken, burdockyard.ErrInterrupted
+		if o != answered {
+			return o, err
 		}
-		c.deliver(a)
-		return answered, nil
+		c.keepFailure(a)
+		return broken, burdockyard.ErrInterrupted
 	}
 	sent := n.clock.Now()
 	first := func() {
-		took := time.Duration(0)
-		if plan.Reader == nil {
-			took = n.clock.Now().Sub(sent)
-			n.ledger.NoteRead(plan.Runner.ID, c.info.Prompt)
+		took, tokens := time.Duration(0), 0
+		if p := c.info.Prompt; p != nil {
+			tokens = p.Input
+			if plan.Reader == nil {
+				took = n.clock.Now().Sub(sent)
+				n.ledger.NoteRead(plan.Runner.ID, p)
+			}
 		}
 		flight.ReadDone(took)
 		n.metrics.RouteFirstByte(c.route.Name).Update(n.clock.Now().Sub(c.began).Seconds())
 		c.log("first event", bylog.Str("endpoint", string(plan.Runner.ID)), bylog.Millis("predict_ms", plan.Predict),
 			bylog.Millis("wait_ms", plan.Wait), bylog.Int("cached", plan.Cached), bylog.Str("reader", readerID(plan)),
-			bylog.Str("source", plan.Source), bylog.Int("tokens", c.info.Prompt.Input))
+			bylog.Str("source", plan.Source), bylog.Int("tokens", tokens))
 	}
 	err := relay.pass(resp, first)
 	switch {
@@ -145,7 +149,7 @@
 		c.finished(outAnswered, bylog.Int("status", resp.Status), bylog.Str("endpoint", string(plan.Runner.ID)),
 			bylog.Int("events", relay.events), bylog.Millis("max_gap_ms", relay.maxGap))
 		return answered, nil
-	case c.gone() || c.left() <= 0:
+	case c.gone() || c.left() <= 0 || errors.Is(err, errCallerLeft):
 		return abandoned, err
 	default:
 		n.report(plan.Runner, byfleet.Failed, err)
--- a/io/byentry/relay.go
+++ b/io/byentry/relay.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"burdockyard"
 	"burdockyard/io/byforward"
 )
@@ -77,8 +79,17 @@
 		return burdockyard.ErrInterrupted
 	}
 	r.start(resp)
-	_, err := r.c.w.Write(r.pending)
-	return err
+	return r.write(r.pending)
+}
+
+// errCallerLeft means that the caller's connection takes no more.
+var errCallerLeft = merry.Sentinel("the caller has left")
+
+func (r *relay) write(events []byte) error {
+	if _, err := r.c.w.Write(events); err != nil {
+		return merry.Wrap(errCallerLeft, merry.WithCause(err))
+	}
+	return nil
 }
 
 // flush passes on the whole events that have arrived.
@@ -96,11 +107,14 @@
 	}
 	r.last = now
 	r.start(resp)
-	if _, err := r.c.w.Write(whole); err != nil {
+	if err := r.write(whole); err != nil {
 		return err
 	}
 	r.pending = append(r.pending[:0], r.pending[end:]...)
-	return http.NewResponseController(r.c.w).Flush()
+	if err := http.NewResponseController(r.c.w).Flush(); err != nil {
+		return merry.Wrap(errCallerLeft, merry.WithCause(err))
+	}
+	return nil
 }
 
 // note counts events and keeps the id of the last one.
