Forget nodes that are gone for good

Cause: found by reading: a VM that was replaced stayed among the peers of every node and its row in the table. Ruled out: that a heartbeat's silence alone proves it; a node that is cut off for two minutes writes its row anew when it looks for others. Change: no heartbeats after two minutes of silence, and one node of each failure domain removes the row under its version. Test: TestLostNodesAreForgotten (the row stayed before).

--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -112,7 +112,8 @@
 // connShare is how many connections to one endpoint this node may hold, so that
 // all nodes together stay within the service's limit.
 func (n *Node) connShare(s *burdockyard.ServiceSpec) int {
-	return max(s.MaxConns/(1+len(n.view.Alive())), minConns)
+	near, far := n.peers.count()
+	return max(s.MaxConns/(1+near+far), minConns)
 }
 
 // minConns lets every node hold this many connections to an endpoint.
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -31,6 +31,9 @@
 	rescanEvery = time.Minute
 	// reachableFor is the silence after which callers are no longer sent to a node.
 	reachableFor = 1200 * time.Millisecond
+	// forgetAfter is the silence after which a node is no longer told of this one,
+	// and its row is removed.
+	forgetAfter = 2 * time.Minute
 	// leaveTimeout bounds the removal of this node's row.
 	leaveTimeout = 300 * time.Millisecond
 	// maxAddresses bounds an answer of the directory.
@@ -50,12 +53,18 @@
 	gossip *bygossip.Gossip
 
 	mu    sync.Mutex
-	addrs map[burdockyard.NodeID]netip.AddrPort
-	far   map[burdockyard.NodeID]bool // known to be in another failure domain
+	known map[burdockyard.NodeID]*peer
+}
+
+// peer is another node, heard or found in the table of nodes.
+type peer struct {
+	addr  netip.AddrPort
+	far   bool      // in another failure domain
+	since time.Time // when it was last heard, or first found in the table
 }
 
 func newPeers(n *Node) *peers {
-	return &peers{node: n, addrs: map[burdockyard.NodeID]netip.AddrPort{}, far: map[burdockyard.NodeID]bool{}}
+	return &peers{node: n, known: map[burdockyard.NodeID]*peer{}}
 }
 
 func (p *peers) listen() error {
@@ -70,12 +79,14 @@
 	if b.Member.Node == n.self.Node {
 		return
 	}
-	p.learn(b.Member.Node, b.Member.Addr, b.Domain)
+	p.learn(b.Member.Node, b.Member.Addr, b.Domain, true)
 	n.view.Hear(b)
 	n.ledger.Hear(b.Member.Node, b.Loads, b.Reads)
 }
 
-func (p *peers) learn(id burdockyard.NodeID, addr, domain string) {
+// learn notes a node. A row of the table may be older than the node's end, so that
+// only a heartbeat proves that the node is there.
+func (p *peers) learn(id burdockyard.NodeID, addr, domain string, heard bool) {
 	at, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		p.node.log.members.Debug("node without a readable address", bylog.Str("peer", string(id)), bylog.Err(err))
@@ -83,11 +94,21 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.far[id] = domain != p.node.settings.Domain
-	if p.addrs[id] != at {
-		p.addrs[id] = at
+	known := p.known[id]
+	if known == nil || known.addr != at {
+		known = &peer{addr: at, since: p.node.clock.Now()}
+		p.known[id] = known
 		p.node.log.members.Info("node found", bylog.Str("peer", string(id)), bylog.Str("addr", addr))
 	}
+	known.far = domain != p.node.settings.Domain
+	if heard {
+		known.since = p.node.clock.Now()
+	}
+}
+
+// present reports whether a peer is still told of this node. p.mu is held.
+func (p *peers) present(known *peer) bool {
+	return p.node.clock.Now().Sub(known.since) < forgetAfter
 }
 
 // register writes this node's row, and looks for the others now and then.
@@ -136,6 +157,7 @@
 		p.node.log.members.Debug("list of nodes not read", bylog.Err(err))
 		return err
 	}
+	own := false
 	for _, row := range snap.Rows {
 		var r nodeRow
 		if err := json.Unmarshal(row.Value, &r); err != nil {
@@ -143,13 +165,45 @@
 			continue
 		}
 		id := burdockyard.NodeID(row.Key[len(nodeTable)+1:])
-		if id != p.node.self.Node {
-			p.learn(id, r.Addr, r.Domain)
+		if id == p.node.self.Node {
+			own = true
+			continue
+		}
+		p.learn(id, r.Addr, r.Domain, false)
+		if p.gone(id) {
+			p.removeRow(ctx, row)
 		}
 	}
+	if !own {
+		p.write(ctx) // a peer that had not heard this node for long has removed it
+	}
 	return nil
 }
 
+// gone reports whether this node is to remove the row of a node that has been
+// silent for long. One node of each failure domain does so.
+func (p *peers) gone(id burdockyard.NodeID) bool {
+	p.mu.Lock()
+	known := p.known[id]
+	silent := known != nil && !p.present(known)
+	p.mu.Unlock()
+	n := p.node
+	return silent && n.view.RankByCapacity("nodes", n.settings.Domain, n.settings.Capacity) == 0
+}
+
+// removeRow removes a row unless it was written anew meanwhile.
+func (p *peers) removeRow(ctx context.Context, row burdockyard.Row) {
+	err := p.node.platform.Table.Commit(ctx, burdockyard.Txn{
+		Checks: []burdockyard.Check{{Key: row.Key, Version: row.Version}},
+		Writes: []burdockyard.Write{{Key: row.Key, Delete: true}},
+	})
+	if err != nil {
+		p.node.log.members.Debug("row of a lost node stays for now", bylog.Str("row", row.Key), bylog.Err(err))
+		return
+	}
+	p.node.log.members.Info("row of a lost node removed", bylog.Str("row", row.Key))
+}
+
 // tellLoop sends heartbeats: at once while there is news of long prompts, and
 // now and then in any case.
 func (p *peers) tellLoop(ctx context.Context) error {
@@ -178,10 +232,12 @@
 func (p *peers) count() (near, far int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id := range p.addrs {
-		if p.far[id] {
+	for _, known := range p.known {
+		switch {
+		case !p.present(known):
+		case known.far:
 			far++
-		} else {
+		default:
 			near++
 		}
 	}
@@ -202,10 +258,10 @@
 		beat.Generation = t.Version()
 	}
 	p.mu.Lock()
-	addrs := make([]netip.AddrPort, 0, len(p.addrs))
-	for id, at := range p.addrs {
-		if far || !p.far[id] {
-			addrs = append(addrs, at)
+	addrs := make([]netip.AddrPort, 0, len(p.known))
+	for _, known := range p.known {
+		if p.present(known) && (far || !known.far) {
+			addrs = append(addrs, known.addr)
 		}
 	}
 	p.mu.Unlock()
--- /dev/null
+++ b/io/byentry/peers_test.go
@@ -0,0 +1,80 @@
+package byentry
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/bymember"
+)
+
+// tableOfNodes is a store that holds the table of nodes.
+type tableOfNodes struct {
+	burdockyard.Registry
+	burdockyard.Table
+	rows map[string]burdockyard.Row
+}
+
+func (s *tableOfNodes) Scan(context.Context, string) (burdockyard.Snapshot, error) {
+	var snap burdockyard.Snapshot
+	for _, r := range s.rows {
+		snap.Rows = append(snap.Rows, r)
+	}
+	return snap, nil
+}
+
+func (s *tableOfNodes) Commit(_ context.Context, txn burdockyard.Txn) error {
+	for _, c := range txn.Checks {
+		if s.rows[c.Key].Version != c.Version {
+			return burdockyard.ErrConflict
+		}
+	}
+	for _, w := range txn.Writes {
+		if w.Delete {
+			delete(s.rows, w.Key)
+		} else {
+			s.rows[w.Key] = burdockyard.Row{Key: w.Key, Value: w.Value, Version: s.rows[w.Key].Version + 1}
+		}
+	}
+	return nil
+}
+
+// TestLostNodesAreForgotten: VMs are replaced all day. A node that is gone for good
+// is no longer told of this one, does not take a share of connections, and its row
+// goes; one that is heard stays.
+func TestLostNodesAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &tableOfNodes{rows: map[string]burdockyard.Row{}}
+		n := New(Settings{Node: "n1", Domain: "a", Capacity: 1, PeerAddr: "10.0.0.1:1"}, Platform{Registry: store, Table: store})
+		for _, id := range []string{"lost", "alive"} {
+			value, err := json.Marshal(nodeRow{Addr: "10.0.0.2:1", Domain: "a"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			store.rows["nodes/"+id] = burdockyard.Row{Key: "nodes/" + id, Value: value, Version: 1}
+		}
+		seq := uint64(0)
+		for range 6 {
+			seq++
+			n.peers.hear(bymember.Heartbeat{Member: burdockyard.Member{Node: "alive", Addr: "10.0.0.2:1"}, Domain: "a", Seq: seq})
+			if err := n.peers.findOthers(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(30 * time.Second)
+		}
+		if near, far := n.peers.count(); near != 1 || far != 0 {
+			t.Errorf("%d near and %d far nodes are told", near, far)
+		}
+		if _, ok := store.rows["nodes/lost"]; ok {
+			t.Error("the row of a lost node stays")
+		}
+		for _, key := range []string{"nodes/alive", "nodes/n1"} {
+			if _, ok := store.rows[key]; !ok {
+				t.Errorf("row %s is missing", key)
+			}
+		}
+	})
+}
