Take the readers' patience from the deployment's bounds

Cause: found by reading: the store was read at fixed times that fit bounds of 2 s; a deployment with a drain bound of 1 s would have sent work to leaving endpoints, and one with 3 s paid for readings that it does not need. Settings that nothing uses were decoded. Change: patience is a share of the bounds; unused settings are gone.

--- a/cmd/burdock/main.go
+++ b/cmd/burdock/main.go
@@ -3,6 +3,8 @@
 // # Usage
 //
 //	burdock serve --settings node.yaml
+//	burdock node                       # on the users' platform
+//	burdock explain REQUEST all.log
 //	burdock check examples/jadepeak.yaml
 //	burdock publish --platform http://10.0.0.1:7000 examples/jadepeak.yaml
 //	burdock drain --platform http://10.0.0.1:7000 q3
@@ -99,6 +101,8 @@
 const examples = `Examples:
   burdock check examples/jadepeak.yaml
   burdock serve --settings node.yaml
+  burdock node --log-level debug
+  burdock explain 9c41d07be2a35f68 node1.log node2.log
   burdock publish --platform http://127.0.0.1:7000 examples/demo.yaml
   burdock publish --platform http://127.0.0.1:7000 --expect 3 examples/demo.yaml
   burdock status --peer 127.0.0.1:9100
--- a/cmd/burdock/node.go
+++ b/cmd/burdock/node.go
@@ -90,7 +90,7 @@
 		Node: s.Node, Domain: s.Domain, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, DirectoryAddr: s.DirectoryAddr,
 		PeerAddr: s.IP + ":" + strconv.Itoa(s.PeerPort), Capacity: s.CPUShare, MemoryBytes: s.MemoryBytes,
 		MetricsAddr: metrics,
-		Grace:       s.Bounds.Grace, RetryRatio: s.Bounds.RetryRatio, RetrySlack: float64(s.Bounds.RetrySlack),
+		Grace:       s.Bounds.Grace, DrainBound: s.Bounds.Drain, ConfigBound: s.Bounds.Config, RetryRatio: s.Bounds.RetryRatio, RetrySlack: float64(s.Bounds.RetrySlack),
 		AnswerTTL: min(directoryTTL, s.Bounds.MaxAnswer),
 	}
 }
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -41,8 +41,7 @@
 	sweepEvery = 500 * time.Millisecond
 	// stopPoll is how often a stopping node looks whether it is empty.
 	stopPoll = 50 * time.Millisecond
-	// stopReserve is kept of the grace for the last steps of a stop. A VM that is
-	// slowed five times needs most of it.
+	// stopReserve is kept of the grace for the last steps of a stop.
 	stopReserve = 1700 * time.Millisecond
 	// shutdownLimit bounds the last wait for requests in work.
 	shutdownLimit = 800 * time.Millisecond
@@ -65,6 +64,8 @@
 	Capacity      float64
 	MemoryBytes   int64
 	Grace         time.Duration // from the signal to the end of the process
+	DrainBound    time.Duration // from an endpoint's report that it leaves to its last new request
+	ConfigBound   time.Duration // from a configuration's acceptance to its being in force
 	RetryRatio    float64       // second sends over requests, of all nodes
 	RetrySlack    float64       // second sends that are free, of all nodes
 	AnswerTTL     time.Duration // how long callers keep an answer of the directory
@@ -151,8 +152,8 @@
 	n.callers = newCallers(n.clock)
 	n.relays = bypeer.NewRelayClients()
 	n.watches = []*watch{
-		newWatch(n, p.ConfigTable, configEvery, n.log.config, n.applyConfig),
-		newWatch(n, p.InstanceTable, instancesEvery, n.log.fleet, n.applyInstances),
+		newWatch(n, p.ConfigTable, s.ConfigBound, configShare, n.log.config, n.applyConfig),
+		newWatch(n, p.InstanceTable, s.DrainBound, drainShare, n.log.fleet, n.applyInstances),
 	}
 	return n
 }
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -21,16 +21,17 @@
 // first node is cut off, from the store or from its peers, the second one's
 // patience ends a moment later.
 const (
-	// instancesEvery and configEvery are the patience of the first node of a
-	// failure domain. Endpoints that leave must get no work 2 s after they say so,
-	// and a configuration must be in force 2 s after it was accepted.
-	instancesEvery = 500 * time.Millisecond
-	configEvery    = 700 * time.Millisecond
-	// secondRead is how much longer the second node waits, and rankStep each
-	// further one, up to lastRead.
-	secondRead = 300 * time.Millisecond
-	rankStep   = 50 * time.Millisecond
-	lastRead   = 600 * time.Millisecond
+	// drainShare and configShare are the patience of the first node of a failure
+	// domain, as parts of the time in which an endpoint's leaving and a new
+	// configuration must have effect everywhere.
+	drainShare  = 0.25
+	configShare = 0.35
+	// secondShare is how much longer the second node waits, and stepShare each
+	// further one, up to lastShare, as parts of the same time. The rest is left for
+	// a slow store and for work that is on its way.
+	secondShare = 0.15
+	stepShare   = 0.025
+	lastShare   = 0.3
 	// retryPause follows a failed call, longer on nodes of a higher rank.
 	retryPause = 200 * time.Millisecond
 	longPause  = 1500 * time.Millisecond
@@ -44,6 +45,7 @@
 type watch struct {
 	node   *Node
 	table  string
+	bound  time.Duration // in which a change must have effect
 	every  time.Duration // between two readings, on the node that reads first
 	log    bylog.Logger
 	mirror *bymirror.Mirror
@@ -54,15 +56,15 @@
 	lost  bool      // the last call failed
 }
 
-func newWatch(n *Node, table string, every time.Duration, log bylog.Logger, apply func(bymirror.Delta, time.Time)) *watch {
-	return &watch{node: n, table: table, every: every, log: log, mirror: bymirror.New(), apply: apply}
+func newWatch(n *Node, table string, bound time.Duration, share float64, log bylog.Logger, apply func(bymirror.Delta, time.Time)) *watch {
+	return &watch{node: n, table: table, bound: bound, every: part(bound, share), log: log, mirror: bymirror.New(), apply: apply}
 }
 
 func (w *watch) age() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.asked.IsZero() {
-		return w.every + lastRead
+		return w.bound
 	}
 	return w.node.clock.Now().Sub(w.asked)
 }
@@ -80,9 +82,11 @@
 	if rank == 0 {
 		return w.every
 	}
-	return w.every + min(secondRead+time.Duration(rank-1)*rankStep, lastRead)
+	return w.every + part(w.bound, min(secondShare+float64(rank-1)*stepShare, lastShare))
 }
 
+func part(d time.Duration, share float64) time.Duration { return time.Duration(float64(d) * share) }
+
 func (w *watch) rank() int {
 	n := w.node
 	return n.view.RankByCapacity("reader", n.settings.Domain, n.settings.Capacity)
--- a/io/byentry/world_test.go
+++ b/io/byentry/world_test.go
@@ -140,7 +140,7 @@
 	ip := nodeIP()
 	s := byentry.Settings{
 		Node: burdockyard.NodeID(name), Domain: "a", Capacity: 0.4, MemoryBytes: w.memory, Grace: w.grace,
-		RetryRatio: 0.2, RetrySlack: 50, AnswerTTL: time.Second,
+		DrainBound: 2 * time.Second, ConfigBound: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 50, AnswerTTL: time.Second,
 		FrontAddr: ip + ":20001", ReadyAddr: ip + ":20002", DirectoryAddr: ip + ":20003", PeerAddr: ip + ":20004",
 	}
 	ctx, stop := context.WithCancel(context.Background())
