--- a/io/byentry/byentry_test.go
+++ b/io/byentry/byentry_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -471,3 +472,40 @@
 		t.Errorf("a leaving node's readiness is %d", s)
 	}
 }
+
+// TestMetricsAreDocumented: the operators' page names every metric that is served.
+func TestMetricsAreDocumented(t *testing.T) {
+	w, n := engineWorld(t, 2)
+	w.runner(bystub.RunnerConfig{ID: "app-1", Service: "app", Zone: "a"})
+	for _, path := range []string{"/long/1", "/quick/1", "/read/1", "/nowhere/1"} {
+		n.call("POST", path, "x", longPrompt, longTokens)
+	}
+	resp, err := http.Get("http://" + n.settings.MetricsAddr + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	served, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	names := 0
+	for line := range strings.Lines(string(served)) {
+		name, _, _ := strings.Cut(line, "{")
+		name, _, _ = strings.Cut(name, " ")
+		for _, suffix := range []string{"_bucket", "_sum", "_count"} {
+			name = strings.TrimSuffix(name, suffix)
+		}
+		names++
+		if !strings.Contains(string(page), name) {
+			t.Errorf("docs/OPERATIONS.md does not name %s", name)
+		}
+	}
+	if names < 10 {
+		t.Errorf("only %d lines served:\n%s", names, served)
+	}
+}
