Keep the users' wire words of the soak beside the stand-ins

Cause: io/bysoak spelled headers, settings and a configuration of the users' protocol outside platform/. Ruled out: moving the soak itself, which is no translation. Change: platform/bystub encodes them; the soak uses types.

--- a/io/bysoak/bysoak.go
+++ b/io/bysoak/bysoak.go
@@ -23,7 +23,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -197,15 +196,12 @@
 func (n *node) configure(dir, ip string) error {
 	addr := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	n.front, n.ready, n.directory = addr(frontPort), addr(readyPort), addr(directoryPort)
-	text := strings.Join([]string{
-		"nodeName=" + n.name, "ip=" + ip, "zone=a", "region=r", "listen.front=" + n.front, "listen.ready=" + n.ready,
-		"listen.directory=" + n.directory, fmt.Sprintf("internalPorts=%d,%d", peerPort, peerPort), "limits.cpuShare=0.4", "limits.memoryMb=284",
-		"limits.maxFds=4100", "limits.linkMbps=1000", "heartbeatMs=1200", "platform.address=" + n.storeProxy.addr(),
-		"bounds.drainMs=2000", "bounds.configMs=2000", fmt.Sprintf("bounds.graceS=%g", grace.Seconds()), "bounds.leaseMs=3000",
-		"bounds.ttl_max_s=5", "bounds.budgetRatio=0.2", "bounds.budgetSlack=58", "bounds.budgetWindowS=10", "bounds.fencingRequired=true",
-	}, "\n")
+	settings := bystub.NodeSettings{
+		Name: n.name, IP: ip, Domain: "a", Front: n.front, Ready: n.ready, Directory: n.directory,
+		PeerPort: peerPort, Store: n.storeProxy.addr(), Grace: grace,
+	}
 	n.conf = filepath.Join(dir, n.name+".conf")
-	return os.WriteFile(n.conf, []byte(text+"\n"), 0o600)
+	return os.WriteFile(n.conf, []byte(settings.Encode()), 0o600)
 }
 
 // run starts a node's process. Its log is appended to a file of its own.
--- a/io/bysoak/callers.go
+++ b/io/bysoak/callers.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"burdockyard/platform/bystub"
 )
 
 const (
@@ -78,10 +80,10 @@
 	case 3, 4, 5:
 		return record{id: id, kind: unsafe, method: "POST", path: "/book/" + id, body: strings.Repeat("x", rng.IntN(3000))}
 	case 6, 7:
-		return record{id: id, kind: resumable, method: "POST", path: "/quick/" + id, body: "q", prompt: "X-Token-Usage: 382,40\r\nX-Prompt-Prefix: 1:92,2:290\r\n"}
+		return record{id: id, kind: resumable, method: "POST", path: "/quick/" + id, body: "q", part: 1, shared: 92, own: 290}
 	case 8:
 		return record{id: id, kind: once, method: "POST", path: "/long/" + id, body: strings.Repeat("s", 20_000),
-			prompt: fmt.Sprintf("X-Token-Usage: 17000,80\r\nX-Prompt-Prefix: %x:13300,2:3700\r\n", 1+rng.IntN(9))}
+			part: 1 + rng.IntN(9), shared: 13_300, own: 3_700}
 	default:
 		v := max(version-rng.IntN(3), 1)
 		return record{id: id, kind: marker, version: v, method: "GET", path: fmt.Sprintf("/version-%d/%s", v, id)}
@@ -94,8 +96,8 @@
 	if err := conn.SetDeadline(time.Now().Add(callerDeadline)); err != nil {
 		return false
 	}
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s", r.method, r.path, r.id,
-		callerDeadline.Milliseconds(), r.prompt)
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n", r.method, r.path, bystub.Host) +
+		bystub.CallerHeaders(r.id, callerDeadline, r.part, r.shared, r.own)
 	if r.method == http.MethodPost {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(r.body))
 	}
@@ -108,6 +110,6 @@
 	}
 	body, err := io.ReadAll(resp.Body)
 	r.status, r.answer, r.whole = resp.StatusCode, string(body), err == nil
-	r.stamp = resp.Header.Get("X-Response-Stamp")
+	r.stamp = bystub.Signature(resp.Header)
 	return err == nil && !resp.Close
 }
--- a/io/bysoak/check.go
+++ b/io/bysoak/check.go
@@ -22,16 +22,17 @@
 
 // record is one request and what its caller saw.
 type record struct {
-	id, method, path, body, prompt string
-	kind                           kind
-	version                        int // of the configuration that a marker asks for
-	node                           string
-	start                          int // of the node's processes, the one it was sent to
-	sent, ended                    time.Time
-	status                         int // 0: no answer
-	answer                         string
-	whole                          bool
-	stamp                          string
+	id, method, path, body string
+	part, shared, own      int // of the prompt: its shared part, tokens of it and of the rest
+	kind                   kind
+	version                int // of the configuration that a marker asks for
+	node                   string
+	start                  int // of the node's processes, the one it was sent to
+	sent, ended            time.Time
+	status                 int // 0: no answer
+	answer                 string
+	whole                  bool
+	stamp                  string
 }
 
 // history is what callers saw. mu guards everything below it.
--- a/io/bysoak/faults.go
+++ b/io/bysoak/faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"sync"
 	"syscall"
@@ -150,20 +149,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	route := func(name, prefix, kind, service string, attempts int, more string) string {
-		return fmt.Sprintf(`{"name":%q,"host":"h.example","prefix":%q,"kind":%q,"timeoutMs":4000,"targetLatencyMs":300,"targetGapMs":150,"attempts":%d,"service":%q%s}`,
-			name, prefix, kind, attempts, service, more)
-	}
-	config := fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s,%s],"services":[{"name":"app","maxConnections":200},
-		{"name":"llm","maxConnections":200,"engine":{"slots":16,"kvCapacityTokens":360000,"kvTokenBytes":131072,"linkMbps":740000}}],
-		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, s.version,
-		route("read", "/read/", "safe", "app", 2, ""), route("book", "/book/", "unsafe", "app", 1, ""),
-		route("quick", "/quick/", "streaming", "llm", 2, `,"stickySessions":true,"resumable":true`),
-		route("long", "/long/", "streaming", "llm", 1, `,"stickySessions":true`),
-		route("version", fmt.Sprintf("/version-%d/", s.version), "safe", "app", 2, ""))
-	if !json.Valid([]byte(config)) {
-		panic("soak: the configuration is no JSON: " + config) // a mistake in this function
-	}
-	s.store.Set("op", "config", []byte(config))
+	s.store.Set("op", "config", bystub.EncodeConfig(s.version,
+		bystub.Route{Name: "read", Prefix: "/read/", Kind: "safe", Service: "app", Attempts: 2},
+		bystub.Route{Name: "book", Prefix: "/book/", Kind: "unsafe", Service: "app", Attempts: 1},
+		bystub.Route{Name: "quick", Prefix: "/quick/", Kind: "streaming", Service: "llm", Attempts: 2, Resumable: true},
+		bystub.Route{Name: "long", Prefix: "/long/", Kind: "streaming", Service: "llm", Attempts: 1},
+		bystub.Route{Name: "version", Prefix: fmt.Sprintf("/version-%d/", s.version), Kind: "safe", Service: "app", Attempts: 2},
+	))
 	return s.version
 }
