Let an endpoint rest after it refused work

Cause: an engine that refuses everything has nothing of ours open, looks the least loaded and draws all requests: those are refused beside idle engines.

Ruled out: the load table steering around it by itself (the comment in the code said so; a refusal adds nothing to it).

Change: each refusal in a row begins a rest, 50 ms and doubling to 800 ms; refusals of requests that were sent together count once.

--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -35,6 +35,13 @@
 	// failuresToRest is how many failures in a row make an endpoint rest. A sound
 	// service may fail every seventh request by itself.
 	failuresToRest = 4
+	// refusalRest is how long an endpoint gets no work after it has refused some;
+	// each further refusal in a row doubles it, up to longestRefusal. It is about
+	// the time in which an engine with a full batch has a place again.
+	refusalRest    = 50 * time.Millisecond
+	longestRefusal = 800 * time.Millisecond
+	// refusalsToTell is how many refusals in a row are worth a line in the log.
+	refusalsToTell = 4
 	// failRateWeight is the weight of the newest result in the failure rate.
 	failRateWeight = 0.08
 )
@@ -68,6 +75,7 @@
 	instance burdockyard.Instance
 	missing  time.Time // since when the registry lacks it, zero while it is there
 	failures int       // in a row
+	refusals int       // in a row, those of one rest count once
 	failRate float64
 	restTill time.Time
 	stranger time.Time // until when its address counts as another endpoint's
@@ -208,8 +216,20 @@
 	return len(f.entries)
 }
 
+// refuse begins a rest after a refusal. Without one, an endpoint that refuses
+// although it is idle would look the least loaded and draw all requests. A
+// refusal during a rest belongs to a request that was sent before it.
+func (e *entry) refuse(now time.Time) bool {
+	if now.Before(e.restTill) {
+		return false
+	}
+	e.refusals++
+	e.restTill = now.Add(min(refusalRest<<min(e.refusals-1, 8), longestRefusal))
+	return e.refusals == refusalsToTell
+}
+
 // Report takes in the result of an attempt. It returns true if the endpoint
-// begins a rest or is set aside.
+// begins a rest that is worth telling of, or is set aside.
 func (f *Fleet) Report(id burdockyard.EndpointID, r Result) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -220,11 +240,11 @@
 	now := f.clock.Now()
 	switch r {
 	case Succeeded:
-		e.failures = 0
+		e.failures, e.refusals = 0, 0
 		e.failRate *= 1 - failRateWeight
 		return false
 	case Shed:
-		return false // it is alive; the load tables steer around it
+		return e.refuse(now)
 	case Stranger:
 		e.stranger = now.Add(strangerFor)
 		return true
--- a/core/byfleet/byfleet_test.go
+++ b/core/byfleet/byfleet_test.go
@@ -100,3 +100,40 @@
 		expect(t, f, "a new start", "a", "b")
 	})
 }
+
+// TestRefusalsRest is the load pattern "idle engines that refuse all work": the
+// less an endpoint takes, the less loaded it looks, so that without a rest it
+// draws all requests.
+func TestRefusalsRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b")
+		f.Report("a", byfleet.Shed)
+		expect(t, f, "a refused", "b")
+		time.Sleep(60 * time.Millisecond)
+		expect(t, f, "the rest after one refusal is short", "a", "b")
+		for range 20 {
+			f.Report("a", byfleet.Shed)
+		}
+		time.Sleep(110 * time.Millisecond)
+		expect(t, f, "refusals of requests that were sent together count once", "a", "b")
+		offers := 0
+		for range 100 {
+			if slices.Contains(usable(f), "a") {
+				offers++
+				f.Report("a", byfleet.Shed)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		if offers > 9 {
+			t.Errorf("an endpoint that refuses everything for 5 s was offered %d requests, one after the other, not 9 at most", offers)
+		}
+		time.Sleep(time.Second)
+		f.Report("a", byfleet.Succeeded)
+		f.Report("a", byfleet.Shed)
+		time.Sleep(60 * time.Millisecond)
+		expect(t, f, "a success ends the series", "a", "b")
+		f.Report("a", byfleet.Shed)
+		f.Report("b", byfleet.Shed)
+		expect(t, f, "all refuse: one of them may have room again", "a", "b")
+	})
+}
