Name nodes to callers by what they carry; follow changed settings

Cause, by reading: the directory named the first 64 ready nodes by name, so that the rest of a fleet of 80 or 330 got no callers, and a VM of 0.192 of a core as many as one of 0.8. Settings that change without a signal were read at the next start only, and SIGHUP checked the file without taking anything into force.

Change: an answer names all nodes of the callers' own failure domain and of the others each by a weighted rendezvous of domain and node (core/bymember). It does not change from one moment to the next, since callers stop using connections to nodes that a newer answer leaves out. The capacity counts the link as well as the processor. Bounds and sizes are tuned while the node runs, at SIGHUP or within 5 s; names and addresses still need a start, which the log says.

--- a/cmd/burdock/node.go
+++ b/cmd/burdock/node.go
@@ -23,6 +23,12 @@
 	heapShare = 0.5
 	// gcPercent trades processor time for memory: an entry node allocates little.
 	gcPercent = 50
+	// settingsPoll is the time between two looks at the settings file, which may
+	// change without a signal.
+	settingsPoll = 5 * time.Second
+	// linkPerCore is the traffic, in Mbit/s each way, of the requests that one core
+	// forwards: about 1,200 a second (docs/CAPACITY.md) of 4 KB on average.
+	linkPerCore = 40.0
 	// directoryTTL is how long callers keep an answer of the directory.
 	directoryTTL = 2 * time.Second
 )
@@ -55,7 +61,10 @@
 	logs.Go(func() error { return ring.Run(logging) })
 	group, life := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		reloadOnSignal(life, hup, log)
+		poll := time.NewTicker(settingsPoll)
+		defer poll.Stop()
+		f := settingsFollower{read: platform.ReadSettings, tune: node.Tune, log: log, last: s}
+		f.run(life, hup, poll.C)
 		return nil
 	})
 	group.Go(func() error { return node.Run(ctx) })
@@ -64,23 +73,6 @@
 	return errors.Join(err, logs.Wait())
 }
 
-// reloadOnSignal reads the settings again when they may have changed. Addresses
-// and limits of a running process do not change, so that the file is only checked.
-func reloadOnSignal(ctx context.Context, hup <-chan os.Signal, log bylog.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-		}
-		if _, err := platform.ReadSettings(); err != nil {
-			log.Warn("settings not taken, the earlier ones stay in force", bylog.Err(err))
-			continue
-		}
-		log.Info("settings read again")
-	}
-}
-
 func (c *nodeCommand) entrySettings(s platform.Settings) byentry.Settings {
 	metrics := ""
 	if c.MetricsPort > 0 {
@@ -88,13 +80,24 @@
 	}
 	return byentry.Settings{
 		Node: s.Node, Domain: s.Domain, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, DirectoryAddr: s.DirectoryAddr,
-		PeerAddr: s.IP + ":" + strconv.Itoa(s.PeerPort), Capacity: s.CPUShare, MemoryBytes: s.MemoryBytes,
-		MetricsAddr: metrics,
-		Grace:       s.Bounds.Grace, DrainBound: s.Bounds.Drain, ConfigBound: s.Bounds.Config, RetryRatio: s.Bounds.RetryRatio, RetrySlack: float64(s.Bounds.RetrySlack),
-		AnswerTTL: min(directoryTTL, s.Bounds.MaxAnswer),
+		PeerAddr: s.IP + ":" + strconv.Itoa(s.PeerPort), MetricsAddr: metrics, Tuning: tuning(s),
+	}
+}
+
+// tuning are the settings that take effect without a new start.
+func tuning(s platform.Settings) byentry.Tuning {
+	return byentry.Tuning{
+		Capacity: capacity(s), MemoryBytes: s.MemoryBytes, Grace: s.Bounds.Grace, DrainBound: s.Bounds.Drain, ConfigBound: s.Bounds.Config,
+		RetryRatio: s.Bounds.RetryRatio, RetrySlack: float64(s.Bounds.RetrySlack), AnswerTTL: min(directoryTTL, s.Bounds.MaxAnswer),
 	}
 }
 
+// capacity is what a VM can carry, as a share of a core. A narrow link counts as
+// the part of a core whose requests fill it.
+func capacity(s platform.Settings) float64 {
+	return min(s.CPUShare, s.LinkMbps/linkPerCore)
+}
+
 func entryPlatform(store *platform.Store) byentry.Platform {
 	return byentry.Platform{
 		Registry: store, Table: store, Protocol: platform.Protocol{},
--- /dev/null
+++ b/cmd/burdock/settings_test.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"burdockyard/io/byentry"
+	"burdockyard/io/bylog"
+	"burdockyard/platform"
+)
+
+// TestSettingsFollower: settings change with a signal and without one, and a file
+// that can't be read changes nothing.
+func TestSettingsFollower(t *testing.T) {
+	sound := platform.Settings{Node: "n", LinkMbps: 1000, CPUShare: 0.4, Bounds: platform.Bounds{Grace: 8 * time.Second}}
+	var tuned []byentry.Tuning
+	next, failure := sound, error(nil)
+	f := settingsFollower{
+		read: func() (platform.Settings, error) { return next, failure },
+		tune: func(t byentry.Tuning) { tuned = append(tuned, t) },
+		log:  bylog.Part(zerolog.Nop(), bylog.Node), last: sound,
+	}
+	hup, poll := make(chan os.Signal), make(chan time.Time)
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		f.run(ctx, hup, poll)
+		return nil
+	})
+	poll <- time.Time{}
+	next.Bounds.Grace = 4 * time.Second
+	poll <- time.Time{}
+	hup <- nil // the one before has been taken in
+	failure = errors.New("half a file")
+	poll <- time.Time{}
+	hup <- nil
+	failure = nil
+	next.CPUShare = 0.2
+	hup <- nil
+	stop()
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	want := []byentry.Tuning{
+		{Capacity: 0.4, Grace: 4 * time.Second},
+		{Capacity: 0.2, Grace: 4 * time.Second},
+	}
+	if len(tuned) != 2 || tuned[0] != want[0] || tuned[1] != want[1] {
+		t.Errorf("settings taken into force are %+v, not %+v", tuned, want)
+	}
+}
+
+// TestCapacity: a narrow link bounds what a VM can carry.
+func TestCapacity(t *testing.T) {
+	for _, c := range []struct{ cpu, link, want float64 }{{0.4, 1000, 0.4}, {0.8, 10, 0.25}, {0.192, 10, 0.192}} {
+		if got := capacity(platform.Settings{CPUShare: c.cpu, LinkMbps: c.link}); got != c.want {
+			t.Errorf("capacity of %v of a core behind %v Mbit/s is %v, not %v", c.cpu, c.link, got, c.want)
+		}
+	}
+}
--- a/core/bybudget/bybudget.go
+++ b/core/bybudget/bybudget.go
@@ -65,11 +65,11 @@
 	return true
 }
 
-// Resize changes how many retries may be saved up, as the number of nodes that
-// share a bound changes.
-func (b *Budget) Resize(burst float64) {
+// Resize changes how many retries one request earns and how many may be saved up,
+// as the bound or the number of nodes that share it changes.
+func (b *Budget) Resize(ratio, burst float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.burst = burst
+	b.ratio, b.burst = ratio, burst
 	b.tokens = min(b.tokens, burst)
 }
--- a/core/bybudget/bybudget_test.go
+++ b/core/bybudget/bybudget_test.go
@@ -33,7 +33,7 @@
 	if n := spend(b, 100); n < 2 || n > 3 {
 		t.Errorf("%d second sends earned by 15 requests at a fifth", n)
 	}
-	b.Resize(1)
+	b.Resize(0.2, 1)
 	for range 50 {
 		b.Earn()
 	}
--- a/io/byentry/budgets.go
+++ b/io/byentry/budgets.go
@@ -16,16 +16,15 @@
 
 // budgets holds one budget of second sends for each service. mu is a leaf lock.
 type budgets struct {
-	ratio float64
-	slack float64
-
 	mu        sync.Mutex
+	ratio     float64
+	slack     float64
 	nodes     int
 	byService map[string]*bybudget.Budget
 }
 
-func newBudgets(ratio, slack float64) *budgets {
-	return &budgets{ratio: ratio, slack: slack, nodes: 1, byService: map[string]*bybudget.Budget{}}
+func newBudgets() *budgets {
+	return &budgets{nodes: 1, byService: map[string]*bybudget.Budget{}}
 }
 
 func (b *budgets) of(service string) *bybudget.Budget {
@@ -47,11 +46,22 @@
 func (b *budgets) share(nodes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if nodes == b.nodes {
-		return
+	if nodes != b.nodes {
+		b.nodes = nodes
+		b.resize()
 	}
-	b.nodes = nodes
+}
+
+// tune sets what all nodes together may send for a second time.
+func (b *budgets) tune(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack = ratio, slack
+	b.resize()
+}
+
+func (b *budgets) resize() {
 	for _, budget := range b.byService {
-		budget.Resize(b.burst())
+		budget.Resize(b.ratio*budgetShare, b.burst())
 	}
 }
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -61,14 +61,19 @@
 	DirectoryAddr string // for callers that ask where to connect
 	PeerAddr      string // for other nodes: heartbeats as datagrams, readings as calls
 	MetricsAddr   string // for /metrics; empty serves none
-	Capacity      float64
-	MemoryBytes   int64
-	Grace         time.Duration // from the signal to the end of the process
-	DrainBound    time.Duration // from an endpoint's report that it leaves to its last new request
-	ConfigBound   time.Duration // from a configuration's acceptance to its being in force
-	RetryRatio    float64       // second sends over requests, of all nodes
-	RetrySlack    float64       // second sends that are free, of all nodes
-	AnswerTTL     time.Duration // how long callers keep an answer of the directory
+	Tuning
+}
+
+// Tuning are the settings that may change while the node runs.
+type Tuning struct {
+	Capacity    float64 // what the VM can carry, as a share of a core
+	MemoryBytes int64
+	Grace       time.Duration // from the signal to the end of the process
+	DrainBound  time.Duration // from an endpoint's report that it leaves to its last new request
+	ConfigBound time.Duration // from a configuration's acceptance to its being in force
+	RetryRatio  float64       // second sends over requests, of all nodes
+	RetrySlack  float64       // second sends that are free, of all nodes
+	AnswerTTL   time.Duration // how long callers keep an answer of the directory
 }
 
 // Platform is what the node needs of the platform it runs on.
@@ -89,6 +94,7 @@
 // Node is one entry node. Its parts lock for themselves.
 type Node struct {
 	settings Settings
+	tuning   atomic.Pointer[Tuning]
 	platform Platform
 	clock    burdockyard.Clock
 	self     burdockyard.Member
@@ -147,17 +153,24 @@
 	n.ledger = byplace.NewLedger(n.clock)
 	n.forward = byforward.New(n.clock, func(h http.Header) burdockyard.RequestID { return p.Protocol.DecodeAnswer(http.StatusOK, h).ID })
 	n.view = bymember.New(n.clock, n.self)
-	n.budgets = newBudgets(s.RetryRatio, s.RetrySlack)
+	n.budgets = newBudgets()
 	n.peers = newPeers(n)
 	n.callers = newCallers(n.clock)
 	n.relays = bypeer.NewRelayClients()
 	n.watches = []*watch{
-		newWatch(n, p.ConfigTable, s.ConfigBound, configShare, n.log.config, n.applyConfig),
-		newWatch(n, p.InstanceTable, s.DrainBound, drainShare, n.log.fleet, n.applyInstances),
+		newWatch(n, p.ConfigTable, func() time.Duration { return n.tuning.Load().ConfigBound }, configShare, n.log.config, n.applyConfig),
+		newWatch(n, p.InstanceTable, func() time.Duration { return n.tuning.Load().DrainBound }, drainShare, n.log.fleet, n.applyInstances),
 	}
+	n.Tune(s.Tuning)
 	return n
 }
 
+// Tune takes changed settings into force. It may be called while the node runs.
+func (n *Node) Tune(t Tuning) {
+	n.tuning.Store(&t)
+	n.budgets.tune(t.RetryRatio, t.RetrySlack)
+}
+
 // Done is closed once Run has returned.
 func (n *Node) Done() <-chan struct{} { return n.done }
 
@@ -297,7 +310,7 @@
 	began := n.clock.Now()
 	n.peers.tell(true, true)
 	n.peers.leave()
-	limit := n.settings.Grace - stopReserve
+	limit := n.tuning.Load().Grace - stopReserve
 	for {
 		time.Sleep(stopPoll)
 		gone := n.clock.Now().Sub(began)
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -79,7 +79,7 @@
 		size = chunkedReserve
 	}
 	defer func() { n.held.Add(-size) }()
-	if n.held.Add(size) > int64(bodyShare*float64(n.settings.MemoryBytes)) {
+	if n.held.Add(size) > int64(bodyShare*float64(n.tuning.Load().MemoryBytes)) {
 		c.refuse("memory", unconfiguredReturn)
 		return
 	}
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -188,7 +188,7 @@
 	silent := known != nil && !p.present(known)
 	p.mu.Unlock()
 	n := p.node
-	return silent && n.view.RankByCapacity("nodes", n.settings.Domain, n.settings.Capacity) == 0
+	return silent && n.view.RankByCapacity("nodes", n.settings.Domain, n.tuning.Load().Capacity) == 0
 }
 
 // removeRow removes a row unless it was written anew meanwhile.
@@ -251,7 +251,7 @@
 	loads, reads := n.ledger.Digest(full, far)
 	beat := bymember.Heartbeat{
 		Member: n.self, CallerAddr: n.settings.FrontAddr, Domain: n.settings.Domain,
-		Leaving: n.leaving.Load(), Ready: n.ready(), Capacity: n.settings.Capacity,
+		Leaving: n.leaving.Load(), Ready: n.ready(), Capacity: n.tuning.Load().Capacity,
 		Seq: n.beatSeq.Add(1), Loads: loads, Reads: reads,
 	}
 	if t := n.routes.Current(); t != nil {
@@ -268,17 +268,23 @@
 	p.gossip.Send(beat, addrs)
 }
 
-// lookup answers callers that ask where to connect: this node and those that
+// lookup answers callers that ask where to connect: of this node and those that
 // were heard lately, unless they are leaving.
-func (n *Node) lookup(_, _ string) ([]string, time.Duration) {
-	var addrs []string
+func (n *Node) lookup(_, domain string) ([]string, time.Duration) {
+	var nodes []bymember.Heartbeat
 	if n.ready() {
-		addrs = append(addrs, n.settings.FrontAddr)
+		nodes = append(nodes, bymember.Heartbeat{
+			Member: n.self, CallerAddr: n.settings.FrontAddr, Domain: n.settings.Domain, Capacity: n.tuning.Load().Capacity,
+		})
 	}
 	for _, b := range n.view.HeardWithin(reachableFor) {
-		if b.Ready && !b.Leaving && len(addrs) < maxAddresses {
-			addrs = append(addrs, b.CallerAddr)
+		if b.Ready && !b.Leaving {
+			nodes = append(nodes, b)
 		}
 	}
-	return addrs, n.settings.AnswerTTL
+	var addrs []string
+	for _, b := range bymember.Answer(nodes, domain, maxAddresses) {
+		addrs = append(addrs, b.CallerAddr)
+	}
+	return addrs, n.tuning.Load().AnswerTTL
 }
--- a/io/byentry/peers_test.go
+++ b/io/byentry/peers_test.go
@@ -48,7 +48,7 @@
 func TestLostNodesAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &tableOfNodes{rows: map[string]burdockyard.Row{}}
-		n := New(Settings{Node: "n1", Domain: "a", Capacity: 1, PeerAddr: "10.0.0.1:1"}, Platform{Registry: store, Table: store})
+		n := New(Settings{Node: "n1", Domain: "a", Tuning: Tuning{Capacity: 1}, PeerAddr: "10.0.0.1:1"}, Platform{Registry: store, Table: store})
 		for _, id := range []string{"lost", "alive"} {
 			value, err := json.Marshal(nodeRow{Addr: "10.0.0.2:1", Domain: "a"})
 			if err != nil {
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -45,8 +45,8 @@
 type watch struct {
 	node   *Node
 	table  string
-	bound  time.Duration // in which a change must have effect
-	every  time.Duration // between two readings, on the node that reads first
+	bound  func() time.Duration // in which a change must have effect
+	share  float64              // of the bound between two readings, on the node that reads first
 	log    bylog.Logger
 	mirror *bymirror.Mirror
 	apply  func(d bymirror.Delta, asked time.Time)
@@ -56,15 +56,15 @@
 	lost  bool      // the last call failed
 }
 
-func newWatch(n *Node, table string, bound time.Duration, share float64, log bylog.Logger, apply func(bymirror.Delta, time.Time)) *watch {
-	return &watch{node: n, table: table, bound: bound, every: part(bound, share), log: log, mirror: bymirror.New(), apply: apply}
+func newWatch(n *Node, table string, bound func() time.Duration, share float64, log bylog.Logger, apply func(bymirror.Delta, time.Time)) *watch {
+	return &watch{node: n, table: table, bound: bound, share: share, log: log, mirror: bymirror.New(), apply: apply}
 }
 
 func (w *watch) age() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.asked.IsZero() {
-		return w.bound
+		return w.bound()
 	}
 	return w.node.clock.Now().Sub(w.asked)
 }
@@ -79,17 +79,18 @@
 
 // patience is the age from which on this node reads by itself.
 func (w *watch) patience(rank int) time.Duration {
-	if rank == 0 {
-		return w.every
+	share := w.share
+	if rank > 0 {
+		share += min(secondShare+float64(rank-1)*stepShare, lastShare)
 	}
-	return w.every + part(w.bound, min(secondShare+float64(rank-1)*stepShare, lastShare))
+	return part(w.bound(), share)
 }
 
 func part(d time.Duration, share float64) time.Duration { return time.Duration(float64(d) * share) }
 
 func (w *watch) rank() int {
 	n := w.node
-	return n.view.RankByCapacity("reader", n.settings.Domain, n.settings.Capacity)
+	return n.view.RankByCapacity("reader", n.settings.Domain, n.tuning.Load().Capacity)
 }
 
 // run reads whenever the copy is too old, until ctx ends.
--- a/io/byentry/watch_test.go
+++ b/io/byentry/watch_test.go
@@ -13,7 +13,7 @@
 func TestPatienceFitsTheBound(t *testing.T) {
 	for _, bound := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 3 * time.Second, 10 * time.Second} {
 		for _, share := range []float64{drainShare, configShare} {
-			w := newWatch(nil, "servers", bound, share, bylog.Logger{}, nil)
+			w := newWatch(nil, "servers", func() time.Duration { return bound }, share, bylog.Logger{}, nil)
 			for rank := range 400 {
 				if p := w.patience(rank); p > 7*bound/10 || rank > 0 && p < w.patience(rank-1) {
 					t.Errorf("bound %v, share %v: the node of rank %d waits %v", bound, share, rank, p)
--- a/io/byentry/world_test.go
+++ b/io/byentry/world_test.go
@@ -139,8 +139,10 @@
 	store := platform.NewStore(w.addr)
 	ip := nodeIP()
 	s := byentry.Settings{
-		Node: burdockyard.NodeID(name), Domain: "a", Capacity: 0.4, MemoryBytes: w.memory, Grace: w.grace,
-		DrainBound: 2 * time.Second, ConfigBound: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 50, AnswerTTL: time.Second,
+		Node: burdockyard.NodeID(name), Domain: "a", Tuning: byentry.Tuning{
+			Capacity: 0.4, MemoryBytes: w.memory, Grace: w.grace, DrainBound: 2 * time.Second, ConfigBound: 2 * time.Second,
+			RetryRatio: 0.2, RetrySlack: 50, AnswerTTL: time.Second,
+		},
 		FrontAddr: ip + ":20001", ReadyAddr: ip + ":20002", DirectoryAddr: ip + ":20003", PeerAddr: ip + ":20004", MetricsAddr: ip + ":20005",
 	}
 	ctx, stop := context.WithCancel(context.Background())
