Change an engine's role when the mix has shifted for good

Cause: where one kind of request stays the heavier one, the engines of one role queue while the others have room. No order was ever sent, so that the split of the first moment stayed for good.

Change: core/byrole decides from the mean waits of either side; core/byclaim gives one node the right to one fenced order by a conditional write; io/byentry tells peers to hold the engine, reads its sequence, and sends the order once. An entry that names a new role ends its being taken for a stranger.

--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -79,6 +79,7 @@
 	failRate float64
 	restTill time.Time
 	stranger time.Time // until when its address counts as another endpoint's
+	held     time.Time // until when it gets no work because it is about to change
 }
 
 // Fleet is one node's view of the endpoints. Its methods may be called from
@@ -137,6 +138,9 @@
 	if restarted {
 		*e = entry{}
 	}
+	if in.Role != e.instance.Role {
+		e.stranger = time.Time{} // it refused work of another role than the entry named
+	}
 	e.instance = in
 	e.missing = time.Time{}
 }
@@ -176,7 +180,7 @@
 	now := f.clock.Now()
 	var awake, resting []Endpoint
 	for _, e := range f.entries {
-		if e.instance.Service != service || e.instance.Leaving || now.Before(e.stranger) {
+		if e.instance.Service != service || e.instance.Leaving || now.Before(e.stranger) || now.Before(e.held) {
 			continue
 		}
 		ep := Endpoint{Instance: e.instance, FailRate: e.failRate}
@@ -202,6 +206,25 @@
 	return e != nil && !e.instance.Leaving && !f.clock.Now().Before(e.stranger)
 }
 
+// Hold keeps new work from an endpoint for a time, since it is about to change.
+func (f *Fleet) Hold(id burdockyard.EndpointID, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e := f.entries[id]; e != nil {
+		e.held = f.clock.Now().Add(d)
+	}
+}
+
+// Role returns the role that the registry names for an endpoint.
+func (f *Fleet) Role(id burdockyard.EndpointID) burdockyard.Role {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if e := f.entries[id]; e != nil {
+		return e.instance.Role
+	}
+	return ""
+}
+
 // Known reports whether the registry names an endpoint.
 func (f *Fleet) Known(id burdockyard.EndpointID) bool {
 	f.mu.RLock()
--- a/core/byplace/ledger.go
+++ b/core/byplace/ledger.go
@@ -288,6 +288,26 @@
 	return read, streams
 }
 
+// Pressure returns the mean time that new work waits at the engines of a role: for
+// a prompt to be read, or for a stream to get a place and the engine's attention.
+func (l *Ledger) Pressure(engines []byfleet.Endpoint, role burdockyard.Role) (n int, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	need := Need{streamTime: l.streamTime}
+	for _, e := range engines {
+		if (e.Role == burdockyard.RolePrefill) != (role == burdockyard.RolePrefill) {
+			continue
+		}
+		s := l.state(e)
+		n++
+		wait += s.wait
+		if s.streams >= e.Slots {
+			wait += need.startCost(s)
+		}
+	}
+	return n, wait / time.Duration(max(n, 1))
+}
+
 // state is the work that is open at one endpoint, this node's and its peers'.
 type state struct {
 	endpoint byfleet.Endpoint
--- /dev/null
+++ b/core/byrole/byrole_test.go
@@ -0,0 +1,112 @@
+package byrole_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/byrole"
+)
+
+const away = 3 * time.Second
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// observe feeds samples for a time and returns what was wanted at the end.
+func observe(d *byrole.Decider, span time.Duration, readers, runners byrole.Side) burdockyard.Role {
+	for range int(span / time.Second) {
+		time.Sleep(time.Second)
+		d.Observe(byrole.Sample{Readers: readers, Runners: runners, Away: away})
+	}
+	role, ok := d.Wanted()
+	if !ok {
+		return ""
+	}
+	return role
+}
+
+func TestWanted(t *testing.T) {
+	type phase struct {
+		span             time.Duration
+		readers, runners byrole.Side
+	}
+	side := func(n int, wait int) byrole.Side { return byrole.Side{Engines: n, Wait: ms(wait)} }
+	for _, c := range []struct {
+		load   string
+		phases []phase
+		want   burdockyard.Role
+	}{
+		{"a burst of long prompts that ends", []phase{{6 * time.Second, side(4, 600), side(10, 20)}}, ""},
+		{"long prompts for good", []phase{{12 * time.Second, side(4, 600), side(10, 20)}}, burdockyard.RolePrefill},
+		{"bursts of either kind by turns", []phase{
+			{6 * time.Second, side(4, 600), side(10, 20)}, {6 * time.Second, side(4, 10), side(10, 400)},
+			{6 * time.Second, side(4, 600), side(10, 20)}, {6 * time.Second, side(4, 10), side(10, 400)},
+		}, ""},
+		{"long answers for good", []phase{{12 * time.Second, side(4, 10), side(10, 400)}}, burdockyard.RoleDecode},
+		{"both sides are short", []phase{{30 * time.Second, side(4, 600), side(10, 400)}}, ""},
+		{"a wait that nobody notices", []phase{{30 * time.Second, side(4, 100), side(10, 1)}}, ""},
+		{"too few engines to give one", []phase{{30 * time.Second, side(4, 600), side(2, 20)}}, ""},
+		{"an engine is lost meanwhile", []phase{{8 * time.Second, side(4, 600), side(10, 20)}, {3 * time.Second, side(4, 600), side(9, 20)}}, ""},
+	} {
+		t.Run(c.load, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := byrole.New(burdockyard.SystemClock{})
+				var got burdockyard.Role
+				for _, p := range c.phases {
+					got = observe(d, p.span, p.readers, p.runners)
+				}
+				if got != c.want {
+					t.Errorf("wanted %q, not %q", got, c.want)
+				}
+			})
+		})
+	}
+}
+
+// TestChangesAreFew: a mix that swings slowly must not be followed at each turn.
+func TestChangesAreFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := byrole.New(burdockyard.SystemClock{})
+		readers, runners, changes := 4, 10, 0
+		for i := range 3600 {
+			time.Sleep(time.Second)
+			s := byrole.Sample{Readers: byrole.Side{Engines: readers, Wait: ms(600)}, Runners: byrole.Side{Engines: runners, Wait: ms(20)}, Away: away}
+			if i/20%2 == 1 {
+				s.Readers.Wait, s.Runners.Wait = ms(10), ms(400)
+			}
+			d.Observe(s)
+			role, ok := d.Wanted()
+			if !ok {
+				continue
+			}
+			d.Tried(role)
+			changes++
+			if role == burdockyard.RolePrefill {
+				readers, runners = readers+1, runners-1
+			} else {
+				readers, runners = readers-1, runners+1
+			}
+		}
+		if changes > 12 {
+			t.Errorf("%d changes in an hour of a mix that swings every 20 s, more than 12", changes)
+		}
+	})
+}
+
+// TestAnotherNodeChanges: the decider of a node that takes over counts the changes
+// that it saw.
+func TestAnotherNodeChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := byrole.New(burdockyard.SystemClock{})
+		long := byrole.Side{Engines: 4, Wait: ms(600)}
+		observe(d, 8*time.Second, long, byrole.Side{Engines: 10})
+		long.Engines = 5
+		if got := observe(d, 15*time.Second, long, byrole.Side{Engines: 9}); got != "" {
+			t.Errorf("%q wanted 15 s after another node's change", got)
+		}
+		if got := observe(d, 20*time.Second, long, byrole.Side{Engines: 9}); got != burdockyard.RolePrefill {
+			t.Errorf("%q wanted 35 s after another node's change, with the shortage still there", got)
+		}
+	})
+}
--- a/core/byroutes/byroutes.go
+++ b/core/byroutes/byroutes.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -48,6 +49,11 @@
 // Service returns a service of the configuration, or nil.
 func (t *Table) Service(name string) *burdockyard.ServiceSpec { return t.config.Services[name] }
 
+// Services returns the services, ordered by name.
+func (t *Table) Services() []*burdockyard.ServiceSpec {
+	return slices.SortedFunc(maps.Values(t.config.Services), func(a, b *burdockyard.ServiceSpec) int { return strings.Compare(a.Name, b.Name) })
+}
+
 // Match returns the route with the longest prefix that begins the path, or nil.
 // The host may carry a port.
 func (t *Table) Match(host, path string) *burdockyard.Route {
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -56,11 +56,12 @@
 type Settings struct {
 	Node          burdockyard.NodeID
 	Domain        string
-	FrontAddr     string // for callers
-	ReadyAddr     string // for readiness checks
-	DirectoryAddr string // for callers that ask where to connect
-	PeerAddr      string // for other nodes: heartbeats as datagrams, readings as calls
-	MetricsAddr   string // for /metrics; empty serves none
+	FrontAddr     string        // for callers
+	ReadyAddr     string        // for readiness checks
+	DirectoryAddr string        // for callers that ask where to connect
+	PeerAddr      string        // for other nodes: heartbeats as datagrams, readings as calls
+	MetricsAddr   string        // for /metrics; empty serves none
+	ClaimTTL      time.Duration // for how long a node may order an engine, once it has claimed it
 	Tuning
 }
 
@@ -81,6 +82,7 @@
 	Registry       burdockyard.Registry
 	Table          burdockyard.Table
 	Protocol       burdockyard.Protocol
+	Roles          burdockyard.RoleProtocol
 	ConfigTable    string
 	ConfigKey      string
 	InstanceTable  string
@@ -108,6 +110,7 @@
 	watches  []*watch
 	relays   *bypeer.RelayClients
 	callers  *callers
+	roles    *roleChanges
 	metrics  *bymetrics.Metrics
 	log      logs
 	leaving  atomic.Bool
@@ -119,7 +122,7 @@
 
 // logs are the loggers of a node's parts.
 type logs struct {
-	node, calls, members, config, fleet bylog.Logger
+	node, calls, members, config, fleet, orders bylog.Logger
 }
 
 // Option sets an optional part of a Node.
@@ -130,7 +133,7 @@
 	return func(n *Node) {
 		n.log = logs{
 			node: bylog.Part(z, bylog.Node), calls: bylog.Part(z, bylog.Calls), members: bylog.Part(z, bylog.Members),
-			config: bylog.Part(z, bylog.Config), fleet: bylog.Part(z, bylog.Fleet),
+			config: bylog.Part(z, bylog.Config), fleet: bylog.Part(z, bylog.Fleet), orders: bylog.Part(z, bylog.Orders),
 		}
 	}
 }
@@ -156,6 +159,7 @@
 	n.budgets = newBudgets()
 	n.peers = newPeers(n)
 	n.callers = newCallers(n.clock)
+	n.roles = newRoleChanges(n)
 	n.relays = bypeer.NewRelayClients()
 	n.watches = []*watch{
 		newWatch(n, p.ConfigTable, func() time.Duration { return n.tuning.Load().ConfigBound }, configShare, n.log.config, n.applyConfig),
@@ -272,6 +276,7 @@
 	group.Go(func() error { return n.peers.register(ctx) })
 	group.Go(func() error { return n.peers.tellLoop(ctx) })
 	group.Go(func() error { return every(ctx, sweepEvery, n.sweep) })
+	group.Go(func() error { return every(ctx, roleEvery, n.roles.step) })
 }
 
 // every calls f at each interval, until ctx ends.
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -82,6 +82,9 @@
 	p.learn(b.Member.Node, b.Member.Addr, b.Domain, true)
 	n.view.Hear(b)
 	n.ledger.Hear(b.Member.Node, b.Loads, b.Reads)
+	for _, id := range b.Holds {
+		n.fleet.Hold(id, holdFor)
+	}
 }
 
 // learn notes a node. A row of the table may be older than the node's end, so that
@@ -252,7 +255,7 @@
 	beat := bymember.Heartbeat{
 		Member: n.self, CallerAddr: n.settings.FrontAddr, Domain: n.settings.Domain,
 		Leaving: n.leaving.Load(), Ready: n.ready(), Capacity: n.tuning.Load().Capacity,
-		Seq: n.beatSeq.Add(1), Loads: loads, Reads: reads,
+		Seq: n.beatSeq.Add(1), Loads: loads, Reads: reads, Holds: n.roles.told(),
 	}
 	if t := n.routes.Current(); t != nil {
 		beat.Generation = t.Version()
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// releaseTimeout bounds the call that frees a kept prompt.
-	releaseTimeout = 500 * time.Millisecond
 	// memoryAnswer bounds the answer of an engine that has read a prompt, in bytes.
 	memoryAnswer = 16 << 10
 	// enginePlanTries bounds how often a request is planned anew.
@@ -168,7 +166,6 @@
 type keptPrompt struct {
 	endpoint byfleet.Endpoint
 	memory   burdockyard.PromptMemory
-	maxConns int
 	taken    bool
 }
 
@@ -204,7 +201,7 @@
 	n.report(e, byfleet.Succeeded, nil)
 	c.log("prompt read", bylog.Str("endpoint", string(e.ID)), bylog.Millis("took_ms", took), bylog.Millis("wait_ms", plan.Wait),
 		bylog.Millis("read_ms", plan.Read), bylog.Int("tokens", memory.Tokens), bylog.Int("cached", plan.Cached), bylog.Str("source", plan.Source))
-	return &keptPrompt{endpoint: e, memory: memory, maxConns: n.connShare(c.service)}, answered, nil
+	return &keptPrompt{endpoint: e, memory: memory}, answered, nil
 }
 
 // release frees a prompt that no engine has fetched. It also runs when the
@@ -213,17 +210,9 @@
 	if k.taken {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
 	method, path := n.platform.Protocol.ReleaseCall(k.memory.Handle)
-	resp, err := n.forward.Send(ctx, byforward.Target{Addr: k.endpoint.Addr, MaxConns: k.maxConns}, &byforward.Request{
-		Method: method, Path: path, Host: k.endpoint.Addr, Header: http.Header{}, Deadline: n.clock.Now().Add(releaseTimeout), AnyID: true,
-	})
-	if err == nil {
-		_, err = resp.ReadAll(memoryAnswer)
-		resp.Close()
-	}
-	if err != nil {
+	req := &byforward.Request{Method: method, Path: path, Header: http.Header{}}
+	if _, _, err := n.control(context.Background(), k.endpoint, req); err != nil {
 		n.log.calls.Debug("kept prompt not freed, it lapses by itself", bylog.Str("endpoint", string(k.endpoint.ID)), bylog.Err(err))
 	}
 }
--- /dev/null
+++ b/io/byentry/roles_test.go
@@ -0,0 +1,129 @@
+package byentry
+
+import (
+	"context"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/bymember"
+	"burdockyard/core/byrole"
+	"burdockyard/io/bymem"
+	"burdockyard/platform"
+	"burdockyard/platform/bystub"
+)
+
+// roleWorld is one node before stand-in engines, without loops of its own.
+type roleWorld struct {
+	node    *Node
+	runners map[string]*bystub.Runner
+	spec    *burdockyard.ServiceSpec
+}
+
+func newRoleWorld(t *testing.T, table burdockyard.Table, name string) *roleWorld {
+	t.Helper()
+	w := &roleWorld{
+		node:    New(Settings{Node: burdockyard.NodeID(name), Domain: "a", ClaimTTL: 3 * time.Second, Tuning: Tuning{Capacity: 1}}, Platform{Table: table, Protocol: platform.Protocol{}, Roles: platform.Roles{}}),
+		runners: map[string]*bystub.Runner{},
+		spec:    &burdockyard.ServiceSpec{Name: "llm", Model: &burdockyard.ModelSpec{Slots: 12, RoleChange: time.Second}},
+	}
+	w.node.routes.Offer(&burdockyard.RouteConfig{Version: 1, Services: map[string]*burdockyard.ServiceSpec{"llm": w.spec}})
+	var all []burdockyard.Instance
+	for _, id := range []string{"p1", "p2", "d1", "d2", "d3"} {
+		stage, role := "decode", burdockyard.RoleDecode
+		if id[0] == 'p' {
+			stage, role = "prefill", burdockyard.RolePrefill
+		}
+		r := bystub.NewRunner(bystub.RunnerConfig{ID: id, Service: "llm", Stage: stage, Switch: time.Hour})
+		srv := httptest.NewServer(r)
+		t.Cleanup(srv.Close)
+		w.runners[id] = r
+		all = append(all, burdockyard.Instance{ID: burdockyard.EndpointID(id), Addr: strings.TrimPrefix(srv.URL, "http://"), Service: "llm", Domain: "a", Slots: 12, Role: role, Sequence: 1})
+	}
+	w.node.fleet.Apply(all, nil, time.Now())
+	return w
+}
+
+func (w *roleWorld) change(role burdockyard.Role) {
+	w.node.roles.change(context.Background(), byrole.New(w.node.clock), w.spec, w.node.fleet.Usable("llm"), role)
+}
+
+func (w *roleWorld) usable() []string {
+	var ids []string
+	for _, e := range w.node.fleet.Usable("llm") {
+		ids = append(ids, string(e.ID))
+	}
+	return ids
+}
+
+// TestRoleChange: one engine gets one fenced order, and no new work meanwhile,
+// neither here nor at the peers.
+func TestRoleChange(t *testing.T) {
+	w := newRoleWorld(t, bymem.NewTable(), "n1")
+	w.change(burdockyard.RolePrefill)
+	got := w.runners["d1"].Orders()
+	zero := 0
+	want := bystub.RunnerOrder{Stage: "prefill", Holder: "n1", Fence: 1, Expected: &zero}
+	if len(got) != 1 || got[0].Stage != want.Stage || got[0].Holder != want.Holder || got[0].Fence != want.Fence || *got[0].Expected != 0 {
+		t.Fatalf("orders to d1 are %+v, not one of %+v", got, want)
+	}
+	if usable := w.usable(); !slices.Equal(usable, []string{"d2", "d3", "p1", "p2"}) {
+		t.Errorf("while d1 changes, usable are %v", usable)
+	}
+	peer := newRoleWorld(t, bymem.NewTable(), "n2")
+	peer.node.peers.hear(bymember.Heartbeat{Member: burdockyard.Member{Node: "n1", Incarnation: "1", Addr: "10.0.0.1:1"}, Domain: "a", Seq: 1, Holds: w.node.roles.told()})
+	if usable := peer.usable(); !slices.Equal(usable, []string{"d2", "d3", "p1", "p2"}) {
+		t.Errorf("a peer may use %v", usable)
+	}
+	w.change(burdockyard.RolePrefill) // d1 is held, so that another one is next
+	if n, m := len(w.runners["d1"].Orders()), len(w.runners["d2"].Orders()); n != 1 || m != 1 {
+		t.Errorf("%d and %d orders to d1 and d2, not one each", n, m)
+	}
+}
+
+// TestRoleChangeOfTwo: two nodes that both think that they act order no engine
+// twice.
+func TestRoleChangeOfTwo(t *testing.T) {
+	table := bymem.NewTable()
+	a, b := newRoleWorld(t, table, "n1"), newRoleWorld(t, table, "n2")
+	a.change(burdockyard.RolePrefill)
+	b.change(burdockyard.RolePrefill)
+	if n := len(a.runners["d1"].Orders()); n != 1 {
+		t.Errorf("%d orders of the first node", n)
+	}
+	for id, r := range b.runners {
+		if n := len(r.Orders()); n != 0 {
+			t.Errorf("%s got %d orders of the second node", id, n)
+		}
+	}
+	if _, waits := b.node.roles.pending["llm"]; !waits {
+		t.Error("the second node does not wait for the claim to lapse")
+	}
+}
+
+// TestRoleChangeRefused: an engine that has the role already, or that another node
+// has ordered since, gets no order.
+func TestRoleChangeRefused(t *testing.T) {
+	w := newRoleWorld(t, bymem.NewTable(), "n1")
+	e, ok := w.node.roles.pick(w.node.fleet.Usable("llm"), burdockyard.RolePrefill)
+	if !ok || e.ID != "d1" {
+		t.Fatalf("picked %v", e.ID)
+	}
+	claim, err := w.node.roles.claims.Take(context.Background(), e.ID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := w.node.roles.order(context.Background(), claim, e, burdockyard.RoleDecode); err == nil {
+		t.Error("an engine got an order for the role that it has")
+	}
+	e.ID = "another"
+	if err := w.node.roles.order(context.Background(), claim, e, burdockyard.RolePrefill); err == nil {
+		t.Error("another engine at the address took the order")
+	}
+	if n := len(w.runners["d1"].Orders()); n != 0 {
+		t.Errorf("%d orders accepted", n)
+	}
+}
--- a/protocol.go
+++ b/protocol.go
@@ -68,6 +68,35 @@
 	ReleaseCall(handle string) (method, path string)
 }
 
+// RoleOrder asks an engine to change its role.
+type RoleOrder struct {
+	Role     Role
+	Holder   NodeID // that gives the order
+	Fence    uint64 // rises with each order to the engine
+	Sequence int    // of the engine's last order, as it reported; another one refuses
+}
+
+// RoleReport is what an engine says of its role. It may be some hundred
+// milliseconds old.
+type RoleReport struct {
+	Role     Role
+	Busy     bool // with an order
+	Sequence int  // orders accepted since its start
+}
+
+// RoleProtocol translates the calls that change an engine's role. The headers name
+// the engine, so that a restarted one at the address refuses.
+type RoleProtocol interface {
+	// ReportCall asks an engine for a RoleReport.
+	ReportCall(id EndpointID) (method, path string, h http.Header)
+	DecodeReport(body []byte) (RoleReport, error)
+	// OrderCall gives a RoleOrder.
+	OrderCall(id EndpointID, o RoleOrder) (method, path string, h http.Header, body []byte)
+	// DecodeOrder tells from an answer's status whether the order is or was carried
+	// out (nil), and if not, why.
+	DecodeOrder(status int) error
+}
+
 // Change is one row of a table that changed.
 type Change struct {
 	Row     Row
