Spare long answers, learn caches at a start, say why a send failed

Long answers are held up less. A stream of a long prompt now counts as seven when a reading would hold it up; peers tell how many of their streams are long ones.

Cause: after all nodes were killed the shared parts were read again, by engines that had others waiting.

A reader that says nothing for twice its predicted time and 0.4 s counts as silent; the prompt is read elsewhere. Traces of those that still fail show readers that are not silent but let shorter prompts go first for 2.4 s.

Logs name what caused an error ("answer interrupted: connection reset"), and `burdock explain` ends with the cause in one sentence, names bad lines with their file and line, and passes over lines that are too long instead of ending there.

--- a/cmd/burdock/explain.go
+++ b/cmd/burdock/explain.go
@@ -29,12 +29,36 @@
 		defer f.Close()
 		logs = append(logs, f)
 	}
-	found, bad, err := bylog.Explain(os.Stdout, c.Args.Request, logs...)
-	if bad > 0 {
-		fmt.Fprintf(os.Stderr, "burdock: %d lines could not be read\n", bad)
+	e, err := bylog.Explain(c.Args.Request, logs...)
+	if err != nil {
+		return err
 	}
-	if err == nil && found == 0 {
-		err = fmt.Errorf("no line is about request %q", c.Args.Request)
+	for _, line := range e.Lines {
+		fmt.Println(line)
+	}
+	if e.Cause != "" {
+		fmt.Println("cause:", e.Cause)
+	}
+	c.nameBad(e.Bad)
+	if len(e.Lines) == 0 {
+		return fmt.Errorf("no line is about request %q", c.Args.Request)
+	}
+	return nil
+}
+
+// maxNamed is how many lines that can't be read are named.
+const maxNamed = 10
+
+func (c *explainCommand) nameBad(bad []bylog.BadLine) {
+	if len(bad) == 0 {
+		return
+	}
+	fmt.Fprintf(os.Stderr, "burdock: %d lines could not be read\n", len(bad))
+	for _, l := range bad[:min(len(bad), maxNamed)] {
+		name := "standard input"
+		if len(c.Args.Files) > 0 {
+			name = c.Args.Files[l.Log]
+		}
+		fmt.Fprintf(os.Stderr, "%s:%d: %v\n", name, l.Line, l.Err)
 	}
-	return err
 }
--- a/cmd/burdock/node.go
+++ b/cmd/burdock/node.go
@@ -80,7 +80,7 @@
 	}
 	return byentry.Settings{
 		Node: s.Node, Domain: s.Domain, FrontAddr: s.FrontAddr, ReadyAddr: s.ReadyAddr, DirectoryAddr: s.DirectoryAddr,
-		PeerAddr: s.IP + ":" + strconv.Itoa(s.PeerPort), MetricsAddr: metrics, ClaimTTL: s.Bounds.Lease, Tuning: tuning(s),
+		PeerAddr: s.IP + ":" + strconv.Itoa(s.PeerPort), MetricsAddr: metrics, FirstStart: s.FirstStart, ClaimTTL: s.Bounds.Lease, Tuning: tuning(s),
 	}
 }
 
@@ -100,7 +100,7 @@
 
 func entryPlatform(store *platform.Store) byentry.Platform {
 	return byentry.Platform{
-		Registry: store, Table: store, Protocol: platform.Protocol{}, Roles: platform.Roles{},
+		Registry: store, Table: store, Protocol: platform.Protocol{}, Engines: platform.Engines{},
 		ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigRow, InstanceTable: platform.InstanceTable,
 		DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance,
 		NewDirectory: func(lookup func(host, domain string) ([]string, time.Duration)) http.Handler {
--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -35,6 +35,7 @@
 	PrefillTokens int // of prompts not processed yet
 	LongTokens    int // the part of them that belongs to long prompts
 	Streams       int
+	LongStreams   int // those of them that answer long prompts
 }
 
 // Cached is a part of a prompt that an engine has just read.
@@ -145,6 +146,7 @@
 			s.PrefillTokens += l.PrefillTokens
 			s.LongTokens += l.LongTokens
 			s.Streams += l.Streams
+			s.LongStreams += l.LongStreams
 			sum[l.Engine] = s
 		}
 	}
--- a/core/byplace/byplace.go
+++ b/core/byplace/byplace.go
@@ -53,8 +53,21 @@
 	Cached  int           // tokens that the reading engine probably keeps
 	Source  string        // address of an engine from which it fetches more of them
 	cost    time.Duration
+	latency time.Duration // of Predict, the part that no work explains
 }
 
+// ReadLimit is the time after which a reader that has said nothing counts as
+// silent. Readings that go well take less by far: 1 in 500 came later than this
+// on days with slow engines.
+func (p Plan) ReadLimit() time.Duration {
+	return silentFactor*(p.Wait+p.Read+p.latency) + silentSlack
+}
+
+const (
+	silentFactor = 2
+	silentSlack  = 400 * time.Millisecond
+)
+
 // PlanPrompt chooses the engines of a prompt; false if no engine can run it.
 func (l *Ledger) PlanPrompt(n Need, engines []byfleet.Endpoint) (Plan, bool) {
 	l.mu.Lock()
@@ -75,7 +88,7 @@
 	}
 	n.latency, n.streamTime = l.latency, l.streamTime
 	n.sources = append(append(n.sources, readers...), runners...)
-	short := promptTokens(n.Prompt) < longPrompt
+	short := !Long(n.Prompt)
 	if short {
 		runners = n.sample(runners)
 	}
@@ -89,6 +102,7 @@
 			best = handed
 		}
 	}
+	best.latency = n.latency
 	return best, true
 }
 
@@ -96,6 +110,9 @@
 // engine as a matter of course.
 const longPrompt = 2048
 
+// Long reports whether a prompt is a long one.
+func Long(p *burdockyard.Prompt) bool { return promptTokens(p) >= longPrompt }
+
 // Peers tell of short prompts a moment later, the later the more nodes there
 // are. If each of them chose the least loaded engine of all, they would all
 // choose the same one until the next news. Choosing among a few engines, drawn
@@ -133,7 +150,8 @@
 		own := time.Duration(float64(got.read) * r.slowdown)
 		p := Plan{Runner: r.endpoint, Read: got.read, Wait: r.wait, Cached: got.cached, Source: got.source}
 		p.Predict = n.latency + r.wait + got.fetch + own + n.startCost(r)
-		stalled := time.Duration(float64(r.streams) * stallWeight * float64(own))
+		held := float64(r.streams) + longStall*float64(r.long)
+		stalled := time.Duration(held * stallWeight * float64(own))
 		p.cost = p.Predict - n.latency + stalled + n.bias(r)
 		if best.cost == 0 || p.cost < best.cost {
 			best = p
--- a/core/byplace/byplace_test.go
+++ b/core/byplace/byplace_test.go
@@ -236,3 +236,27 @@
 		}
 	})
 }
+
+// TestLongAnswersAreNotHeldUp answers the pattern in which long prompts overflow to
+// running engines: one that reads a long prompt must not make a pause in the answer
+// to another one, which its caller has waited for longest.
+func TestLongAnswersAreNotHeldUp(t *testing.T) {
+	l := byplace.NewLedger(burdockyard.SystemClock{})
+	engines := fleet(0, 2)
+	l.Begin("d0", byplace.Work{Streams: 1})
+	l.Begin("d0", byplace.Work{Streams: 1})
+	l.Hear("n2", []bymember.Load{{Engine: "d1", Streams: 1, LongStreams: 1}}, nil)
+	if pl := plan(t, l, prompt(1, 13_300, 3_700), engines); pl.Runner.ID != "d0" {
+		t.Errorf("a long prompt is read at %s, where a long answer runs", pl.Runner.ID)
+	}
+	own := l.Begin("d0", byplace.Work{Streams: 1, Long: true})
+	loads, _ := l.Digest(true, true)
+	if len(loads) != 1 || loads[0].Streams != 3 || loads[0].LongStreams != 1 {
+		t.Errorf("peers are told of %+v", loads)
+	}
+	own.Done()
+	l.Begin("d0", byplace.Work{Streams: 9})
+	if pl := plan(t, l, prompt(1, 13_300, 3_700), engines); pl.Runner.ID != "d1" {
+		t.Errorf("a long prompt is read at %s beside eleven short answers, to spare one long one", pl.Runner.ID)
+	}
+}
--- a/core/byplace/cost.go
+++ b/core/byplace/cost.go
@@ -39,6 +39,10 @@
 	// stallWeight counts the time for which a running engine's reading holds up
 	// each of the streams there.
 	stallWeight = 0.7
+	// longStall is how many streams more each stream of a long prompt counts as,
+	// when it is held up. A pause spoils the answer that its caller has waited for
+	// longest, and that took the most reading.
+	longStall = 6.0
 	// handOffGain is how much sooner a short prompt must start through a reading
 	// engine to be worth the second hop.
 	handOffGain = 20 * time.Millisecond
--- a/core/byplace/ledger.go
+++ b/core/byplace/ledger.go
@@ -30,6 +30,7 @@
 type Work struct {
 	Read    time.Duration // of the prompt, at an engine of usual speed
 	Streams int           // places that the answer takes in the batch
+	Long    bool          // the prompt is a long one
 }
 
 // Flight is one attempt that is open at an endpoint.
@@ -103,7 +104,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.book(id)
-	read, streams := l.peerWork(id)
+	read, streams, _ := l.peerWork(id)
 	f := &Flight{ledger: l, id: id, work: w, began: l.clock.Now(), alone: len(b.flights) == 0 && read == 0 && streams == 0}
 	b.flights[f] = struct{}{}
 	b.mark(w.Read)
@@ -224,6 +225,9 @@
 		load := bymember.Load{Engine: id}
 		for f := range b.flights {
 			load.Streams += f.work.Streams
+			if f.work.Long {
+				load.LongStreams += f.work.Streams
+			}
 			load.PrefillTokens += int(f.work.Read.Seconds() * 1e3 * usualTokensPerMS)
 		}
 		loads = append(loads, load)
@@ -262,6 +266,21 @@
 	}
 }
 
+// NoteKept notes what an engine says that it keeps, and returns how many of the
+// parts are large enough to be followed.
+func (l *Ledger) NoteKept(id burdockyard.EndpointID, parts []burdockyard.PromptPart) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b, n := l.book(id), 0
+	for _, part := range parts {
+		if part.Tokens >= minCachedPart {
+			b.cache.touch(part.ID, part.Tokens)
+			n++
+		}
+	}
+	return n
+}
+
 // Keep drops what is known of endpoints other than those given.
 func (l *Ledger) Keep(known func(burdockyard.EndpointID) bool) {
 	l.mu.Lock()
@@ -275,7 +294,7 @@
 }
 
 // peerWork returns what peers have open at an endpoint.
-func (l *Ledger) peerWork(id burdockyard.EndpointID) (read time.Duration, streams int) {
+func (l *Ledger) peerWork(id burdockyard.EndpointID) (read time.Duration, streams, long int) {
 	now := l.clock.Now()
 	for node, p := range l.peers[id] {
 		if now.Sub(p.heard) > peerLoadFor {
@@ -284,8 +303,9 @@
 		}
 		read += time.Duration(float64(p.load.PrefillTokens) / usualTokensPerMS * float64(time.Millisecond))
 		streams += p.load.Streams
+		long += p.load.LongStreams
 	}
-	return read, streams
+	return read, streams, long
 }
 
 // Pressure returns the mean time that new work waits at the engines of a role: for
@@ -313,6 +333,7 @@
 	endpoint byfleet.Endpoint
 	wait     time.Duration // until a new prompt would be read, at the engine's speed
 	streams  int
+	long     int // streams that answer long prompts
 	slowdown float64
 	cache    *cache
 	kept     int // leading tokens of the prompt in question that it keeps
@@ -320,12 +341,15 @@
 
 func (l *Ledger) state(e byfleet.Endpoint) state {
 	b := l.book(e.ID)
-	read, streams := l.peerWork(e.ID)
+	read, streams, long := l.peerWork(e.ID)
 	now := l.clock.Now()
 	since := now
 	for f := range b.flights {
 		read += f.work.Read
 		streams += f.work.Streams
+		if f.work.Long {
+			long += f.work.Streams
+		}
 		if f.work.Read > 0 && f.began.Before(since) {
 			since = f.began
 		}
@@ -338,5 +362,5 @@
 	if read > 0 {
 		wait = max(wait, read/8)
 	}
-	return state{endpoint: e, wait: max(wait, 0), streams: streams, slowdown: b.slowdown, cache: b.cache}
+	return state{endpoint: e, wait: max(wait, 0), streams: streams, long: long, slowdown: b.slowdown, cache: b.cache}
 }
--- a/io/byentry/byentry_test.go
+++ b/io/byentry/byentry_test.go
@@ -332,6 +332,41 @@
 	}
 }
 
+// TestStartedNodeLearnsCaches: a node that has just started knows what engines keep,
+// so that it lets no prompt be read again that one of them has read.
+func TestStartedNodeLearnsCaches(t *testing.T) {
+	w, n := engineWorld(t, 3)
+	if got := n.call("POST", "/long/1", "survey", longPrompt, longTokens); got.status != 200 {
+		t.Fatalf("answer is %+v", got)
+	}
+	later := w.node("n2")
+	w.ready(later)
+	w.until("the new node has asked all engines", func() bool {
+		return strings.Count(w.logs.String(), `"node":"n2","endpoint":`) >= 3 && strings.Contains(w.logs.String(), "engine told what it keeps")
+	})
+	if got := later.callAs("again", "POST", "/long/1", "survey", longPrompt, longTokens); got.status != 200 {
+		t.Fatalf("answer is %+v", got)
+	}
+	for _, line := range strings.Split(w.logs.String(), "\n") {
+		if strings.Contains(line, `"request":"again"`) && strings.Contains(line, "first event") && strings.Contains(line, `"cached":0`) {
+			t.Errorf("the prompt was read again: %s", line)
+		}
+	}
+}
+
+// TestReaderIsSilent: an engine takes a prompt and says nothing. The request is
+// read elsewhere before its caller gives up.
+func TestReaderIsSilent(t *testing.T) {
+	w, n := engineWorld(t, 3)
+	w.runners["p"].Fail(bystub.RunnerFaults{Silent: 9})
+	if got := n.call("POST", "/long/1", "survey", longPrompt, longTokens); got.status != 200 || !wholeStream(3, got.body) {
+		t.Errorf("answer is %+v", got)
+	}
+	if w.runs() != 1 {
+		t.Errorf("%d runs", w.runs())
+	}
+}
+
 // TestKeptPromptIsFreed: a prompt that was read is freed if no engine takes it.
 func TestKeptPromptIsFreed(t *testing.T) {
 	w, n := engineWorld(t, 3)
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -61,6 +61,7 @@
 	DirectoryAddr string        // for callers that ask where to connect
 	PeerAddr      string        // for other nodes: heartbeats as datagrams, readings as calls
 	MetricsAddr   string        // for /metrics; empty serves none
+	FirstStart    bool          // the whole system starts for the first time
 	ClaimTTL      time.Duration // for how long a node may order an engine, once it has claimed it
 	Tuning
 }
@@ -82,7 +83,7 @@
 	Registry       burdockyard.Registry
 	Table          burdockyard.Table
 	Protocol       burdockyard.Protocol
-	Roles          burdockyard.RoleProtocol
+	Engines        burdockyard.EngineProtocol
 	ConfigTable    string
 	ConfigKey      string
 	InstanceTable  string
@@ -276,6 +277,9 @@
 	group.Go(func() error { return n.peers.register(ctx) })
 	group.Go(func() error { return n.peers.tellLoop(ctx) })
 	group.Go(func() error { return every(ctx, sweepEvery, n.sweep) })
+	if !n.settings.FirstStart {
+		group.Go(func() error { return n.learnCaches(ctx) })
+	}
 	group.Go(func() error { return every(ctx, roleEvery, n.roles.step) })
 }
 
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -79,7 +79,7 @@
 func (c *call) runPlan(ctx context.Context, plan byplace.Plan, relay *relay) (outcome, error) {
 	n := c.node
 	attempt := burdockyard.Attempt{Priority: -1, Resume: relay.resume()}
-	work := byplace.Work{Read: plan.Read, Streams: 1}
+	work := byplace.Work{Read: plan.Read, Streams: 1, Long: c.info.Prompt != nil && byplace.Long(c.info.Prompt)}
 	var kept *keptPrompt
 	if plan.Reader == nil {
 		attempt.Fetch = plan.Source
@@ -176,8 +176,14 @@
 	flight := n.ledger.Begin(e.ID, byplace.Work{Read: plan.Read})
 	defer flight.Done()
 	sent := n.clock.Now()
-	resp, o, err := c.send(ctx, e, burdockyard.Attempt{ReadOnly: true, Fetch: plan.Source, Priority: plan.First})
-	if o == broken {
+	limit, cancel := context.WithTimeout(ctx, plan.ReadLimit())
+	defer cancel()
+	resp, o, err := c.send(limit, e, burdockyard.Attempt{ReadOnly: true, Fetch: plan.Source, Priority: plan.First})
+	silent := o == abandoned && limit.Err() != nil && ctx.Err() == nil && c.left() > 0
+	if silent {
+		c.log("reader is silent", bylog.Str("endpoint", string(e.ID)), bylog.Millis("limit_ms", plan.ReadLimit()), bylog.Millis("wait_ms", plan.Wait), bylog.Millis("read_ms", plan.Read))
+	}
+	if o == broken || silent {
 		o = notRun // reading is not running: another engine may get the request
 	}
 	if o != answered {
--- a/io/byentry/roles.go
+++ b/io/byentry/roles.go
@@ -31,7 +31,7 @@
 	// controlTimeout bounds one call of an engine's controls.
 	controlTimeout = 600 * time.Millisecond
 	// controlAnswer bounds the answer to such a call, in bytes.
-	controlAnswer = 64 << 10
+	controlAnswer = 1 << 20
 )
 
 // roleChanges orders engines to change their role when the mix of prompts and
@@ -154,7 +154,7 @@
 // answer may still be carried out, and the registry will tell.
 func (r *roleChanges) order(ctx context.Context, claim byclaim.Claim, e byfleet.Endpoint, role burdockyard.Role) error {
 	n := r.node
-	protocol := n.platform.Roles
+	protocol := n.platform.Engines
 	method, path, h := protocol.ReportCall(e.ID)
 	status, body, err := n.control(ctx, e, &byforward.Request{Method: method, Path: path, Header: h})
 	if err != nil {
--- a/io/byentry/roles_test.go
+++ b/io/byentry/roles_test.go
@@ -26,7 +26,7 @@
 func newRoleWorld(t *testing.T, table burdockyard.Table, name string) *roleWorld {
 	t.Helper()
 	w := &roleWorld{
-		node:    New(Settings{Node: burdockyard.NodeID(name), Domain: "a", ClaimTTL: 3 * time.Second, Tuning: Tuning{Capacity: 1}}, Platform{Table: table, Protocol: platform.Protocol{}, Roles: platform.Roles{}}),
+		node:    New(Settings{Node: burdockyard.NodeID(name), Domain: "a", ClaimTTL: 3 * time.Second, Tuning: Tuning{Capacity: 1}}, Platform{Table: table, Protocol: platform.Protocol{}, Engines: platform.Engines{}}),
 		runners: map[string]*bystub.Runner{},
 		spec:    &burdockyard.ServiceSpec{Name: "llm", Model: &burdockyard.ModelSpec{Slots: 12, RoleChange: time.Second}},
 	}
--- a/io/byentry/world_test.go
+++ b/io/byentry/world_test.go
@@ -148,7 +148,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	n := &testNode{settings: s, stop: stop, group: &errgroup.Group{}}
 	node := byentry.New(s, byentry.Platform{
-		Registry: store, Table: store, Protocol: platform.Protocol{}, Roles: platform.Roles{},
+		Registry: store, Table: store, Protocol: platform.Protocol{}, Engines: platform.Engines{},
 		ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigRow, InstanceTable: platform.InstanceTable,
 		DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance,
 		NewDirectory: func(lookup func(host, domain string) ([]string, time.Duration)) http.Handler {
--- a/io/bygossip/bygossip_test.go
+++ b/io/bygossip/bygossip_test.go
@@ -59,7 +59,7 @@
 	want := bymember.Heartbeat{
 		Member:     burdockyard.Member{Node: "n1", Incarnation: "abc", Addr: "10.0.0.1:7660"},
 		CallerAddr: "10.0.0.1:8144", Domain: "a", Leaving: true, Generation: 7, Seq: 3, Ready: true, Capacity: 0.4,
-		Loads: []bymember.Load{{Engine: "e1", PrefillTokens: 900, Streams: 2}},
+		Loads: []bymember.Load{{Engine: "e1", PrefillTokens: 900, Streams: 2, LongStreams: 1}},
 		Reads: []bymember.Cached{{Engine: "e1", Part: 0x5c1e07a2, Tokens: 800}},
 	}
 	from.Send(want, []netip.AddrPort{to})
--- a/io/bylog/bylog.go
+++ b/io/bylog/bylog.go
@@ -12,6 +12,7 @@
 	"io"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
 )
 
@@ -69,9 +70,15 @@
 	return func(e *zerolog.Event) { e.Float64(name, float64(d.Microseconds())/1e3) }
 }
 
-// Err adds an error.
+// Err adds an error, with the one that caused it.
 func Err(err error) Field {
-	return func(e *zerolog.Event) { e.AnErr("error", err) }
+	return func(e *zerolog.Event) {
+		if cause := merry.Cause(err); cause != nil {
+			e.Str("error", err.Error()+": "+cause.Error())
+			return
+		}
+		e.AnErr("error", err)
+	}
 }
 
 // Debug says something that only a developer wants to know.
--- a/io/bylog/explain_test.go
+++ b/io/bylog/explain_test.go
@@ -1,29 +1,55 @@
 package bylog_test
 
 import (
-	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"burdockyard/io/bylog"
 )
 
 func TestExplain(t *testing.T) {
-	a := `  1.2 front-1 {"level":"info","node":"n1","request":"r1","endpoint":"i-1","time":"2026-01-01T00:00:00.020Z","message":"calls: send failed"}
+	a := `  1.2 front-1 {"level":"info","node":"n1","request":"r1","endpoint":"i-1","error":"answer interrupted: connection reset","time":"2026-01-01T00:00:00.020Z","message":"calls: send failed"}
 {"level":"info","node":"n1","request":"r2","time":"2026-01-01T00:00:00.021Z","message":"calls: answered"}
 {"level":"info","node":"n1","request":"r1","ti
 `
-	b := `{"level":"info","node":"n2","request":"r1","status":502,"cause":"no_answer","time":"2026-01-01T00:00:00.030Z","message":"calls: failed"}
+	long := `{"request":"r1","text":"` + strings.Repeat("x", 3<<20) + `"}` + "\n"
+	b := `{"level":"info","node":"n2","request":"r1","status":502,"cause":"no_answer","sends":1,"after_ms":20.5,"time":"2026-01-01T00:00:00.030Z","message":"calls: failed"}
 not a line of a log
-{"level":"info","node":"n2","request":"r1","time":"2026-01-01T00:00:00.010Z","message":"calls: prompt read"}
-`
-	want := `2026-01-01T00:00:00.010Z n2 calls: prompt read
-2026-01-01T00:00:00.020Z n1 calls: send failed endpoint=i-1
-2026-01-01T00:00:00.030Z n2 calls: failed cause=no_answer status=502
-`
-	var out bytes.Buffer
-	found, bad, err := bylog.Explain(&out, "r1", strings.NewReader(a), strings.NewReader(b))
-	if err != nil || found != 3 || bad != 1 || out.String() != want {
-		t.Errorf("found %d, bad %d, %v:\n%s", found, bad, err, out.String())
+` + long + `{"level":"info","node":"n2","request":"r1","time":"2026-01-01T00:00:00.010Z","message":"calls: prompt read"}
+{"level":"info","node":"n2","req`
+	want := []string{
+		"2026-01-01T00:00:00.010Z n2 calls: prompt read",
+		"2026-01-01T00:00:00.020Z n1 calls: send failed endpoint=i-1 error=answer interrupted: connection reset",
+		"2026-01-01T00:00:00.030Z n2 calls: failed after_ms=20.5 cause=no_answer sends=1 status=502",
+	}
+	e, err := bylog.Explain("r1", strings.NewReader(a), strings.NewReader(b))
+	if err != nil || !slices.Equal(e.Lines, want) {
+		t.Errorf("%v:\n%s", err, strings.Join(e.Lines, "\n"))
+	}
+	if want := "calls: failed, no_answer; after calls: send failed: answer interrupted: connection reset, at i-1; 20.5 ms after it came, sent 1 times"; e.Cause != want {
+		t.Errorf("cause is %q, not %q", e.Cause, want)
+	}
+	var bad []string
+	for _, l := range e.Bad {
+		bad = append(bad, fmt.Sprint(l.Log, ":", l.Line))
+	}
+	if want := []string{"0:3", "1:3", "1:5"}; !slices.Equal(bad, want) {
+		t.Errorf("bad lines are %v, not %v", bad, want)
+	}
+}
+
+func TestExplainNothing(t *testing.T) {
+	e, err := bylog.Explain("r1", strings.NewReader("\n\nhello\n"))
+	if err != nil || len(e.Lines) > 0 || len(e.Bad) > 0 || e.Cause != "" {
+		t.Errorf("%+v, %v", e, err)
+	}
+	broken := errors.New("disk is gone")
+	if _, err := bylog.Explain("r1", io.MultiReader(strings.NewReader("a\n"), iotest.ErrReader(broken))); !errors.Is(err, broken) {
+		t.Errorf("a log that can't be read to its end: %v", err)
 	}
 }
--- a/io/bypeer/server.go
+++ b/io/bypeer/server.go
@@ -103,7 +103,7 @@
 	for _, l := range b.Loads {
 		out.Loads = append(out.Loads, &bypeerpb.Load{
 			Engine: string(l.Engine), PrefillTokens: int64(l.PrefillTokens),
-			LongTokens: int64(l.LongTokens), Streams: int64(l.Streams),
+			LongTokens: int64(l.LongTokens), Streams: int64(l.Streams), LongStreams: int64(l.LongStreams),
 		})
 	}
 	for _, id := range b.Holds {
@@ -124,7 +124,7 @@
 	for _, l := range b.GetLoads() {
 		out.Loads = append(out.Loads, bymember.Load{
 			Engine: burdockyard.EndpointID(l.GetEngine()), PrefillTokens: int(l.GetPrefillTokens()),
-			LongTokens: int(l.GetLongTokens()), Streams: int(l.GetStreams()),
+			LongTokens: int(l.GetLongTokens()), Streams: int(l.GetStreams()), LongStreams: int(l.GetLongStreams()),
 		})
 	}
 	for _, id := range b.GetHolds() {
--- a/protocol.go
+++ b/protocol.go
@@ -84,9 +84,9 @@
 	Sequence int  // orders accepted since its start
 }
 
-// RoleProtocol translates the calls that change an engine's role. The headers name
-// the engine, so that a restarted one at the address refuses.
-type RoleProtocol interface {
+// EngineProtocol translates the calls of an engine's controls. The headers name the
+// engine, so that a restarted one at the address refuses.
+type EngineProtocol interface {
 	// ReportCall asks an engine for a RoleReport.
 	ReportCall(id EndpointID) (method, path string, h http.Header)
 	DecodeReport(body []byte) (RoleReport, error)
@@ -95,6 +95,9 @@
 	// DecodeOrder tells from an answer's status whether the order is or was carried
 	// out (nil), and if not, why.
 	DecodeOrder(status int) error
+	// CacheCall asks an engine which parts of prompts it keeps.
+	CacheCall(id EndpointID) (method, path string, h http.Header)
+	DecodeCache(body []byte) ([]PromptPart, error)
 }
 
 // Change is one row of a table that changed.
