--- a/cmd/burdock/settings.go
+++ b/cmd/burdock/settings.go
@@ -61,5 +61,6 @@
 // place returns what a running node can't change: its name and its addresses.
 func place(s platform.Settings) platform.Settings {
 	s.CPUShare, s.LinkMbps, s.MemoryBytes, s.Bounds = 0, 0, 0, platform.Bounds{}
+	s.FirstStart = false // matters at a start only
 	return s
 }
--- a/cmd/burdock/settings_test.go
+++ b/cmd/burdock/settings_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,11 +19,22 @@
 // TestSettingsFollower: settings change with a signal and without one, and a file
 // that can't be read changes nothing.
 func TestSettingsFollower(t *testing.T) {
+	type reading struct {
+		s   platform.Settings
+		err error
+	}
 	sound := platform.Settings{Node: "n", LinkMbps: 1000, CPUShare: 0.4, Bounds: platform.Bounds{Grace: 8 * time.Second}}
+	shorter := sound
+	shorter.Bounds.Grace = 4 * time.Second
+	smaller := shorter
+	smaller.CPUShare, smaller.FirstStart = 0.2, true
 	var tuned []byentry.Tuning
-	next, failure := sound, error(nil)
+	readings := make(chan reading)
 	f := settingsFollower{
-		read: func() (platform.Settings, error) { return next, failure },
+		read: func() (platform.Settings, error) {
+			r := <-readings
+			return r.s, r.err
+		},
 		tune: func(t byentry.Tuning) { tuned = append(tuned, t) },
 		log:  bylog.Part(zerolog.Nop(), bylog.Node), last: sound,
 	}
@@ -33,16 +45,12 @@
 		f.run(ctx, hup, poll)
 		return nil
 	})
-	poll <- time.Time{}
-	next.Bounds.Grace = 4 * time.Second
-	poll <- time.Time{}
-	hup <- nil // the one before has been taken in
-	failure = errors.New("half a file")
-	poll <- time.Time{}
-	hup <- nil
-	failure = nil
-	next.CPUShare = 0.2
+	for _, r := range []reading{{sound, nil}, {shorter, nil}, {shorter, nil}, {smaller, errors.New("half a file")}} {
+		poll <- time.Time{}
+		readings <- r
+	}
 	hup <- nil
+	readings <- reading{smaller, nil}
 	stop()
 	if err := group.Wait(); err != nil {
 		t.Fatal(err)
@@ -51,7 +59,7 @@
 		{Capacity: 0.4, Grace: 4 * time.Second},
 		{Capacity: 0.2, Grace: 4 * time.Second},
 	}
-	if len(tuned) != 2 || tuned[0] != want[0] || tuned[1] != want[1] {
+	if !slices.Equal(tuned, want) {
 		t.Errorf("settings taken into force are %+v, not %+v", tuned, want)
 	}
 }
--- a/core/byplace/byplace.go
+++ b/core/byplace/byplace.go
@@ -56,18 +56,19 @@
 	latency time.Duration // of Predict, the part that no work explains
 }
 
-// ReadLimit is the time after which a reader that has said nothing counts as
-// silent. Readings that go well take less by far: 1 in 500 came later than this
-// on days with slow engines.
-func (p Plan) ReadLimit() time.Duration {
-	return silentFactor*(p.Wait+p.Read+p.latency) + silentSlack
-}
-
+// A reader that says nothing for longer than its prediction times silentFactor and
+// silentSlack counts as silent. The factor leaves room for short prompts that other
+// nodes send in the meantime, which go first, and the slack for an engine in a stall.
 const (
 	silentFactor = 2
 	silentSlack  = 400 * time.Millisecond
 )
 
+// ReadLimit is the time after which the plan's reader counts as silent.
+func (p Plan) ReadLimit() time.Duration {
+	return silentFactor*(p.Wait+p.Read+p.latency) + silentSlack
+}
+
 // PlanPrompt chooses the engines of a prompt; false if no engine can run it.
 func (l *Ledger) PlanPrompt(n Need, engines []byfleet.Endpoint) (Plan, bool) {
 	l.mu.Lock()
