Log each endpoint that failed a request, and what was asked of it

Change: a line for each endpoint that fails; "send failed" and "endpoint refused" tell what was asked (read or run) and what was predicted. The cause names the status. Test: TestEachSendIsLogged, TestExplain. No decision changes.

--- a/io/byentry/byentry_test.go
+++ b/io/byentry/byentry_test.go
@@ -121,6 +121,26 @@
 	}
 }
 
+// TestEachSendIsLogged: the log names each endpoint that had a request, and why it
+// did not end there.
+func TestEachSendIsLogged(t *testing.T) {
+	w, n := plainWorld(t)
+	w.failAll(bystub.RunnerFaults{Error: 1})
+	if got := n.callAs("twice", "GET", "/read/1", ""); got.status != 500 {
+		t.Errorf("answer is %+v", got)
+	}
+	for _, id := range []string{"app-1", "app-2"} {
+		w.until("failure of "+id+" is logged", func() bool {
+			for _, line := range strings.Split(w.logs.String(), "\n") {
+				if strings.Contains(line, `"endpoint":"`+id+`","status":500,"request":"twice"`) && strings.Contains(line, "endpoint failed") {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
+
 func TestRejects(t *testing.T) {
 	w, n := plainWorld(t)
 	tests := []struct {
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -61,7 +61,7 @@
 	c.tried[e.ID] = true
 	resp, err := n.forward.Send(ctx, byforward.Target{Addr: e.Addr, MaxConns: n.connShare(c.service)}, req)
 	if err != nil {
-		c.log("send failed", bylog.Str("endpoint", string(e.ID)), bylog.Str("addr", e.Addr), bylog.Err(err))
+		c.log("send failed", append(c.sendFields(e, a), bylog.Str("addr", e.Addr), bylog.Err(err))...)
 		return nil, c.sortError(ctx, e, err), err
 	}
 	info := n.platform.Protocol.DecodeAnswer(resp.Status, resp.Header)
@@ -75,13 +75,26 @@
 		n.report(e, byfleet.Failed, nil)
 	}
 	if info.NotRun {
-		c.log("endpoint refused", bylog.Str("endpoint", string(e.ID)), bylog.Int("status", resp.Status))
+		c.log("endpoint refused", append(c.sendFields(e, a), bylog.Int("status", resp.Status))...)
 		c.drain(resp)
 		return nil, notRun, burdockyard.ErrNotStarted
 	}
 	return resp, answered, nil
 }
 
+// sendFields tells what an endpoint was asked for, and what was predicted of it.
+func (c *call) sendFields(e byfleet.Endpoint, a burdockyard.Attempt) []bylog.Field {
+	asked := "run"
+	if a.ReadOnly {
+		asked = "read"
+	}
+	fields := []bylog.Field{bylog.Str("endpoint", string(e.ID)), bylog.Str("asked_to", asked)}
+	if p := c.planned; p.Predict > 0 {
+		fields = append(fields, bylog.Millis("predict_ms", p.Predict), bylog.Millis("wait_ms", p.Wait), bylog.Millis("read_ms", p.Read), bylog.Int("cached", p.Cached))
+	}
+	return fields
+}
+
 func (c *call) sortError(ctx context.Context, e byfleet.Endpoint, err error) outcome {
 	if c.gone() {
 		return abandoned
@@ -180,6 +193,7 @@
 // keepFailure keeps an endpoint's own failure, which the caller gets if no other
 // endpoint does better.
 func (c *call) keepFailure(a *answer) {
+	c.log("endpoint failed", bylog.Str("endpoint", string(a.endpoint)), bylog.Int("status", a.status))
 	c.failure.close()
 	c.failure = a
 }
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -13,6 +13,7 @@
 
 	"burdockyard"
 	"burdockyard/core/byfleet"
+	"burdockyard/core/byplace"
 	"burdockyard/core/byroutes"
 	"burdockyard/io/bylog"
 )
@@ -53,7 +54,8 @@
 	tries   int       // endpoints to which it was sent and that may have run it
 	sends   int       // all sends, also those that were refused
 	tried   map[burdockyard.EndpointID]bool
-	failure *answer // an endpoint's own, nil if none has failed
+	failure *answer      // an endpoint's own, nil if none has failed
+	planned byplace.Plan // the newest one, for the log
 }
 
 // ServeHTTP implements http.Handler.
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -78,6 +78,7 @@
 // runPlan lets the prompt be read and run as planned.
 func (c *call) runPlan(ctx context.Context, plan byplace.Plan, relay *relay) (outcome, error) {
 	n := c.node
+	c.planned = plan
 	attempt := burdockyard.Attempt{Priority: -1, Resume: relay.resume()}
 	work := byplace.Work{Read: plan.Read, Streams: 1, Long: c.info.Prompt != nil && byplace.Long(c.info.Prompt)}
 	var kept *keptPrompt
--- a/io/bylog/explain.go
+++ b/io/bylog/explain.go
@@ -97,6 +97,9 @@
 	}
 	end := found[len(found)-1]
 	text := fmt.Sprint(end["message"])
+	if status, ok := end["status"]; ok {
+		text += fmt.Sprintf(" with status %v", status)
+	}
 	if c, ok := end["cause"]; ok {
 		text += ", " + fmt.Sprint(c)
 	}
--- a/io/bylog/explain_test.go
+++ b/io/bylog/explain_test.go
@@ -31,7 +31,7 @@
 	if err != nil || !slices.Equal(e.Lines, want) {
 		t.Errorf("%v:\n%s", err, strings.Join(e.Lines, "\n"))
 	}
-	if want := "calls: failed, no_answer; after calls: send failed: answer interrupted: connection reset, at i-1; 20.5 ms after it came, sent 1 times"; e.Cause != want {
+	if want := "calls: failed with status 502, no_answer; after calls: send failed: answer interrupted: connection reset, at i-1; 20.5 ms after it came, sent 1 times"; e.Cause != want {
 		t.Errorf("cause is %q, not %q", e.Cause, want)
 	}
 	var bad []string
