Tell in `explain` when a node was lost; serve gauges of pools, budget and holds

Change: a request without a last line of an end is said to have none, with the node and the time. The words that end a request are one list in io/bylog, which the node uses too. No decision changes.

--- a/core/bybudget/bybudget.go
+++ b/core/bybudget/bybudget.go
@@ -65,6 +65,13 @@
 	return true
 }
 
+// Left returns how many retries are saved up.
+func (b *Budget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens
+}
+
 // Resize changes how many retries one request earns and how many may be saved up,
 // as the bound or the number of nodes that share it changes.
 func (b *Budget) Resize(ratio, burst float64) {
--- a/io/byentry/budgets.go
+++ b/io/byentry/budgets.go
@@ -38,6 +38,17 @@
 	return budget
 }
 
+// left returns the second sends that the service with the least of them has left.
+func (b *budgets) left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	least := b.burst()
+	for _, budget := range b.byService {
+		least = min(least, budget.Left())
+	}
+	return least
+}
+
 func (b *budgets) burst() float64 {
 	return max(b.slack*budgetShare/float64(b.nodes), minBurst)
 }
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -203,7 +203,7 @@
 	switch {
 	case c.gone():
 		c.failure.close()
-		c.finished(outLeft)
+		c.finished(bylog.EndLeft)
 	case c.failure != nil:
 		c.deliver(c.failure)
 	case last == notRun && c.tries > 0:
@@ -277,8 +277,8 @@
 		_, err = io.Copy(c.w, a.rest)
 	}
 	if err != nil {
-		c.finished(outCut, bylog.Str("endpoint", string(a.endpoint)), bylog.Err(err))
+		c.finished(bylog.EndCut, bylog.Str("endpoint", string(a.endpoint)), bylog.Err(err))
 		panic(http.ErrAbortHandler) // the caller must not take it for a whole one
 	}
-	c.finished(outAnswered, bylog.Int("status", a.status), bylog.Str("endpoint", string(a.endpoint)))
+	c.finished(bylog.EndAnswered, bylog.Int("status", a.status), bylog.Str("endpoint", string(a.endpoint)))
 }
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -18,6 +18,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"runtime/metrics"
 	"sync/atomic"
 	"time"
 
@@ -108,7 +109,8 @@
 	budgets  *budgets
 	view     *bymember.View
 	peers    *peers
-	watches  []*watch
+	config   *watch
+	watches  []*watch // of all tables that are followed
 	relays   *bypeer.RelayClients
 	callers  *callers
 	roles    *roleChanges
@@ -162,8 +164,9 @@
 	n.callers = newCallers(n.clock)
 	n.roles = newRoleChanges(n)
 	n.relays = bypeer.NewRelayClients()
+	n.config = newWatch(n, p.ConfigTable, func() time.Duration { return n.tuning.Load().ConfigBound }, configShare, n.log.config, n.applyConfig)
 	n.watches = []*watch{
-		newWatch(n, p.ConfigTable, func() time.Duration { return n.tuning.Load().ConfigBound }, configShare, n.log.config, n.applyConfig),
+		n.config,
 		newWatch(n, p.InstanceTable, func() time.Duration { return n.tuning.Load().DrainBound }, drainShare, n.log.fleet, n.applyInstances),
 	}
 	n.Tune(s.Tuning)
@@ -235,6 +238,11 @@
 	n.metrics.Gauge("burdock_known_endpoints", func() float64 { return float64(n.fleet.Len()) })
 	n.metrics.Gauge("burdock_registry_age_seconds", func() float64 { return n.fleet.Age().Seconds() })
 	n.metrics.Gauge("burdock_alive_peers", func() float64 { return float64(len(n.view.Alive())) })
+	n.metrics.Gauge("burdock_config_age_seconds", func() float64 { return n.config.age().Seconds() })
+	n.metrics.Gauge("burdock_endpoint_connections", func() float64 { return float64(n.forward.Open()) })
+	n.metrics.Gauge("burdock_retries_left", n.budgets.left)
+	n.metrics.Gauge("burdock_held_engines", func() float64 { return float64(n.roles.held()) })
+	n.metrics.Gauge("burdock_memory_bytes", memoryBytes)
 	n.metrics.Gauge("burdock_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
 	n.metrics.Gauge("burdock_config_version", func() float64 {
 		if t := n.routes.Current(); t != nil {
@@ -247,6 +255,13 @@
 	return mux
 }
 
+// memoryBytes is the memory that the process has from its system.
+func memoryBytes() float64 {
+	s := []metrics.Sample{{Name: "/memory/classes/total:bytes"}}
+	metrics.Read(s)
+	return float64(s[0].Value.Uint64())
+}
+
 func listenAll(addrs ...string) ([]net.Listener, error) {
 	var all []net.Listener
 	for _, addr := range addrs {
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -200,7 +200,7 @@
 
 // reject answers a request that is wrong in itself.
 func (c *call) reject(status int, cause string) {
-	c.finished(outRejected, bylog.Int("status", status), bylog.Str("cause", cause))
+	c.finished(bylog.EndRejected, bylog.Int("status", status), bylog.Str("cause", cause))
 	if status == http.StatusRequestEntityTooLarge || status == http.StatusBadRequest || status == http.StatusRequestTimeout {
 		c.w.Header().Set("Connection", "close") // the rest of the body is not read
 	}
@@ -211,7 +211,7 @@
 // come back.
 func (c *call) refuse(cause string, back time.Duration) {
 	back = min(max(back, shortestReturn), c.left()/longestReturn)
-	c.finished(outRefused, bylog.Str("cause", cause), bylog.Millis("back_ms", back))
+	c.finished(bylog.EndRefused, bylog.Str("cause", cause), bylog.Millis("back_ms", back))
 	if back > 0 {
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(back.Seconds(), 'f', 3, 64))
 	}
@@ -224,23 +224,13 @@
 	if c.left() <= 0 || errors.Is(err, context.DeadlineExceeded) {
 		status = http.StatusGatewayTimeout
 	}
-	c.finished(outFailed, bylog.Int("status", status), bylog.Str("cause", cause), bylog.Err(err))
+	c.finished(bylog.EndFailed, bylog.Int("status", status), bylog.Str("cause", cause), bylog.Err(err))
 	http.Error(c.w, "outcome unknown: "+cause, status)
 }
 
 // gone reports whether the caller has left.
 func (c *call) gone() bool { return c.r.Context().Err() != nil }
 
-// outcomes are the words for what became of a request, in logs and metrics.
-const (
-	outAnswered = "answered"
-	outRejected = "rejected"
-	outRefused  = "refused"
-	outFailed   = "failed"
-	outCut      = "answer cut"
-	outLeft     = "caller left"
-)
-
 // finished logs and counts the end of a request.
 func (c *call) finished(outcome string, fields ...bylog.Field) {
 	kind := burdockyard.RouteKind("none")
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -60,7 +60,7 @@
 		return
 	}
 	c.failure.close()
-	c.finished(outCut, bylog.Int("events", relay.events), bylog.Err(err))
+	c.finished(bylog.EndCut, bylog.Int("events", relay.events), bylog.Err(err))
 	panic(http.ErrAbortHandler) // the caller must not take it for a whole one
 }
 
@@ -145,7 +145,7 @@
 	switch {
 	case err == nil:
 		n.report(plan.Runner, byfleet.Succeeded, nil)
-		c.finished(outAnswered, bylog.Int("status", resp.Status), bylog.Str("endpoint", string(plan.Runner.ID)),
+		c.finished(bylog.EndAnswered, bylog.Int("status", resp.Status), bylog.Str("endpoint", string(plan.Runner.ID)),
 			bylog.Int("events", relay.events), bylog.Millis("max_gap_ms", relay.maxGap))
 		return answered, nil
 	case c.gone() || c.left() <= 0 || errors.Is(err, errCallerLeft):
--- a/io/byentry/roles.go
+++ b/io/byentry/roles.go
@@ -218,6 +218,13 @@
 	return ids
 }
 
+// held returns how many engines this node holds.
+func (r *roleChanges) held() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.holds)
+}
+
 // control makes one call of an endpoint's controls.
 func (n *Node) control(ctx context.Context, e byfleet.Endpoint, req *byforward.Request) (status int, body []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
--- a/io/byforward/byforward.go
+++ b/io/byforward/byforward.go
@@ -251,6 +251,17 @@
 	}
 }
 
+// Open returns the number of open connections, idle ones included.
+func (f *Forwarder) Open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, p := range f.pools {
+		n += p.open
+	}
+	return n
+}
+
 // Sweep closes connections that were idle for too long.
 func (f *Forwarder) Sweep() {
 	f.mu.Lock()
--- a/io/bylog/explain.go
+++ b/io/bylog/explain.go
@@ -97,6 +97,9 @@
 	}
 	end := found[len(found)-1]
 	text := fmt.Sprint(end["message"])
+	if !isEnd(text) {
+		return fmt.Sprintf("no end is logged after %q at %v: %v was killed or lost then, or its log is cut", text, end["time"], end["node"])
+	}
 	if status, ok := end["status"]; ok {
 		text += fmt.Sprintf(" with status %v", status)
 	}
@@ -114,6 +117,21 @@
 	return text
 }
 
+// The sentences that end a request, one of which is its last line.
+const (
+	EndAnswered = "answered"    // by an endpoint, also with a failure of its own
+	EndRejected = "rejected"    // wrong in itself
+	EndRefused  = "refused"     // not run
+	EndFailed   = "failed"      // no answer, and it may have run
+	EndCut      = "answer cut"  // in the middle
+	EndLeft     = "caller left" // before the end
+)
+
+func isEnd(message string) bool {
+	_, text, _ := strings.Cut(message, ": ")
+	return slices.Contains([]string{EndAnswered, EndRejected, EndRefused, EndFailed, EndCut, EndLeft}, text)
+}
+
 // lastTrouble names the last line that tells of an error or a status.
 func lastTrouble(found []map[string]any) string {
 	for _, fields := range slices.Backward(found) {
--- a/io/bylog/explain_test.go
+++ b/io/bylog/explain_test.go
@@ -43,6 +43,16 @@
 	}
 }
 
+// TestExplainLostNode: a node that is killed leaves no end of the requests that it
+// had.
+func TestExplainLostNode(t *testing.T) {
+	e, err := bylog.Explain("r1", strings.NewReader(`{"node":"n2","request":"r1","time":"2026-01-01T00:00:00.010Z","message":"calls: first event"}`))
+	want := `no end is logged after "calls: first event" at 2026-01-01T00:00:00.010Z: n2 was killed or lost then, or its log is cut`
+	if err != nil || e.Cause != want {
+		t.Errorf("cause is %q, %v; not %q", e.Cause, err, want)
+	}
+}
+
 func TestExplainNothing(t *testing.T) {
 	e, err := bylog.Explain("r1", strings.NewReader("\n\nhello\n"))
 	if err != nil || len(e.Lines) > 0 || len(e.Bad) > 0 || e.Cause != "" {
