Let a silent reader rest at once; ask different engines for their caches

Each node needed four failures in a row before it avoided the engine, which looked idle meanwhile, since what is given up on is no longer open there. Change: a reading that is silent for longer than its limit begins a rest, as a broken connection does.

Cause 2, by reading: all nodes of a large fleet that start together asked the same 24 engines what they keep, 330 calls each. Each node draws its own now. Test: TestStartingNodesAskDifferentEngines (failed: one engine asked by 60 of 60 nodes).

--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -57,11 +57,12 @@
 	Shed               // it refused for lack of room
 	Stranger           // another endpoint lives at the address
 	NoAnswer           // silent until the time ran out
+	Silent             // silent for far longer than predicted
 )
 
 // String returns the result as logs name it.
 func (r Result) String() string {
-	return [...]string{"succeeded", "failed", "unreachable", "full", "another endpoint at the address", "no answer"}[r]
+	return [...]string{"succeeded", "failed", "unreachable", "full", "another endpoint at the address", "no answer", "silent"}[r]
 }
 
 // Endpoint is one endpoint as it was when it was read from the Fleet.
@@ -274,7 +275,7 @@
 	}
 	e.failures++
 	e.failRate += failRateWeight * (1 - e.failRate)
-	if e.failures < failuresToRest && r != Unreachable {
+	if e.failures < failuresToRest && r != Unreachable && r != Silent {
 		return false
 	}
 	rest := firstRest << min(e.failures-1, 8)
--- a/core/byfleet/byfleet_test.go
+++ b/core/byfleet/byfleet_test.go
@@ -87,6 +87,22 @@
 	})
 }
 
+// TestSilenceRests: an endpoint that takes work and says nothing has little of ours
+// open once each piece is given up on, so that it would draw the next one.
+func TestSilenceRests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b")
+		f.Report("a", byfleet.NoAnswer)
+		expect(t, f, "one request without an answer in its time", "a", "b")
+		if !f.Report("a", byfleet.Silent) {
+			t.Error("no word of a rest")
+		}
+		expect(t, f, "a is silent for longer than predicted", "b")
+		time.Sleep(2100 * time.Millisecond)
+		expect(t, f, "the rest ends", "a", "b")
+	})
+}
+
 // TestStranger: an entry that names the address of another endpoint is set aside
 // until the endpoint starts anew.
 func TestStranger(t *testing.T) {
--- a/core/byplace/byplace_test.go
+++ b/core/byplace/byplace_test.go
@@ -260,3 +260,21 @@
 		t.Errorf("a long prompt is read at %s beside eleven short answers, to spare one long one", pl.Runner.ID)
 	}
 }
+
+// BenchmarkPressure is one look at all engines of a service at letter 1's size:
+// 3,800 engines, 330 nodes of which each has work open at 40.
+func BenchmarkPressure(b *testing.B) {
+	l := byplace.NewLedger(burdockyard.SystemClock{})
+	engines := fleet(1000, 2800)
+	for n := range 330 {
+		var loads []bymember.Load
+		for i := range 40 {
+			loads = append(loads, bymember.Load{Engine: engines[(n*40+i)%len(engines)].ID, PrefillTokens: 900, Streams: 2})
+		}
+		l.Hear(burdockyard.NodeID(fmt.Sprint("n", n)), loads, nil)
+	}
+	for b.Loop() {
+		l.Pressure(engines, burdockyard.RolePrefill)
+		l.Pressure(engines, burdockyard.RoleDecode)
+	}
+}
--- a/io/byentry/caches.go
+++ b/io/byentry/caches.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -42,7 +44,9 @@
 	return group.Wait()
 }
 
-// enginesToAsk returns those that read prompts first, then those near by.
+// enginesToAsk returns those that read prompts first, then those near by. Each
+// group is in a random order, so that nodes which start together do not all ask the
+// same engines of a large fleet.
 func (n *Node) enginesToAsk() []byfleet.Endpoint {
 	var readers, near, far []byfleet.Endpoint
 	for _, s := range n.routes.Current().Services() {
@@ -60,6 +64,9 @@
 			}
 		}
 	}
+	for _, group := range [][]byfleet.Endpoint{readers, near, far} {
+		rand.Shuffle(len(group), func(i, j int) { group[i], group[j] = group[j], group[i] })
+	}
 	all := append(append(readers, near...), far...)
 	return all[:min(len(all), cachesAsked)]
 }
@@ -68,7 +75,7 @@
 	req := &byforward.Request{}
 	req.Method, req.Path, req.Header = n.platform.Engines.CacheCall(e.ID)
 	status, body, err := n.control(ctx, e, req)
-	if err == nil && status != 200 {
+	if err == nil && status != http.StatusOK {
 		return
 	}
 	var parts []burdockyard.PromptPart
--- /dev/null
+++ b/io/byentry/caches_test.go
@@ -0,0 +1,45 @@
+package byentry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"burdockyard"
+)
+
+// TestStartingNodesAskDifferentEngines is the load pattern in which all nodes of a
+// large fleet start at once: no engine may be asked by most of them, since each
+// answer takes its time.
+func TestStartingNodesAskDifferentEngines(t *testing.T) {
+	const nodes = 60
+	asked := map[burdockyard.EndpointID]int{}
+	for range nodes {
+		n := New(Settings{Node: "n", Domain: "a"}, Platform{})
+		n.routes.Offer(&burdockyard.RouteConfig{Version: 1, Services: map[string]*burdockyard.ServiceSpec{"llm": {Name: "llm", Model: &burdockyard.ModelSpec{Slots: 12}}}})
+		var all []burdockyard.Instance
+		for i := range 240 {
+			role := burdockyard.RolePrefill
+			if i >= 120 {
+				role = burdockyard.RoleDecode
+			}
+			all = append(all, burdockyard.Instance{ID: burdockyard.EndpointID(fmt.Sprintf("e%03d", i)), Service: "llm", Domain: string(rune('a' + i%3)), Role: role, Sequence: 1})
+		}
+		n.fleet.Apply(all, nil, time.Now())
+		engines := n.enginesToAsk()
+		if len(engines) != cachesAsked {
+			t.Fatalf("%d engines asked, not %d", len(engines), cachesAsked)
+		}
+		for _, e := range engines {
+			if e.Role != burdockyard.RolePrefill {
+				t.Errorf("%s is asked before engines that read prompts", e.ID)
+			}
+			asked[e.ID]++
+		}
+	}
+	for id, n := range asked {
+		if n > nodes/2 {
+			t.Errorf("%s is asked by %d of %d nodes", id, n, nodes)
+		}
+	}
+}
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -182,6 +182,7 @@
 	resp, o, err := c.send(limit, e, burdockyard.Attempt{ReadOnly: true, Fetch: plan.Source, Priority: plan.First})
 	silent := o == abandoned && limit.Err() != nil && ctx.Err() == nil && c.left() > 0
 	if silent {
+		n.report(e, byfleet.Silent, err)
 		c.log("reader is silent", bylog.Str("endpoint", string(e.ID)), bylog.Millis("limit_ms", plan.ReadLimit()), bylog.Millis("wait_ms", plan.Wait), bylog.Millis("read_ms", plan.Read))
 	}
 	if o == broken || silent {
