Log peers lost and regained, and endpoints that serve again

The log told of nodes found and of endpoints set aside, not of the return of either nor of a peer's silence. Change: "members: peer lost" and "peer regained" once each; "fleet: endpoint regained" at the first success after it was set aside. byfleet.Report returns which of these has happened in place of a yes or no. No decision changes.

--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -65,6 +65,16 @@
 	return [...]string{"succeeded", "failed", "unreachable", "full", "another endpoint at the address", "no answer", "silent"}[r]
 }
 
+// Standing is what a result has changed about an endpoint that is worth telling of.
+type Standing int
+
+// The changes of an endpoint's standing.
+const (
+	Unchanged Standing = iota
+	Aside              // it begins a rest or is set aside
+	Back               // it serves again
+)
+
 // Endpoint is one endpoint as it was when it was read from the Fleet.
 type Endpoint struct {
 	burdockyard.Instance
@@ -77,6 +87,7 @@
 	missing  time.Time // since when the registry lacks it, zero while it is there
 	failures int       // in a row
 	refusals int       // in a row, those of one rest count once
+	aside    bool      // it was told of as set aside, and has not succeeded since
 	failRate float64
 	restTill time.Time
 	stranger time.Time // until when its address counts as another endpoint's
@@ -243,42 +254,49 @@
 // refuse begins a rest after a refusal. Without one, an endpoint that refuses
 // although it is idle would look the least loaded and draw all requests. A
 // refusal during a rest belongs to a request that was sent before it.
-func (e *entry) refuse(now time.Time) bool {
+func (e *entry) refuse(now time.Time) Standing {
 	if now.Before(e.restTill) {
-		return false
+		return Unchanged
 	}
 	e.refusals++
 	e.restTill = now.Add(min(refusalRest<<min(e.refusals-1, 8), longestRefusal))
-	return e.refusals == refusalsToTell
+	if e.refusals != refusalsToTell {
+		return Unchanged
+	}
+	e.aside = true
+	return Aside
 }
 
-// Report takes in the result of an attempt. It returns true if the endpoint
-// begins a rest that is worth telling of, or is set aside.
-func (f *Fleet) Report(id burdockyard.EndpointID, r Result) bool {
+// Report takes in the result of an attempt, and returns what has changed.
+func (f *Fleet) Report(id burdockyard.EndpointID, r Result) Standing {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.entries[id]
 	if e == nil {
-		return false
+		return Unchanged
 	}
 	now := f.clock.Now()
 	switch r {
 	case Succeeded:
 		e.failures, e.refusals = 0, 0
 		e.failRate *= 1 - failRateWeight
-		return false
+		if e.aside {
+			e.aside = false
+			return Back
+		}
+		return Unchanged
 	case Shed:
 		return e.refuse(now)
 	case Stranger:
-		e.stranger = now.Add(strangerFor)
-		return true
+		e.stranger, e.aside = now.Add(strangerFor), true
+		return Aside
 	}
 	e.failures++
 	e.failRate += failRateWeight * (1 - e.failRate)
 	if e.failures < failuresToRest && r != Unreachable && r != Silent {
-		return false
+		return Unchanged
 	}
 	rest := firstRest << min(e.failures-1, 8)
-	e.restTill = now.Add(min(rest, longestRest))
-	return true
+	e.restTill, e.aside = now.Add(min(rest, longestRest)), true
+	return Aside
 }
--- a/core/byfleet/byfleet_test.go
+++ b/core/byfleet/byfleet_test.go
@@ -94,12 +94,18 @@
 		f := newFleet("a", "b")
 		f.Report("a", byfleet.NoAnswer)
 		expect(t, f, "one request without an answer in its time", "a", "b")
-		if !f.Report("a", byfleet.Silent) {
-			t.Error("no word of a rest")
+		if s := f.Report("a", byfleet.Silent); s != byfleet.Aside {
+			t.Errorf("standing %v after silence", s)
 		}
 		expect(t, f, "a is silent for longer than predicted", "b")
 		time.Sleep(2100 * time.Millisecond)
 		expect(t, f, "the rest ends", "a", "b")
+		if s := f.Report("a", byfleet.Succeeded); s != byfleet.Back {
+			t.Errorf("standing %v after the first success", s)
+		}
+		if s := f.Report("a", byfleet.Succeeded); s != byfleet.Unchanged {
+			t.Errorf("standing %v after the second success", s)
+		}
 	})
 }
 
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -134,9 +134,12 @@
 
 // report tells the fleet what came of an attempt.
 func (n *Node) report(e byfleet.Endpoint, r byfleet.Result, err error) {
-	if n.fleet.Report(e.ID, r) {
+	switch n.fleet.Report(e.ID, r) {
+	case byfleet.Aside:
 		n.log.fleet.Info("endpoint set aside", bylog.Str("endpoint", string(e.ID)), bylog.Str("addr", e.Addr),
 			bylog.Str("result", r.String()), bylog.Err(err))
+	case byfleet.Back:
+		n.log.fleet.Info("endpoint regained", bylog.Str("endpoint", string(e.ID)), bylog.Str("addr", e.Addr))
 	}
 }
 
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -315,6 +315,7 @@
 func (n *Node) sweep(context.Context) {
 	n.forward.Sweep()
 	n.ledger.Keep(n.fleet.Known)
+	n.peers.noteHeard()
 	n.budgets.share(1 + len(n.view.Alive()))
 	if t := n.routes.Current(); t != nil {
 		n.callers.closeIdle(t.Limits())
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -54,6 +54,7 @@
 
 	mu    sync.Mutex
 	known map[burdockyard.NodeID]*peer
+	heard map[burdockyard.NodeID]bool // lately, as of the last noteHeard
 }
 
 // peer is another node, heard or found in the table of nodes.
@@ -64,7 +65,7 @@
 }
 
 func newPeers(n *Node) *peers {
-	return &peers{node: n, known: map[burdockyard.NodeID]*peer{}}
+	return &peers{node: n, known: map[burdockyard.NodeID]*peer{}, heard: map[burdockyard.NodeID]bool{}}
 }
 
 func (p *peers) listen() error {
@@ -231,6 +232,29 @@
 	})
 }
 
+// noteHeard logs which peers were lost or regained since it was called last.
+func (p *peers) noteHeard() {
+	beats := p.node.view.HeardWithin(reachableFor)
+	p.mu.Lock()
+	was := p.heard
+	p.heard = make(map[burdockyard.NodeID]bool, len(beats))
+	for _, b := range beats {
+		p.heard[b.Member.Node] = true
+	}
+	now := p.heard
+	p.mu.Unlock()
+	for id := range now {
+		if !was[id] {
+			p.node.log.members.Info("peer regained", bylog.Str("peer", string(id)))
+		}
+	}
+	for id := range was {
+		if !now[id] {
+			p.node.log.members.Warn("peer lost", bylog.Str("peer", string(id)), bylog.Millis("silent_ms", reachableFor))
+		}
+	}
+}
+
 // count returns how many nodes are known in this failure domain and elsewhere.
 func (p *peers) count() (near, far int) {
 	p.mu.Lock()
--- a/io/byentry/peers_test.go
+++ b/io/byentry/peers_test.go
@@ -1,14 +1,18 @@
 package byentry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"burdockyard"
 	"burdockyard/core/bymember"
+	"burdockyard/io/bylog"
 )
 
 // tableOfNodes is a store that holds the table of nodes.
@@ -78,3 +82,39 @@
 		}
 	})
 }
+
+// TestLostPeersAreLogged: the log tells once when a peer falls silent and once when
+// it is heard again.
+func TestLostPeersAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var logs bytes.Buffer
+		n := New(Settings{Node: "n1", Domain: "a", PeerAddr: "10.0.0.1:1"}, Platform{}, WithLog(bylog.New(&logs, "info", "n1")))
+		said := func(why string, want ...string) {
+			t.Helper()
+			n.peers.noteHeard()
+			var got []string
+			for _, line := range strings.Split(logs.String(), "\n") {
+				if _, text, ok := strings.Cut(line, "members: peer "); ok {
+					got = append(got, strings.TrimSuffix(text, `"}`))
+				}
+			}
+			logs.Reset()
+			if !slices.Equal(got, want) {
+				t.Errorf("%s: said %q, not %q", why, got, want)
+			}
+		}
+		beat := func(seq uint64) {
+			n.peers.hear(bymember.Heartbeat{Member: burdockyard.Member{Node: "n2", Incarnation: "1", Addr: "10.0.0.2:1"}, Domain: "a", Seq: seq})
+		}
+		said("alone")
+		beat(1)
+		said("the first heartbeat", "regained")
+		time.Sleep(time.Second)
+		said("a second of silence")
+		time.Sleep(time.Second)
+		said("two seconds of silence", "lost")
+		said("still silent")
+		beat(2)
+		said("heard again", "regained")
+	})
+}
