Bound the log by part, and keep failures before successes

There was one limit for all, one count, and failures were routine lines. Change: each part has its own limits for routine lines and for warnings; what a request lost ("failed", "answer cut", "send failed", "endpoint failed", "reader is silent") is a warning; what other parts than calls say has the room of warnings. Tests: TestRingCountsByPart (failed before: one count, no part), TestNobodyReadsTheLog (2,000 requests are answered while the log's writer is blocked), and those there were.

No decision changes.

--- a/io/byentry/byentry_test.go
+++ b/io/byentry/byentry_test.go
@@ -1,6 +1,7 @@
 package byentry_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"burdockyard/io/bylog"
 	"burdockyard/platform/bystub"
 )
 
@@ -141,6 +143,41 @@
 	}
 }
 
+// unread is a standard output that nobody reads.
+type unread struct{ closed chan struct{} }
+
+func (u unread) Write(p []byte) (int, error) {
+	<-u.closed
+	return len(p), nil
+}
+
+// TestNobodyReadsTheLog: requests go on when the log's reader has stopped.
+func TestNobodyReadsTheLog(t *testing.T) {
+	w := newWorld(t)
+	out := unread{make(chan struct{})}
+	ring := bylog.NewRing(out)
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return ring.Run(ctx) })
+	t.Cleanup(func() {
+		stop()
+		close(out.closed)
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	w.logTo = ring
+	w.config(3, nil)
+	w.runner(bystub.RunnerConfig{ID: "app-1", Service: "app", Zone: "a", Slots: 100})
+	n := w.node("n1")
+	w.ready(n)
+	for i := range 2000 {
+		if got := n.call("GET", "/read/1", ""); got.status != 200 {
+			t.Fatalf("answer %d is %+v", i, got)
+		}
+	}
+}
+
 func TestRejects(t *testing.T) {
 	w, n := plainWorld(t)
 	tests := []struct {
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -61,7 +61,7 @@
 	c.tried[e.ID] = true
 	resp, err := n.forward.Send(ctx, byforward.Target{Addr: e.Addr, MaxConns: n.connShare(c.service)}, req)
 	if err != nil {
-		c.log("send failed", append(c.sendFields(e, a), bylog.Str("addr", e.Addr), bylog.Err(err))...)
+		c.warn("send failed", append(c.sendFields(e, a), bylog.Str("addr", e.Addr), bylog.Err(err))...)
 		return nil, c.sortError(ctx, e, err), err
 	}
 	info := n.platform.Protocol.DecodeAnswer(resp.Status, resp.Header)
@@ -196,7 +196,7 @@
 // keepFailure keeps an endpoint's own failure, which the caller gets if no other
 // endpoint does better.
 func (c *call) keepFailure(a *answer) {
-	c.log("endpoint failed", bylog.Str("endpoint", string(a.endpoint)), bylog.Int("status", a.status))
+	c.warn("endpoint failed", bylog.Str("endpoint", string(a.endpoint)), bylog.Int("status", a.status))
 	c.failure.close()
 	c.failure = a
 }
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -238,18 +238,32 @@
 		kind = c.route.Kind
 	}
 	c.node.metrics.Request(kind, strings.ReplaceAll(outcome, " ", "_")).Inc()
+	if outcome == bylog.EndFailed || outcome == bylog.EndCut {
+		c.warn(outcome, fields...)
+		return
+	}
 	c.log(outcome, fields...)
 }
 
-// log writes one line on a decision about the request, with the age of what the
-// decision rests on.
+// log writes one line on a decision about the request.
 func (c *call) log(sentence string, fields ...bylog.Field) {
+	c.node.log.calls.Info(sentence, c.fields(fields)...)
+}
+
+// warn writes one line on what went wrong with the request, which the log keeps
+// before lines on requests that went well.
+func (c *call) warn(sentence string, fields ...bylog.Field) {
+	c.node.log.calls.Warn(sentence, c.fields(fields)...)
+}
+
+// fields adds what each line tells, and the age of what decisions rest on.
+func (c *call) fields(fields []bylog.Field) []bylog.Field {
 	fields = append(fields, bylog.Str("request", string(c.info.ID)), bylog.Int("sends", c.sends),
 		bylog.Millis("after_ms", c.node.clock.Now().Sub(c.began)), bylog.Millis("registry_age_ms", c.node.fleet.Age()))
 	if c.route != nil {
 		fields = append(fields, bylog.Str("route", c.route.Name), bylog.Int("config", int(c.version)))
 	}
-	c.node.log.calls.Info(sentence, fields...)
+	return fields
 }
 
 // usable returns the endpoints of the service that were not tried yet.
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -183,7 +183,7 @@
 	silent := o == abandoned && limit.Err() != nil && ctx.Err() == nil && c.left() > 0
 	if silent {
 		n.report(e, byfleet.Silent, err)
-		c.log("reader is silent", bylog.Str("endpoint", string(e.ID)), bylog.Millis("limit_ms", plan.ReadLimit()), bylog.Millis("wait_ms", plan.Wait), bylog.Millis("read_ms", plan.Read))
+		c.warn("reader is silent", bylog.Str("endpoint", string(e.ID)), bylog.Millis("limit_ms", plan.ReadLimit()), bylog.Millis("wait_ms", plan.Wait), bylog.Millis("read_ms", plan.Read))
 	}
 	if o == broken || silent {
 		o = notRun // reading is not running: another engine may get the request
@@ -199,7 +199,7 @@
 	}
 	if err != nil || resp.Status != http.StatusOK {
 		n.report(e, byfleet.Failed, err)
-		c.log("prompt not read", bylog.Str("endpoint", string(e.ID)), bylog.Int("status", resp.Status), bylog.Err(err))
+		c.warn("prompt not read", bylog.Str("endpoint", string(e.ID)), bylog.Int("status", resp.Status), bylog.Err(err))
 		return nil, notRun, err
 	}
 	took := n.clock.Now().Sub(sent)
--- a/io/byentry/world_test.go
+++ b/io/byentry/world_test.go
@@ -41,6 +41,7 @@
 	maxBody int           // of the configuration, in bytes
 	maxConn int           // to one endpoint
 	logs    syncBuffer    // of all nodes
+	logTo   io.Writer     // where nodes log to instead, nil: to logs
 }
 
 // syncBuffer is a bytes.Buffer for several writers.
@@ -147,6 +148,10 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n := &testNode{settings: s, stop: stop, group: &errgroup.Group{}}
+	out := w.logTo
+	if out == nil {
+		out = &w.logs
+	}
 	node := byentry.New(s, byentry.Platform{
 		Registry: store, Table: store, Protocol: platform.Protocol{}, Engines: platform.Engines{},
 		ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigRow, InstanceTable: platform.InstanceTable,
@@ -155,7 +160,7 @@
 			return platform.NewDirectory(func(q platform.DirectoryQuery) ([]string, time.Duration) { return lookup(q.Host, q.Domain) })
 		},
 		NewReadiness: platform.NewReadiness,
-	}, byentry.WithLog(bylog.New(&w.logs, "debug", name)))
+	}, byentry.WithLog(bylog.New(out, "debug", name)))
 	n.group.Go(func() error { return node.Run(ctx) })
 	w.nodes = append(w.nodes, n)
 	w.t.Cleanup(func() {
--- a/io/bylog/ring.go
+++ b/io/bylog/ring.go
@@ -1,10 +1,13 @@
 package bylog
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
-	"sync/atomic"
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -14,30 +17,41 @@
 const (
 	// ringLines is how many lines wait for a slow reader, of each kind.
 	ringLines = 1024
-	// routineRate bounds routine lines, a second. A node of 0.4 cores writes about
-	// 100 of them at the peak of the largest deployment.
-	routineRate = 500
+	// partRate bounds the routine lines of one part, and its warnings, a second. A
+	// node of 0.4 cores writes about 100 on calls at the peak of the largest
+	// deployment.
+	partRate = 500
 	// reportEvery is the time between two lines that count what was dropped.
 	reportEvery = 5 * time.Second
 )
 
 // Ring passes lines to a writer without ever making their author wait. Lines
-// that find no room are dropped and counted. Warnings and errors have a room of
-// their own, so that routine lines never push them out.
+// that find no room, and those of a part that says too much, are dropped and
+// counted by part. Routine lines are those on calls that go well: warnings, and
+// what other parts say of a changed belief, have a room of their own, so that no
+// number of answered calls pushes them out.
 type Ring struct {
 	w       io.Writer
 	routine chan []byte
 	urgent  chan []byte
-	limit   *rate.Limiter
-	dropped atomic.Int64
 	done    chan struct{}
+
+	mu    sync.Mutex // leaf lock
+	parts map[string]*partLimit
+}
+
+// partLimit is one part's share of the log.
+type partLimit struct {
+	routine *rate.Limiter
+	warning *rate.Limiter
+	dropped int // since the last report
 }
 
 // NewRing returns a Ring that writes to w once Run is called.
 func NewRing(w io.Writer) *Ring {
 	return &Ring{
 		w: w, routine: make(chan []byte, ringLines), urgent: make(chan []byte, ringLines),
-		limit: rate.NewLimiter(routineRate, routineRate), done: make(chan struct{}),
+		done: make(chan struct{}), parts: map[string]*partLimit{},
 	}
 }
 
@@ -46,21 +60,77 @@
 
 // WriteLevel implements zerolog.LevelWriter.
 func (r *Ring) WriteLevel(level zerolog.Level, line []byte) (int, error) {
+	part := partOf(line)
+	urgent := level >= zerolog.WarnLevel || part != Calls
 	room := r.routine
-	if level >= zerolog.WarnLevel {
+	if urgent {
 		room = r.urgent
-	} else if !r.limit.Allow() {
-		r.dropped.Add(1)
+	}
+	if !r.allow(part, level) {
 		return len(line), nil
 	}
 	select {
 	case room <- append([]byte(nil), line...): // zerolog uses its buffer again
 	default:
-		r.dropped.Add(1)
+		r.drop(part)
 	}
 	return len(line), nil
 }
 
+// allow reports whether a part may say one more line now, and counts the line as
+// dropped if not.
+func (r *Ring) allow(part string, level zerolog.Level) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.part(part)
+	limit := p.routine
+	if level >= zerolog.WarnLevel {
+		limit = p.warning
+	}
+	if limit.Allow() {
+		return true
+	}
+	p.dropped++
+	return false
+}
+
+func (r *Ring) drop(part string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.part(part).dropped++
+}
+
+// part returns a part's limit. The caller holds mu.
+func (r *Ring) part(name string) *partLimit {
+	p := r.parts[name]
+	if p == nil {
+		p = &partLimit{routine: rate.NewLimiter(partRate, partRate), warning: rate.NewLimiter(partRate, partRate)}
+		r.parts[name] = p
+	}
+	return p
+}
+
+// partOf returns the part that says a line, which is the prefix of its sentence,
+// the last field of the line. Lines of others belong to the part "other".
+func partOf(line []byte) string {
+	const field = `"message":"`
+	i := bytes.LastIndex(line, []byte(field))
+	if i < 0 {
+		return otherPart
+	}
+	part, _, ok := bytes.Cut(line[i+len(field):], []byte(": "))
+	if !ok || len(part) > longestPart {
+		return otherPart
+	}
+	return string(part)
+}
+
+const (
+	otherPart = "other"
+	// longestPart bounds the name of a part, in bytes: what is longer is none.
+	longestPart = 16
+)
+
 // Done is closed once Run has returned.
 func (r *Ring) Done() <-chan struct{} { return r.done }
 
@@ -107,12 +177,22 @@
 // write counts a line that the writer did not take; there is nowhere to log it.
 func (r *Ring) write(line []byte) {
 	if _, err := r.w.Write(line); err != nil {
-		r.dropped.Add(1)
+		r.drop(partOf(line))
 	}
 }
 
+// report writes a line for each part of which lines were dropped.
 func (r *Ring) report() {
-	if n := r.dropped.Swap(0); n > 0 {
-		r.write(fmt.Appendf(nil, `{"level":"warn","lines":%d,"message":"logs: lines dropped"}`+"\n", n))
+	r.mu.Lock()
+	dropped := map[string]int{}
+	for name, p := range r.parts {
+		if p.dropped > 0 {
+			dropped[name] = p.dropped
+			p.dropped = 0
+		}
+	}
+	r.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(dropped)) {
+		r.write(fmt.Appendf(nil, `{"level":"warn","part":%q,"lines":%d,"message":"logs: lines dropped"}`+"\n", name, dropped[name]))
 	}
 }
--- a/io/bylog/ring_test.go
+++ b/io/bylog/ring_test.go
@@ -63,3 +63,37 @@
 		}
 	})
 }
+
+// TestRingCountsByPart: what one part says too much of takes no room from the
+// others, and is counted as its own.
+func TestRingCountsByPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		r := bylog.NewRing(&out)
+		log := zerolog.New(r)
+		for range 2000 {
+			log.Info().Msg("calls: answered")
+			log.Warn().Msg("calls: failed")
+		}
+		log.Info().Msg("fleet: endpoint set aside")
+		log.Info().Msg("members: node found")
+		for range 700 {
+			log.Info().Msg("config: configuration in force")
+		}
+		log.Info().Msg("no part says this")
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		if err := r.Run(ctx); err != nil {
+			t.Fatal(err)
+		}
+		for text, want := range map[string]int{
+			"calls: answered": 500, "calls: failed": 500, "fleet: endpoint set aside": 1, "members: node found": 1,
+			"config: configuration in force": 500, "no part says this": 1,
+			`"part":"calls","lines":3000,`: 1, `"part":"config","lines":200,`: 1, "lines dropped": 2,
+		} {
+			if got := strings.Count(out.String(), text); got != want {
+				t.Errorf("%q is there %d times, not %d", text, got, want)
+			}
+		}
+	})
+}
