--- a/cmd/burdock/node.go
+++ b/cmd/burdock/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
@@ -50,6 +51,7 @@
 	ring := bylog.NewRing(os.Stdout)
 	root := bylog.New(ring, c.LogLevel, string(s.Node))
 	log := bylog.Part(root, bylog.Node)
+	log.Info("starting", bylog.Str("version", version), bylog.Str("settings", fmt.Sprintf("%+v", s)))
 	node := byentry.New(c.entrySettings(s), entryPlatform(store), byentry.WithLog(root))
 	ctx, stop := untilSignal()
 	defer stop()
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -59,11 +59,13 @@
 	}
 	c.sends++
 	c.tried[e.ID] = true
+	sent := n.clock.Now()
 	resp, err := n.forward.Send(ctx, byforward.Target{Addr: e.Addr, MaxConns: n.connShare(c.service)}, req)
 	if err != nil {
 		c.warn("send failed", append(c.sendFields(e, a), bylog.Str("addr", e.Addr), bylog.Err(err))...)
 		return nil, c.sortError(ctx, e, err), err
 	}
+	n.metrics.Hop(c.service.Name, askedTo(a)).Update(n.clock.Now().Sub(sent).Seconds())
 	info := n.platform.Protocol.DecodeAnswer(resp.Status, resp.Header)
 	n.ledger.Observe(e.ID, info.Load)
 	switch {
@@ -82,13 +84,17 @@
 	return resp, answered, nil
 }
 
-// sendFields tells what an endpoint was asked for, and what was predicted of it.
-func (c *call) sendFields(e byfleet.Endpoint, a burdockyard.Attempt) []bylog.Field {
-	asked := "run"
+// askedTo is the word for what an attempt asks of an endpoint.
+func askedTo(a burdockyard.Attempt) string {
 	if a.ReadOnly {
-		asked = "read"
+		return "read"
 	}
-	fields := []bylog.Field{bylog.Str("endpoint", string(e.ID)), bylog.Str("asked_to", asked)}
+	return "run"
+}
+
+// sendFields tells what an endpoint was asked for, and what was predicted of it.
+func (c *call) sendFields(e byfleet.Endpoint, a burdockyard.Attempt) []bylog.Field {
+	fields := []bylog.Field{bylog.Str("endpoint", string(e.ID)), bylog.Str("asked_to", askedTo(a))}
 	if p := c.planned; p.Predict > 0 {
 		fields = append(fields, bylog.Millis("predict_ms", p.Predict), bylog.Millis("wait_ms", p.Wait), bylog.Millis("read_ms", p.Read), bylog.Int("cached", p.Cached))
 	}
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -238,6 +238,9 @@
 		kind = c.route.Kind
 	}
 	c.node.metrics.Request(kind, strings.ReplaceAll(outcome, " ", "_")).Inc()
+	if outcome == bylog.EndAnswered {
+		c.node.metrics.RouteWhole(c.route.Name).Update(c.node.clock.Now().Sub(c.began).Seconds())
+	}
 	if outcome == bylog.EndFailed || outcome == bylog.EndCut {
 		c.warn(outcome, fields...)
 		return
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -204,6 +204,7 @@
 	}
 	took := n.clock.Now().Sub(sent)
 	n.metrics.PromptRead().Update(took.Seconds())
+	n.metrics.PromptWait().Update(max(took-plan.Read, 0).Seconds())
 	flight.ReadDone(took)
 	n.ledger.NoteRead(e.ID, c.info.Prompt)
 	n.report(e, byfleet.Succeeded, nil)
--- a/io/bymetrics/bymetrics.go
+++ b/io/bymetrics/bymetrics.go
@@ -99,6 +99,23 @@
 	return m.set.GetOrCreateHistogram("burdock_prompt_read_seconds")
 }
 
+// RouteWhole is the time from a request's arrival to the end of its whole answer.
+func (m *Metrics) RouteWhole(route string) *metrics.Histogram {
+	return m.set.GetOrCreateHistogram(fmt.Sprintf(`burdock_route_whole_seconds{route=%q}`, route))
+}
+
+// Hop is the time from a send to an endpoint of a service to the header of its
+// answer, for a prompt to be read or a request to be run.
+func (m *Metrics) Hop(service, asked string) *metrics.Histogram {
+	return m.set.GetOrCreateHistogram(fmt.Sprintf(`burdock_hop_seconds{service=%q,asked_to=%q}`, service, asked))
+}
+
+// PromptWait is the time that a prompt waited at a reading engine, without its own
+// reading as predicted.
+func (m *Metrics) PromptWait() *metrics.Histogram {
+	return m.set.GetOrCreateHistogram("burdock_prompt_wait_seconds")
+}
+
 // StoreCall counts calls of the platform's store by table and outcome.
 func (m *Metrics) StoreCall(table, outcome string) *metrics.Counter {
 	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_store_calls_total{table=%q,outcome=%q}`, table, outcome))
