--- a/io/byentry/byentry_test.go
+++ b/io/byentry/byentry_test.go
@@ -399,7 +399,13 @@
 	later := w.node("n2")
 	w.ready(later)
 	w.until("the new node has asked all engines", func() bool {
-		return strings.Count(w.logs.String(), `"node":"n2","endpoint":`) >= 3 && strings.Contains(w.logs.String(), "engine told what it keeps")
+		told := 0
+		for _, line := range strings.Split(w.logs.String(), "\n") {
+			if strings.Contains(line, `"node":"n2"`) && strings.Contains(line, "engine told what it keeps") {
+				told++
+			}
+		}
+		return told == 3
 	})
 	if got := later.callAs("again", "POST", "/long/1", "survey", longPrompt, longTokens); got.status != 200 {
 		t.Fatalf("answer is %+v", got)
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -134,6 +134,7 @@
 // WithLog sets where the node's sentences go.
 func WithLog(z zerolog.Logger) Option {
 	return func(n *Node) {
+		z = z.With().Str("incarnation", string(n.self.Incarnation)).Logger()
 		n.log = logs{
 			node: bylog.Part(z, bylog.Node), calls: bylog.Part(z, bylog.Calls), members: bylog.Part(z, bylog.Members),
 			config: bylog.Part(z, bylog.Config), fleet: bylog.Part(z, bylog.Fleet), orders: bylog.Part(z, bylog.Orders),
@@ -196,7 +197,7 @@
 	if err := n.peers.listen(); err != nil {
 		return err
 	}
-	n.log.node.Info("serving", bylog.Str("callers", n.settings.FrontAddr), bylog.Str("incarnation", string(n.self.Incarnation)))
+	n.log.node.Info("serving", bylog.Str("callers", n.settings.FrontAddr))
 
 	// The loops outlive ctx: a stopping node still serves.
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
--- a/io/bylog/explain.go
+++ b/io/bylog/explain.go
@@ -156,7 +156,7 @@
 	text := fmt.Sprintf("%v %v %v", fields["time"], fields["node"], fields["message"])
 	var names []string
 	for name := range fields {
-		if !slices.Contains([]string{"time", "node", "message", "level", "request"}, name) {
+		if !slices.Contains([]string{"time", "node", "incarnation", "message", "level", "request"}, name) {
 			names = append(names, name)
 		}
 	}
