--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -216,13 +216,13 @@
 	case c.failure != nil:
 		c.deliver(c.failure)
 	case last == notRun && c.tries > 0:
-		c.fail("endpoint_failed", err) // an earlier send may have run
+		c.fail(reasonEndpointFailed, err) // an earlier send may have run
 	case last == notRun && len(c.tried) == 0:
-		c.refuse("no_endpoint", noEndpointReturn)
+		c.refuse(reasonNoEndpoint, noEndpointReturn)
 	case last == notRun:
-		c.refuse("endpoints_full", fullReturn)
+		c.refuse(reasonEndpointsFull, fullReturn)
 	default:
-		c.fail("no_answer", err)
+		c.fail(reasonNoAnswer, err)
 	}
 }
 
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -69,7 +69,7 @@
 	table := n.routes.Current()
 	if table == nil {
 		c.until = c.began.Add(defaultDeadline)
-		c.refuse("no_configuration", unconfiguredReturn)
+		c.refuse(reasonNoConfiguration, unconfiguredReturn)
 		return
 	}
 	if status, cause := c.open(table); status != 0 {
@@ -82,7 +82,7 @@
 	}
 	defer func() { n.held.Add(-size) }()
 	if n.held.Add(size) > int64(bodyShare*float64(n.tuning.Load().MemoryBytes)) {
-		c.refuse("memory", unconfiguredReturn)
+		c.refuse(reasonMemory, unconfiguredReturn)
 		return
 	}
 	if status, cause := c.readBody(int64(table.Limits().BodyBytes)); status != 0 {
@@ -207,25 +207,38 @@
 	http.Error(c.w, cause, status)
 }
 
+// reason is why a request was refused or failed, as logs and callers are told.
+type reason string
+
+const (
+	reasonNoConfiguration reason = "no_configuration" // this node knows none yet
+	reasonMemory          reason = "memory"           // bodies fill the memory set aside for them
+	reasonOverload        reason = "overload"         // it would start after its caller has left
+	reasonNoEndpoint      reason = "no_endpoint"      // the service has none that may get work
+	reasonEndpointsFull   reason = "endpoints_full"   // those that were asked refused
+	reasonNoAnswer        reason = "no_answer"        // sent, and no whole answer came
+	reasonEndpointFailed  reason = "endpoint_failed"  // one may have run it, the others refused
+)
+
 // refuse answers a request that has not run and never will, with the time to
 // come back.
-func (c *call) refuse(cause string, back time.Duration) {
+func (c *call) refuse(cause reason, back time.Duration) {
 	back = min(max(back, shortestReturn), c.left()/longestReturn)
-	c.finished(bylog.EndRefused, bylog.Str("cause", cause), bylog.Millis("back_ms", back))
+	c.finished(bylog.EndRefused, bylog.Str("cause", string(cause)), bylog.Millis("back_ms", back))
 	if back > 0 {
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(back.Seconds(), 'f', 3, 64))
 	}
-	http.Error(c.w, "not run: "+cause, http.StatusServiceUnavailable)
+	http.Error(c.w, "not run: "+string(cause), http.StatusServiceUnavailable)
 }
 
 // fail answers a request that may have run.
-func (c *call) fail(cause string, err error) {
+func (c *call) fail(cause reason, err error) {
 	status := http.StatusBadGateway
 	if c.left() <= 0 || errors.Is(err, context.DeadlineExceeded) {
 		status = http.StatusGatewayTimeout
 	}
-	c.finished(bylog.EndFailed, bylog.Int("status", status), bylog.Str("cause", cause), bylog.Err(err))
-	http.Error(c.w, "outcome unknown: "+cause, status)
+	c.finished(bylog.EndFailed, bylog.Int("status", status), bylog.Str("cause", string(cause)), bylog.Err(err))
+	http.Error(c.w, "outcome unknown: "+string(cause), status)
 }
 
 // gone reports whether the caller has left.
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -37,7 +37,7 @@
 		if !relay.started && plan.Predict > c.patience() {
 			c.log("too late to start", bylog.Millis("predict_ms", plan.Predict), bylog.Millis("wait_ms", plan.Wait))
 			if c.sends == 0 {
-				c.refuse("overload", plan.Predict-c.patience())
+				c.refuse(reasonOverload, plan.Predict-c.patience())
 				return
 			}
 			break
