Send heartbeats of large fleets through relays, and spread the first start

Cause: each node sent heartbeats to every other one, up to every 20 ms while the load of long prompts changed. At a first start each of 295 nodes also made four calls to the store.

Ruled out: longer intervals between direct heartbeats. Nodes would then know less of each other's work, and the cost still grows with the square of the fleet.

Change: above 32 peers the two largest VMs of each failure domain pass on sums of the open work, changed heartbeats, and for unchanged ones only a hash (core/bydigest, io/byentry/relays.go). A node uses the sums of a relay only while that relay shows that it hears the node; without relays it sends to its domain itself. A heartbeat that is not newer than the last one has no effect on loads any more. At the first start of the whole system writes and scans of the node table are spread, and nodes wait for the reading of a peer before they read the store.

Measured: emulated fleet without a network (TestHeartbeatCostDoesNotGrowWithFleet): a node of 295 gets 32 datagrams and 14 KB a second, one of 9 gets 165 and 12 KB. TestLoadReachesFleetThroughRelays: all nodes know of new work and of its end within 500 ms with the first relay lost, deaf or mute.

--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -66,8 +66,15 @@
 	Capacity          float64                  // share of a core that the node may use; weights the directory's answers
 }
 
+// Hash returns a hash of a member's node and incarnation. Relays use it to tell which
+// members are alive.
+func Hash(m burdockyard.Member) uint64 {
+	return xxhash.Sum64String(string(m.Node) + "\x00" + string(m.Incarnation))
+}
+
 type peer struct {
 	heartbeat  Heartbeat
+	hash       uint64 // Hash of heartbeat.Member
 	receivedAt time.Time
 }
 
@@ -77,29 +84,49 @@
 	clock burdockyard.Clock
 	self  burdockyard.Member
 
-	mu    sync.RWMutex
-	peers map[burdockyard.NodeID]*peer
+	mu     sync.RWMutex
+	peers  map[burdockyard.NodeID]*peer
+	byHash map[uint64]*peer
 }
 
 // New returns a View without peers. Heartbeats of self are ignored.
 func New(clock burdockyard.Clock, self burdockyard.Member) *View {
-	return &View{clock: clock, self: self, peers: map[burdockyard.NodeID]*peer{}}
+	return &View{clock: clock, self: self, peers: map[burdockyard.NodeID]*peer{}, byHash: map[uint64]*peer{}}
 }
 
 // RecordHeartbeat records a heartbeat. It ignores one whose Seq is not above the
 // last recorded of the same incarnation, so that late and duplicate deliveries have
-// no effect.
-func (v *View) RecordHeartbeat(hb Heartbeat) {
+// no effect. It reports whether the heartbeat is new.
+func (v *View) RecordHeartbeat(hb Heartbeat) bool {
 	if hb.Member.Node == v.self.Node {
-		return
+		return false
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	p := v.peers[hb.Member.Node]
 	if p != nil && p.heartbeat.Member.Incarnation == hb.Member.Incarnation && hb.Seq <= p.heartbeat.Seq {
-		return
+		return false
+	}
+	if p != nil {
+		delete(v.byHash, p.hash)
+	}
+	p = &peer{heartbeat: hb, hash: Hash(hb.Member), receivedAt: v.clock.Now()}
+	v.peers[hb.Member.Node], v.byHash[p.hash] = p, p
+	return true
+}
+
+// RecordAlive records that a relay has lately heard a member, given by its Hash. The
+// member's latest heartbeat then counts as received now. It returns false if the view
+// has no heartbeat of the member.
+func (v *View) RecordAlive(hash uint64) (burdockyard.NodeID, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	p := v.byHash[hash]
+	if p == nil {
+		return "", false
 	}
-	v.peers[hb.Member.Node] = &peer{heartbeat: hb, receivedAt: v.clock.Now()}
+	p.receivedAt = v.clock.Now()
+	return p.heartbeat.Member.Node, true
 }
 
 // Alive returns the latest heartbeat of each peer that is not suspected, ordered by
@@ -129,6 +156,7 @@
 	now := v.clock.Now()
 	for id, p := range v.peers {
 		if now.Sub(p.receivedAt) > RemoveAfter {
+			delete(v.byHash, p.hash)
 			delete(v.peers, id)
 		}
 	}
--- a/core/byplace/tracker.go
+++ b/core/byplace/tracker.go
@@ -13,6 +13,9 @@
 	// peerLoadTTL is how long the load that a peer reported is used. Live peers repeat
 	// their reports several times within this time.
 	peerLoadTTL = 1500 * time.Millisecond
+	// fleetLoadTTL is how long after its last sums a relay counts as the source of what
+	// peers do. Live relays send sums several times within this time.
+	fleetLoadTTL = time.Second
 	// averageWeight is the weight of the newest observation in the moving averages of an
 	// engine's slowdown and of the stream time.
 	averageWeight = 0.2
@@ -57,9 +60,10 @@
 	loadReport            burdockyard.LoadReport
 	loadReportedAt        time.Time // when loadReport was received
 	cache                 *cacheEstimate
-	changedSinceReport    bool // whether the open work changed since it was last reported to any peer
-	urgentChange          bool // whether the open work changed in a way that peers must learn at once
-	changedSinceBroadcast bool // whether the open work changed since it was last reported to all peers
+	changedSinceReport    bool          // whether the open work changed since it was last reported to any peer
+	urgentChange          bool          // whether the open work changed in a way that peers must learn at once
+	changedSinceBroadcast bool          // whether the open work changed since it was last reported to all peers
+	reported              bymember.Load // open work as last reported to all peers
 }
 
 // peerLoad is the open work that one peer reported for one endpoint.
@@ -78,6 +82,10 @@
 	records     map[burdockyard.EndpointID]*endpointRecord
 	peerLoads   map[burdockyard.EndpointID]map[burdockyard.NodeID]peerLoad
 	newlyCached []bymember.CachedPart // parts prefilled since the last report to all peers
+	// fleetLoadAt is when a relay last sent the sums over all nodes. They are kept in
+	// peerLoads under the key fleetSum.
+	fleetLoadAt time.Time
+	urgent      chan struct{} // has an element once there is a change that peers must learn at once
 	// fixedLatency is the part of the time to first event that is independent of the work.
 	// It tracks the minimum of the observations: it falls at once and rises slowly.
 	fixedLatency time.Duration
@@ -89,7 +97,7 @@
 // NewLoadTracker returns a LoadTracker without any open work.
 func NewLoadTracker(clock burdockyard.Clock) *LoadTracker {
 	return &LoadTracker{
-		clock: clock, meanStreamTime: initialStreamTime,
+		clock: clock, meanStreamTime: initialStreamTime, urgent: make(chan struct{}, 1),
 		records:   map[burdockyard.EndpointID]*endpointRecord{},
 		peerLoads: map[burdockyard.EndpointID]map[burdockyard.NodeID]peerLoad{},
 	}
@@ -115,7 +123,7 @@
 	prefillTime, streams, _ := t.peerWork(id)
 	attempt := &InFlightAttempt{tracker: t, id: id, work: w, startedAt: t.clock.Now(), exclusive: len(rec.openAttempts) == 0 && prefillTime == 0 && streams == 0}
 	rec.openAttempts[attempt] = struct{}{}
-	rec.markChanged(w.PrefillTime)
+	t.markChanged(rec, w.PrefillTime)
 	return attempt
 }
 
@@ -131,7 +139,7 @@
 	if a.exclusive && measured > 0 {
 		a.tracker.recordPrefillTime(rec, a.work.PrefillTime, measured)
 	}
-	rec.markChanged(a.work.PrefillTime)
+	a.tracker.markChanged(rec, a.work.PrefillTime)
 	a.work.PrefillTime = 0
 	a.streamingSince = a.tracker.clock.Now()
 	rec.lastPrefillEnd = a.streamingSince
@@ -176,17 +184,28 @@
 	if a.work.PrefillTime > 0 {
 		rec.lastPrefillEnd = t.clock.Now()
 	}
-	rec.markChanged(a.work.PrefillTime)
+	t.markChanged(rec, a.work.PrefillTime)
 }
 
 // markChanged records that the open work has changed by a prefill of the given time.
 // Peers must learn at once of a prefill that would delay another prompt; other changes
-// can wait for the next report.
-func (rec *endpointRecord) markChanged(prefillTime time.Duration) {
+// can wait for the next report. The caller must hold mu.
+func (t *LoadTracker) markChanged(rec *endpointRecord, prefillTime time.Duration) {
 	rec.changedSinceReport = true
-	rec.urgentChange = rec.urgentChange || prefillTime >= minMeasuredPrefill
+	if prefillTime < minMeasuredPrefill {
+		return
+	}
+	rec.urgentChange = true
+	select {
+	case t.urgent <- struct{}{}:
+	default: // one is there already
+	}
 }
 
+// Urgent returns a channel that has an element once the open work has changed in a way
+// that peers must learn at once.
+func (t *LoadTracker) Urgent() <-chan struct{} { return t.urgent }
+
 // RecordLoadReport records the load report that an endpoint sent with an answer.
 func (t *LoadTracker) RecordLoadReport(id burdockyard.EndpointID, r burdockyard.LoadReport) {
 	if !r.Reported {
@@ -203,6 +222,33 @@
 func (t *LoadTracker) RecordPeerLoad(node burdockyard.NodeID, loads []bymember.Load, prefilled []bymember.CachedPart) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.recordPeerLoad(node, loads, prefilled)
+}
+
+// RecordFleetLoad records a relay's sums of the open work of all nodes, and the parts
+// that they prefilled. While such sums arrive, reports of single peers are not used.
+func (t *LoadTracker) RecordFleetLoad(loads []bymember.Load, prefilled []bymember.CachedPart) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fleetLoadAt = t.clock.Now()
+	others := make([]bymember.Load, 0, len(loads))
+	for _, load := range loads {
+		// The sums include this node's own work as it was last reported.
+		if rec := t.records[load.Engine]; rec != nil {
+			load.PrefillTokens = max(load.PrefillTokens-rec.reported.PrefillTokens, 0)
+			load.Streams = max(load.Streams-rec.reported.Streams, 0)
+			load.LongPromptStreams = max(load.LongPromptStreams-rec.reported.LongPromptStreams, 0)
+		}
+		others = append(others, load)
+	}
+	t.recordPeerLoad(fleetSum, others, prefilled)
+}
+
+// fleetSum is the key in peerLoads of the sums over all nodes.
+const fleetSum burdockyard.NodeID = ""
+
+// recordPeerLoad implements RecordPeerLoad. The caller must hold mu.
+func (t *LoadTracker) recordPeerLoad(node burdockyard.NodeID, loads []bymember.Load, prefilled []bymember.CachedPart) {
 	now := t.clock.Now()
 	for _, load := range loads {
 		m := t.peerLoads[load.Engine]
@@ -243,6 +289,9 @@
 			}
 			load.PrefillTokens += int(attempt.work.PrefillTime.Seconds() * 1e3 * typicalTokensPerMS)
 		}
+		if toAllPeers {
+			rec.reported = load
+		}
 		loads = append(loads, load)
 	}
 	if !toAllPeers {
@@ -253,6 +302,19 @@
 	return loads, prefilled
 }
 
+// HasChange reports whether the open work or the prefilled parts have changed since the
+// last report to all peers.
+func (t *LoadTracker) HasChange() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, rec := range t.records {
+		if rec.changedSinceReport || rec.changedSinceBroadcast {
+			return true
+		}
+	}
+	return len(t.newlyCached) > 0
+}
+
 // HasUrgentChange reports whether the open work has changed in a way that peers must
 // learn at once.
 func (t *LoadTracker) HasUrgentChange() bool {
@@ -313,11 +375,15 @@
 // must hold mu.
 func (t *LoadTracker) peerWork(id burdockyard.EndpointID) (prefillTime time.Duration, streams, longStreams int) {
 	now := t.clock.Now()
+	fromRelay := !t.fleetLoadAt.IsZero() && now.Sub(t.fleetLoadAt) <= fleetLoadTTL
 	for node, p := range t.peerLoads[id] {
 		if now.Sub(p.receivedAt) > peerLoadTTL {
 			delete(t.peerLoads[id], node)
 			continue
 		}
+		if fromRelay != (node == fleetSum) {
+			continue
+		}
 		prefillTime += time.Duration(float64(p.load.PrefillTokens) / typicalTokensPerMS * float64(time.Millisecond))
 		streams += p.load.Streams
 		longStreams += p.load.LongPromptStreams
@@ -325,6 +391,15 @@
 	return prefillTime, streams, longStreams
 }
 
+// OpenStreams returns the number of streams that are open at an endpoint, and how many
+// of them answer long prompts, as far as this node knows.
+func (t *LoadTracker) OpenStreams(id burdockyard.EndpointID) (streams, longStreams int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	load := t.endpointLoad(byfleet.Endpoint{Instance: burdockyard.Instance{ID: id}})
+	return load.streams, load.longStreams
+}
+
 // MeanWait returns the number of engines of a role and the mean time that new work
 // waits there, for the prefill queue and for a free slot. Every role other than
 // RolePrefill counts as decoding.
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -111,6 +111,7 @@
 	platform           Platform
 	clock              burdockyard.Clock
 	self               burdockyard.Member
+	selfHash           uint64 // bymember.Hash of self
 	routes             byroutes.ActiveTable
 	fleet              *byfleet.Fleet
 	loadTracker        *byplace.LoadTracker
@@ -165,6 +166,7 @@
 	for _, opt := range opts {
 		opt(n)
 	}
+	n.selfHash = bymember.Hash(n.self)
 	n.fleet = byfleet.New(n.clock)
 	n.loadTracker = byplace.NewLoadTracker(n.clock)
 	n.forwarder = byforward.New(n.clock, func(h http.Header) burdockyard.RequestID { return p.Protocol.DecodeResponse(http.StatusOK, h).ID })
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
 
 	"burdockyard"
+	"burdockyard/core/bydigest"
 	"burdockyard/core/bymember"
 	"burdockyard/io/bygossip"
 	"burdockyard/io/bylog"
+	"burdockyard/io/bypeer"
 )
 
 const (
@@ -37,6 +40,13 @@
 	// node sends heartbeats to every node that it finds there, so later scans rarely
 	// find anything new.
 	nodeScanInterval = time.Minute
+	// registrationTime is the time over which the nodes spread their first writes to the
+	// node table when the whole system starts. The store limits the writes to one part.
+	registrationTime = 1500 * time.Millisecond
+	// firstScanSpread is the time over which the nodes then spread their scans of the
+	// node table, the largest VMs first. A node that has heard of others by then needs
+	// no scan.
+	firstScanSpread = 3 * time.Second
 	// unreachableAfter is how long after its last heartbeat a node counts as
 	// unreachable, and its address is no longer returned to callers.
 	unreachableAfter = 1200 * time.Millisecond
@@ -54,6 +64,7 @@
 	Incarnation burdockyard.Incarnation `json:"incarnation"`
 	Addr        string                  `json:"addr"` // address for heartbeats and relayed table readings from other nodes
 	Domain      string                  `json:"domain"`
+	Capacity    float64                 `json:"capacity"` // as in bymember.Heartbeat
 }
 
 // peers exchanges heartbeats with the other nodes and tracks which of them are
@@ -61,48 +72,67 @@
 type peers struct {
 	node   *Node
 	gossip *bygossip.Gossip
+	send   func(d bypeer.Datagram, addrs []netip.AddrPort) // Gossip.Send, except in tests
 
 	mu        sync.Mutex
 	known     map[burdockyard.NodeID]*peer
 	reachable map[burdockyard.NodeID]bool // nodes that were reachable at the last call of logReachability
+	topology  topology                    // latest result of currentTopology
+
+	relay relayState
 }
 
 // peer is another node, known from its heartbeats or from the node table.
 type peer struct {
 	addr          netip.AddrPort
+	domain        string
 	inOtherDomain bool      // whether the node is in another failure domain
+	capacity      float64   // as in bymember.Heartbeat
+	leaving       bool      // whether the node is shutting down
 	lastSeen      time.Time // time of the last heartbeat, or else of the first discovery in the table
 }
 
 func newPeers(n *Node) *peers {
-	return &peers{node: n, known: map[burdockyard.NodeID]*peer{}, reachable: map[burdockyard.NodeID]bool{}}
+	return &peers{
+		node: n, known: map[burdockyard.NodeID]*peer{}, reachable: map[burdockyard.NodeID]bool{},
+		relay: relayState{aggregator: bydigest.New(n.clock, n.settings.Domain), echoes: map[burdockyard.NodeID]time.Time{}},
+	}
 }
 
 // listen opens the socket for heartbeats.
 func (p *peers) listen() error {
 	onError := func(err error) { p.node.log.members.Debug("could not send or decode a heartbeat", bylog.Err(err)) }
-	g, err := bygossip.Listen(p.node.settings.PeerAddr, p.handleHeartbeat, bygossip.WithErrorHandler(onError))
-	p.gossip = g
+	g, err := bygossip.Listen(p.node.settings.PeerAddr, p.handleDatagram, bygossip.WithErrorHandler(onError))
+	p.gossip, p.send = g, g.Send
 	return err
 }
 
-// handleHeartbeat applies a heartbeat of another node.
+// handleDatagram applies a datagram of another node.
+func (p *peers) handleDatagram(d bypeer.Datagram) {
+	p.handleHeartbeat(d.Heartbeat)
+	p.handleRelayed(d)
+}
+
+// handleHeartbeat applies a heartbeat of another node. One that is not newer than
+// those before it is ignored: it may have come by a detour.
 func (p *peers) handleHeartbeat(h bymember.Heartbeat) {
 	n := p.node
-	if h.Member.Node == n.self.Node {
+	if h.Member.Node == n.self.Node || !n.view.RecordHeartbeat(h) {
 		return
 	}
-	p.recordNode(h.Member.Node, h.Member.Addr, h.Domain, true)
-	n.view.RecordHeartbeat(h)
+	p.recordNode(h.Member.Node, peer{domain: h.Domain, capacity: h.Capacity, leaving: h.Leaving}, h.Member.Addr, true)
 	n.loadTracker.RecordPeerLoad(h.Member.Node, h.Loads, h.CachedParts)
 	for _, id := range h.HeldEngines {
 		n.fleet.Hold(id, holdRenewalTTL)
 	}
+	if p.relay.active.Load() {
+		p.relay.aggregator.RecordHeartbeat(h)
+	}
 }
 
 // recordNode records a node and its address. Only a heartbeat refreshes the
 // node's lastSeen, because a row in the table may outlive its node.
-func (p *peers) recordNode(id burdockyard.NodeID, addr, domain string, fromHeartbeat bool) {
+func (p *peers) recordNode(id burdockyard.NodeID, info peer, addr string, fromHeartbeat bool) {
 	addrPort, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		p.node.log.members.Debug("peer has an invalid address", bylog.Str("peer", string(id)), bylog.Err(err))
@@ -114,9 +144,13 @@
 	if known == nil || known.addr != addrPort {
 		known = &peer{addr: addrPort, lastSeen: p.node.clock.Now()}
 		p.known[id] = known
+		p.topology = topology{}
 		p.node.log.members.Info("node found", bylog.Str("peer", string(id)), bylog.Str("addr", addr))
+	} else if !fromHeartbeat {
+		return
 	}
-	known.inOtherDomain = domain != p.node.settings.Domain
+	known.domain, known.capacity, known.leaving = info.domain, info.capacity, info.leaving
+	known.inOtherDomain = info.domain != p.node.settings.Domain
 	if fromHeartbeat {
 		known.lastSeen = p.node.clock.Now()
 	}
@@ -131,9 +165,20 @@
 // registerLoop writes this node's row, retrying until it succeeds, and then scans
 // the node table periodically until ctx is done.
 func (p *peers) registerLoop(ctx context.Context) error {
+	startedAt := p.node.clock.Now()
+	if p.node.settings.FirstSystemStart {
+		sleep(ctx, rand.N(registrationTime))
+	}
 	for !p.writeRow(ctx) && ctx.Err() == nil {
 		sleep(ctx, baseRetryDelay)
 	}
+	if p.node.settings.FirstSystemStart {
+		share := 1 - min(p.node.reloadableSettings.Load().Capacity, 1)
+		sleep(ctx, registrationTime+fraction(firstScanSpread, share)-p.node.clock.Now().Sub(startedAt))
+		if len(p.node.view.Alive()) > 0 {
+			sleep(ctx, nodeScanInterval)
+		}
+	}
 	for ctx.Err() == nil {
 		delay := nodeScanInterval
 		if err := p.scanNodes(ctx); err != nil {
@@ -151,7 +196,7 @@
 // unconditional: no other node writes the row, and a delayed write by an earlier
 // process of this node holds the same address.
 func (p *peers) writeRow(ctx context.Context) bool {
-	value, err := json.Marshal(nodeRow{Incarnation: p.node.self.Incarnation, Addr: p.node.self.Addr, Domain: p.node.settings.Domain})
+	value, err := json.Marshal(nodeRow{Incarnation: p.node.self.Incarnation, Addr: p.node.self.Addr, Domain: p.node.settings.Domain, Capacity: p.node.reloadableSettings.Load().Capacity})
 	if err == nil {
 		err = p.node.platform.Table.Commit(ctx, burdockyard.Txn{Writes: []burdockyard.Write{{Key: p.rowKey(), Value: value}}})
 	}
@@ -191,7 +236,7 @@
 			registered = true
 			continue
 		}
-		p.recordNode(id, r.Addr, r.Domain, false)
+		p.recordNode(id, peer{domain: r.Domain, capacity: r.Capacity}, r.Addr, false)
 		if p.shouldRemoveRow(id) {
 			p.removeRow(ctx, row)
 		}
@@ -227,28 +272,67 @@
 	p.node.log.members.Info("deleted the row of a lost node", bylog.Str("row", row.Key))
 }
 
-// heartbeatLoop sends periodic heartbeats until ctx is done. While the load of long
-// prompts changes, it sends one to all peers at every tick.
+// heartbeatLoop sends heartbeats until ctx is done.
 func (p *peers) heartbeatLoop(ctx context.Context) error {
-	var lastToSameDomain, lastToAllDomains time.Time
-	return runEvery(ctx, minHeartbeatInterval, func(context.Context) {
-		now := p.node.clock.Now()
-		sameDomain, otherDomain := p.countByDomain()
-		toAllDomains := now.Sub(lastToAllDomains) >= min(baseHeartbeatInterval+time.Duration(otherDomain)*otherDomainPeerInterval, maxHeartbeatInterval)
-		toSameDomain := toAllDomains || now.Sub(lastToSameDomain) >= min(baseHeartbeatInterval+time.Duration(sameDomain)*sameDomainPeerInterval, maxHeartbeatInterval)
-		switch {
-		case toAllDomains || p.node.loadTracker.HasUrgentChange():
-			p.sendHeartbeat(toAllDomains, true)
-		case toSameDomain:
-			p.sendHeartbeat(false, false)
+	timer := time.NewTimer(minHeartbeatInterval)
+	defer timer.Stop()
+	var rounds heartbeatTimes
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		case <-p.node.loadTracker.Urgent():
+			if left := minHeartbeatInterval - p.node.clock.Now().Sub(rounds.last); left > 0 {
+				timer.Reset(left)
+				continue
+			}
 		}
-		if toSameDomain {
-			lastToSameDomain = now
-		}
-		if toAllDomains {
-			lastToAllDomains = now
-		}
-	})
+		timer.Reset(p.sendRound(&rounds))
+	}
+}
+
+// heartbeatTimes holds when the last heartbeats of several kinds were sent.
+type heartbeatTimes struct {
+	last, toSameDomain, toAllDomains time.Time
+}
+
+// sendRound sends the heartbeats that are due, and returns the time until the next
+// round.
+func (p *peers) sendRound(times *heartbeatTimes) time.Duration {
+	t := p.currentTopology()
+	times.last = p.node.clock.Now()
+	switch {
+	case t.sameDomain+t.otherDomain <= maxDirectPeers:
+		p.relay.active.Store(false)
+		return p.sendDirectly(t, times)
+	case t.ownRank < relaysPerDomain && !p.node.stopping.Load():
+		return p.sendAsRelay(t, times)
+	default:
+		p.relay.active.Store(false)
+		return p.sendToRelays(t, times)
+	}
+}
+
+// sendDirectly sends heartbeats to the peers themselves. While the load of long
+// prompts changes, it sends one to all of them in every round.
+func (p *peers) sendDirectly(t topology, times *heartbeatTimes) time.Duration {
+	now := times.last
+	toAllDomains := now.Sub(times.toAllDomains) >= min(baseHeartbeatInterval+time.Duration(t.otherDomain)*otherDomainPeerInterval, maxHeartbeatInterval)
+	toSameDomain := toAllDomains || now.Sub(times.toSameDomain) >= min(baseHeartbeatInterval+time.Duration(t.sameDomain)*sameDomainPeerInterval, maxHeartbeatInterval)
+	switch {
+	case toAllDomains || p.node.loadTracker.HasUrgentChange():
+		p.sendHeartbeat(toAllDomains, true)
+	case toSameDomain:
+		p.sendHeartbeat(false, false)
+	}
+	if toSameDomain {
+		times.toSameDomain = now
+	}
+	if toAllDomains {
+		times.toAllDomains = now
+	}
+	return minHeartbeatInterval
 }
 
 // logReachability logs the peers that became unreachable or reachable since the last
@@ -275,29 +359,34 @@
 	}
 }
 
-// countByDomain returns how many peers in this failure domain and in others get
-// heartbeats from this node.
+// countByDomain returns how many peers in this failure domain and in others count as
+// members of the fleet.
 func (p *peers) countByDomain() (sameDomain, otherDomain int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, known := range p.known {
-		switch {
-		case !p.isActive(known):
-		case known.inOtherDomain:
-			otherDomain++
-		default:
-			sameDomain++
-		}
-	}
-	return sameDomain, otherDomain
+	t := p.currentTopology()
+	return t.sameDomain, t.otherDomain
 }
 
 // sendHeartbeat sends one heartbeat. If full is set, it reports the load of all
 // endpoints that this node uses, otherwise only what has changed. If allDomains is
 // not set, it goes only to peers in the same failure domain.
 func (p *peers) sendHeartbeat(full, allDomains bool) {
+	heartbeat := p.ownHeartbeat(full, allDomains)
+	p.mu.Lock()
+	addrs := make([]netip.AddrPort, 0, len(p.known))
+	for _, known := range p.known {
+		if p.isActive(known) && (allDomains || !known.inOtherDomain) {
+			addrs = append(addrs, known.addr)
+		}
+	}
+	p.mu.Unlock()
+	p.send(bypeer.Datagram{Heartbeat: heartbeat}, addrs)
+}
+
+// ownHeartbeat returns this node's next heartbeat. See LoadTracker.LocalLoads for the
+// parameters.
+func (p *peers) ownHeartbeat(allLoads, toAllPeers bool) bymember.Heartbeat {
 	n := p.node
-	loads, cachedParts := n.loadTracker.LocalLoads(full, allDomains)
+	loads, cachedParts := n.loadTracker.LocalLoads(allLoads, toAllPeers)
 	heartbeat := bymember.Heartbeat{
 		Member: n.self, CallerAddr: n.settings.CallerAddr, Domain: n.settings.Domain,
 		Leaving: n.stopping.Load(), Ready: n.ready(), Capacity: n.reloadableSettings.Load().Capacity,
@@ -306,15 +395,7 @@
 	if t := n.routes.Current(); t != nil {
 		heartbeat.Generation = t.Version()
 	}
-	p.mu.Lock()
-	addrs := make([]netip.AddrPort, 0, len(p.known))
-	for _, known := range p.known {
-		if p.isActive(known) && (allDomains || !known.inOtherDomain) {
-			addrs = append(addrs, known.addr)
-		}
-	}
-	p.mu.Unlock()
-	p.gossip.Send(heartbeat, addrs)
+	return heartbeat
 }
 
 // directoryAddresses returns the addresses to which callers may connect, and how long
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -58,21 +58,32 @@
 	apply       func(d bymirror.Delta, requestedAt time.Time)
 
 	mu           sync.Mutex
+	waitsSince   time.Time // since when this node waits for the first reading of a peer; zero if it does not wait
 	requestedAt  time.Time // when the newest reading was requested from the store, by this node or another
 	storeFailing bool      // whether the last store call of this node failed
 }
 
 func newTableWatcher(n *Node, table string, bound func() time.Duration, share float64, log bylog.Logger, apply func(bymirror.Delta, time.Time)) *tableWatcher {
-	return &tableWatcher{node: n, table: table, bound: bound, maxAgeShare: share, log: log, mirror: bymirror.New(), apply: apply}
+	w := &tableWatcher{node: n, table: table, bound: bound, maxAgeShare: share, log: log, mirror: bymirror.New(), apply: apply}
+	if n.settings.FirstSystemStart {
+		// All nodes start at the same time. Once they know of each other, one of them
+		// reads the store for all.
+		w.waitsSince = n.clock.Now().Add(registrationTime)
+	}
+	return w
 }
 
 // age returns the time since the newest reading was requested, or the bound if there
-// has been none.
+// has been none. At the first start of the whole system, the time until the first
+// reading counts from when all nodes should have registered.
 func (w *tableWatcher) age() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.requestedAt.IsZero() {
+	switch {
+	case w.requestedAt.IsZero() && w.waitsSince.IsZero():
 		return w.bound()
+	case w.requestedAt.IsZero():
+		return w.node.clock.Now().Sub(w.waitsSince)
 	}
 	return w.node.clock.Now().Sub(w.requestedAt)
 }
--- a/io/bygossip/bygossip.go
+++ b/io/bygossip/bygossip.go
@@ -1,4 +1,5 @@
-// Package bygossip exchanges heartbeats between nodes in UDP datagrams.
+// Package bygossip exchanges heartbeats, and digests of them, between nodes in UDP
+// datagrams.
 //
 // The next heartbeat makes up for a lost one, so datagrams are neither acknowledged
 // nor retransmitted. A datagram costs far less than a remote call, so nodes can
@@ -6,9 +7,9 @@
 //
 // # Usage
 //
-//	g, err := bygossip.Listen("10.0.0.7:7660", onHeartbeat)
+//	g, err := bygossip.Listen("10.0.0.7:7660", onDatagram)
 //	group.Go(func() error { return g.Run(ctx) })
-//	g.Send(heartbeat, addrs)
+//	g.Send(bypeer.Datagram{Heartbeat: heartbeat}, addrs)
 package bygossip
 
 import (
@@ -19,7 +20,6 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"burdockyard/core/bymember"
 	"burdockyard/io/bypeer"
 )
 
@@ -29,23 +29,23 @@
 
 // Gossip sends and receives heartbeats on one UDP socket.
 type Gossip struct {
-	conn        *net.UDPConn
-	onHeartbeat func(bymember.Heartbeat)
-	onError     func(error)
-	done        chan struct{}
+	conn       *net.UDPConn
+	onDatagram func(bypeer.Datagram)
+	onError    func(error)
+	done       chan struct{}
 }
 
 // Option sets an optional parameter of a Gossip.
 type Option func(*Gossip)
 
 // WithErrorHandler sets a function that gets every error in encoding, sending,
-// receiving or decoding a heartbeat. It must be safe for concurrent use. By default
+// receiving or decoding a datagram. It must be safe for concurrent use. By default
 // errors are discarded.
 func WithErrorHandler(f func(error)) Option { return func(g *Gossip) { g.onError = f } }
 
 // Listen opens a UDP socket at addr, an IPv4 address and port. Run calls
-// onHeartbeat for every heartbeat received.
-func Listen(addr string, onHeartbeat func(bymember.Heartbeat), opts ...Option) (*Gossip, error) {
+// onDatagram for every datagram received.
+func Listen(addr string, onDatagram func(bypeer.Datagram), opts ...Option) (*Gossip, error) {
 	addrPort, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return nil, merry.Prepend(err, "parse gossip address")
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "open gossip socket")
 	}
-	g := &Gossip{conn: conn, onHeartbeat: onHeartbeat, onError: func(error) {}, done: make(chan struct{})}
+	g := &Gossip{conn: conn, onDatagram: onDatagram, onError: func(error) {}, done: make(chan struct{})}
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -80,19 +80,19 @@
 			g.onError(err)
 			continue
 		}
-		heartbeat, err := bypeer.UnmarshalHeartbeat(buf[:n])
+		d, err := bypeer.UnmarshalDatagram(buf[:n])
 		if err != nil {
 			g.onError(err)
 			continue
 		}
-		g.onHeartbeat(heartbeat)
+		g.onDatagram(d)
 	}
 }
 
-// Send sends a heartbeat to each address. A datagram that cannot be sent is
-// reported to the error handler and otherwise treated as lost.
-func (g *Gossip) Send(heartbeat bymember.Heartbeat, addrs []netip.AddrPort) {
-	data, err := bypeer.MarshalHeartbeat(heartbeat)
+// Send sends a datagram to each address. One that cannot be sent is reported to the
+// error handler and otherwise treated as lost.
+func (g *Gossip) Send(d bypeer.Datagram, addrs []netip.AddrPort) {
+	data, err := bypeer.MarshalDatagram(d)
 	if err != nil {
 		g.onError(err)
 		return
--- a/io/bygossip/bygossip_test.go
+++ b/io/bygossip/bygossip_test.go
@@ -10,11 +10,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"burdockyard"
+	"burdockyard/core/bydigest"
 	"burdockyard/core/bymember"
 	"burdockyard/io/bygossip"
+	"burdockyard/io/bypeer"
 )
 
-func listen(t *testing.T, onHeartbeat func(bymember.Heartbeat), onError func(error)) (*bygossip.Gossip, netip.AddrPort) {
+func listen(t *testing.T, onDatagram func(bypeer.Datagram), onError func(error)) (*bygossip.Gossip, netip.AddrPort) {
 	t.Helper()
 	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	if err != nil {
@@ -22,7 +24,7 @@
 	}
 	addr := c.LocalAddr().String()
 	c.Close()
-	g, err := bygossip.Listen(addr, onHeartbeat, bygossip.WithErrorHandler(onError))
+	g, err := bygossip.Listen(addr, onDatagram, bygossip.WithErrorHandler(onError))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,10 +43,10 @@
 // TestHeartbeatAfterMalformedDatagram checks that all fields of a heartbeat are
 // transmitted, and that a malformed datagram before it does not stop the receiver.
 func TestHeartbeatAfterMalformedDatagram(t *testing.T) {
-	received := make(chan bymember.Heartbeat, 1)
+	received := make(chan bypeer.Datagram, 1)
 	errs := make(chan error, 1)
-	_, receiverAddr := listen(t, func(h bymember.Heartbeat) { received <- h }, func(err error) { errs <- err })
-	sender, _ := listen(t, func(bymember.Heartbeat) {}, func(error) {})
+	_, receiverAddr := listen(t, func(d bypeer.Datagram) { received <- d }, func(err error) { errs <- err })
+	sender, _ := listen(t, func(bypeer.Datagram) {}, func(error) {})
 	conn, err := net.Dial("udp4", receiverAddr.String())
 	if err != nil {
 		t.Fatal(err)
@@ -56,14 +58,20 @@
 	if err := <-errs; err == nil {
 		t.Error("got no error for a malformed datagram, want an error")
 	}
-	want := bymember.Heartbeat{
+	heartbeat := bymember.Heartbeat{
 		Member:     burdockyard.Member{Node: "n1", Incarnation: "abc", Addr: "10.0.0.1:7660"},
 		CallerAddr: "10.0.0.1:8144", Domain: "a", Leaving: true, Generation: 7, Seq: 3, Ready: true, Capacity: 0.4,
 		Loads:       []bymember.Load{{Engine: "e1", PrefillTokens: 900, Streams: 2, LongPromptStreams: 1}},
 		CachedParts: []bymember.CachedPart{{Engine: "e1", PartID: 0x5c1e07a2, Tokens: 800}},
 	}
+	relayed := heartbeat
+	relayed.Member.Node = "n2"
+	want := bypeer.Datagram{
+		Heartbeat: heartbeat, Relayed: []bymember.Heartbeat{relayed}, Alive: []uint64{bymember.Hash(relayed.Member)},
+		Digests: []bydigest.Digest{{Domain: "a", Loads: heartbeat.Loads, CachedParts: heartbeat.CachedParts}},
+	}
 	sender.Send(want, []netip.AddrPort{receiverAddr})
 	if got := <-received; !reflect.DeepEqual(got, want) {
-		t.Errorf("received heartbeat\n%+v, want\n%+v", got, want)
+		t.Errorf("received datagram\n%+v, want\n%+v", got, want)
 	}
 }
--- a/io/bypeer/server.go
+++ b/io/bypeer/server.go
@@ -10,6 +10,7 @@
 
 	"burdockyard"
 	"burdockyard/core/bybooking"
+	"burdockyard/core/bydigest"
 	"burdockyard/core/bymanifest"
 	"burdockyard/core/bymember"
 	"burdockyard/io/bypeer/bypeerpb"
@@ -100,15 +101,7 @@
 		Member: memberToProto(h.Member), CallerAddr: h.CallerAddr, Domain: h.Domain,
 		Leaving: h.Leaving, Generation: h.Generation, Fresh: h.RecentlyConfirmed, Seq: h.Seq,
 		Ready: h.Ready, Capacity: h.Capacity,
-	}
-	for _, part := range h.CachedParts {
-		out.Reads = append(out.Reads, &bypeerpb.Cached{Engine: string(part.Engine), Part: part.PartID, Tokens: int64(part.Tokens)})
-	}
-	for _, l := range h.Loads {
-		out.Loads = append(out.Loads, &bypeerpb.Load{
-			Engine: string(l.Engine), PrefillTokens: int64(l.PrefillTokens),
-			LongTokens: int64(l.LongPromptTokens), Streams: int64(l.Streams), LongStreams: int64(l.LongPromptStreams),
-		})
+		Loads: loadsToProto(h.Loads), Reads: cachedPartsToProto(h.CachedParts),
 	}
 	for _, id := range h.HeldEngines {
 		out.Holds = append(out.Holds, string(id))
@@ -121,34 +114,93 @@
 		Member: memberFromProto(msg.GetMember()), CallerAddr: msg.GetCallerAddr(), Domain: msg.GetDomain(),
 		Leaving: msg.GetLeaving(), Generation: msg.GetGeneration(), RecentlyConfirmed: msg.GetFresh(), Seq: msg.GetSeq(),
 		Ready: msg.GetReady(), Capacity: msg.GetCapacity(),
+		Loads: loadsFromProto(msg.GetLoads()), CachedParts: cachedPartsFromProto(msg.GetReads()),
 	}
-	for _, part := range msg.GetReads() {
-		out.CachedParts = append(out.CachedParts, bymember.CachedPart{Engine: burdockyard.EndpointID(part.GetEngine()), PartID: part.GetPart(), Tokens: int(part.GetTokens())})
+	for _, id := range msg.GetHolds() {
+		out.HeldEngines = append(out.HeldEngines, burdockyard.EndpointID(id))
 	}
-	for _, l := range msg.GetLoads() {
-		out.Loads = append(out.Loads, bymember.Load{
+	return out
+}
+
+func loadsToProto(loads []bymember.Load) []*bypeerpb.Load {
+	var out []*bypeerpb.Load
+	for _, l := range loads {
+		out = append(out, &bypeerpb.Load{
+			Engine: string(l.Engine), PrefillTokens: int64(l.PrefillTokens),
+			LongTokens: int64(l.LongPromptTokens), Streams: int64(l.Streams), LongStreams: int64(l.LongPromptStreams),
+		})
+	}
+	return out
+}
+
+func loadsFromProto(msgs []*bypeerpb.Load) []bymember.Load {
+	var out []bymember.Load
+	for _, l := range msgs {
+		out = append(out, bymember.Load{
 			Engine: burdockyard.EndpointID(l.GetEngine()), PrefillTokens: int(l.GetPrefillTokens()),
 			LongPromptTokens: int(l.GetLongTokens()), Streams: int(l.GetStreams()), LongPromptStreams: int(l.GetLongStreams()),
 		})
 	}
-	for _, id := range msg.GetHolds() {
-		out.HeldEngines = append(out.HeldEngines, burdockyard.EndpointID(id))
+	return out
+}
+
+func cachedPartsToProto(parts []bymember.CachedPart) []*bypeerpb.Cached {
+	var out []*bypeerpb.Cached
+	for _, part := range parts {
+		out = append(out, &bypeerpb.Cached{Engine: string(part.Engine), Part: part.PartID, Tokens: int64(part.Tokens)})
+	}
+	return out
+}
+
+func cachedPartsFromProto(msgs []*bypeerpb.Cached) []bymember.CachedPart {
+	var out []bymember.CachedPart
+	for _, part := range msgs {
+		out = append(out, bymember.CachedPart{Engine: burdockyard.EndpointID(part.GetEngine()), PartID: part.GetPart(), Tokens: int(part.GetTokens())})
 	}
 	return out
 }
 
-// MarshalHeartbeat encodes a heartbeat as the payload of a datagram.
-func MarshalHeartbeat(h bymember.Heartbeat) ([]byte, error) {
-	return proto.Marshal(heartbeatToProto(h))
+// Datagram is the payload of a datagram: the sender's own heartbeat, and what it passes
+// on if it is a relay.
+type Datagram struct {
+	Heartbeat bymember.Heartbeat
+	Relayed   []bymember.Heartbeat // of other nodes
+	Alive     []uint64             // bymember.Hash of other nodes
+	Digests   []bydigest.Digest
 }
 
-// UnmarshalHeartbeat decodes a heartbeat from the payload of a datagram.
-func UnmarshalHeartbeat(data []byte) (bymember.Heartbeat, error) {
+// MarshalDatagram encodes a datagram. Nodes that know no relays read it as the
+// heartbeat of its sender.
+func MarshalDatagram(d Datagram) ([]byte, error) {
+	msg := heartbeatToProto(d.Heartbeat)
+	msg.Alive = d.Alive
+	for _, h := range d.Relayed {
+		msg.Relayed = append(msg.Relayed, heartbeatToProto(h))
+	}
+	for _, digest := range d.Digests {
+		msg.LoadDigests = append(msg.LoadDigests, &bypeerpb.LoadDigest{
+			Domain: digest.Domain, Loads: loadsToProto(digest.Loads), Reads: cachedPartsToProto(digest.CachedParts),
+		})
+	}
+	return proto.Marshal(msg)
+}
+
+// UnmarshalDatagram decodes a datagram.
+func UnmarshalDatagram(data []byte) (Datagram, error) {
 	var msg bypeerpb.Heartbeat
 	if err := proto.Unmarshal(data, &msg); err != nil {
-		return bymember.Heartbeat{}, merry.Prepend(err, "heartbeat")
+		return Datagram{}, merry.Prepend(err, "heartbeat")
+	}
+	d := Datagram{Heartbeat: heartbeatFromProto(&msg), Alive: msg.GetAlive()}
+	for _, h := range msg.GetRelayed() {
+		d.Relayed = append(d.Relayed, heartbeatFromProto(h))
+	}
+	for _, digest := range msg.GetLoadDigests() {
+		d.Digests = append(d.Digests, bydigest.Digest{
+			Domain: digest.GetDomain(), Loads: loadsFromProto(digest.GetLoads()), CachedParts: cachedPartsFromProto(digest.GetReads()),
+		})
 	}
-	return heartbeatFromProto(&msg), nil
+	return d, nil
 }
 
 // HeartbeatSize returns the size of an encoded heartbeat in bytes, without HTTP
