--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -181,6 +181,13 @@
 		n.configWatcher,
 		newTableWatcher(n, p.InstanceTable, func() time.Duration { return n.reloadableSettings.Load().DrainBound }, drainMaxAgeShare, n.log.fleet, n.applyInstances),
 	}
+	if s.FirstSystemStart {
+		// All nodes start at the same time. Once they know of each other, one of them
+		// reads the store for all.
+		for _, w := range n.watchers {
+			w.waitForPeers(n.clock.Now().Add(registrationTime))
+		}
+	}
 	n.UpdateSettings(s.ReloadableSettings)
 	return n
 }
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -64,13 +64,15 @@
 }
 
 func newTableWatcher(n *Node, table string, bound func() time.Duration, share float64, log bylog.Logger, apply func(bymirror.Delta, time.Time)) *tableWatcher {
-	w := &tableWatcher{node: n, table: table, bound: bound, maxAgeShare: share, log: log, mirror: bymirror.New(), apply: apply}
-	if n.settings.FirstSystemStart {
-		// All nodes start at the same time. Once they know of each other, one of them
-		// reads the store for all.
-		w.waitsSince = n.clock.Now().Add(registrationTime)
-	}
-	return w
+	return &tableWatcher{node: n, table: table, bound: bound, maxAgeShare: share, log: log, mirror: bymirror.New(), apply: apply}
+}
+
+// waitForPeers makes the first poll wait as if there had been a reading at the given
+// time.
+func (w *tableWatcher) waitForPeers(since time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waitsSince = since
 }
 
 // age returns the time since the newest reading was requested, or the bound if there
