Compare versions of the store within one era only, and confirm readings by datagram

Cause: a store restored from an older copy gives versions out again. A copy of a table kept the higher version and took no reading any more: configurations and endpoints written after the restore were never seen. Rows of the older copy could have brought back endpoints that had left; a claim could have been granted with a fencing number that an engine has seen, or on a check that held in another era by coincidence.

Change: burdockyard.StoreVersion is (era, number); scans of a newer era replace a copy, reads of older eras have no effect, relayed readings carry the era. Endpoints keep leaving within one process (born), and entries from before a removal don't undo it. Fencing numbers contain the era; claims end with it, and none is granted for twice the lifetime of a claim after it was first seen. Nodes write their rows again. Since endpoints count up a number in their rows all the time, peers now get a datagram instead of a call if nothing else has changed.

--- a/core/byclaim/byclaim.go
+++ b/core/byclaim/byclaim.go
@@ -18,11 +18,19 @@
 // # Row
 //
 // orders/<engine> holds the last claim: its holder and its fencing number, which
-// increases by one with each claim and is never reused. An engine that checks
+// increases with each claim and is never reused. An engine that checks
 // fencing numbers refuses an order whose number is outdated. For an engine that
 // does not, another node waits until it has seen the row unchanged for twice the
 // lifetime of a claim. It has to watch the row because the row does not tell its
 // age.
+//
+// # Eras of the store
+//
+// A store that is restored from an older copy loses the newest claims, and with them
+// fencing numbers that engines have seen. So the era is part of the fencing number,
+// claims of an older era are no longer valid, and after a change of the era, or the
+// start of the process, no claim is granted for twice the lifetime of a claim: the
+// holder of a lost one may not know of its loss yet.
 package byclaim
 
 import (
@@ -48,6 +56,10 @@
 	maxClockDivergence = 200 * time.Millisecond
 )
 
+// eraBits is the number of low bits of a fencing number that count the claims of one
+// era. The era is in the bits above.
+const eraBits = 20
+
 // ErrClaimed means that another node may still hold a claim on the engine.
 var ErrClaimed = errors.New("another node may still order this engine")
 
@@ -65,6 +77,7 @@
 type Claim struct {
 	engine      burdockyard.EndpointID
 	fence       uint64
+	era         uint64    // of the store when the claim was written
 	requestedAt time.Time // when the write of the row was requested
 }
 
@@ -91,6 +104,8 @@
 
 	mu       sync.Mutex
 	observed map[burdockyard.EndpointID]observation
+	era      uint64    // newest era of the store that this node has seen
+	eraSince time.Time // when it was first seen, zero if none has been seen
 }
 
 // Option configures a Claimer.
@@ -117,31 +132,34 @@
 	if err != nil {
 		return Claim{}, err
 	}
+	if c.ObserveEra(row.Era); c.isEraNew(row.Era) {
+		return Claim{}, merry.Wrap(ErrClaimed)
+	}
 	if row.Exists() && previous.Holder != c.self.Node && c.unchangedDuration(engine, row.Version) < 2*c.ttl {
 		return Claim{}, merry.Wrap(ErrClaimed)
 	}
-	next := claimRow{Holder: c.self.Node, Incarnation: c.self.Incarnation, Fence: previous.Fence + 1}
+	next := claimRow{Holder: c.self.Node, Incarnation: c.self.Incarnation, Fence: max(previous.Fence, row.Era<<eraBits) + 1}
 	value, err := json.Marshal(next)
 	if err != nil {
 		return Claim{}, merry.Wrap(err)
 	}
 	requestedAt := c.clock.Now()
 	err = c.store.Commit(ctx, burdockyard.Txn{
-		Checks: []burdockyard.Check{{Key: key, Version: row.Version}},
+		Checks: []burdockyard.Check{{Key: key, Version: row.Version, Era: row.Era}},
 		Writes: []burdockyard.Write{{Key: key, Value: value}},
 	})
-	if errors.Is(err, burdockyard.ErrConflict) || errors.Is(err, burdockyard.ErrUnavailable) {
+	if errors.Is(err, burdockyard.ErrConflict) || errors.Is(err, burdockyard.ErrUnavailable) || errors.Is(err, burdockyard.ErrEraChanged) {
 		return Claim{}, err
 	}
 	if err != nil {
 		// The write may or may not have happened, or may still happen later. Only a
 		// row with this claim's value proves that the claim is held.
-		_, stored, readErr := c.read(ctx, key)
-		if readErr != nil || stored != next {
+		storedRow, stored, readErr := c.read(ctx, key)
+		if readErr != nil || stored != next || storedRow.Era != row.Era {
 			return Claim{}, errors.Join(err, readErr)
 		}
 	}
-	return Claim{engine: engine, fence: next.Fence, requestedAt: requestedAt}, nil
+	return Claim{engine: engine, fence: next.Fence, era: row.Era, requestedAt: requestedAt}, nil
 }
 
 func (c *Claimer) read(ctx context.Context, key string) (burdockyard.Row, claimRow, error) {
@@ -158,6 +176,28 @@
 	return rows[0], r, nil
 }
 
+// ObserveEra records that this node has seen an era of the store. It returns true if the
+// node has seen an older one before.
+func (c *Claimer) ObserveEra(era uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.eraSince.IsZero() && era <= c.era {
+		return false
+	}
+	changed := !c.eraSince.IsZero()
+	c.era, c.eraSince = era, c.clock.Now()
+	clear(c.observed) // versions of different eras can't be compared
+	return changed
+}
+
+// isEraNew reports whether the era is outdated, or began so lately that claims of the
+// era before it may still be acted on. A store that tells no era is never restored.
+func (c *Claimer) isEraNew(era uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return era != c.era || era > 0 && c.clock.Now().Sub(c.eraSince) < 2*c.ttl
+}
+
 // unchangedDuration returns how long this node has seen the engine's row at the given
 // version.
 func (c *Claimer) unchangedDuration(engine burdockyard.EndpointID, version uint64) time.Duration {
@@ -177,5 +217,8 @@
 	now := c.clock.Now()
 	monotonic := now.Sub(claim.requestedAt)
 	wall := now.Round(0).Sub(claim.requestedAt.Round(0)) // without the monotonic reading
-	return claim.fence > 0 && monotonic < c.ttl/2 && wall-monotonic < maxClockDivergence
+	c.mu.Lock()
+	outdated := claim.era != c.era
+	c.mu.Unlock()
+	return claim.fence > 0 && !outdated && monotonic < c.ttl/2 && wall-monotonic < maxClockDivergence
 }
--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -42,6 +42,11 @@
 	// engine with a full batch frees a slot in about this time.
 	minShedBackoff = 50 * time.Millisecond
 	maxShedBackoff = 800 * time.Millisecond
+	// maxRest limits how long an endpoint gets no calls because it asked for that.
+	maxRest = 5 * time.Minute
+	// maxDepartures is the largest number of removed endpoints that are remembered;
+	// beyond it all are forgotten.
+	maxDepartures = 4096
 	// shedLogThreshold is the number of consecutive shed requests at which the
 	// endpoint is reported as suspended, so that it is logged once.
 	shedLogThreshold = 4
@@ -98,6 +103,22 @@
 	backoffUntil        time.Time
 	wrongEndpointUntil  time.Time // no work until then, as another endpoint uses the address
 	heldUntil           time.Time // no work until then, as its role is about to change
+	leaving             bool      // the endpoint itself has told a node that it is about to end
+	restUntil           time.Time // no calls at all until then, as the endpoint has asked for it
+}
+
+// departure is what is known of an endpoint whose entry was removed.
+type departure struct {
+	bornMS   int64
+	sequence uint64
+	leaving  bool
+	restored bool // whether sequence is that of the entry in a restored store
+}
+
+// LeavingEndpoint is an endpoint that has told a node that it is about to end.
+type LeavingEndpoint struct {
+	ID     burdockyard.EndpointID
+	BornMS int64 // as in burdockyard.Instance
 }
 
 // Fleet is one node's view of the endpoints. It is safe for concurrent use. No
@@ -107,13 +128,14 @@
 
 	mu               sync.RWMutex
 	entries          map[burdockyard.EndpointID]*entry
+	departed         map[burdockyard.EndpointID]departure
 	lastReadAt       time.Time // when the newest registry read was requested
 	storeRecoveredAt time.Time // when the store was first read after its last outage
 }
 
 // New returns a Fleet without endpoints.
 func New(clock burdockyard.Clock) *Fleet {
-	return &Fleet{clock: clock, entries: map[burdockyard.EndpointID]*entry{}}
+	return &Fleet{clock: clock, entries: map[burdockyard.EndpointID]*entry{}, departed: map[burdockyard.EndpointID]departure{}}
 }
 
 // Apply applies the changed and removed entries of a registry read that was
@@ -147,21 +169,113 @@
 	}
 }
 
+// RecordRestore records that the store was restored from an older copy. Entries that are
+// missing there are kept for a while, since their endpoints write them again, and
+// entries as of an earlier time do not replace newer ones.
+func (f *Fleet) RecordRestore() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeRecoveredAt = f.clock.Now()
+}
+
+// WasJustRestored reports whether the store has recovered or was restored so lately that
+// endpoints may not have written their entries since.
+func (f *Fleet) WasJustRestored() bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.wasJustRestored()
+}
+
+// wasJustRestored implements WasJustRestored. The caller must hold mu.
+func (f *Fleet) wasJustRestored() bool {
+	return !f.storeRecoveredAt.IsZero() && f.clock.Now().Sub(f.storeRecoveredAt) < reregistrationGrace
+}
+
+// age is the relation of an entry to the one that was known before.
+type age int
+
+const (
+	newerEntry  age = iota // written later by the same process
+	nextProcess            // written by a later process of the endpoint
+	olderEntry             // written earlier; only a restored store has it
+)
+
+// compareAge returns the age of an entry, given the start and the sequence number of
+// the one before it at the same address.
+func (f *Fleet) compareAge(in burdockyard.Instance, bornMS int64, sequence uint64) age {
+	switch {
+	case in.BornMS > 0 && bornMS > 0 && in.BornMS < bornMS:
+		return olderEntry
+	case in.BornMS > 0 && bornMS > 0 && in.BornMS > bornMS:
+		return nextProcess
+	case in.Sequence >= sequence:
+		return newerEntry
+	case in.BornMS > 0 && bornMS > 0 || f.wasJustRestored():
+		return olderEntry
+	}
+	return nextProcess
+}
+
 func (f *Fleet) upsert(instance burdockyard.Instance) {
 	e := f.entries[instance.ID]
 	if e == nil {
-		e = &entry{}
+		if e = f.newEntry(instance); e == nil {
+			return
+		}
 		f.entries[instance.ID] = e
 	}
-	restarted := instance.Sequence < e.instance.Sequence || instance.Addr != e.instance.Addr
-	if restarted {
+	e.missingSince = time.Time{}
+	relation := newerEntry
+	if e.instance.ID != "" {
+		relation = f.compareAge(instance, e.instance.BornMS, e.instance.Sequence)
+		if instance.Addr != e.instance.Addr {
+			relation = nextProcess
+		}
+	}
+	switch relation {
+	case olderEntry:
+		return
+	case nextProcess:
 		*e = entry{}
+	case newerEntry:
+		// An endpoint that drains does not return. Its entry may say so in a restored
+		// store, before the endpoint has written it again.
+		instance.Draining = instance.Draining || e.instance.Draining && (instance.BornMS > 0 || f.wasJustRestored())
 	}
 	if instance.Role != e.instance.Role {
 		e.wrongEndpointUntil = time.Time{} // the endpoint may have refused work because the entry named another role
 	}
 	e.instance = instance
-	e.missingSince = time.Time{}
+}
+
+// newEntry returns the entry for an endpoint that has none. It returns nil if the
+// instance is from before the removal of its last one, which a restored store may have
+// undone. The caller must hold mu.
+func (f *Fleet) newEntry(instance burdockyard.Instance) *entry {
+	d, ok := f.departed[instance.ID]
+	if !ok || d.bornMS == 0 && !f.wasJustRestored() {
+		return &entry{}
+	}
+	relation := f.compareAge(instance, d.bornMS, d.sequence)
+	if relation == newerEntry && f.wasJustRestored() && !d.restored {
+		// The copy may be from before the removal. The next write of the endpoint shows
+		// that it lives.
+		d.sequence, d.restored = instance.Sequence, true
+		f.departed[instance.ID] = d
+	}
+	if relation == olderEntry || relation == newerEntry && instance.Sequence == d.sequence {
+		return nil
+	}
+	return &entry{leaving: d.leaving && relation == newerEntry}
+}
+
+// drop deletes an entry and remembers its endpoint. The caller must hold mu.
+func (f *Fleet) drop(id burdockyard.EndpointID, e *entry) {
+	if len(f.departed) >= maxDepartures {
+		clear(f.departed)
+	}
+	f.departed[id] = departure{bornMS: e.instance.BornMS, sequence: e.instance.Sequence, leaving: e.leaving || e.instance.Draining}
+	delete(f.entries, id)
 }
 
 // remove deletes an entry, or marks it as missing if the store has just recovered
@@ -177,7 +291,7 @@
 		e.missingSince = now
 	}
 	if f.storeRecoveredAt.IsZero() || now.Sub(f.storeRecoveredAt) >= reregistrationGrace || e.instance.Draining {
-		delete(f.entries, id)
+		f.drop(id, e)
 	}
 }
 
@@ -186,7 +300,7 @@
 	now := f.clock.Now()
 	for id, e := range f.entries {
 		if !e.missingSince.IsZero() && now.Sub(f.storeRecoveredAt) >= reregistrationGrace {
-			delete(f.entries, id)
+			f.drop(id, e)
 		}
 	}
 }
@@ -199,7 +313,7 @@
 	now := f.clock.Now()
 	var ready, backingOff []Endpoint
 	for _, e := range f.entries {
-		if e.instance.Service != service || e.instance.Draining || now.Before(e.wrongEndpointUntil) || now.Before(e.heldUntil) {
+		if e.instance.Service != service || !e.acceptsWork(now) || now.Before(e.heldUntil) {
 			continue
 		}
 		ep := Endpoint{Instance: e.instance, FailRate: e.failRate}
@@ -222,7 +336,80 @@
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	e := f.entries[id]
-	return e != nil && !e.instance.Draining && !f.clock.Now().Before(e.wrongEndpointUntil)
+	return e != nil && e.acceptsWork(f.clock.Now())
+}
+
+// acceptsWork reports whether a request may be sent to the endpoint.
+func (e *entry) acceptsWork(now time.Time) bool {
+	return !e.instance.Draining && !e.leaving && !now.Before(e.wrongEndpointUntil) && !now.Before(e.restUntil)
+}
+
+// AcceptsCalls reports whether any call may be sent to an endpoint, for example one for
+// its state.
+func (f *Fleet) AcceptsCalls(id burdockyard.EndpointID) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	e := f.entries[id]
+	return e == nil || !f.clock.Now().Before(e.restUntil)
+}
+
+// Rest keeps all calls from an endpoint for the duration d, at most maxRest, as the
+// endpoint has asked this node for it.
+func (f *Fleet) Rest(id burdockyard.EndpointID, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.entries[id]
+	if e == nil {
+		return
+	}
+	if until := f.clock.Now().Add(min(d, maxRest)); until.After(e.restUntil) {
+		e.restUntil = until
+	}
+}
+
+// RestLeft returns the time until the first endpoint of a service that rests accepts
+// work again, and false if none rests.
+func (f *Fleet) RestLeft(service string) (time.Duration, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	now := f.clock.Now()
+	var least time.Duration
+	for _, e := range f.entries {
+		left := e.restUntil.Sub(now)
+		if e.instance.Service == service && left > 0 && e.acceptsWork(e.restUntil) && (least == 0 || left < least) {
+			least = left
+		}
+	}
+	return least, least > 0
+}
+
+// MarkLeaving records that an endpoint has told a node that it is about to end, and
+// returns true if that is news. It has no effect on a later process of the endpoint.
+// bornMS is 0 if the caller knows the endpoint by its latest entry only.
+func (f *Fleet) MarkLeaving(id burdockyard.EndpointID, bornMS int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.entries[id]
+	if e == nil || e.leaving || bornMS != 0 && bornMS != e.instance.BornMS {
+		return false
+	}
+	e.leaving = true
+	return true
+}
+
+// Leaving returns the endpoints that are about to end though their entries do not say
+// so, ordered by ID. Nodes tell each other of them.
+func (f *Fleet) Leaving() []LeavingEndpoint {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var out []LeavingEndpoint
+	for id, e := range f.entries {
+		if e.leaving {
+			out = append(out, LeavingEndpoint{id, e.instance.BornMS})
+		}
+	}
+	slices.SortFunc(out, func(a, b LeavingEndpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return out
 }
 
 // Hold keeps new work from an endpoint for the duration d, because its role is
--- a/core/bymirror/bymirror.go
+++ b/core/bymirror/bymirror.go
@@ -4,12 +4,14 @@
 // # Usage
 //
 //	m := bymirror.New()
-//	d := m.ApplyScan(rows, version)              // after a scan
+//	d, ok := m.ApplyScan(rows, version)          // after a scan
 //	d, ok := m.ApplyChanges(changes, from, to)   // after a read of changes
 //	if !ok { … scan the whole table … }
 //
 // Reads reach a node over several paths and in any order. Each row carries the
-// version of its last change, so that an older row never replaces a newer one.
+// version of its last change, so that an older row never replaces a newer one. Versions
+// are compared within one era of the store only. A scan of a newer era replaces all
+// rows, and reads of older eras have no effect.
 package bymirror
 
 import (
@@ -22,6 +24,9 @@
 type Delta struct {
 	Changed []burdockyard.Row
 	Removed []string // keys of the removed rows
+	// EraChanged means that the store was restored from an older copy. Rows that are
+	// Changed or Removed may then have been so only in that copy.
+	EraChanged bool
 }
 
 // Mirror is the replica of one table. It is safe for concurrent use; no other lock
@@ -30,7 +35,7 @@
 	mu         sync.Mutex
 	rows       map[string]burdockyard.Row
 	tombstones map[string]uint64 // version of the removal, by key of the removed row
-	version    uint64
+	version    burdockyard.StoreVersion
 }
 
 // maxTombstones is the largest number of tombstones kept; beyond it all are
@@ -44,7 +49,7 @@
 }
 
 // Version returns the store version up to which the replica is complete.
-func (m *Mirror) Version() uint64 {
+func (m *Mirror) Version() burdockyard.StoreVersion {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.version
@@ -52,7 +57,7 @@
 
 // Rows returns all rows, in no particular order, and the store version at which
 // they were the whole table.
-func (m *Mirror) Rows() ([]burdockyard.Row, uint64) {
+func (m *Mirror) Rows() ([]burdockyard.Row, burdockyard.StoreVersion) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	rows := make([]burdockyard.Row, 0, len(m.rows))
@@ -62,14 +67,31 @@
 	return rows, m.version
 }
 
-// ApplyScan applies a scan of the whole table at a store version. A scan older
-// than the replica has no effect.
-func (m *Mirror) ApplyScan(rows []burdockyard.Row, version uint64) Delta {
+// Row returns the row with the given key, and false if there is none.
+func (m *Mirror) Row(key string) (burdockyard.Row, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.rows[key]
+	return r, ok
+}
+
+// ApplyScan applies a scan of the whole table at a store version. A scan older than
+// the replica has no effect; if it is of an older era, ApplyScan returns false.
+func (m *Mirror) ApplyScan(rows []burdockyard.Row, version burdockyard.StoreVersion) (Delta, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var d Delta
-	if version < m.version {
-		return d
+	if version.Compare(m.version) < 0 {
+		return d, version.Era == m.version.Era
+	}
+	if version.Era > m.version.Era {
+		d.EraChanged = m.version != burdockyard.StoreVersion{}
+		clear(m.tombstones)
+		// Rows of the former era have no version that can be compared with the new ones.
+		for key, r := range m.rows {
+			r.Version = 0
+			m.rows[key] = r
+		}
 	}
 	present := make(map[string]bool, len(rows))
 	for _, r := range rows {
@@ -78,31 +100,33 @@
 	}
 	for key := range m.rows {
 		if !present[key] {
-			m.remove(key, version, &d)
+			m.remove(key, version.Number, &d)
 		}
 	}
 	m.version = version
-	return d
+	return d, true
 }
 
-// ApplyChanges applies the changes after version from, up to version to. It returns
-// false and changes nothing if the replica has not reached from, because the
-// changes in between are missing.
-func (m *Mirror) ApplyChanges(changes []burdockyard.Change, from, to uint64) (Delta, bool) {
+// ApplyChanges applies the changes after version from, up to version to, which is of
+// the same era. It returns false and changes nothing if the replica has not reached
+// from, because the changes in between are missing, or if it is of another era.
+func (m *Mirror) ApplyChanges(changes []burdockyard.Change, from, to burdockyard.StoreVersion) (Delta, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var d Delta
-	if m.version < from {
+	if m.version.Era != from.Era || m.version.Compare(from) < 0 {
 		return d, false
 	}
 	for _, c := range changes {
 		if c.Removed {
-			m.remove(c.Row.Key, max(c.Row.Version, from+1), &d)
+			m.remove(c.Row.Key, max(c.Row.Version, from.Number+1), &d)
 		} else {
 			m.upsert(c.Row, &d)
 		}
 	}
-	m.version = max(m.version, to)
+	if to.Compare(m.version) > 0 {
+		m.version = to
+	}
 	return d, true
 }
 
--- a/core/bymirror/bymirror_test.go
+++ b/core/bymirror/bymirror_test.go
@@ -10,6 +10,11 @@
 	"burdockyard/core/bymirror"
 )
 
+// at returns a version of the first era.
+func at(number uint64) burdockyard.StoreVersion {
+	return burdockyard.StoreVersion{Era: 1, Number: number}
+}
+
 func change(key string, version uint64, removed bool) burdockyard.Change {
 	return burdockyard.Change{Row: burdockyard.Row{Key: key, Version: version, Value: []byte(fmt.Sprint(version))}, Removed: removed}
 }
@@ -26,23 +31,23 @@
 
 func TestGapRequiresScan(t *testing.T) {
 	m := bymirror.New()
-	m.ApplyScan([]burdockyard.Row{{Key: "a", Version: 3}}, 5)
-	if _, ok := m.ApplyChanges([]burdockyard.Change{change("b", 9, false)}, 8, 9); ok {
+	m.ApplyScan([]burdockyard.Row{{Key: "a", Version: 3}}, at(5))
+	if _, ok := m.ApplyChanges([]burdockyard.Change{change("b", 9, false)}, at(8), at(9)); ok {
 		t.Error("changes after a gap were applied; want them rejected")
 	}
-	if _, ok := m.ApplyChanges([]burdockyard.Change{change("b", 6, false)}, 4, 6); !ok || m.Version() != 6 {
-		t.Errorf("overlapping changes were rejected or left the version at %d; want them applied and version 6", m.Version())
+	if _, ok := m.ApplyChanges([]burdockyard.Change{change("b", 6, false)}, at(4), at(6)); !ok || m.Version() != at(6) {
+		t.Errorf("overlapping changes were rejected or left the version at %v; want them applied and version 6", m.Version())
 	}
 }
 
 func TestOlderReadHasNoEffect(t *testing.T) {
 	m := bymirror.New()
-	m.ApplyScan([]burdockyard.Row{{Key: "a", Version: 3}}, 5)
-	m.ApplyChanges([]burdockyard.Change{change("a", 7, true)}, 5, 7)
-	if d := m.ApplyScan([]burdockyard.Row{{Key: "a", Version: 3}}, 5); len(d.Changed) != 0 || len(rowVersions(m)) != 0 {
+	m.ApplyScan([]burdockyard.Row{{Key: "a", Version: 3}}, at(5))
+	m.ApplyChanges([]burdockyard.Change{change("a", 7, true)}, at(5), at(7))
+	if d, _ := m.ApplyScan([]burdockyard.Row{{Key: "a", Version: 3}}, at(5)); len(d.Changed) != 0 || len(rowVersions(m)) != 0 {
 		t.Errorf("older scan restored a removed row: %v", rowVersions(m))
 	}
-	m.ApplyChanges([]burdockyard.Change{change("a", 3, false)}, 2, 4)
+	m.ApplyChanges([]burdockyard.Change{change("a", 3, false)}, at(2), at(4))
 	if len(rowVersions(m)) != 0 {
 		t.Errorf("late changes restored a removed row: %v", rowVersions(m))
 	}
@@ -67,8 +72,8 @@
 			history = append(history, change(key, v, removed))
 		}
 		m := bymirror.New()
-		m.ApplyScan(nil, 0)
-		for m.Version() < 40 {
+		m.ApplyScan(nil, at(0))
+		for m.Version().Number < 40 {
 			from := uint64(rng.IntN(41))
 			to := from + uint64(rng.IntN(int(41-from)))
 			newest := map[string]burdockyard.Change{} // the store reports only the last change of a row
@@ -79,7 +84,7 @@
 			for _, c := range newest {
 				changes = append(changes, c)
 			}
-			m.ApplyChanges(changes, from, to)
+			m.ApplyChanges(changes, at(from), at(to))
 		}
 		var want []string
 		for k, v := range wantVersions {
--- a/errors.go
+++ b/errors.go
@@ -12,6 +12,9 @@
 	// ErrConflict means that a check of a transaction failed and nothing was
 	// written.
 	ErrConflict = merry.Sentinel("conflict")
+	// ErrEraChanged means that a row was read in another era of the store than the one
+	// in which its check was evaluated. Something may have been written.
+	ErrEraChanged = merry.Sentinel("store was restored from an older copy")
 	// ErrUnavailable means that the platform rejected the call without effect.
 	ErrUnavailable = merry.Sentinel("platform unavailable")
 	// ErrHistoryGone means that the store no longer keeps the changes since the
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -177,10 +177,9 @@
 	n.roles = newRoleController(n)
 	n.relayClients = bypeer.NewRelayClients()
 	n.configWatcher = newTableWatcher(n, p.ConfigTable, func() time.Duration { return n.reloadableSettings.Load().ConfigBound }, configMaxAgeShare, n.log.config, n.applyConfig)
-	n.watchers = []*tableWatcher{
-		n.configWatcher,
-		newTableWatcher(n, p.InstanceTable, func() time.Duration { return n.reloadableSettings.Load().DrainBound }, drainMaxAgeShare, n.log.fleet, n.applyInstances),
-	}
+	instanceWatcher := newTableWatcher(n, p.InstanceTable, func() time.Duration { return n.reloadableSettings.Load().DrainBound }, drainMaxAgeShare, n.log.fleet, n.applyInstances)
+	instanceWatcher.isRoutine = n.isRoutineUpdate
+	n.watchers = []*tableWatcher{n.configWatcher, instanceWatcher}
 	if s.FirstSystemStart {
 		// All nodes start at the same time. Once they know of each other, one of them
 		// reads the store for all.
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -74,6 +74,8 @@
 	gossip *bygossip.Gossip
 	send   func(d bypeer.Datagram, addrs []netip.AddrPort) // Gossip.Send, except in tests
 
+	eraChanged chan struct{} // has an element once the store has been restored
+
 	mu        sync.Mutex
 	known     map[burdockyard.NodeID]*peer
 	reachable map[burdockyard.NodeID]bool // nodes that were reachable at the last call of logReachability
@@ -94,7 +96,7 @@
 
 func newPeers(n *Node) *peers {
 	return &peers{
-		node: n, known: map[burdockyard.NodeID]*peer{}, reachable: map[burdockyard.NodeID]bool{},
+		node: n, eraChanged: make(chan struct{}, 1), known: map[burdockyard.NodeID]*peer{}, reachable: map[burdockyard.NodeID]bool{},
 		relay: relayState{aggregator: bydigest.New(n.clock, n.settings.Domain), echoes: map[burdockyard.NodeID]time.Time{}},
 	}
 }
@@ -111,6 +113,9 @@
 func (p *peers) handleDatagram(d bypeer.Datagram) {
 	p.handleHeartbeat(d.Heartbeat)
 	p.handleRelayed(d)
+	for _, c := range d.Confirmations {
+		p.node.applyConfirmation(c)
+	}
 }
 
 // handleHeartbeat applies a heartbeat of another node. One that is not newer than
@@ -176,7 +181,7 @@
 		share := 1 - min(p.node.reloadableSettings.Load().Capacity, 1)
 		sleep(ctx, registrationTime+fraction(firstScanSpread, share)-p.node.clock.Now().Sub(startedAt))
 		if len(p.node.view.Alive()) > 0 {
-			sleep(ctx, nodeScanInterval)
+			p.sleepUntilEraChange(ctx, nodeScanInterval)
 		}
 	}
 	for ctx.Err() == nil {
@@ -184,11 +189,28 @@
 		if err := p.scanNodes(ctx); err != nil {
 			delay = maxRetryDelay
 		}
-		sleep(ctx, delay)
+		if p.sleepUntilEraChange(ctx, delay) {
+			sleep(ctx, rand.N(registrationTime)) // all nodes write their rows again
+		}
 	}
 	return nil
 }
 
+// sleepUntilEraChange waits for d, until the store has been restored from an older
+// copy, which may lack rows of nodes, or until ctx is done. It reports whether the store
+// has been restored.
+func (p *peers) sleepUntilEraChange(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-p.eraChanged:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // rowKey returns the key of this node's row.
 func (p *peers) rowKey() string { return nodeTable + "/" + string(p.node.self.Node) }
 
@@ -262,7 +284,7 @@
 // removeRow deletes a row unless it has been rewritten since it was read.
 func (p *peers) removeRow(ctx context.Context, row burdockyard.Row) {
 	err := p.node.platform.Table.Commit(ctx, burdockyard.Txn{
-		Checks: []burdockyard.Check{{Key: row.Key, Version: row.Version}},
+		Checks: []burdockyard.Check{{Key: row.Key, Version: row.Version, Era: row.Era}},
 		Writes: []burdockyard.Write{{Key: row.Key, Delete: true}},
 	})
 	if err != nil {
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -20,6 +20,10 @@
 // node's rank, and a relayed reading refreshes the copy like a poll of its own. If
 // the first node loses its connection to the store or to its peers, the copy of the
 // second node reaches its maximum age shortly afterwards.
+//
+// Endpoints count up a number in their rows about once a second. Peers are not told of
+// changes in which nothing else is new: a datagram tells them that their copy is still
+// up to date.
 const (
 	// drainMaxAgeShare is the maximum age of the first node's copy of the instance
 	// table, as a fraction of the time within which all nodes must stop sending
@@ -56,11 +60,15 @@
 	log         bylog.Logger
 	mirror      *bymirror.Mirror
 	apply       func(d bymirror.Delta, requestedAt time.Time)
+	isRoutine   func(before, after burdockyard.Row) bool // whether peers need not be told of a change; nil if of none
 
 	mu           sync.Mutex
 	waitsSince   time.Time // since when this node waits for the first reading of a peer; zero if it does not wait
 	requestedAt  time.Time // when the newest reading was requested from the store, by this node or another
 	storeFailing bool      // whether the last store call of this node failed
+	// relayedVersion is the version up to which the nodes of this failure domain have
+	// been told of all changes that matter, by this node or another.
+	relayedVersion burdockyard.StoreVersion
 }
 
 func newTableWatcher(n *Node, table string, bound func() time.Duration, share float64, log bylog.Logger, apply func(bymirror.Delta, time.Time)) *tableWatcher {
@@ -141,24 +149,69 @@
 	from := w.mirror.Version()
 	changes, version, err := w.fetch(ctx, from)
 	if errors.Is(err, burdockyard.ErrHistoryGone) {
-		from = 0
-		changes, version, err = w.fetch(ctx, 0)
+		from = burdockyard.StoreVersion{}
+		changes, version, err = w.fetch(ctx, from)
 	}
 	w.recordStoreCall(err)
 	if err != nil {
 		return err
 	}
+	toRelay := w.changesToRelay(changes)
 	r := bypeer.TableReading{Table: w.table, ChangedSince: from, Version: version, Changes: changes}
-	w.applyReading(r, requestedAt)
-	w.relayToPeers(ctx, r, requestedAt)
+	relayedVersion := w.relayedUpTo()
+	if !w.applyReading(r, requestedAt) {
+		return nil // the copy has reached a newer era in the meantime
+	}
+	w.recordRelayed(version)
+	if relayedVersion.Era != version.Era || from.Number == 0 {
+		w.relayToPeers(ctx, w.fullReading(requestedAt), requestedAt)
+		return nil
+	}
+	r.ChangedSince, r.Changes = relayedVersion, toRelay
+	if len(toRelay) > 0 {
+		w.relayToPeers(ctx, r, requestedAt)
+		return nil
+	}
+	// Each confirmation starts at the last reading that was relayed, so that a lost one
+	// leaves no gap.
+	w.recordRelayed(relayedVersion)
+	w.node.peers.sendConfirmation(bypeer.Confirmation{
+		Table: w.table, ChangedSince: relayedVersion, Version: version, Age: w.node.clock.Now().Sub(requestedAt),
+	})
 	return nil
 }
 
-// fetch returns the changes since the version from, or the whole table if from is 0,
-// and the version read.
-func (w *tableWatcher) fetch(ctx context.Context, from uint64) ([]burdockyard.Change, uint64, error) {
+// changesToRelay returns the changes that peers must be told of.
+func (w *tableWatcher) changesToRelay(changes []burdockyard.Change) []burdockyard.Change {
+	var out []burdockyard.Change
+	for _, c := range changes {
+		before, ok := w.mirror.Row(c.Row.Key)
+		if w.isRoutine == nil || !ok || c.Removed || !w.isRoutine(before, c.Row) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// relayedUpTo returns relayedVersion.
+func (w *tableWatcher) relayedUpTo() burdockyard.StoreVersion {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.relayedVersion
+}
+
+// recordRelayed sets relayedVersion.
+func (w *tableWatcher) recordRelayed(v burdockyard.StoreVersion) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.relayedVersion = v
+}
+
+// fetch returns the changes since the version from, or the whole table if from is
+// zero, and the version read.
+func (w *tableWatcher) fetch(ctx context.Context, from burdockyard.StoreVersion) ([]burdockyard.Change, burdockyard.StoreVersion, error) {
 	registry := w.node.platform.Registry
-	if from > 0 {
+	if from.Number > 0 {
 		snap, err := registry.Changes(ctx, w.table, from, 0)
 		return snap.Changes, snap.Version, err
 	}
@@ -171,24 +224,38 @@
 }
 
 // applyReading applies a reading that was requested from the store at requestedAt. It
-// returns false, and changes nothing, if the copy lacks changes before the reading.
+// returns false, and changes nothing, if the copy lacks changes before the reading or
+// is of another era.
 func (w *tableWatcher) applyReading(r bypeer.TableReading, requestedAt time.Time) bool {
 	var d bymirror.Delta
-	ok := true
-	if r.ChangedSince == 0 {
+	var ok bool
+	if r.ChangedSince.Number == 0 {
 		rows := make([]burdockyard.Row, 0, len(r.Changes))
 		for _, c := range r.Changes {
 			rows = append(rows, c.Row)
 		}
-		d = w.mirror.ApplyScan(rows, r.Version)
+		d, ok = w.mirror.ApplyScan(rows, r.Version)
 	} else {
 		d, ok = w.mirror.ApplyChanges(r.Changes, r.ChangedSince, r.Version)
 	}
-	if ok {
+	if !ok {
+		return false
+	}
+	if d.EraChanged {
+		w.log.Warn("store was restored from an older copy", bylog.Str("table", w.table), bylog.Int("era", int(r.Version.Era)), bylog.Int("version", int(r.Version.Number)))
+	}
+	w.apply(d, requestedAt)
+	w.recordRequest(requestedAt)
+	w.node.observeEra(r.Version.Era)
+	return true
+}
+
+// applyConfirmation records that the copy is still up to date, unless it lacks changes.
+func (w *tableWatcher) applyConfirmation(c bypeer.Confirmation, requestedAt time.Time) {
+	if d, ok := w.mirror.ApplyChanges(nil, c.ChangedSince, c.Version); ok {
 		w.apply(d, requestedAt)
 		w.recordRequest(requestedAt)
 	}
-	return ok
 }
 
 // relayToPeers relays a reading to the other nodes of this failure domain. A node
@@ -205,7 +272,7 @@
 			r := r
 			r.Age = n.clock.Now().Sub(requestedAt)
 			peerVersion, err := n.relayClients.SendReading(ctx, h.Member.Addr, r)
-			if err == nil && peerVersion < r.ChangedSince {
+			if err == nil && peerVersion.Compare(r.Version) < 0 {
 				_, err = n.relayClients.SendReading(ctx, h.Member.Addr, w.fullReading(requestedAt))
 			}
 			if err != nil {
@@ -245,20 +312,44 @@
 	case err != nil && !wasFailing:
 		w.log.Warn("store lost", bylog.Str("table", w.table), bylog.Err(err))
 	case err == nil && wasFailing:
-		w.log.Info("store regained", bylog.Str("table", w.table), bylog.Int("version", int(w.mirror.Version())))
+		w.log.Info("store regained", bylog.Str("table", w.table), bylog.Int("era", int(w.mirror.Version().Era)), bylog.Int("version", int(w.mirror.Version().Number)))
 	}
 }
 
 // applyRelayedReading applies a reading relayed by another node. It returns the
-// version of the local copy, or 0 if this node does not follow the table.
-func (n *Node) applyRelayedReading(r bypeer.TableReading) uint64 {
+// version of the local copy, or zero if this node does not follow the table.
+func (n *Node) applyRelayedReading(r bypeer.TableReading) burdockyard.StoreVersion {
 	for _, w := range n.watchers {
-		if w.table == r.Table {
-			w.applyReading(r, n.clock.Now().Add(-r.Age))
-			return w.mirror.Version()
+		if w.table != r.Table {
+			continue
+		}
+		if w.applyReading(r, n.clock.Now().Add(-r.Age)) {
+			w.recordRelayed(r.Version)
 		}
+		return w.mirror.Version()
+	}
+	return burdockyard.StoreVersion{}
+}
+
+// applyConfirmation applies a confirmation that another node has sent.
+func (n *Node) applyConfirmation(c bypeer.Confirmation) {
+	for _, w := range n.watchers {
+		if w.table == c.Table {
+			w.applyConfirmation(c, n.clock.Now().Add(-c.Age))
+		}
+	}
+}
+
+// observeEra is called with the era of each reading. A new era means that the store may
+// lack rows that this system has written.
+func (n *Node) observeEra(era uint64) {
+	if !n.roles.claims.ObserveEra(era) {
+		return
+	}
+	select {
+	case n.peers.eraChanged <- struct{}{}:
+	default: // the node table is about to be read anyway
 	}
-	return 0
 }
 
 // applyConfig applies a changed configuration row. An invalid configuration is
@@ -296,9 +387,27 @@
 	for _, key := range d.Removed {
 		removed = append(removed, n.instanceID(key))
 	}
+	if d.EraChanged {
+		n.fleet.RecordRestore()
+	}
 	n.fleet.Apply(changed, removed, requestedAt)
 }
 
+// isRoutineUpdate reports whether an endpoint has only counted its sequence number up.
+// Right after a restore of the store that is news: it shows that the endpoint lives.
+func (n *Node) isRoutineUpdate(before, after burdockyard.Row) bool {
+	if n.fleet.WasJustRestored() {
+		return false
+	}
+	old, errOld := n.platform.DecodeInstance(before)
+	in, errNew := n.platform.DecodeInstance(after)
+	if errOld != nil || errNew != nil || in.Sequence < old.Sequence {
+		return false
+	}
+	old.Sequence = in.Sequence
+	return old == in
+}
+
 // instanceID returns the endpoint ID in the key of a row of the instance table.
 func (n *Node) instanceID(key string) burdockyard.EndpointID {
 	return burdockyard.EndpointID(key[len(n.platform.InstanceTable)+1:])
--- a/io/bygossip/bygossip_test.go
+++ b/io/bygossip/bygossip_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"reflect"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -69,6 +70,9 @@
 	want := bypeer.Datagram{
 		Heartbeat: heartbeat, Relayed: []bymember.Heartbeat{relayed}, Alive: []uint64{bymember.Hash(relayed.Member)},
 		Digests: []bydigest.Digest{{Domain: "a", Loads: heartbeat.Loads, CachedParts: heartbeat.CachedParts}},
+		Confirmations: []bypeer.Confirmation{{
+			Table: "servers", ChangedSince: burdockyard.StoreVersion{Era: 2, Number: 5}, Version: burdockyard.StoreVersion{Era: 2, Number: 9}, Age: 3 * time.Millisecond,
+		}},
 	}
 	sender.Send(want, []netip.AddrPort{receiverAddr})
 	if got := <-received; !reflect.DeepEqual(got, want) {
--- a/io/bypeer/relay.go
+++ b/io/bypeer/relay.go
@@ -21,9 +21,9 @@
 // to it, as one node has read them.
 type TableReading struct {
 	Table        string
-	ChangedSince uint64        // version that Changes start from; 0 if Changes hold the whole table
-	Version      uint64        // version of the table after Changes
-	Age          time.Duration // time since the node sent its request to the store
+	ChangedSince burdockyard.StoreVersion // version that Changes start from, of the same era as Version; zero if Changes hold the whole table
+	Version      burdockyard.StoreVersion // version of the table after Changes
+	Age          time.Duration            // time since the node sent its request to the store
 	Changes      []burdockyard.Change
 }
 
@@ -45,7 +45,7 @@
 
 // SendReading sends a reading to the node at addr and returns the version of the
 // table that the receiver has after applying it.
-func (c *RelayClients) SendReading(ctx context.Context, addr string, r TableReading) (uint64, error) {
+func (c *RelayClients) SendReading(ctx context.Context, addr string, r TableReading) (burdockyard.StoreVersion, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	c.mu.Lock()
@@ -55,36 +55,40 @@
 		c.clientsByAddr[addr] = relay
 	}
 	c.mu.Unlock()
-	msg := &bypeerpb.Reading{Table: r.Table, After: r.ChangedSince, Version: r.Version, AgeUs: r.Age.Microseconds()}
+	msg := &bypeerpb.Reading{Table: r.Table, After: r.ChangedSince.Number, Version: r.Version.Number, Era: r.Version.Era, AgeUs: r.Age.Microseconds()}
 	for _, ch := range r.Changes {
 		msg.Rows = append(msg.Rows, &bypeerpb.StoreRow{
 			Key: ch.Row.Key, Value: ch.Row.Value, Version: ch.Row.Version, Removed: ch.Removed,
 		})
 	}
 	reply, err := relay.Tell(ctx, msg)
-	return reply.GetVersion(), merry.Wrap(err)
+	return burdockyard.StoreVersion{Era: reply.GetEra(), Number: reply.GetVersion()}, merry.Wrap(err)
 }
 
 // NewRelayHandler returns a handler for the readings that other nodes send. It
 // calls apply with each; apply returns the version of the table that this node
 // has afterwards.
-func NewRelayHandler(apply func(TableReading) uint64) http.Handler {
+func NewRelayHandler(apply func(TableReading) burdockyard.StoreVersion) http.Handler {
 	return bypeerpb.NewRelayServer(relayServer(apply))
 }
 
-type relayServer func(TableReading) uint64
+type relayServer func(TableReading) burdockyard.StoreVersion
 
 // Tell implements bypeerpb.Relay. It calls s with the reading that msg encodes.
 func (s relayServer) Tell(_ context.Context, msg *bypeerpb.Reading) (*bypeerpb.Told, error) {
 	r := TableReading{
-		Table: msg.GetTable(), ChangedSince: msg.GetAfter(), Version: msg.GetVersion(),
+		Table: msg.GetTable(), Version: burdockyard.StoreVersion{Era: msg.GetEra(), Number: msg.GetVersion()},
 		Age: time.Duration(msg.GetAgeUs()) * time.Microsecond,
 	}
+	if msg.GetAfter() > 0 {
+		r.ChangedSince = burdockyard.StoreVersion{Era: msg.GetEra(), Number: msg.GetAfter()}
+	}
 	for _, row := range msg.GetRows() {
 		r.Changes = append(r.Changes, burdockyard.Change{
 			Row:     burdockyard.Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion()},
 			Removed: row.GetRemoved(),
 		})
 	}
-	return &bypeerpb.Told{Version: s(r)}, nil
+	v := s(r)
+	return &bypeerpb.Told{Version: v.Number, Era: v.Era}, nil
 }
--- a/io/bypeer/server.go
+++ b/io/bypeer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/twitchtv/twirp"
@@ -167,6 +168,16 @@
 	Relayed   []bymember.Heartbeat // of other nodes
 	Alive     []uint64             // bymember.Hash of other nodes
 	Digests   []bydigest.Digest
+
+	Confirmations []Confirmation
+}
+
+// Confirmation tells that one node has read a table and found no change that matters.
+type Confirmation struct {
+	Table        string
+	ChangedSince burdockyard.StoreVersion // version that the receiver's copy must have reached
+	Version      burdockyard.StoreVersion // version that the copy then has
+	Age          time.Duration            // time since the node sent its request to the store
 }
 
 // MarshalDatagram encodes a datagram. Nodes that know no relays read it as the
@@ -182,6 +193,11 @@
 			Domain: digest.Domain, Loads: loadsToProto(digest.Loads), Reads: cachedPartsToProto(digest.CachedParts),
 		})
 	}
+	for _, c := range d.Confirmations {
+		msg.Confirmations = append(msg.Confirmations, &bypeerpb.Confirmation{
+			Table: c.Table, Era: c.Version.Era, After: c.ChangedSince.Number, Version: c.Version.Number, AgeUs: c.Age.Microseconds(),
+		})
+	}
 	return proto.Marshal(msg)
 }
 
@@ -200,6 +216,13 @@
 			Domain: digest.GetDomain(), Loads: loadsFromProto(digest.GetLoads()), CachedParts: cachedPartsFromProto(digest.GetReads()),
 		})
 	}
+	for _, c := range msg.GetConfirmations() {
+		d.Confirmations = append(d.Confirmations, Confirmation{
+			Table: c.GetTable(), Age: time.Duration(c.GetAgeUs()) * time.Microsecond,
+			ChangedSince: burdockyard.StoreVersion{Era: c.GetEra(), Number: c.GetAfter()},
+			Version:      burdockyard.StoreVersion{Era: c.GetEra(), Number: c.GetVersion()},
+		})
+	}
 	return d, nil
 }
 
--- a/platform.go
+++ b/platform.go
@@ -1,22 +1,42 @@
 package burdockyard
 
-import "context"
+import (
+	"cmp"
+	"context"
+)
+
+// StoreVersion is a version of the platform's store. A store that has been restored
+// from an older copy begins a new era and counts on from the version of the copy. So a
+// number means something only together with its era.
+type StoreVersion struct {
+	Era    uint64
+	Number uint64
+}
+
+// Compare returns a negative number if v is older than w, and a positive one if it is
+// newer. Every version of an era is newer than all versions of earlier eras.
+func (v StoreVersion) Compare(w StoreVersion) int {
+	return cmp.Or(cmp.Compare(v.Era, w.Era), cmp.Compare(v.Number, w.Number))
+}
 
 // Row is one row of the table service. Version 0 means that the row does not exist.
 type Row struct {
 	Key     string `json:"key"`
 	Value   []byte `json:"value,omitempty"`
 	Version uint64 `json:"version"`
+	Era     uint64 `json:"era,omitempty"` // era of Version, see StoreVersion
 }
 
 // Exists reports whether the row existed when it was read.
 func (r Row) Exists() bool { return r.Version != 0 }
 
 // Check is a condition of a transaction: the row must still have this version.
-// Version 0 requires that the row does not exist.
+// Version 0 requires that the row does not exist. A check holds only in the era in
+// which the row was read; Commit returns ErrEraChanged in any other.
 type Check struct {
 	Key     string `json:"key"`
 	Version uint64 `json:"version"`
+	Era     uint64 `json:"era,omitempty"`
 }
 
 // Write sets or deletes a row.
--- a/protocol.go
+++ b/protocol.go
@@ -39,7 +39,11 @@
 	ID            RequestID // ID of the request that the response belongs to; empty if it carries none
 	NotRun        bool      // whether the endpoint reports that the request has not run
 	WrongEndpoint bool      // whether the address now belongs to another endpoint
-	Load          LoadReport
+	Leaving       bool      // whether the endpoint is about to end and wants no new requests
+	// RetryAfter is how long an endpoint that has refused the request wants no requests
+	// from this node; zero if it does not tell.
+	RetryAfter time.Duration
+	Load       LoadReport
 }
 
 // PrefilledPrompt is the KV cache of a prompt that one engine has prefilled and
@@ -119,7 +123,7 @@
 type Snapshot struct {
 	Rows      []Row         // all rows, set by Registry.Scan
 	Changes   []Change      // changes, set by Registry.Changes
-	Version   uint64        // store version that the read is complete up to
+	Version   StoreVersion  // store version that the read is complete up to
 	StoreTime time.Duration // time of the store's own clock
 }
 
@@ -129,6 +133,7 @@
 	// Scan returns all rows of a table.
 	Scan(ctx context.Context, table string) (Snapshot, error)
 	// Changes returns the changes of a table after a version. If there are none, it
-	// waits for one, at most for wait. After ErrHistoryGone the caller must Scan.
-	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Snapshot, error)
+	// waits for one, at most for wait. After ErrHistoryGone, which it also returns in
+	// another era than that of the version, the caller must Scan.
+	Changes(ctx context.Context, table string, after StoreVersion, wait time.Duration) (Snapshot, error)
 }
--- a/routing.go
+++ b/routing.go
@@ -83,7 +83,8 @@
 	Draining   bool          // whether the endpoint is draining
 	WarmUpLeft time.Duration // remaining time of the slow phase after its start
 	Role       Role          // empty if the service serves no model
-	Sequence   uint64        // sequence number of the entry; a lower one than before means a restart
+	Sequence   uint64        // sequence number of the entry, which the endpoint counts up from its start
+	BornMS     int64         // start of the endpoint's process, as a Unix time in milliseconds; 0 if it does not tell
 }
 
 // PromptPart is one part of a prompt. Requests that have a part of the same ID can
