Honor endpoints that leave or ask for a rest, and cut heads without end

Cause: the node knew neither Server-Leaving nor the Retry-After of an endpoint. An endpoint that had announced its end got 56 of 60 further requests; one that had asked for a second of rest was asked again after 50 ms, and callers were told to come back after 0.12 s although all endpoints rested. The header of a response was read without a limit: bytes without end cost 60 MB of memory for each request, until its deadline.

Change: a response with Server-Leaving takes the endpoint out for that process of it, at once, also for queued requests, and heartbeats tell the peers. A refusal with Retry-After keeps every request and control call from the endpoint for that time, at most five minutes; fractions count, dates and other texts don't. If all endpoints rest, callers are refused at once with the time until the first one returns. The headers of a response may have 64 KiB.

--- a/core/bydigest/bydigest.go
+++ b/core/bydigest/bydigest.go
@@ -152,6 +152,7 @@
 // know of a.
 func flagsChanged(a, b bymember.Heartbeat) bool {
 	return a.Member != b.Member || a.Leaving != b.Leaving || a.Ready != b.Ready || a.Generation != b.Generation || a.Capacity != b.Capacity ||
+		!slices.Equal(a.LeavingEndpoints, b.LeavingEndpoints) ||
 		len(b.HeldEngines) > 0 // peers forget holds that are not repeated
 }
 
--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -257,10 +257,10 @@
 		return &entry{}
 	}
 	relation := f.compareAge(instance, d.bornMS, d.sequence)
-	if relation == newerEntry && f.wasJustRestored() && !d.restored {
+	if relation != nextProcess && f.wasJustRestored() && !d.restored {
 		// The copy may be from before the removal. The next write of the endpoint shows
 		// that it lives.
-		d.sequence, d.restored = instance.Sequence, true
+		d.sequence, d.restored = max(d.sequence, instance.Sequence), true
 		f.departed[instance.ID] = d
 	}
 	if relation == olderEntry || relation == newerEntry && instance.Sequence == d.sequence {
--- a/core/byfleet/byfleet_test.go
+++ b/core/byfleet/byfleet_test.go
@@ -161,3 +161,105 @@
 		expectUsable(t, f, "all endpoints are in backoff: one of them may have capacity again", "a", "b")
 	})
 }
+
+// TestEntriesOfRestoredStore checks what an entry means that a store restored from an
+// older copy brings back, or that its endpoint has written since.
+func TestEntriesOfRestoredStore(t *testing.T) {
+	entryOf := func(sequence uint64, bornMS int64, draining bool) burdockyard.Instance {
+		in := instance("a")
+		in.Sequence, in.BornMS, in.Draining = sequence, bornMS, draining
+		return in
+	}
+	for _, tt := range []struct {
+		name     string
+		before   burdockyard.Instance // known before the restore
+		removed  bool                 // whether the entry was removed before the restore
+		restored []burdockyard.Instance
+		usable   bool
+	}{
+		{"draining endpoint, ready in the copy", entryOf(9, 100, true), false, []burdockyard.Instance{entryOf(4, 100, false)}, false},
+		{"the same without start time", entryOf(9, 0, true), false, []burdockyard.Instance{entryOf(4, 0, false)}, false},
+		{"ready endpoint, older entry in the copy", entryOf(9, 100, false), false, []burdockyard.Instance{entryOf(4, 100, false)}, true},
+		{"removed endpoint in the copy", entryOf(9, 100, false), true, []burdockyard.Instance{entryOf(4, 100, false)}, false},
+		{"removed endpoint in the copy, with a number that was not heard before", entryOf(9, 100, false), true, []burdockyard.Instance{entryOf(12, 100, false)}, false},
+		{"removed endpoint that has written again", entryOf(9, 100, false), true, []burdockyard.Instance{entryOf(4, 100, false), entryOf(10, 100, false)}, true},
+		{"removed after draining, has written again", entryOf(9, 100, true), true, []burdockyard.Instance{entryOf(4, 100, false), entryOf(10, 100, false)}, false},
+		{"later process of a draining endpoint", entryOf(9, 100, true), false, []burdockyard.Instance{entryOf(1, 200, false)}, true},
+		{"earlier process in the copy", entryOf(2, 200, true), false, []burdockyard.Instance{entryOf(30, 100, false)}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := byfleet.New(burdockyard.SystemClock{})
+				f.Apply([]burdockyard.Instance{tt.before}, nil, time.Now())
+				if tt.removed {
+					f.Apply(nil, []burdockyard.EndpointID{"a"}, time.Now())
+				}
+				f.RecordRestore()
+				for _, in := range tt.restored {
+					f.Apply([]burdockyard.Instance{in}, nil, time.Now())
+				}
+				if got := len(f.Usable("app")) == 1; got != tt.usable {
+					t.Errorf("usable is %t, want %t", got, tt.usable)
+				}
+			})
+		})
+	}
+}
+
+// TestLeavingEndpointGetsNoWork checks that an endpoint which has told a node that it is
+// about to end gets no work until another process uses its name, whatever its entry
+// says.
+func TestLeavingEndpointGetsNoWork(t *testing.T) {
+	f := newFleetWith("a", "b")
+	born := instance("a")
+	born.BornMS = 100
+	f.Apply([]burdockyard.Instance{born}, nil, time.Now())
+	if f.MarkLeaving("a", 99) {
+		t.Error("news of an earlier process were taken")
+	}
+	if !f.MarkLeaving("a", 0) || f.MarkLeaving("a", 100) {
+		t.Error("want the first report taken as news and the second not")
+	}
+	expectUsable(t, f, "a has told that it leaves", "b")
+	if f.AcceptsWork("a") {
+		t.Error("a queued request may be sent to a leaving endpoint, want it refused")
+	}
+	born.Sequence++
+	f.Apply([]burdockyard.Instance{born}, nil, time.Now())
+	expectUsable(t, f, "the entry is still ready", "b")
+	if got := f.Leaving(); len(got) != 1 || got[0] != (byfleet.LeavingEndpoint{ID: "a", BornMS: 100}) {
+		t.Errorf("Leaving returned %v, want a", got)
+	}
+	born.BornMS, born.Sequence = 200, 1
+	f.Apply([]burdockyard.Instance{born}, nil, time.Now())
+	expectUsable(t, f, "another process uses the name", "a", "b")
+}
+
+// TestRestingEndpointGetsNothing checks that an endpoint gets no calls for the time that
+// it has asked for, even if there is no other, and that the time of return is known.
+func TestRestingEndpointGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetWith("a", "b")
+		if _, ok := f.RestLeft("app"); ok {
+			t.Error("RestLeft reports a resting endpoint, want none")
+		}
+		f.Rest("a", 3*time.Second)
+		f.Rest("a", time.Second) // a shorter time does not end the longer one
+		expectUsable(t, f, "a rests", "b")
+		f.Rest("b", 1500*time.Millisecond)
+		expectUsable(t, f, "both rest")
+		if f.AcceptsWork("a") || f.AcceptsCalls("a") || !f.AcceptsCalls("c") {
+			t.Error("want no calls to a resting endpoint, and calls to one that is not known")
+		}
+		if left, ok := f.RestLeft("app"); !ok || left != 1500*time.Millisecond {
+			t.Errorf("RestLeft returned %v, %t; want 1.5s", left, ok)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		expectUsable(t, f, "the rest of b is over", "b")
+		time.Sleep(1500 * time.Millisecond)
+		expectUsable(t, f, "the rest of both is over", "a", "b")
+		f.Rest("a", 1000*time.Hour)
+		time.Sleep(6 * time.Minute)
+		expectUsable(t, f, "an absurd time is limited", "a", "b")
+	})
+}
--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -20,6 +20,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"burdockyard"
+	"burdockyard/core/byfleet"
 )
 
 const (
@@ -60,10 +61,11 @@
 	RecentlyConfirmed bool   // whether the node confirmed Generation recently
 	Seq               uint64 // increases with each heartbeat of an incarnation
 	Loads             []Load
-	HeldEngines       []burdockyard.EndpointID // engines that get no new work for now
-	CachedParts       []CachedPart             // prompt parts that engines have prefilled since the previous heartbeat
-	Ready             bool                     // whether the node accepts callers
-	Capacity          float64                  // share of a core that the node may use; weights the directory's answers
+	HeldEngines       []burdockyard.EndpointID  // engines that get no new work for now
+	LeavingEndpoints  []byfleet.LeavingEndpoint // endpoints that have told this node, or another one, that they are about to end
+	CachedParts       []CachedPart              // prompt parts that engines have prefilled since the previous heartbeat
+	Ready             bool                      // whether the node accepts callers
+	Capacity          float64                   // share of a core that the node may use; weights the directory's answers
 }
 
 // Hash returns a hash of a member's node and incarnation. Relays use it to tell which
--- a/core/bymirror/bymirror_test.go
+++ b/core/bymirror/bymirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -96,3 +97,76 @@
 		}
 	}
 }
+
+// TestReadsOfSeveralEras restores a store from older copies at random moments and
+// delivers scans and changes of all eras late, repeatedly and in random order. A read
+// of an older era must have no effect once a newer one is known, and the last scan must
+// leave exactly the rows of the store.
+func TestReadsOfSeveralEras(t *testing.T) {
+	type state struct {
+		version burdockyard.StoreVersion
+		rows    map[string]burdockyard.Row
+	}
+	for seed := range uint64(2000) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		now := state{at(0), map[string]burdockyard.Row{}}
+		states := []state{{now.version, maps.Clone(now.rows)}}
+		for range 60 {
+			if rng.IntN(8) == 0 {
+				era := now.version.Era + 1
+				copied := states[rng.IntN(len(states))]
+				now = state{burdockyard.StoreVersion{Era: era, Number: copied.version.Number}, maps.Clone(copied.rows)}
+			} else {
+				now.version.Number++
+				key := string(rune('a' + rng.IntN(5)))
+				if _, ok := now.rows[key]; ok && rng.IntN(3) == 0 {
+					delete(now.rows, key)
+				} else {
+					now.rows[key] = burdockyard.Row{Key: key, Version: now.version.Number, Value: fmt.Append(nil, now.version)}
+				}
+			}
+			states = append(states, state{now.version, maps.Clone(now.rows)})
+		}
+		m := bymirror.New()
+		scan := func(s state) {
+			m.ApplyScan(slices.Collect(maps.Values(s.rows)), s.version)
+		}
+		for range 200 {
+			before := m.Version()
+			i := rng.IntN(len(states))
+			if j := rng.IntN(len(states)); rng.IntN(2) == 0 && j <= i && states[i].version.Era == states[j].version.Era {
+				m.ApplyChanges(changesBetween(states[j].rows, states[i].rows, states[i].version.Number), states[j].version, states[i].version)
+			} else {
+				scan(states[i])
+			}
+			if m.Version().Compare(before) < 0 {
+				t.Fatalf("seed %d: the version went back from %v to %v", seed, before, m.Version())
+			}
+		}
+		scan(now)
+		rows, version := m.Rows()
+		got := map[string]burdockyard.Row{}
+		for _, r := range rows {
+			got[r.Key] = r
+		}
+		if version != now.version || !maps.EqualFunc(got, now.rows, func(a, b burdockyard.Row) bool { return string(a.Value) == string(b.Value) }) {
+			t.Fatalf("seed %d: the copy at %v has %v, want %v at %v", seed, version, got, now.rows, now.version)
+		}
+	}
+}
+
+// changesBetween returns the changes that lead from one state of a table to a later one.
+func changesBetween(before, after map[string]burdockyard.Row, version uint64) []burdockyard.Change {
+	var changes []burdockyard.Change
+	for key, r := range after {
+		if before[key].Version != r.Version {
+			changes = append(changes, burdockyard.Change{Row: r})
+		}
+	}
+	for key := range before {
+		if _, ok := after[key]; !ok {
+			changes = append(changes, burdockyard.Change{Row: burdockyard.Row{Key: key, Version: version}, Removed: true})
+		}
+	}
+	return changes
+}
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -68,7 +68,7 @@
 		return nil, c.classifySendError(ctx, e, err), err
 	}
 	n.metrics.EndpointLatency(c.service.Name, attemptAction(a)).Update(n.clock.Now().Sub(sentAt).Seconds())
-	info := n.platform.Protocol.DecodeResponse(resp.Status, resp.Header)
+	info := n.observeResponse(e, resp.Status, resp.Header)
 	n.loadTracker.RecordLoadReport(e.ID, info.Load)
 	switch {
 	case info.WrongEndpoint:
@@ -86,6 +86,23 @@
 	return resp, outcomeAnswered, nil
 }
 
+// observeResponse decodes the header of an endpoint's response, and records what the
+// endpoint tells of itself there: that it is about to end, or wants a rest.
+func (n *Node) observeResponse(e byfleet.Endpoint, status int, h http.Header) burdockyard.ResponseInfo {
+	info := n.platform.Protocol.DecodeResponse(status, h)
+	if info.WrongEndpoint {
+		return info // it may be another endpoint that tells
+	}
+	if info.Leaving && n.fleet.MarkLeaving(e.ID, e.BornMS) {
+		n.log.fleet.Info("endpoint leaves", bylog.Str("endpoint", string(e.ID)), bylog.Str("told_by", string(e.ID)))
+	}
+	if info.RetryAfter > 0 {
+		n.fleet.Rest(e.ID, info.RetryAfter)
+		n.log.fleet.Info("endpoint rests", bylog.Str("endpoint", string(e.ID)), bylog.Millis("rest_ms", info.RetryAfter))
+	}
+	return info
+}
+
 // attemptAction returns what an attempt asks of an endpoint, as written to the log
 // and the metrics: "read" to prefill a prompt only, "run" to run the request.
 func attemptAction(a burdockyard.Attempt) string {
@@ -227,14 +244,24 @@
 	case last == outcomeNotRun && c.possibleRuns > 0:
 		c.fail(reasonEndpointFailed, err) // an endpoint may have run the request earlier
 	case last == outcomeNotRun && len(c.tried) == 0:
-		c.refuse(reasonNoEndpoint, noEndpointRetryAfter)
+		c.refuse(reasonNoEndpoint, c.retryAfterRest(noEndpointRetryAfter))
 	case last == outcomeNotRun:
-		c.refuse(reasonEndpointsFull, endpointsFullRetryAfter)
+		c.refuse(reasonEndpointsFull, c.retryAfterRest(endpointsFullRetryAfter))
 	default:
 		c.fail(reasonNoAnswer, err)
 	}
 }
 
+// retryAfterRest returns the retry delay for a refused request: the time until the first
+// endpoint ends its rest if all of them rest, otherwise d.
+func (c *call) retryAfterRest(d time.Duration) time.Duration {
+	left, ok := c.node.fleet.RestLeft(c.service.Name)
+	if !ok || len(c.node.fleet.Usable(c.service.Name)) > 0 {
+		return d
+	}
+	return left
+}
+
 // bufferedResponse is an endpoint's response of which up to maxBufferedBody bytes of
 // the body have been read.
 type bufferedResponse struct {
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -130,6 +130,11 @@
 	for _, id := range h.HeldEngines {
 		n.fleet.Hold(id, holdRenewalTTL)
 	}
+	for _, e := range h.LeavingEndpoints {
+		if n.fleet.MarkLeaving(e.ID, e.BornMS) {
+			n.log.fleet.Info("endpoint leaves", bylog.Str("endpoint", string(e.ID)), bylog.Str("told_by", string(h.Member.Node)))
+		}
+	}
 	if p.relay.active.Load() {
 		p.relay.aggregator.RecordHeartbeat(h)
 	}
@@ -413,6 +418,7 @@
 		Member: n.self, CallerAddr: n.settings.CallerAddr, Domain: n.settings.Domain,
 		Leaving: n.stopping.Load(), Ready: n.ready(), Capacity: n.reloadableSettings.Load().Capacity,
 		Seq: n.heartbeatSeq.Add(1), Loads: loads, CachedParts: cachedParts, HeldEngines: n.roles.renewHolds(),
+		LeavingEndpoints: n.fleet.Leaving(),
 	}
 	if t := n.routes.Current(); t != nil {
 		heartbeat.Generation = t.Version()
--- a/io/byentry/roles.go
+++ b/io/byentry/roles.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"burdockyard"
 	"burdockyard/core/byclaim"
 	"burdockyard/core/byfleet"
@@ -241,16 +243,21 @@
 }
 
 // callControl sends one control call to an endpoint, and returns the status and the
-// body of the response. It takes at most controlTimeout.
+// body of the response. It takes at most controlTimeout. It sends nothing to an endpoint
+// that rests.
 func (n *Node) callControl(ctx context.Context, e byfleet.Endpoint, req *byforward.Request) (status int, body []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
+	if !n.fleet.AcceptsCalls(e.ID) {
+		return 0, nil, merry.Wrap(burdockyard.ErrNotStarted)
+	}
 	req.Host, req.AllowMissingID, req.Deadline = e.Addr, true, n.clock.Now().Add(controlTimeout)
 	resp, err := n.forwarder.Send(ctx, byforward.Target{Addr: e.Addr, MaxConns: minEndpointConns}, req)
 	if err != nil {
 		return 0, nil, err
 	}
 	defer resp.Close()
+	n.observeResponse(e, resp.Status, resp.Header)
 	body, err = resp.ReadAll(maxControlResponseBytes)
 	return resp.Status, body, err
 }
--- a/io/byforward/byforward.go
+++ b/io/byforward/byforward.go
@@ -22,6 +22,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -55,6 +56,9 @@
 	maxInlineBody = 8 << 10
 	// readBufferSize is the size of a connection's read buffer in bytes.
 	readBufferSize = 4 << 10
+	// maxHeadBytes limits the size in bytes of all headers that are read before the
+	// body of a response. The bytes of an endpoint in trouble may never end.
+	maxHeadBytes = 64 << 10
 	// maxResponseHeaders is how many response headers are read in search of a final
 	// one. Interim responses (1xx) are skipped.
 	maxResponseHeaders = 5
@@ -102,7 +106,8 @@
 type conn struct {
 	net.Conn
 	addr        string
-	br          *bufio.Reader
+	in          *limitedReader
+	br          *bufio.Reader // reads from in
 	idleSince   time.Time     // when it was returned to the pool
 	idleTimeout time.Duration // how long it may stay idle
 }
@@ -215,7 +220,30 @@
 		f.decrementOpen(t.Addr)
 		return nil, notStarted(err)
 	}
-	return &conn{Conn: nc, addr: t.Addr, br: bufio.NewReaderSize(nc, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
+	in := &limitedReader{r: nc, left: math.MaxInt64}
+	return &conn{Conn: nc, addr: t.Addr, in: in, br: bufio.NewReaderSize(in, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
+}
+
+// limitedReader reads from r until a number of bytes has been read. Unlike
+// io.LimitedReader it then returns an error, so that a cut header is not taken for the
+// end of the connection.
+type limitedReader struct {
+	r    io.Reader
+	left int64
+}
+
+var errHeadTooLong = errors.New("the header is too long")
+
+func (l *limitedReader) Read(buf []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	if int64(len(buf)) > l.left {
+		buf = buf[:l.left]
+	}
+	n, err := l.r.Read(buf)
+	l.left -= int64(n)
+	return n, err
 }
 
 // isReusable reports whether an idle connection is open and has no data to read.
@@ -339,7 +367,9 @@
 	} else if err := resp.writeInBackground(header, r.Body); err != nil {
 		return err
 	}
+	resp.c.in.left = maxHeadBytes
 	httpResp, err := readResponse(resp.c.br, r.Method)
+	resp.c.in.left = math.MaxInt64
 	if err != nil {
 		return interrupted(err)
 	}
--- a/io/bygossip/bygossip_test.go
+++ b/io/bygossip/bygossip_test.go
@@ -12,6 +12,7 @@
 
 	"burdockyard"
 	"burdockyard/core/bydigest"
+	"burdockyard/core/byfleet"
 	"burdockyard/core/bymember"
 	"burdockyard/io/bygossip"
 	"burdockyard/io/bypeer"
@@ -62,8 +63,9 @@
 	heartbeat := bymember.Heartbeat{
 		Member:     burdockyard.Member{Node: "n1", Incarnation: "abc", Addr: "10.0.0.1:7660"},
 		CallerAddr: "10.0.0.1:8144", Domain: "a", Leaving: true, Generation: 7, Seq: 3, Ready: true, Capacity: 0.4,
-		Loads:       []bymember.Load{{Engine: "e1", PrefillTokens: 900, Streams: 2, LongPromptStreams: 1}},
-		CachedParts: []bymember.CachedPart{{Engine: "e1", PartID: 0x5c1e07a2, Tokens: 800}},
+		Loads:            []bymember.Load{{Engine: "e1", PrefillTokens: 900, Streams: 2, LongPromptStreams: 1}},
+		LeavingEndpoints: []byfleet.LeavingEndpoint{{ID: "e2", BornMS: 1764800000123}},
+		CachedParts:      []bymember.CachedPart{{Engine: "e1", PartID: 0x5c1e07a2, Tokens: 800}},
 	}
 	relayed := heartbeat
 	relayed.Member.Node = "n2"
--- a/io/bypeer/server.go
+++ b/io/bypeer/server.go
@@ -12,6 +12,7 @@
 	"burdockyard"
 	"burdockyard/core/bybooking"
 	"burdockyard/core/bydigest"
+	"burdockyard/core/byfleet"
 	"burdockyard/core/bymanifest"
 	"burdockyard/core/bymember"
 	"burdockyard/io/bypeer/bypeerpb"
@@ -107,6 +108,9 @@
 	for _, id := range h.HeldEngines {
 		out.Holds = append(out.Holds, string(id))
 	}
+	for _, e := range h.LeavingEndpoints {
+		out.LeavingEndpoints = append(out.LeavingEndpoints, &bypeerpb.LeavingEndpoint{Id: string(e.ID), BornMs: e.BornMS})
+	}
 	return out
 }
 
@@ -120,6 +124,9 @@
 	for _, id := range msg.GetHolds() {
 		out.HeldEngines = append(out.HeldEngines, burdockyard.EndpointID(id))
 	}
+	for _, e := range msg.GetLeavingEndpoints() {
+		out.LeavingEndpoints = append(out.LeavingEndpoints, byfleet.LeavingEndpoint{ID: burdockyard.EndpointID(e.GetId()), BornMS: e.GetBornMs()})
+	}
 	return out
 }
 
