Refuse what a stopping node cannot finish, and pass news on within 20 ms where relays can

Change: a stopping node refuses, with Retry-After and a closed connection, a request that may take longer than the node has left; in the first quarter of the grace period only if the recent responses of its route took too long as well. Relays use 8 % of their VM, rounds take 20 ms at least, and other nodes report changes after 50 ms.

--- a/core/bydigest/bydigest.go
+++ b/core/bydigest/bydigest.go
@@ -342,9 +342,9 @@
 	// seconds of a core.
 	datagramCost = 30e-6
 	// relayCPUShare is the share of a relay's capacity that its rounds may use.
-	relayCPUShare = 0.05
+	relayCPUShare = 0.08
 	// minRoundInterval and maxRoundInterval bound the time between two rounds.
-	minRoundInterval = 50 * time.Millisecond
+	minRoundInterval = 20 * time.Millisecond
 	maxRoundInterval = 400 * time.Millisecond
 )
 
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -127,6 +127,7 @@
 	metrics            *bymetrics.Metrics
 	log                loggers
 	stopping           atomic.Bool
+	stop               *stopState
 	openRequests       atomic.Int64 // number of requests in progress
 	bodyBytes          atomic.Int64 // size of the bodies of requests in progress, as charged against the memory limit
 	heartbeatSeq       atomic.Uint64
@@ -174,6 +175,7 @@
 	n.retryBudgets = newRetryBudgets()
 	n.peers = newPeers(n)
 	n.callerConns = newCallerConns(n.clock)
+	n.stop = newStopState()
 	n.roles = newRoleController(n)
 	n.relayClients = bypeer.NewRelayClients()
 	n.configWatcher = newTableWatcher(n, p.ConfigTable, func() time.Duration { return n.reloadableSettings.Load().ConfigBound }, configMaxAgeShare, n.log.config, n.applyConfig)
@@ -349,10 +351,12 @@
 }
 
 // shutDown keeps serving for a while, since callers still use this node's address,
-// and asks them to close their connections. It returns once no request is in
+// and asks them to close their connections. Requests that would take too long are
+// refused meanwhile. It returns once no request is in
 // progress or the time for it is up.
 func (n *Node) shutDown(servers []*http.Server) {
 	n.stopping.Store(true)
+	n.stop.begin(n.clock.Now())
 	n.log.node.Info("leaving", bylog.Int("open_requests", int(n.openRequests.Load())))
 	startedAt := n.clock.Now()
 	n.peers.sendHeartbeat(true, true)
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -98,6 +98,10 @@
 		n.bodyBytes.Add(int64(len(c.body)) - size)
 		size = int64(len(c.body))
 	}
+	if !n.stop.accepts(n.clock.Now(), c.route.Name, c.timeLeft(), n.reloadableSettings.Load().Grace) {
+		c.refuse(reasonStopping, minRetryAfter)
+		return
+	}
 	n.retryBudgets.forService(c.service.Name).Deposit()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
@@ -226,6 +230,7 @@
 const (
 	reasonNoConfiguration reason = "no_configuration" // the node has not learned a configuration yet
 	reasonMemory          reason = "memory"           // request bodies use all the memory allowed for them
+	reasonStopping        reason = "stopping"         // the node would stop before the response is complete
 	reasonOverload        reason = "overload"         // the stream would start after its caller has given up
 	reasonNoEndpoint      reason = "no_endpoint"      // the service has no endpoint that accepts new requests
 	reasonEndpointsFull   reason = "endpoints_full"   // every endpoint that was tried refused
@@ -265,6 +270,7 @@
 	}
 	c.node.metrics.Requests(kind, strings.ReplaceAll(outcome, " ", "_")).Inc()
 	if outcome == bylog.OutcomeAnswered {
+		c.node.stop.recordResponse(c.route.Name, c.node.clock.Now().Sub(c.startedAt))
 		c.node.metrics.RouteResponseTime(c.route.Name).Update(c.node.clock.Now().Sub(c.startedAt).Seconds())
 	}
 	if outcome == bylog.OutcomeFailed || outcome == bylog.OutcomeInterrupted {
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -155,7 +156,7 @@
 		known = &peer{addr: addrPort, lastSeen: p.node.clock.Now()}
 		p.known[id] = known
 		p.topology = topology{}
-		p.node.log.members.Info("node found", bylog.Str("peer", string(id)), bylog.Str("addr", addr))
+		p.node.log.members.Debug("node found", bylog.Str("peer", string(id)), bylog.Str("addr", addr))
 	} else if !fromHeartbeat {
 		return
 	}
@@ -374,15 +375,28 @@
 	}
 	after := p.reachable
 	p.mu.Unlock()
-	for id := range after {
-		if !before[id] {
-			p.node.log.members.Info("peer regained", bylog.Str("peer", string(id)))
+	p.logPeers("peer regained", bylog.Logger.Info, after, before)
+	p.logPeers("peer lost", bylog.Logger.Warn, before, after, bylog.Millis("silent_ms", unreachableAfter))
+}
+
+// maxPeersLogged is the largest number of peers that are logged one by one at a time.
+// When a large fleet starts, each node hears of all others at once.
+const maxPeersLogged = 8
+
+// logPeers logs the peers that are in the first set and not in the second one.
+func (p *peers) logPeers(message string, log func(bylog.Logger, string, ...bylog.Field), in, notIn map[burdockyard.NodeID]bool, fields ...bylog.Field) {
+	var ids []burdockyard.NodeID
+	for id := range in {
+		if !notIn[id] {
+			ids = append(ids, id)
 		}
 	}
-	for id := range before {
-		if !after[id] {
-			p.node.log.members.Warn("peer lost", bylog.Str("peer", string(id)), bylog.Millis("silent_ms", unreachableAfter))
-		}
+	slices.Sort(ids)
+	for _, id := range ids[:min(len(ids), maxPeersLogged)] {
+		log(p.node.log.members, message, append([]bylog.Field{bylog.Str("peer", string(id))}, fields...)...)
+	}
+	if more := len(ids) - maxPeersLogged; more > 0 {
+		log(p.node.log.members, message+", and more", append([]bylog.Field{bylog.Int("peers", more)}, fields...)...)
 	}
 }
 
--- a/io/byentry/relays.go
+++ b/io/byentry/relays.go
@@ -27,7 +27,7 @@
 	secondRelayFactor = 4
 	// changeInterval is the shortest interval between two heartbeats to the relays that
 	// report changes for which peers need not be told at once.
-	changeInterval = 100 * time.Millisecond
+	changeInterval = 50 * time.Millisecond
 	// relayWarmUp is how long a new relay waits before it sends sums. Until then it may
 	// not have heard of the work of all nodes.
 	relayWarmUp = 2 * maxHeartbeatInterval
