Accept a removed endpoint again unless its entry is older, and tell holds and departures without delay

Cause: an entry with the same sequence number as the removed one was taken for the copy of a restored store also when nothing had been restored, so that an endpoint whose entry had only lapsed could have stayed out. A hold reached nodes behind relays only with the next periodic heartbeat, which may be too late for the order that follows. A confirmation from a node not yet known was recorded as its heartbeat, with no capacity.

Holds and endpoints that announce their end wake the heartbeat loop. Lost peers are removed from the view.

TestLateWriteDoesNotBringEndpointBack red before in the case of the same entry, green after.

--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -197,6 +197,12 @@
 	return !f.storeRecoveredAt.IsZero() && f.clock.Now().Sub(f.storeRecoveredAt) < reregistrationGrace
 }
 
+// wasRestoredWithin reports whether the store was restored from an older copy less than
+// d ago. The caller must hold mu.
+func (f *Fleet) wasRestoredWithin(d time.Duration) bool {
+	return !f.restoredAt.IsZero() && f.clock.Now().Sub(f.restoredAt) < d
+}
+
 // age is the relation of an entry to the one that was known before.
 type age int
 
@@ -255,21 +261,27 @@
 }
 
 // newEntry returns the entry for an endpoint that has none. It returns nil if the
-// instance is from before the removal of its last one, which a restored store may have
-// undone. The caller must hold mu.
+// instance is from before the removal of its last one: a late write of the endpoint, or
+// a restored store, may have undone the removal. The caller must hold mu.
 func (f *Fleet) newEntry(instance burdockyard.Instance) *entry {
 	d, ok := f.departed[instance.ID]
 	if !ok || d.bornMS == 0 && !f.wasJustRestored() {
 		return &entry{}
 	}
 	relation := f.compareAge(instance, d.bornMS, d.sequence)
-	if relation != nextProcess && f.wasJustRestored() && !d.restored {
-		// The copy may be from before the removal. The next write of the endpoint shows
-		// that it lives.
-		d.sequence, d.restored = max(d.sequence, instance.Sequence), true
-		f.departed[instance.ID] = d
+	if f.wasRestoredWithin(departureNewsTime) && relation != nextProcess {
+		// An endpoint that lives shows it by a higher number than the first one that is
+		// seen after the restore.
+		isFirst := !d.restored
+		if isFirst {
+			d.sequence, d.restored = max(d.sequence, instance.Sequence), true
+			f.departed[instance.ID] = d
+		}
+		if isFirst || instance.Sequence == d.sequence {
+			return nil
+		}
 	}
-	if relation == olderEntry || relation == newerEntry && instance.Sequence == d.sequence {
+	if relation == olderEntry {
 		return nil
 	}
 	return &entry{leaving: d.leaving && relation == newerEntry}
@@ -414,7 +426,7 @@
 			out = append(out, LeavingEndpoint{id, e.instance.BornMS})
 		}
 	}
-	if !f.restoredAt.IsZero() && f.clock.Now().Sub(f.restoredAt) < departureNewsTime {
+	if f.wasRestoredWithin(departureNewsTime) {
 		for id, d := range f.departed {
 			if d.leaving && d.bornMS > 0 && f.entries[id] == nil {
 				out = append(out, LeavingEndpoint{id, d.bornMS})
--- a/core/byfleet/byfleet_test.go
+++ b/core/byfleet/byfleet_test.go
@@ -206,6 +206,34 @@
 	}
 }
 
+// TestLateWriteDoesNotBringEndpointBack checks which entries count after an endpoint's
+// entry was removed while the store has lost nothing.
+func TestLateWriteDoesNotBringEndpointBack(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		sequence uint64
+		bornMS   int64
+		usable   bool
+	}{
+		{"a late write", 8, 100, false},
+		{"the same entry again", 9, 100, true},
+		{"a later entry", 10, 100, true},
+		{"a later process", 1, 200, true},
+		{"an earlier process", 30, 50, false},
+	} {
+		f := byfleet.New(burdockyard.SystemClock{})
+		in := instance("a")
+		in.Sequence, in.BornMS = 9, 100
+		f.Apply([]burdockyard.Instance{in}, nil, time.Now())
+		f.Apply(nil, []burdockyard.EndpointID{"a"}, time.Now())
+		in.Sequence, in.BornMS = tt.sequence, tt.bornMS
+		f.Apply([]burdockyard.Instance{in}, nil, time.Now())
+		if got := len(f.Usable("app")) == 1; got != tt.usable {
+			t.Errorf("%s: usable is %t, want %t", tt.name, got, tt.usable)
+		}
+	}
+}
+
 // TestRestartedNodeLearnsOfDepartures restores the store from a copy in which an
 // endpoint that has drained and ended is ready. A node that starts then knows nothing of
 // before, and must hear of it from its peers.
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -95,6 +95,7 @@
 	}
 	if info.Leaving && n.fleet.MarkLeaving(e.ID, e.BornMS) {
 		n.log.fleet.Info("endpoint leaves", bylog.Str("endpoint", string(e.ID)), bylog.Str("told_by", string(e.ID)))
+		n.peers.sendSoon()
 	}
 	if info.RetryAfter > 0 {
 		n.fleet.Rest(e.ID, info.RetryAfter)
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -339,6 +339,7 @@
 	n.forwarder.CloseExpired()
 	n.loadTracker.RemoveUnknown(n.fleet.Contains)
 	n.peers.logReachability()
+	n.view.RemoveExpired()
 	n.retryBudgets.setNodes(1 + len(n.view.Alive()))
 	if t := n.routes.Current(); t != nil {
 		n.callerConns.closeIdle(t.Limits())
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -76,6 +76,7 @@
 	send   func(d bypeer.Datagram, addrs []netip.AddrPort) // Gossip.Send, except in tests
 
 	eraChanged chan struct{} // has an element once the store has been restored
+	wake       chan struct{} // has an element once there is news for which peers must not wait
 
 	mu        sync.Mutex
 	known     map[burdockyard.NodeID]*peer
@@ -97,7 +98,7 @@
 
 func newPeers(n *Node) *peers {
 	return &peers{
-		node: n, eraChanged: make(chan struct{}, 1), known: map[burdockyard.NodeID]*peer{}, reachable: map[burdockyard.NodeID]bool{},
+		node: n, eraChanged: make(chan struct{}, 1), wake: make(chan struct{}, 1), known: map[burdockyard.NodeID]*peer{}, reachable: map[burdockyard.NodeID]bool{},
 		relay: relayState{aggregator: bydigest.New(n.clock, n.settings.Domain), echoes: map[burdockyard.NodeID]time.Time{}},
 	}
 }
@@ -112,7 +113,9 @@
 
 // handleDatagram applies a datagram of another node.
 func (p *peers) handleDatagram(d bypeer.Datagram) {
-	p.handleHeartbeat(d.Heartbeat)
+	if d.Heartbeat.Seq > 0 {
+		p.handleHeartbeat(d.Heartbeat)
+	}
 	p.handleRelayed(d)
 	for _, c := range d.Confirmations {
 		p.node.applyConfirmation(c)
@@ -310,6 +313,8 @@
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
+		case <-p.wake:
+			rounds.toAllDomains = time.Time{} // the next heartbeat is a full one, to all
 		case <-p.node.loadTracker.Urgent():
 			if left := minHeartbeatInterval - p.node.clock.Now().Sub(rounds.last); left > 0 {
 				timer.Reset(left)
@@ -320,6 +325,14 @@
 	}
 }
 
+// sendSoon makes the heartbeat loop send a full heartbeat without delay.
+func (p *peers) sendSoon() {
+	select {
+	case p.wake <- struct{}{}:
+	default: // it is about to
+	}
+}
+
 // heartbeatTimes holds when the last heartbeats of several kinds were sent.
 type heartbeatTimes struct {
 	last, toSameDomain, toAllDomains time.Time
--- a/io/byentry/relays.go
+++ b/io/byentry/relays.go
@@ -284,8 +284,7 @@
 // sendConfirmation tells the nodes of this failure domain that their copy of a table is
 // still up to date.
 func (p *peers) sendConfirmation(c bypeer.Confirmation) {
-	// The sequence number 0 marks a heartbeat that is older than all others, since it
-	// has no loads.
+	// A heartbeat with sequence number 0 only names the sender.
 	h := bymember.Heartbeat{Member: p.node.self, Domain: p.node.settings.Domain}
 	p.send(bypeer.Datagram{Heartbeat: h, Confirmations: []bypeer.Confirmation{c}}, p.currentTopology().domainAddrs)
 }
--- a/io/byentry/roles.go
+++ b/io/byentry/roles.go
@@ -214,6 +214,7 @@
 	r.holds[id] = engineHold{r.node.fleet.Role(id), now.Add(minDuration), now.Add(maxDuration)}
 	r.mu.Unlock()
 	r.renewHolds()
+	r.node.peers.sendSoon()
 }
 
 // renewHolds renews the holds of this node, drops those that have ended, and returns
