Continue long streams from a copy when their engine ends, and count retries over the whole budget window

And the budget of second sends allowed a node at once only its share of the slack, 4.5 on 9 nodes, although the requests of the window had earned five times as much: 36 of the first streams that could have gone on were denied it.

Change: for streams that may not run twice and are long compared with the transfer of their KV cache (2 % at most), the engine sends copies to a decode engine of another failure domain.

Ruled out: copies in the same failure domain, to save bytes between domains. The crash took engines of one domain together: 30 of 67 copies were lost with their engine.

--- a/cmd/burdock/node.go
+++ b/cmd/burdock/node.go
@@ -96,7 +96,7 @@
 func reloadableSettings(s platform.Settings) byentry.ReloadableSettings {
 	return byentry.ReloadableSettings{
 		Capacity: capacity(s), MemoryBytes: s.MemoryBytes, Grace: s.Bounds.Grace, DrainBound: s.Bounds.Drain, ConfigBound: s.Bounds.Config,
-		RetryRatio: s.Bounds.RetryRatio, RetrySlack: float64(s.Bounds.RetrySlack), AnswerTTL: min(directoryTTL, s.Bounds.MaxAnswer),
+		RetryRatio: s.Bounds.RetryRatio, RetrySlack: float64(s.Bounds.RetrySlack), RetryWindow: s.Bounds.RetryWindow, AnswerTTL: min(directoryTTL, s.Bounds.MaxAnswer),
 	}
 }
 
--- a/core/byplace/byplace.go
+++ b/core/byplace/byplace.go
@@ -197,6 +197,28 @@
 	return best, best.PrefillEngine != nil
 }
 
+// PlanBackup selects the engine that gets copies of the KV cache of a run at engine e:
+// the decode engine with the fewest streams, in another failure domain than e if there is
+// one, since engines of one domain may be lost together. It returns false if there is no
+// other decode engine.
+func (t *LoadTracker) PlanBackup(e byfleet.Endpoint, engines []byfleet.Endpoint) (byfleet.Endpoint, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var best byfleet.Endpoint
+	leastStreams, found := 0, false
+	for _, other := range engines {
+		if other.ID == e.ID || other.Role == burdockyard.RolePrefill {
+			continue
+		}
+		streams := t.endpointLoad(other).streams
+		isApart, bestIsApart := other.Domain != e.Domain, best.Domain != e.Domain
+		if !found || isApart && !bestIsApart || isApart == bestIsApart && streams < leastStreams {
+			best, leastStreams, found = other, streams, true
+		}
+	}
+	return best, found
+}
+
 // PlanCall selects the endpoint for a call to a plain service from a node in the
 // given failure domain. It returns false if there are no endpoints.
 func (t *LoadTracker) PlanCall(domain string, endpoints []byfleet.Endpoint) (byfleet.Endpoint, bool) {
--- a/core/byplace/byplace_test.go
+++ b/core/byplace/byplace_test.go
@@ -50,6 +50,25 @@
 	return pl
 }
 
+// TestBackupIsInAnotherDomain checks which engine gets the copies of a run.
+func TestBackupIsInAnotherDomain(t *testing.T) {
+	tracker := byplace.NewLoadTracker(burdockyard.SystemClock{})
+	engines := newEngines(2, 6) // d0 and d3 are in domain a, d1 and d4 in b, d2 and d5 in c
+	for _, id := range []burdockyard.EndpointID{"d1", "d2", "d5"} {
+		tracker.Begin(id, byplace.Work{Streams: 1})
+	}
+	if got, ok := tracker.PlanBackup(newEngine("d0", "a", burdockyard.RoleDecode), engines); !ok || got.ID != "d4" {
+		t.Errorf("backup of d0 is %s, want d4, the idle decode engine of another failure domain", got.ID)
+	}
+	if got, ok := tracker.PlanBackup(newEngine("d0", "a", burdockyard.RoleDecode), engines[:2]); ok {
+		t.Errorf("backup of d0 is %s, want none among prefill engines", got.ID)
+	}
+	near := []byfleet.Endpoint{newEngine("d0", "a", burdockyard.RoleDecode), newEngine("d3", "a", burdockyard.RoleDecode)}
+	if got, ok := tracker.PlanBackup(near[0], near); !ok || got.ID != "d3" {
+		t.Errorf("backup of d0 is %s, want d3, the only other engine", got.ID)
+	}
+}
+
 func TestLongPromptUsesPrefillEngine(t *testing.T) {
 	tracker := byplace.NewLoadTracker(burdockyard.SystemClock{})
 	if pl := plan(t, tracker, prompt(1, 13_300, 3_700), newEngines(2, 4)); pl.PrefillEngine == nil {
--- a/core/byplace/cost.go
+++ b/core/byplace/cost.go
@@ -101,6 +101,9 @@
 	return sum
 }
 
+// PromptTokens returns the length of a prompt, in tokens.
+func PromptTokens(p *burdockyard.Prompt) int { return promptTokens(p) }
+
 func promptTokens(p *burdockyard.Prompt) int {
 	sum := 0
 	for _, part := range p.Parts {
@@ -191,11 +194,17 @@
 // transferTime returns how long it takes to transfer the KV cache of a number of tokens
 // between two engines of one failure domain.
 func (req PlacementRequest) transferTime(tokens int) time.Duration {
-	if req.Model.LinkMbps <= 0 {
+	return TransferTime(req.Model, tokens)
+}
+
+// TransferTime returns how long the link between two engines of a model takes for the KV
+// cache of a number of tokens, or zero if its bandwidth is not known.
+func TransferTime(model *burdockyard.ModelSpec, tokens int) time.Duration {
+	if model.LinkMbps <= 0 {
 		return 0
 	}
-	bits := float64(tokens) * float64(req.Model.KVTokenBytes) * 8
-	return time.Duration(bits / (req.Model.LinkMbps * 1e6) * float64(time.Second))
+	bits := float64(tokens) * float64(model.KVTokenBytes) * 8
+	return time.Duration(bits / (model.LinkMbps * 1e6) * float64(time.Second))
 }
 
 // streamStartDelay returns how long the streams at an engine delay a new one. In a full
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -83,6 +83,7 @@
 	ConfigBound time.Duration // maximum time from the acceptance of a configuration until it is in force on every node
 	RetryRatio  float64       // maximum ratio of retries to requests, over all nodes
 	RetrySlack  float64       // retries allowed in addition to RetryRatio, over all nodes
+	RetryWindow time.Duration // time over which requests and retries count; 0 means the default
 	AnswerTTL   time.Duration // how long callers may cache a response of the directory
 }
 
@@ -172,7 +173,7 @@
 	n.loadTracker = byplace.NewLoadTracker(n.clock)
 	n.forwarder = byforward.New(n.clock, func(h http.Header) burdockyard.RequestID { return p.Protocol.DecodeResponse(http.StatusOK, h).ID })
 	n.view = bymember.New(n.clock, n.self)
-	n.retryBudgets = newRetryBudgets()
+	n.retryBudgets = newRetryBudgets(n.clock)
 	n.peers = newPeers(n)
 	n.callerConns = newCallerConns(n.clock)
 	n.stop = newStopState()
@@ -196,7 +197,7 @@
 // UpdateSettings applies changed settings. It may be called while the node runs.
 func (n *Node) UpdateSettings(s ReloadableSettings) {
 	n.reloadableSettings.Store(&s)
-	n.retryBudgets.setLimits(s.RetryRatio, s.RetrySlack)
+	n.retryBudgets.setLimits(s.RetryRatio, s.RetrySlack, s.RetryWindow)
 }
 
 // Done returns a channel that is closed once Run has returned.
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -60,6 +60,7 @@
 	sends           int                             // number of all sends, including those that the endpoint refused
 	tried           map[burdockyard.EndpointID]bool // endpoints that are not selected again
 	endpointFailure *bufferedResponse               // latest 5xx response of an endpoint, nil if there is none
+	backup          *byfleet.Endpoint               // engine that gets copies of the KV cache of the run in progress, nil if none does
 	lastPlan        byplace.Plan                    // latest plan, for the log
 }
 
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -44,6 +44,9 @@
 			break
 		}
 		last, lastErr = c.executePlan(ctx, plan, relay)
+		if last == outcomeUnknown && c.backup != nil {
+			last, lastErr = c.continueFromBackup(ctx, plan.DecodeEngine, relay)
+		}
 		if last == outcomeAnswered {
 			return
 		}
@@ -97,6 +100,9 @@
 		n.loadTracker.RecordPrefill(plan.DecodeEngine.ID, c.info.Prompt)
 		attempt.KVSource = n.platform.Protocol.KVSource(stored.endpoint.Addr, stored.prefilled.Handle)
 	}
+	if c.backup = c.planBackup(plan.DecodeEngine); c.backup != nil {
+		attempt.BackupTo = c.backup.Addr
+	}
 	inFlight := n.loadTracker.Begin(plan.DecodeEngine.ID, work)
 	defer inFlight.Done()
 	resp, o, err := c.send(ctx, plan.DecodeEngine, attempt)
--- a/io/byentry/stop.go
+++ b/io/byentry/stop.go
@@ -13,6 +13,8 @@
 	unsureStopShare = 0.25
 	// usualTimeFactor is applied to the longest recent response time of a route.
 	usualTimeFactor = 1.5
+	// meanWeight is the weight of the newest response time in the mean of its route.
+	meanWeight = 0.1
 	// responseTimeDecay is the factor by which each shorter response reduces the longest
 	// response time of its route.
 	responseTimeDecay = 0.99
@@ -23,10 +25,17 @@
 type stopState struct {
 	mu        sync.Mutex
 	stoppedAt time.Time                // when the node was asked to stop, zero before
-	longest   map[string]time.Duration // decaying maximum of the response times, by route name
+	responses map[string]responseTimes // by route name
 }
 
-func newStopState() *stopState { return &stopState{longest: map[string]time.Duration{}} }
+// responseTimes summarizes the response times of a route.
+type responseTimes struct {
+	longest time.Duration // decaying maximum
+	mean    time.Duration // moving average
+	samples int
+}
+
+func newStopState() *stopState { return &stopState{responses: map[string]responseTimes{}} }
 
 // begin records that the node was asked to stop.
 func (s *stopState) begin(now time.Time) {
@@ -39,7 +48,22 @@
 func (s *stopState) recordResponse(route string, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.longest[route] = max(d, time.Duration(responseTimeDecay*float64(s.longest[route])))
+	r := s.responses[route]
+	if r.samples++; r.samples == 1 {
+		r.mean = d
+	}
+	r.mean += time.Duration(meanWeight * float64(d-r.mean))
+	r.longest = max(d, time.Duration(responseTimeDecay*float64(r.longest)))
+	s.responses[route] = r
+}
+
+// meanResponseTime returns the mean response time of a route, and from how many
+// responses it is known.
+func (s *stopState) meanResponseTime(route string) (mean time.Duration, samples int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.responses[route]
+	return r.mean, r.samples
 }
 
 // accepts reports whether a request that may take up to timeLeft will have ended before
@@ -55,6 +79,6 @@
 	if timeLeft <= serveLeft {
 		return true
 	}
-	usual, ok := s.longest[route]
-	return ok && elapsed < fraction(grace, unsureStopShare) && time.Duration(usualTimeFactor*float64(usual)) <= serveLeft
+	usual, ok := s.responses[route]
+	return ok && elapsed < fraction(grace, unsureStopShare) && time.Duration(usualTimeFactor*float64(usual.longest)) <= serveLeft
 }
--- a/io/byforward/byforward.go
+++ b/io/byforward/byforward.go
@@ -252,6 +252,19 @@
 	return n, err
 }
 
+// IsRefused reports whether a new connection to addr is refused, which proves that no
+// process serves there any more. It takes at most timeout.
+func (f *Forwarder) IsRefused(ctx context.Context, addr string, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	nc, err := f.dialer.DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	nc.Close() // nothing was sent on it
+	return false
+}
+
 // isReusable reports whether an idle connection is open and has no data to read.
 // Unread data belongs to no request in progress: it is a late or duplicate
 // response.
--- a/protocol.go
+++ b/protocol.go
@@ -20,6 +20,7 @@
 	Deadline         time.Duration // time left
 	PrefillOnly      bool          // whether the engine only prefills the prompt and keeps its KV cache
 	KVSource         string        // source of the prompt's KV cache, see Protocol.KVSource; empty if none
+	BackupTo         string        // address of an engine that gets copies of the KV cache as it grows; empty if none
 	PrefixSource     string        // address of an engine that has a prefix of the prompt in its KV cache; empty if none
 	Priority         int           // 0 is the most urgent; a negative value leaves the engine's default
 	LastEventID      string        // ID of the event after which to continue; empty to begin at the start
@@ -70,7 +71,8 @@
 	// sent with Attempt.PrefillOnly.
 	DecodePrefilledPrompt(body []byte) (PrefilledPrompt, error)
 	// KVSource returns the value of Attempt.KVSource for a KV cache, from its handle
-	// and the address of the engine that keeps it.
+	// and the address of the engine that keeps it. The handle of a copy that an engine
+	// got by Attempt.BackupTo is the ID of the request.
 	KVSource(addr, handle string) string
 	// ReleaseCall returns the method and path of the request that frees a kept KV
 	// cache.
--- a/routing.go
+++ b/routing.go
@@ -46,6 +46,7 @@
 	KVTokenBytes     int           // KV cache size of one token, in bytes
 	LinkMbps         float64       // bandwidth between two engines, in Mbit/s
 	KVHandleTTL      time.Duration // how long an engine keeps a KV cache that has not been fetched
+	Backups          bool          // whether engines can send copies of a KV cache to another engine while it grows
 	RoleChangeTime   time.Duration // how long an engine is unavailable while its role changes
 }
 
