--- a/io/byentry/backup_test.go
+++ b/io/byentry/backup_test.go
@@ -14,6 +14,7 @@
 // has ended, the engine that got copies of the KV cache continues it; if the engine may
 // still be at work, the caller gets a truncated response.
 func TestStreamContinuesFromCopy(t *testing.T) {
+	t.Parallel()
 	for _, tt := range []struct {
 		name      string
 		engineEnd bool // whether the engine refuses connections when it breaks the stream off
@@ -22,6 +23,7 @@
 		{"the engine still accepts connections", false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			c := newTestCluster(t)
 			c.publishConfig(3, nil)
 			for _, id := range []string{"d1", "d2"} {
--- a/io/byentry/restore_test.go
+++ b/io/byentry/restore_test.go
@@ -31,6 +31,7 @@
 // the node has seen are given out again, and the changes that bear them must take
 // effect all the same.
 func TestChangesAfterRestoreAreSeen(t *testing.T) {
+	t.Parallel()
 	c, n, old := newRestoreCluster(t)
 	for i := range 40 {
 		c.setRunnerState("app-1", "ready", 2+i)
@@ -48,6 +49,7 @@
 // TestEndpointThatLeftStaysOutAfterRestore restores the store from a copy in which
 // endpoints that have since left are still ready. They must get no requests.
 func TestEndpointThatLeftStaysOutAfterRestore(t *testing.T) {
+	t.Parallel()
 	c, n, old := newRestoreCluster(t)
 	c.setRunnerState("app-1", "draining", 9)
 	c.store.Remove("servers", "app-2")
--- a/io/byentry/stop_test.go
+++ b/io/byentry/stop_test.go
@@ -13,6 +13,7 @@
 // address get either a complete response or a refusal that tells them to come back, and
 // none of the refused requests has run.
 func TestStoppingNodeCutsNoResponse(t *testing.T) {
+	t.Parallel()
 	for _, tt := range []struct {
 		name, path  string
 		serviceTime time.Duration
@@ -23,6 +24,7 @@
 		{"streams", "/long/1", 900 * time.Millisecond, []string{longPrompt, longTokens, "X-Deadline-Ms: 5000"}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			c := newTestCluster(t)
 			c.grace = 6 * time.Second
 			c.publishConfig(3, nil)
