--- a/core/bydigest/bydigest.go
+++ b/core/bydigest/bydigest.go
@@ -317,20 +317,9 @@
 	Capacity float64 // load that its VM can serve, in CPU cores
 }
 
-// Rank returns how many of the candidates of a failure domain are better suited to be a
-// relay than c: those on larger VMs and, among equal ones, those that rendezvous
-// hashing prefers. Every node that knows the same candidates returns the same rank.
-func Rank(c Candidate, candidates []Candidate) int {
-	rank := 0
-	for _, other := range candidates {
-		if Compare(other, c) < 0 {
-			rank++
-		}
-	}
-	return rank
-}
-
-// Compare orders candidates, the best suited first.
+// Compare orders the candidates of a failure domain, the best suited first: those on the
+// largest VMs and, among equal ones, those that rendezvous hashing prefers. Nodes that
+// know the same candidates agree on the order.
 func Compare(a, b Candidate) int {
 	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(relayScore(b.Node), relayScore(a.Node)), cmp.Compare(a.Node, b.Node))
 }
--- a/core/bydigest/bydigest_test.go
+++ b/core/bydigest/bydigest_test.go
@@ -181,13 +181,12 @@
 	}
 }
 
-func TestLargestVMRanksFirst(t *testing.T) {
+func TestCandidateOrder(t *testing.T) {
 	candidates := []bydigest.Candidate{{Node: "n1", Capacity: 0.2}, {Node: "n2", Capacity: 0.8}, {Node: "n3", Capacity: 0.2}}
-	ranks := map[int]burdockyard.NodeID{}
-	for _, c := range candidates {
-		ranks[bydigest.Rank(c, candidates)] = c.Node
-	}
-	if len(ranks) != 3 || ranks[0] != "n2" {
-		t.Errorf("got ranks %v, want three, the first for n2", ranks)
+	slices.SortFunc(candidates, bydigest.Compare)
+	reordered := []bydigest.Candidate{candidates[2], candidates[0], candidates[1]}
+	slices.SortFunc(reordered, bydigest.Compare)
+	if candidates[0].Node != "n2" || !slices.Equal(candidates, reordered) {
+		t.Errorf("got orders %v and %v, want the same one, with n2 first", candidates, reordered)
 	}
 }
--- a/io/byentry/relays.go
+++ b/io/byentry/relays.go
@@ -49,7 +49,7 @@
 	sameDomain  int // number of members of this failure domain, without this node
 	reachable   int // number of those that were heard lately
 	otherDomain int // number of members of other failure domains
-	ownRank     int // rank of this node among the reachable nodes of its domain, see bydigest.Rank
+	ownRank     int // rank of this node among the reachable nodes of its domain, in the order of bydigest.Compare
 
 	domainAddrs []netip.AddrPort // all members of this failure domain, without this node
 	relays      []netip.AddrPort // relays of this domain, without this node
--- a/io/bysoak/bysoak.go
+++ b/io/bysoak/bysoak.go
@@ -86,7 +86,10 @@
 	stub  *bystub.Runner
 	proxy *proxy
 	id    string
-	seq   int // sequence number of the last published entry
+
+	// soak.mu guards the fields below.
+	seq   int    // sequence number of the last published entry
+	state string // state in that entry
 }
 
 // node is an entry node that runs as a process.
@@ -200,7 +203,10 @@
 // publishEntry writes the runner's entry in the given state to the store, with
 // the next sequence number.
 func (s *soak) publishEntry(r *runner, state string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	r.seq++
+	r.state = state
 	s.store.Set("servers", r.id, r.stub.StoreEntry(r.proxy.addr(), state, r.seq))
 }
 
--- a/io/bysoak/faults.go
+++ b/io/bysoak/faults.go
@@ -37,7 +37,7 @@
 	n := s.nodes[s.rng.IntN(len(s.nodes))]
 	r := s.runners[s.rng.IntN(len(s.runners))]
 	noop := func() {}
-	switch s.rng.IntN(14) {
+	switch s.rng.IntN(19) {
 	case 0, 1:
 		sig, action := syscall.SIGKILL, "kill"
 		if s.rng.IntN(2) == 0 {
@@ -82,7 +82,7 @@
 	case 9:
 		s.logEvent("runner %s leaves for %v", r.id, duration)
 		s.publishEntry(r, "draining")
-		return func() { s.publishEntry(r, "ready") }
+		return func() { s.restartRunner(r) }
 	case 10:
 		s.logEvent("entry of %s lapses for %v", r.id, duration)
 		s.store.Remove("servers", r.id)
@@ -91,12 +91,59 @@
 		s.logEvent("forged entry with the address of %s", r.id)
 		s.store.Set("servers", "forged", r.stub.StoreEntry(r.proxy.addr(), "ready", 1))
 		return func() { s.store.Remove("servers", "forged") }
+	case 12:
+		s.logEvent("store is restored from a copy, %v old", duration)
+		old := s.store.Copy()
+		return func() {
+			s.store.Restore(old)
+			s.rewriteRows()
+		}
+	case 13:
+		s.logEvent("runner %s tells that it leaves for %v", r.id, duration)
+		r.stub.SetFaults(bystub.RunnerFaults{Leaving: true})
+		return func() {
+			r.stub.SetFaults(bystub.RunnerFaults{})
+			s.restartRunner(r)
+		}
+	case 14:
+		f := bystub.RunnerFaults{Shed: 20, RetryAfter: []string{"0.4", "2", "soon", "1e300"}[s.rng.IntN(4)]}
+		s.logEvent("runner %s %+v", r.id, f)
+		r.stub.SetFaults(f)
+		return func() {
+			r.stub.SetFaults(bystub.RunnerFaults{})
+			s.restartRunner(r) // so that no node keeps an absurdly long rest
+		}
+	case 15:
+		f := bystub.RunnerFaults{Endless: []string{"line", "head", "body", "trailer"}[s.rng.IntN(4)]}
+		s.logEvent("runner %s %+v", r.id, f)
+		r.stub.SetFaults(f)
+		return func() { r.stub.SetFaults(bystub.RunnerFaults{}) }
 	default:
 		s.logEvent("configuration %d", s.publishConfig())
 		return noop
 	}
 }
 
+// restartRunner gives the runner a new process and publishes its entry.
+func (s *soak) restartRunner(r *runner) {
+	s.mu.Lock()
+	r.stub.Restart()
+	r.seq = 0
+	s.mu.Unlock()
+	s.publishEntry(r, "ready")
+}
+
+// rewriteRows does what runners and the operator do after the store was restored: they
+// write again what they wrote last, under the next sequence numbers.
+func (s *soak) rewriteRows() {
+	for _, r := range s.runners {
+		s.publishEntry(r, r.state)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.Set("op", "config", s.encodeConfig())
+}
+
 // restartNode waits until exited, the channel of the node's process at the start
 // of the fault, is closed, and then starts the node again. It kills the process
 // if it takes too long to exit. Faults overlap, so two of them may wait for the
@@ -154,12 +201,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.configVersion++
-	s.store.Set("op", "config", bystub.EncodeConfig(s.configVersion,
+	s.store.Set("op", "config", s.encodeConfig())
+	return s.configVersion
+}
+
+// encodeConfig returns the current configuration. The caller must hold mu.
+func (s *soak) encodeConfig() []byte {
+	return bystub.EncodeConfig(s.configVersion,
 		bystub.Route{Name: "read", Prefix: "/read/", Kind: "safe", Service: "app", Attempts: 2},
 		bystub.Route{Name: "book", Prefix: "/book/", Kind: "unsafe", Service: "app", Attempts: 1},
 		bystub.Route{Name: "quick", Prefix: "/quick/", Kind: "streaming", Service: "llm", Attempts: 2, Resumable: true},
 		bystub.Route{Name: "long", Prefix: "/long/", Kind: "streaming", Service: "llm", Attempts: 1},
 		bystub.Route{Name: "version", Prefix: fmt.Sprintf("/version-%d/", s.configVersion), Kind: "safe", Service: "app", Attempts: 2},
-	))
-	return s.configVersion
+	)
 }
