Sign responses without end in the stub, as runners do

Traced by the signature that all 18 and more violations name; the answers were cut, none looked whole. A fault of the stub.

--- a/io/byentry/trouble_test.go
+++ b/io/byentry/trouble_test.go
@@ -118,7 +118,7 @@
 		return 0
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err == nil && resp.Header.Get("X-Response-Stamp") == bystub.EndlessStamp {
+	if _, err := io.Copy(io.Discard, resp.Body); err == nil && strings.HasPrefix(resp.Header.Get("X-Response-Stamp"), bystub.EndlessStamp) {
 		return -1 // bytes without end must not look like a complete response
 	}
 	return resp.StatusCode
--- a/io/bysoak/soak_test.go
+++ b/io/bysoak/soak_test.go
@@ -12,7 +12,10 @@
 
 // seeds are the seeds that CI runs: one for a short run, and each seed that ever
 // failed, with a comment that states the cause.
-var seeds = []uint64{1}
+var seeds = []uint64{
+	1,
+	7004, 7005, // responses without end bore no signature of their request: a fault of the stub
+}
 
 func TestSoakKeepsGuarantees(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "burdock")
