Place prompts in time linear in the engines, and do not send first readings to a starting domain

Every node that had read the endpoints for the first time sent the whole table, about 0.9 MB, to the 59 others of its failure domain, over links of 20 Mbit/s. Besides, placing a long prompt compared each prefill engine with each decode engine and each possible source of cached tokens: 2.2 ms with 300 engines and 135 ms with 3,000.

Change: a node relays its first reading only when the whole system starts for the first time, where the others wait for it; a peer that lacks earlier changes gets the whole table from the first reader alone. The cheapest decode engine of each failure domain is found once for a prompt, and only engines that have cached tokens count as sources. Entries of a service are sorted when they change and not for each request.

TestCheapestPairIsFound: same cost as the cheapest of all pairs, 300 random fleets.

--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -132,6 +132,7 @@
 
 	mu               sync.RWMutex
 	entries          map[burdockyard.EndpointID]*entry
+	byService        map[string][]*entry // entries by service, ordered by ID; nil if it has to be computed anew
 	departed         map[burdockyard.EndpointID]departure
 	lastReadAt       time.Time // when the newest registry read was requested
 	storeRecoveredAt time.Time // when the store was first read after its last outage
@@ -149,6 +150,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordRead(requestedAt)
+	if len(changed)+len(removed) > 0 {
+		f.byService = nil
+	}
 	for _, in := range changed {
 		f.upsert(in)
 	}
@@ -294,6 +298,7 @@
 	}
 	f.departed[id] = departure{bornMS: e.instance.BornMS, sequence: e.instance.Sequence, leaving: e.leaving || e.instance.Draining}
 	delete(f.entries, id)
+	f.byService = nil
 }
 
 // remove deletes an entry, or marks it as missing if the store has just recovered
@@ -326,12 +331,14 @@
 // Usable returns the endpoints of a service that may get new work, ordered by
 // ID. Endpoints in backoff are returned only if there are no others.
 func (f *Fleet) Usable(service string) []Endpoint {
+	entries := f.entriesOf(service)
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	now := f.clock.Now()
-	var ready, backingOff []Endpoint
-	for _, e := range f.entries {
-		if e.instance.Service != service || !e.acceptsWork(now) || now.Before(e.heldUntil) {
+	ready := make([]Endpoint, 0, len(entries))
+	var backingOff []Endpoint
+	for _, e := range entries {
+		if !e.acceptsWork(now) || now.Before(e.heldUntil) {
 			continue
 		}
 		ep := Endpoint{Instance: e.instance, FailRate: e.failRate}
@@ -342,12 +349,34 @@
 		}
 	}
 	if len(ready) == 0 {
-		ready = backingOff
+		return backingOff
 	}
-	slices.SortFunc(ready, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	return ready
 }
 
+// entriesOf returns the entries of a service, ordered by ID. Sorting thousands of
+// entries for each request would take longer than placing it.
+func (f *Fleet) entriesOf(service string) []*entry {
+	f.mu.RLock()
+	byService := f.byService
+	f.mu.RUnlock()
+	if byService != nil {
+		return byService[service]
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.byService == nil {
+		f.byService = map[string][]*entry{}
+		for _, e := range f.entries {
+			f.byService[e.instance.Service] = append(f.byService[e.instance.Service], e)
+		}
+		for _, entries := range f.byService {
+			slices.SortFunc(entries, func(a, b *entry) int { return cmp.Compare(a.instance.ID, b.instance.ID) })
+		}
+	}
+	return f.byService[service]
+}
+
 // AcceptsWork reports whether a request may still be sent to an endpoint. Callers check
 // it right before they send, because the result of Usable may be outdated by then.
 func (f *Fleet) AcceptsWork(id burdockyard.EndpointID) bool {
--- a/core/byplace/byplace.go
+++ b/core/byplace/byplace.go
@@ -94,7 +94,7 @@
 		return Plan{}, false
 	}
 	req.fixedLatency, req.meanStreamTime = t.fixedLatency, t.meanStreamTime
-	req.prefixSources = append(append(req.prefixSources, prefillEngines...), decodeEngines...)
+	req.prefixSources = withCachedTokens(prefillEngines, decodeEngines)
 	short := !IsLongPrompt(req.Prompt)
 	if short {
 		decodeEngines = req.sample(decodeEngines)
@@ -113,6 +113,20 @@
 	return best, true
 }
 
+// withCachedTokens returns the engines that have enough of the prompt cached to fetch
+// it from them.
+func withCachedTokens(groups ...[]endpointLoad) []endpointLoad {
+	var sources []endpointLoad
+	for _, group := range groups {
+		for _, load := range group {
+			if load.cachedTokens >= minFetchTokens {
+				sources = append(sources, load)
+			}
+		}
+	}
+	return sources
+}
+
 // longPromptTokens is the size, in tokens, from which a prompt may go to a prefill
 // engine without a minimum gain.
 const longPromptTokens = 2048
@@ -174,6 +188,7 @@
 	var best Plan
 	total := promptTokens(req.Prompt)
 	home := req.homeEngine(prefillEngines)
+	decodeOptions := req.cheapestPerDomain(decodeEngines)
 	for i := range prefillEngines {
 		p := &prefillEngines[i]
 		prefill := req.fastestPrefill(*p, total, 1)
@@ -184,19 +199,50 @@
 		}
 		base := p.queueTime + prefill.fetchTime + prefillTime
 		cost := base + time.Duration(weight*float64(prefill.prefillTime)) + prefill.fetchTime + req.penalty(*p)
-		for _, d := range decodeEngines {
-			transfer := req.transferTimeBetween(*p, d, total)
-			plan := Plan{PrefillEngine: &p.endpoint, DecodeEngine: d.endpoint, PrefillTime: prefill.prefillTime, PrefillPriority: prefillPriority(prefill.prefillTime), QueueTime: p.queueTime, CachedTokens: prefill.cachedTokens, PrefixSource: prefill.prefixSource}
-			plan.PredictedTTFT = req.fixedLatency + base + transferSetup + transfer + req.streamStartDelay(d)
-			plan.cost = cost + transferSetup + 2*transfer + req.streamStartDelay(d) + d.queueTime/4 + req.penalty(d)
-			if best.PrefillEngine == nil || plan.cost < best.cost {
-				best = plan
+		for _, d := range decodeOptions {
+			transfer := req.transferTimeBetween(*p, d.load, total)
+			planCost := cost + transferSetup + 2*transfer + d.cost
+			if best.PrefillEngine != nil && planCost >= best.cost {
+				continue
+			}
+			best = Plan{
+				PrefillEngine: &p.endpoint, DecodeEngine: d.load.endpoint, PrefillTime: prefill.prefillTime,
+				PrefillPriority: prefillPriority(prefill.prefillTime), QueueTime: p.queueTime, CachedTokens: prefill.cachedTokens,
+				PrefixSource: prefill.prefixSource, PredictedTTFT: req.fixedLatency + base + transferSetup + transfer + req.streamStartDelay(d.load),
+				cost: planCost,
 			}
 		}
 	}
 	return best, best.PrefillEngine != nil
 }
 
+// decodeOption is a decode engine and the part of a plan's cost that it determines by
+// itself.
+type decodeOption struct {
+	load endpointLoad
+	cost time.Duration
+}
+
+// cheapestPerDomain returns the cheapest decode engine of each failure domain. The
+// transfer from a prefill engine takes the same time to all engines of a domain, so no
+// other engine can be part of the cheapest plan.
+func (req PlacementRequest) cheapestPerDomain(decodeEngines []endpointLoad) []decodeOption {
+	var options []decodeOption
+	index := map[string]int{} // in options, by domain
+	for _, d := range decodeEngines {
+		cost := req.streamStartDelay(d) + d.queueTime/4 + req.penalty(d)
+		i, ok := index[d.endpoint.Domain]
+		switch {
+		case !ok:
+			index[d.endpoint.Domain] = len(options)
+			options = append(options, decodeOption{d, cost})
+		case cost < options[i].cost:
+			options[i] = decodeOption{d, cost}
+		}
+	}
+	return options
+}
+
 // PlanBackup selects the engine that gets copies of the KV cache of a run at engine e:
 // the decode engine with the fewest streams, in another failure domain than e if there is
 // one, since engines of one domain may be lost together. It returns false if there is no
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -159,10 +159,17 @@
 	toRelay := w.changesToRelay(changes)
 	r := bypeer.TableReading{Table: w.table, ChangedSince: from, Version: version, Changes: changes}
 	relayedVersion := w.relayedUpTo()
+	isFirst := w.mirror.Version() == burdockyard.StoreVersion{}
 	if !w.applyReading(r, requestedAt) {
 		return nil // the copy has reached a newer era in the meantime
 	}
 	w.recordRelayed(version)
+	if isFirst && !w.isAwaited() {
+		// Peers that have no copy either are about to read the store themselves. If each
+		// starting node sent the whole table to all others, their links would be full for
+		// longer than reading it takes.
+		return nil
+	}
 	if relayedVersion.Era != version.Era || from.Number == 0 {
 		w.relayToPeers(ctx, w.fullReading(requestedAt), requestedAt)
 		return nil
@@ -193,6 +200,14 @@
 	return out
 }
 
+// isAwaited reports whether peers wait for the first reading of this node, as they do
+// when the whole system starts for the first time.
+func (w *tableWatcher) isAwaited() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.waitsSince.IsZero()
+}
+
 // relayedUpTo returns relayedVersion.
 func (w *tableWatcher) relayedUpTo() burdockyard.StoreVersion {
 	w.mu.Lock()
@@ -259,9 +274,11 @@
 }
 
 // relayToPeers relays a reading to the other nodes of this failure domain. A node
-// that lacks earlier changes gets the whole table.
+// that lacks earlier changes gets the whole table, unless this node is not the first
+// reader of the domain: then the first one sends it, or the node reads it by itself.
 func (w *tableWatcher) relayToPeers(ctx context.Context, r bypeer.TableReading, requestedAt time.Time) {
 	n := w.node
+	isFirstReader := w.rank() == 0
 	var group errgroup.Group
 	group.SetLimit(maxConcurrentRelays)
 	for _, h := range n.view.Alive() {
@@ -272,7 +289,7 @@
 			r := r
 			r.Age = n.clock.Now().Sub(requestedAt)
 			peerVersion, err := n.relayClients.SendReading(ctx, h.Member.Addr, r)
-			if err == nil && peerVersion.Compare(r.Version) < 0 {
+			if err == nil && peerVersion.Compare(r.Version) < 0 && isFirstReader {
 				_, err = n.relayClients.SendReading(ctx, h.Member.Addr, w.fullReading(requestedAt))
 			}
 			if err != nil {
