Check the service of an entry again under the lock that guards it

Cause: found by reading. Usable takes the entries of a service under one lock and reads them under the next; an entry whose service changed in between would have been used for the former one. Change: one comparison. Result: go test core/byfleet green.

--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -338,7 +338,8 @@
 	ready := make([]Endpoint, 0, len(entries))
 	var backingOff []Endpoint
 	for _, e := range entries {
-		if !e.acceptsWork(now) || now.Before(e.heldUntil) {
+		// The entry may have changed since entriesOf has returned.
+		if e.instance.Service != service || !e.acceptsWork(now) || now.Before(e.heldUntil) {
 			continue
 		}
 		ep := Endpoint{Instance: e.instance, FailRate: e.failRate}
