--- a/core/byplace/scale_test.go
+++ b/core/byplace/scale_test.go
@@ -30,6 +30,9 @@
 	return engines
 }
 
+// largeFleetModel is a model with links on which a fetch competes with a prefill.
+var largeFleetModel = &burdockyard.ModelSpec{Slots: 6, KVCapacityTokens: 300_000, KVTokenBytes: 131072, LinkMbps: 200_000}
+
 func longTestPrompt() *burdockyard.Prompt {
 	return &burdockyard.Prompt{InputTokens: 17_000, MaxOutputTokens: 10, Parts: []burdockyard.PromptPart{{ID: 7, Tokens: 13_300}, {ID: 8, Tokens: 3_700}}}
 }
@@ -37,7 +40,6 @@
 // TestCheapestPairIsFound compares the plan for a long prompt with the cheapest one of
 // all pairs of a prefill and a decode engine.
 func TestCheapestPairIsFound(t *testing.T) {
-	model := &burdockyard.ModelSpec{Slots: 6, KVCapacityTokens: 300_000, KVTokenBytes: 131072, LinkMbps: 200_000}
 	for seed := range uint64(300) {
 		rng := rand.New(rand.NewPCG(seed, 9))
 		tracker := NewLoadTracker(burdockyard.SystemClock{})
@@ -53,7 +55,7 @@
 				decodeEngines = append(decodeEngines, load)
 			}
 		}
-		req := PlacementRequest{Prompt: longTestPrompt(), Model: model, Domain: "d0", fixedLatency: 20 * time.Millisecond, meanStreamTime: 300 * time.Millisecond}
+		req := PlacementRequest{Prompt: longTestPrompt(), Model: largeFleetModel, Domain: "d0", fixedLatency: 20 * time.Millisecond, meanStreamTime: 300 * time.Millisecond}
 		req.prefixSources = append(append(req.prefixSources, prefillEngines...), decodeEngines...)
 		cheapest := time.Duration(0)
 		for _, p := range prefillEngines {
@@ -74,28 +76,49 @@
 	}
 }
 
-// TestPlanTimeGrowsWithEngines checks that the time to place a long prompt grows with the
-// number of engines, as with a fleet of thousands of them, and not with its square.
-func TestPlanTimeGrowsWithEngines(t *testing.T) {
-	model := &burdockyard.ModelSpec{Slots: 6, KVCapacityTokens: 300_000, KVTokenBytes: 131072, LinkMbps: 200_000}
-	fastest := func(n int) time.Duration {
-		tracker := NewLoadTracker(burdockyard.SystemClock{})
-		engines := randomEngines(rand.New(rand.NewPCG(1, 1)), tracker, n)
-		best := time.Duration(0)
-		for range 10 {
-			start := time.Now()
-			if _, ok := tracker.PlanPrompt(PlacementRequest{Prompt: longTestPrompt(), Model: model, Domain: "d0", Nodes: 300}, engines); !ok {
-				t.Fatal("no plan")
-			}
-			if d := time.Since(start); best == 0 || d < best {
-				best = d
-			}
+// TestPlanComparesFewPairs checks how many engines a plan for a long prompt combines with
+// each prefill engine in a fleet of 3,000: one decode engine of each failure domain, and
+// only engines that have the prompt's parts cached. With all of them the time for a plan
+// would grow with the square of the engines.
+func TestPlanComparesFewPairs(t *testing.T) {
+	tracker := NewLoadTracker(burdockyard.SystemClock{})
+	engines := randomEngines(rand.New(rand.NewPCG(1, 1)), tracker, 3000)
+	cachedAt := map[burdockyard.EndpointID]bool{"e4": true, "e9": true}
+	for id := range cachedAt {
+		tracker.RecordPrefill(id, longTestPrompt())
+	}
+	var loads []endpointLoad
+	for _, e := range engines {
+		load := tracker.endpointLoad(e)
+		load.cachedTokens = load.cache.cachedTokens(longTestPrompt())
+		loads = append(loads, load)
+	}
+	req := PlacementRequest{Prompt: longTestPrompt(), Model: largeFleetModel, Domain: "d0"}
+	if got := len(req.cheapestPerDomain(loads)); got != 5 {
+		t.Errorf("a prefill engine is combined with %d decode engines, want one for each of 5 domains", got)
+	}
+	sources := withCachedTokens(loads[:100], loads[100:])
+	for _, s := range sources {
+		if !cachedAt[s.endpoint.ID] {
+			t.Errorf("engine %s counts as a source of cached tokens, want only engines that have some", s.endpoint.ID)
 		}
-		return best
 	}
-	small, large := fastest(300), fastest(3000)
-	t.Logf("300 engines: %v, 3000 engines: %v", small, large)
-	if large > 30*small {
-		t.Errorf("a plan takes %v with 3000 engines and %v with 300, want at most 30 times as long", large, small)
+	if len(sources) != len(cachedAt) {
+		t.Errorf("%d engines count as sources of cached tokens, want %d", len(sources), len(cachedAt))
+	}
+}
+
+// BenchmarkPlanPrompt measures how long a plan for a long prompt takes.
+func BenchmarkPlanPrompt(b *testing.B) {
+	for _, n := range []int{300, 3000} {
+		b.Run(fmt.Sprint(n, " engines"), func(b *testing.B) {
+			tracker := NewLoadTracker(burdockyard.SystemClock{})
+			engines := randomEngines(rand.New(rand.NewPCG(1, 1)), tracker, n)
+			for b.Loop() {
+				if _, ok := tracker.PlanPrompt(PlacementRequest{Prompt: longTestPrompt(), Model: largeFleetModel, Domain: "d0", Nodes: 300}, engines); !ok {
+					b.Fatal("no plan")
+				}
+			}
+		})
 	}
 }
