Log which engine has ended under a request, and what its prompt shares with others

Seen: the logs of the incident did not tell whether requests that had broken off have something in common, or whether an engine has ended or a connection broke. "calls: answer cut" named no engine.

Change: "calls: attempt broke off" names the endpoint, the events that came, the shared parts of the prompt, and whether the endpoint's process has ended. That is known from a refused connection; one probe serves all attempts that break at the same time, and there is none after a time-out. The counter burdock_broken_by_end_total goes with it.

--- a/io/byentry/backup.go
+++ b/io/byentry/backup.go
@@ -77,5 +77,5 @@
 		return o, err
 	}
 	defer resp.Close()
-	return c.forwardStream(byplace.Plan{DecodeEngine: backup}, resp, relay, inFlight)
+	return c.forwardStream(ctx, byplace.Plan{DecodeEngine: backup}, resp, relay, inFlight)
 }
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -65,7 +65,7 @@
 	resp, err := n.forwarder.Send(ctx, byforward.Target{Addr: e.Addr, MaxConns: n.endpointConnLimit(c.service)}, req)
 	if err != nil {
 		c.warn("send failed", append(c.attemptFields(e, a), bylog.Str("addr", e.Addr), bylog.Err(err))...)
-		return nil, c.classifySendError(ctx, e, err), err
+		return nil, c.classifySendError(ctx, e, attemptAction(a), err), err
 	}
 	n.metrics.EndpointLatency(c.service.Name, attemptAction(a)).Update(n.clock.Now().Sub(sentAt).Seconds())
 	info := n.observeResponse(e, resp.Status, resp.Header)
@@ -104,13 +104,18 @@
 	return info
 }
 
-// attemptAction returns what an attempt asks of an endpoint, as written to the log
-// and the metrics: "read" to prefill a prompt only, "run" to run the request.
+// What an attempt asks of an endpoint, as written to the log and the metrics.
+const (
+	actionRead = "read" // prefill the prompt only
+	actionRun  = "run"  // run the request
+)
+
+// attemptAction returns what an attempt asks of an endpoint.
 func attemptAction(a burdockyard.Attempt) string {
 	if a.PrefillOnly {
-		return "read"
+		return actionRead
 	}
-	return "run"
+	return actionRun
 }
 
 // attemptFields returns log fields for the endpoint, what the attempt asks of it, and
@@ -125,7 +130,7 @@
 
 // classifySendError returns the outcome of a send that failed and reports the failure
 // to the fleet.
-func (c *call) classifySendError(ctx context.Context, e byfleet.Endpoint, err error) outcome {
+func (c *call) classifySendError(ctx context.Context, e byfleet.Endpoint, action string, err error) outcome {
 	if c.callerGone() {
 		return outcomeAbandoned
 	}
@@ -141,6 +146,7 @@
 		return outcomeAbandoned
 	}
 	c.node.reportResult(e, byfleet.Unreachable, err)
+	c.attemptBroke(ctx, e, action, 0, err)
 	return outcomeUnknown
 }
 
@@ -206,7 +212,7 @@
 		}
 		var buffered *bufferedResponse
 		if o == outcomeAnswered {
-			buffered, o, err = c.readResponse(e, resp)
+			buffered, o, err = c.readResponse(ctx, e, resp)
 		}
 		inFlight.Done()
 		last, lastErr = o, err
@@ -282,7 +288,7 @@
 
 // readResponse reads up to maxBufferedBody bytes of a response's body. If the response
 // is cut off, the request may be retried, since the caller has not got a byte of it.
-func (c *call) readResponse(e byfleet.Endpoint, resp *byforward.Response) (*bufferedResponse, outcome, error) {
+func (c *call) readResponse(ctx context.Context, e byfleet.Endpoint, resp *byforward.Response) (*bufferedResponse, outcome, error) {
 	buffered := &bufferedResponse{endpoint: e.ID, status: resp.Status, header: c.node.platform.Protocol.ResponseHeaders(resp.Header)}
 	var err error
 	buffered.body, err = io.ReadAll(io.LimitReader(resp, maxBufferedBody))
@@ -292,6 +298,7 @@
 		if c.callerGone() || c.timeLeft() <= 0 {
 			return nil, outcomeAbandoned, err
 		}
+		c.attemptBroke(ctx, e, actionRun, 0, err)
 		return nil, outcomeUnknown, err
 	}
 	if len(buffered.body) == maxBufferedBody {
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -124,6 +124,7 @@
 	watchers           []*tableWatcher // one for each table that the node follows, including configWatcher
 	relayClients       *bypeer.RelayClients
 	callerConns        *callerConns
+	endProbes          *endProbes
 	roles              *roleController
 	metrics            *bymetrics.Metrics
 	log                loggers
@@ -176,6 +177,7 @@
 	n.retryBudgets = newRetryBudgets(n.clock)
 	n.peers = newPeers(n)
 	n.callerConns = newCallerConns(n.clock)
+	n.endProbes = newEndProbes()
 	n.stop = newStopState()
 	n.roles = newRoleController(n)
 	n.relayClients = bypeer.NewRelayClients()
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -119,21 +119,21 @@
 		stored.maybeFetched = true
 	}
 	defer resp.Close()
-	return c.forwardStream(plan, resp, relay, inFlight)
+	return c.forwardStream(ctx, plan, resp, relay, inFlight)
 }
 
 // forwardStream forwards the event stream of resp to the caller.
-func (c *call) forwardStream(plan byplace.Plan, resp *byforward.Response, relay *eventRelay, inFlight *byplace.InFlightAttempt) (outcome, error) {
+func (c *call) forwardStream(ctx context.Context, plan byplace.Plan, resp *byforward.Response, relay *eventRelay, inFlight *byplace.InFlightAttempt) (outcome, error) {
 	n := c.node
 	if resp.Status >= http.StatusInternalServerError {
-		buffered, o, err := c.readResponse(plan.DecodeEngine, resp)
+		buffered, o, err := c.readResponse(ctx, plan.DecodeEngine, resp)
 		if o != outcomeAnswered {
 			return o, err
 		}
 		c.keepFailure(buffered)
 		return outcomeUnknown, burdockyard.ErrInterrupted
 	}
-	sentAt := n.clock.Now()
+	sentAt, eventsBefore := n.clock.Now(), relay.eventCount
 	onFirstByte := func() {
 		took, tokens := time.Duration(0), 0
 		if p := c.info.Prompt; p != nil {
@@ -160,6 +160,7 @@
 		return outcomeAbandoned, err
 	default:
 		n.reportResult(plan.DecodeEngine, byfleet.Failed, err)
+		c.attemptBroke(ctx, plan.DecodeEngine, actionRun, relay.eventCount-eventsBefore, err)
 		return outcomeUnknown, err
 	}
 }
--- a/io/bylog/bylog.go
+++ b/io/bylog/bylog.go
@@ -71,6 +71,11 @@
 	return func(e *zerolog.Event) { e.Int(name, value) }
 }
 
+// Bool returns a field with a boolean value.
+func Bool(name string, value bool) Field {
+	return func(e *zerolog.Event) { e.Bool(name, value) }
+}
+
 // Millis returns a field with a duration in milliseconds, to the microsecond.
 func Millis(name string, d time.Duration) Field {
 	return func(e *zerolog.Event) { e.Float64(name, float64(d.Microseconds())/1e3) }
--- a/io/bymetrics/bymetrics.go
+++ b/io/bymetrics/bymetrics.go
@@ -116,6 +116,12 @@
 	return m.set.GetOrCreateHistogram(fmt.Sprintf(`burdock_hop_seconds{service=%q,asked_to=%q}`, service, action))
 }
 
+// BrokenByEnd returns the counter of attempts that broke off because the process of
+// their endpoint has ended.
+func (m *Metrics) BrokenByEnd(service string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_broken_by_end_total{service=%q}`, service))
+}
+
 // PrefillWait returns the histogram of the time that a prompt waited at the engine
 // that prefilled it, in seconds: the measured time less the predicted time of its
 // own prefill.
