--- a/io/byentry/poison_test.go
+++ b/io/byentry/poison_test.go
@@ -2,16 +2,22 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"burdockyard/platform/bystub"
 )
 
 const (
 	poisonPart = "bad1"
+	// stableWindow is the time within which the fleet must have acted on the fifth crash.
+	stableWindow = 3 * time.Second
 	// engineDownTime is how long an engine is away after a crash.
 	engineDownTime = 600 * time.Millisecond
 )
@@ -63,6 +69,16 @@
 	c.setRunnerState(id, "ready", c.sequence)
 }
 
+// crashes returns the times of all crashes in order.
+func (c *poisonedCluster) crashes() []time.Time {
+	var all []time.Time
+	for _, p := range c.processes {
+		all = append(all, p.Crashes()...)
+	}
+	slices.SortFunc(all, time.Time.Compare)
+	return all
+}
+
 // prompt returns the headers of a prompt whose first part is shared by all prompts of the
 // test and whose last part is its own.
 func prompt(poisoned bool) []string {
@@ -73,6 +89,70 @@
 	return []string{"X-Prompt-Prefix: " + parts, "X-Token-Usage: 382,40", "X-Deadline-Ms: 1500"}
 }
 
+// TestPromptPartThatEndsEnginesIsStopped guards against the failure that prompts with one
+// part crash engine after engine: after five crashes, they must not reach any engine.
+func TestPromptPartThatEndsEnginesIsStopped(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/quick/", "/long/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			c := newPoisonedCluster(t, 3, 4)
+			end := time.Now().Add(10 * time.Second)
+			var callers errgroup.Group
+			var mu sync.Mutex
+			var soundAt []time.Time
+			var soundServed []bool
+			for i := range 8 {
+				callers.Go(func() error {
+					rng := rand.New(rand.NewPCG(uint64(i), 7))
+					for time.Now().Before(end) {
+						sentAt, poisoned := time.Now(), i < 2
+						n := c.nodes[rng.IntN(len(c.nodes))]
+						got := n.call("POST", path+"1", "x", prompt(poisoned)...)
+						if !poisoned {
+							mu.Lock()
+							soundAt = append(soundAt, sentAt)
+							soundServed = append(soundServed, got.status == 200)
+							mu.Unlock()
+						}
+						time.Sleep(time.Duration(50+rng.IntN(150)) * time.Millisecond)
+					}
+					return nil
+				})
+			}
+			if err := callers.Wait(); err != nil {
+				t.Fatal(err)
+			}
+			crashes := c.crashes()
+			last := crashes[min(len(crashes), 5)-1] // the fifth, or the last one
+			late := 0
+			for _, r := range c.runners {
+				for _, a := range r.ReceivedRequests() {
+					if len(crashes) >= 5 && a.HasPart(poisonPart) && a.At.After(last.Add(stableWindow)) {
+						late++
+					}
+				}
+			}
+			sent, served := 0, 0
+			for i, at := range soundAt {
+				if at.After(last.Add(2 * stableWindow)) {
+					sent++
+					if soundServed[i] {
+						served++
+					}
+				}
+			}
+			t.Logf("%d crashes, %d poisoned requests reached engines after the bound, %d of %d sound ones begin", len(crashes), late, served, sent)
+			if late > 3 {
+				t.Errorf("%d requests with the part reach engines later than %v after the fifth crash, want at most 3; %d crashes", late, stableWindow, len(crashes))
+			}
+			if 2*served < sent {
+				t.Errorf("%d of %d sound requests with the same first part begin, want at least half", served, sent)
+			}
+		})
+	}
+}
+
 // TestEndOfEngineIsLogged checks that the log names the engine that has ended under a
 // request, and what the request's prompt shares with others.
 func TestEndOfEngineIsLogged(t *testing.T) {
