Quarantine parts of prompts under which engines end

What callers saw: all decode engines ended within 1.7 s, again and again as soon as they were back; in second 14, 67 of 102 short prompts were refused.

Cause: a crash counted as a fault of the engine only. The request in progress was never a suspect, and nothing bounded the runs of many requests that share an input: each repeat and each new request went on to the next engine.

Change: core/byquarantine blames the keys of requests whose answers had not begun when an endpoint's process ended, by three ends at different times, of different processes, under different requests, without any answer to that key. Nodes tell each other of ends, answers and trials in their heartbeats, through relays too. Requests with a quarantined key are refused at once; one at a time is a trial.

--- a/core/bydigest/bydigest.go
+++ b/core/bydigest/bydigest.go
@@ -152,7 +152,7 @@
 // know of a.
 func flagsChanged(a, b bymember.Heartbeat) bool {
 	return a.Member != b.Member || a.Leaving != b.Leaving || a.Ready != b.Ready || a.Generation != b.Generation || a.Capacity != b.Capacity ||
-		!slices.Equal(a.LeavingEndpoints, b.LeavingEndpoints) ||
+		!slices.Equal(a.LeavingEndpoints, b.LeavingEndpoints) || b.Quarantine.IsNewsAfter(a.Quarantine) ||
 		len(b.HeldEngines) > 0 // peers forget holds that are not repeated
 }
 
@@ -257,9 +257,11 @@
 		switch {
 		case n.pending || refresh:
 			n.pending, n.alive, n.forwardedAt, n.reportedAt = false, false, now, now
-			sameDomain.Heartbeats = append(sameDomain.Heartbeats, n.heartbeat)
+			hb := n.heartbeat
+			hb.Quarantine = hb.Quarantine.Aged(now.Sub(n.receivedAt))
+			sameDomain.Heartbeats = append(sameDomain.Heartbeats, hb)
 			if here {
-				otherDomains.Heartbeats = append(otherDomains.Heartbeats, n.heartbeat)
+				otherDomains.Heartbeats = append(otherDomains.Heartbeats, hb)
 			}
 		case n.alive && now.Sub(n.reportedAt) >= aliveInterval:
 			n.alive, n.reportedAt = false, now
--- /dev/null
+++ b/core/byquarantine/byquarantine_test.go
@@ -0,0 +1,230 @@
+package byquarantine_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"burdockyard"
+	"burdockyard/core/byquarantine"
+)
+
+// step is one event at a node, some time after the step before.
+type step struct {
+	after    time.Duration
+	endpoint uint64             // endpoint that ends; 0 if an answer begins instead
+	keys     []byquarantine.Key // of the request
+}
+
+const (
+	first  byquarantine.Key = 0x7c1e // shared by sound requests and poisoned ones
+	poison byquarantine.Key = 0xbad1
+	other  byquarantine.Key = 0x91bd
+)
+
+func keys(k ...byquarantine.Key) []byquarantine.Key { return k }
+
+// play applies steps, each under a request of its own.
+func play(q *byquarantine.Quarantine, steps []step) {
+	for i, s := range steps {
+		time.Sleep(s.after)
+		if s.endpoint == 0 {
+			q.RecordAnswer(s.keys)
+			continue
+		}
+		q.RecordEnd(byquarantine.End{Request: uint64(i), Endpoint: s.endpoint, Keys: s.keys})
+	}
+}
+
+// TestBlame checks which keys are quarantined after a series of ends and answers.
+func TestBlame(t *testing.T) {
+	const gap = 150 * time.Millisecond
+	for _, tt := range []struct {
+		name  string
+		steps []step
+		want  []byquarantine.Key
+	}{
+		{"two ends", []step{{gap, 1, keys(poison)}, {gap, 2, keys(poison)}}, nil},
+		{"three ends", []step{{gap, 1, keys(poison)}, {gap, 2, keys(poison)}, {gap, 3, keys(poison)}}, keys(poison)},
+		{"a domain is killed", []step{{gap, 1, keys(poison)}, {0, 2, keys(poison)}, {0, 3, keys(poison)}, {50 * time.Millisecond, 4, keys(poison)}}, nil},
+		{"one end under three requests", []step{{gap, 1, keys(poison)}, {gap, 1, keys(poison)}, {gap, 1, keys(poison)}}, nil},
+		{"an endpoint restarts without telling", []step{{gap, 1, keys(poison)}, {time.Second, 1, keys(poison)}, {time.Second, 1, keys(poison)}}, keys(poison)},
+		{"ends long ago", []step{{gap, 1, keys(poison)}, {gap, 2, keys(poison)}, {time.Minute, 3, keys(poison)}}, nil},
+		{"the first part has answers", []step{{gap, 0, keys(first)}, {gap, 1, keys(first, poison)}, {gap, 2, keys(first, poison)}, {gap, 3, keys(first, poison)}}, keys(poison)},
+		{"the first part has none", []step{{gap, 1, keys(first, poison)}, {gap, 2, keys(first, poison)}, {gap, 3, keys(first, poison)}}, keys(first, poison)},
+		{"an answer between the ends", []step{{gap, 1, keys(poison)}, {gap, 2, keys(poison)}, {gap, 0, keys(poison)}, {gap, 3, keys(poison)}}, nil},
+		{"bystanders of the poisoned requests", []step{
+			{gap, 1, keys(poison)}, {gap, 2, keys(poison)}, {gap, 3, keys(poison)},
+			{gap, 4, keys(other, poison)}, {gap, 5, keys(other, poison)}, {gap, 6, keys(other, poison)},
+		}, keys(poison)},
+		{"the input has become bad after an answer", []step{
+			{gap, 0, keys(poison)}, {gap, 1, keys(poison)}, {gap, 2, keys(poison)}, {gap, 3, keys(poison)}, {gap, 4, keys(poison)},
+			{gap, 5, keys(poison)}, {gap, 6, keys(poison)}, {gap, 7, keys(poison)}, {gap, 8, keys(poison)},
+		}, keys(poison)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := byquarantine.New(burdockyard.SystemClock{}, "n1")
+				play(q, tt.steps)
+				for _, key := range keys(first, poison, other) {
+					if got, want := q.IsQuarantined(keys(key)), slices.Contains(tt.want, key); got != want {
+						t.Errorf("key %x: quarantined %v, want %v", key, got, want)
+					}
+				}
+			})
+		})
+	}
+}
+
+// poisoned returns a node at which the given keys are quarantined.
+func poisoned(k ...byquarantine.Key) *byquarantine.Quarantine {
+	q := byquarantine.New(burdockyard.SystemClock{}, "n1")
+	const gap = 150 * time.Millisecond
+	play(q, []step{{gap, 1, k}, {gap, 2, k}, {gap, 3, k}})
+	return q
+}
+
+// TestTrialsComeOneAtATime checks that a quarantined key gets one trial at a time, later
+// after each end, and is free once an answer begins.
+func TestTrialsComeOneAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := poisoned(poison)
+		request := uint64(100)
+		var trials []time.Duration
+		for start := time.Now(); time.Since(start) < 20*time.Minute; time.Sleep(100 * time.Millisecond) {
+			d := q.Admit(keys(poison))
+			switch {
+			case d.Trial:
+				trials = append(trials, time.Since(start))
+				request++
+				time.Sleep(200 * time.Millisecond)
+				if q.Admit(keys(poison)).Admitted {
+					t.Fatal("a second trial was admitted beside the first one")
+				}
+				q.RecordEnd(byquarantine.End{Request: request, Endpoint: request, Keys: keys(poison)})
+			case d.Admitted:
+				t.Fatal("a request was admitted without a trial")
+			case d.Wait <= 0:
+				t.Fatalf("refused with the time to wait %v", d.Wait)
+			}
+		}
+		if len(trials) < 2 || len(trials) > 5 || trials[0] > 15*time.Second {
+			t.Errorf("trials at %v, want 2 to 5 in 20 minutes and the first one within 15 s", trials)
+		}
+		for i := 2; i < len(trials); i++ {
+			if trials[i]-trials[i-1] <= trials[i-1]-trials[i-2] {
+				t.Errorf("trials at %v, want longer and longer times between them", trials)
+			}
+		}
+		time.Sleep(2 * time.Hour)
+		if d := q.Admit(keys(poison)); !d.Trial {
+			t.Fatalf("decision %+v after two hours, want a trial", d)
+		}
+		if c := q.RecordAnswer(keys(poison)); !slices.Equal(c.Released, keys(poison)) || !c.News || !q.Admit(keys(poison)).Admitted {
+			t.Errorf("change %+v after an answer, want the key free and told", c)
+		}
+	})
+}
+
+// TestSoundRequestTellsWhichKeyIsToBlame checks that a sound request need not wait long
+// if its key is quarantined only because each poisoned request had it too.
+func TestSoundRequestTellsWhichKeyIsToBlame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := poisoned(first, poison)
+		time.Sleep(2100 * time.Millisecond)
+		if q.Admit(keys(first, poison)).Admitted {
+			t.Error("a poisoned request was admitted after 2 s")
+		}
+		if !q.Admit(keys(first)).Trial || q.Admit(keys(first)).Admitted {
+			t.Error("want just one trial of a request with the first part only")
+		}
+		q.RecordAnswer(keys(first))
+		if !q.Admit(keys(first)).Admitted || q.Admit(keys(first, poison)).Admitted {
+			t.Error("want the first part free and the other one quarantined")
+		}
+	})
+}
+
+// TestNewsReachesPeers checks that peers quarantine a key by the ends that several nodes
+// have seen, learn of trials and answers, and that a restarted node learns it all.
+func TestNewsReachesPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var nodes []*byquarantine.Quarantine
+		for i := range 4 {
+			nodes = append(nodes, byquarantine.New(burdockyard.SystemClock{}, burdockyard.NodeID(fmt.Sprint("n", i))))
+		}
+		exchange := func() {
+			for _, from := range nodes {
+				n := from.News()
+				for _, to := range nodes {
+					if to != from {
+						to.Merge(n.Aged(10 * time.Millisecond))
+					}
+				}
+			}
+		}
+		nodes[3].RecordAnswer(keys(first))
+		for i := range 3 {
+			time.Sleep(150 * time.Millisecond)
+			nodes[i].RecordEnd(byquarantine.End{Request: uint64(i), Endpoint: uint64(i), Keys: keys(first, poison)})
+			time.Sleep(20 * time.Millisecond)
+			exchange()
+		}
+		time.Sleep(20 * time.Millisecond)
+		exchange()
+		nodes[1] = byquarantine.New(burdockyard.SystemClock{}, "n1") // restarted
+		time.Sleep(4 * time.Second)                                  // the ends are no longer told
+		exchange()
+		for i, n := range nodes {
+			if !n.IsQuarantined(keys(poison)) || n.IsQuarantined(keys(first)) {
+				t.Errorf("node %d: poison quarantined %v, first part %v; want true and false", i, n.IsQuarantined(keys(poison)), n.IsQuarantined(keys(first)))
+			}
+		}
+		for !nodes[2].Admit(keys(poison)).Trial {
+			time.Sleep(100 * time.Millisecond)
+		}
+		exchange()
+		for i, n := range nodes {
+			if n.Admit(keys(poison)).Admitted {
+				t.Errorf("node %d admits a trial beside that of node 2", i)
+			}
+		}
+		stale := nodes[0].News()
+		nodes[2].RecordAnswer(keys(poison))
+		exchange()
+		time.Sleep(5 * time.Second)
+		nodes[3].Merge(stale.Aged(5 * time.Second)) // from a node that has been cut off
+		exchange()
+		exchange()
+		for i, n := range nodes {
+			if n.IsQuarantined(keys(poison)) {
+				t.Errorf("node %d: the key is still quarantined after an answer", i)
+			}
+		}
+	})
+}
+
+// TestMemoryIsBounded records far more ends, answers and keys than are kept.
+func TestMemoryIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := byquarantine.New(burdockyard.SystemClock{}, "n1")
+		for i := range uint64(2000) {
+			time.Sleep(10 * time.Millisecond)
+			k := keys(byquarantine.Key(i / 40))
+			if i%2 == 0 {
+				q.RecordAnswer(keys(byquarantine.Key(1e6 + i)))
+			}
+			q.RecordEnd(byquarantine.End{Request: i, Endpoint: i, Keys: k})
+		}
+		n := q.News()
+		if q.Len() > 256 || len(n.Quarantined) > 64 || len(n.Ends) > 512 {
+			t.Errorf("%d keys quarantined, %d told, %d ends told; want at most 256, 64 and 512", q.Len(), len(n.Quarantined), len(n.Ends))
+		}
+		time.Sleep(3 * time.Hour)
+		if n := q.News(); !n.IsEmpty() || q.Len() > 0 {
+			t.Errorf("news %+v and %d keys after hours without ends, want none", n, q.Len())
+		}
+	})
+}
--- /dev/null
+++ b/core/byquarantine/news.go
@@ -0,0 +1,193 @@
+package byquarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// End is the end of an endpoint's process under a request whose answer had not begun.
+type End struct {
+	Request  uint64        // hash of the request's ID
+	Endpoint uint64        // hash of the endpoint and the start of its process
+	Keys     []Key         // keys of the request
+	Age      time.Duration // time since the end
+}
+
+// Event is something that has happened to requests with a key.
+type Event struct {
+	Key Key
+	Age time.Duration // time since the event
+}
+
+// Verdict is a quarantined key.
+type Verdict struct {
+	Key      Key
+	Ends     int           // number of ends that the key is blamed for
+	Age      time.Duration // time since the last one
+	TrialAge time.Duration // time since the last trial; negative if there was none
+}
+
+// News is what a node tells its peers.
+type News struct {
+	Ends        []End   // lately seen by the node
+	Answers     []Event // answers that have begun to requests with suspect keys
+	Trials      []Event // trials that the node has lately made
+	Quarantined []Verdict
+}
+
+// maxVerdictsTold is the largest number of quarantined keys in one News. Those that were
+// blamed last come first.
+const maxVerdictsTold = 64
+
+// IsEmpty reports whether there is nothing to tell.
+func (n News) IsEmpty() bool {
+	return len(n.Ends)+len(n.Answers)+len(n.Trials)+len(n.Quarantined) == 0
+}
+
+// Aged returns a copy of n as of a time d later.
+func (n News) Aged(d time.Duration) News {
+	if n.IsEmpty() {
+		return n
+	}
+	n.Ends, n.Answers, n.Trials, n.Quarantined = slices.Clone(n.Ends), slices.Clone(n.Answers), slices.Clone(n.Trials), slices.Clone(n.Quarantined)
+	for i := range n.Ends {
+		n.Ends[i].Age += d
+	}
+	for _, events := range [][]Event{n.Answers, n.Trials} {
+		for i := range events {
+			events[i].Age += d
+		}
+	}
+	for i := range n.Quarantined {
+		n.Quarantined[i].Age += d
+		if n.Quarantined[i].TrialAge >= 0 {
+			n.Quarantined[i].TrialAge += d
+		}
+	}
+	return n
+}
+
+// IsNewsAfter reports whether n has an end, an answer or a trial that the older News of
+// the same node lacks. Quarantined keys follow from these and may arrive later.
+func (n News) IsNewsAfter(older News) bool {
+	for _, e := range n.Ends {
+		if !slices.ContainsFunc(older.Ends, func(o End) bool { return o.Request == e.Request && o.Endpoint == e.Endpoint }) {
+			return true
+		}
+	}
+	return hasNewKey(n.Answers, older.Answers) || hasNewKey(n.Trials, older.Trials)
+}
+
+func hasNewKey(events, older []Event) bool {
+	return slices.ContainsFunc(events, func(e Event) bool {
+		return !slices.ContainsFunc(older, func(o Event) bool { return o.Key == e.Key })
+	})
+}
+
+// News returns what this node has to tell its peers now.
+func (q *Quarantine) News() News {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.ends)+len(q.quarantined)+len(q.own.answers)+len(q.own.trials) == 0 {
+		return News{}
+	}
+	q.expire()
+	now := q.clock.Now()
+	var n News
+	for _, e := range q.ends {
+		if e.own && now.Sub(e.at) < newsTime {
+			told := e.End
+			told.Age = now.Sub(e.at)
+			n.Ends = append(n.Ends, told)
+		}
+	}
+	for key, from := range q.own.answers {
+		a := q.lastAnswer(key)
+		if a == nil || now.Sub(from) >= newsTime {
+			delete(q.own.answers, key)
+		} else if !now.Before(from) {
+			n.Answers = append(n.Answers, Event{key, now.Sub(a.at)})
+		}
+	}
+	for key, at := range q.own.trials {
+		if now.Sub(at) >= newsTime {
+			delete(q.own.trials, key)
+		} else {
+			n.Trials = append(n.Trials, Event{key, now.Sub(at)})
+		}
+	}
+	for key, v := range q.quarantined {
+		told := Verdict{Key: key, Ends: v.ends, Age: now.Sub(v.lastEnd), TrialAge: -1}
+		if !v.lastTrial.IsZero() {
+			told.TrialAge = now.Sub(v.lastTrial)
+		}
+		n.Quarantined = append(n.Quarantined, told)
+	}
+	slices.SortFunc(n.Answers, func(a, b Event) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(n.Trials, func(a, b Event) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(n.Quarantined, func(a, b Verdict) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Key, b.Key)) })
+	n.Quarantined = n.Quarantined[:min(len(n.Quarantined), maxVerdictsTold)]
+	return n
+}
+
+// Merge applies what a peer tells.
+func (q *Quarantine) Merge(n News) Change {
+	var c Change
+	if n.IsEmpty() {
+		return c
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	for _, a := range n.Answers {
+		q.addAnswer(a.Key, now.Add(-a.Age), &c)
+		if from, ok := q.own.answers[a.Key]; ok && now.Before(from) {
+			q.own.answers[a.Key] = now.Add(-newsTime) // the peer was faster
+		}
+	}
+	for _, e := range n.Ends {
+		if e.Age < endMemory {
+			q.addEnd(end{End: e, at: now.Add(-e.Age)}, &c)
+		}
+	}
+	for _, v := range n.Quarantined {
+		q.mergeVerdict(v, now, &c)
+	}
+	for _, t := range n.Trials {
+		if v := q.quarantined[t.Key]; v != nil {
+			v.lastTrial = later(v.lastTrial, now.Add(-t.Age))
+		}
+	}
+	return c
+}
+
+// mergeVerdict applies a peer's verdict on a key. The caller must hold mu.
+func (q *Quarantine) mergeVerdict(told Verdict, now time.Time, c *Change) {
+	merged := &verdict{ends: told.Ends, lastEnd: now.Add(-told.Age)}
+	if told.TrialAge >= 0 {
+		merged.lastTrial = now.Add(-told.TrialAge)
+	}
+	if q.hasLapsed(merged, now) {
+		return
+	}
+	known := q.quarantined[told.Key]
+	if known != nil {
+		known.ends = max(known.ends, merged.ends)
+		known.lastEnd, known.lastTrial = later(known.lastEnd, merged.lastEnd), later(known.lastTrial, merged.lastTrial)
+		return
+	}
+	if a := q.lastAnswer(told.Key); a != nil && (told.Ends < minEndsAfterAnswer || a.at.After(merged.lastEnd)) {
+		q.announce(told.Key, now) // the peer does not know of the answer
+		return
+	}
+	q.quarantine(told.Key, merged)
+	c.Quarantined = append(c.Quarantined, told.Key)
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/io/byentry/backup.go
+++ b/io/byentry/backup.go
@@ -53,6 +53,8 @@
 	c.backup = nil
 	obstacle := ""
 	switch {
+	case c.isQuarantined():
+		obstacle = "endpoints end under its prompt"
 	case !n.forwarder.IsRefused(ctx, e.Addr, endProbeTimeout):
 		obstacle = "the engine may still be at work"
 	case !n.fleet.AcceptsWork(backup.ID):
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -146,7 +146,7 @@
 		return outcomeAbandoned
 	}
 	c.node.reportResult(e, byfleet.Unreachable, err)
-	c.attemptBroke(ctx, e, action, 0, err)
+	c.attemptBroke(ctx, e, action, 0, false, err)
 	return outcomeUnknown
 }
 
@@ -186,6 +186,8 @@
 // given outcome. If so, it takes the retry from the service's budget.
 func (c *call) takeRetry(o outcome) bool {
 	switch {
+	case c.isQuarantined():
+		return false
 	case o == outcomeAbandoned || c.callerGone() || c.timeLeft() <= 0 || c.sends >= maxSends:
 		return false
 	case o == outcomeNotRun && c.sends == 0:
@@ -248,6 +250,8 @@
 		c.recordEnd(bylog.OutcomeCallerDisconnected)
 	case c.endpointFailure != nil:
 		c.writeResponse(c.endpointFailure)
+	case c.quarantined && c.possibleRuns == 0:
+		c.refuseFor(reasonQuarantined, c.node.quarantine.TimeToTrial(c.keys))
 	case last == outcomeNotRun && c.possibleRuns > 0:
 		c.fail(reasonEndpointFailed, err) // an endpoint may have run the request earlier
 	case last == outcomeNotRun && len(c.tried) == 0:
@@ -298,7 +302,7 @@
 		if c.callerGone() || c.timeLeft() <= 0 {
 			return nil, outcomeAbandoned, err
 		}
-		c.attemptBroke(ctx, e, actionRun, 0, err)
+		c.attemptBroke(ctx, e, actionRun, 0, true, err)
 		return nil, outcomeUnknown, err
 	}
 	if len(buffered.body) == maxBufferedBody {
--- a/io/byentry/ends.go
+++ b/io/byentry/ends.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -87,25 +85,20 @@
 }
 
 // attemptBroke is called when the connection of an attempt at e has broken after the
-// request was sent. events is the number of events that the attempt has delivered.
-func (c *call) attemptBroke(ctx context.Context, e byfleet.Endpoint, action string, events int, err error) {
+// request was sent. events is the number of events that the attempt has delivered, and
+// begun whether its answer counts as begun.
+func (c *call) attemptBroke(ctx context.Context, e byfleet.Endpoint, action string, events int, begun bool, err error) {
 	ended := c.node.hasEnded(ctx, e, err)
 	c.warn("attempt broke off", bylog.Str("endpoint", string(e.ID)), bylog.Str("asked_to", action), bylog.Int("events", events),
-		bylog.Bool("ended", ended), bylog.Str("parts", formatParts(c.info.Prompt)), bylog.Err(err))
+		bylog.Bool("ended", ended), bylog.Str("parts", formatKeys(c.keys)), bylog.Err(err))
 	if ended {
 		c.node.metrics.BrokenByEnd(c.service.Name).Inc()
+		if !begun {
+			c.recordEndpointEnd(e)
+		}
 	}
 }
 
-// formatParts returns the IDs of the parts of a prompt that other prompts may share.
-func formatParts(p *burdockyard.Prompt) string {
-	var ids []string
-	for _, id := range sharedParts(p) {
-		ids = append(ids, strconv.FormatUint(id, 16))
-	}
-	return strings.Join(ids, ",")
-}
-
 // sharedParts returns the IDs of all parts of a prompt but the last one, which belongs
 // to one request or session.
 func sharedParts(p *burdockyard.Prompt) []uint64 {
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -31,6 +31,7 @@
 	"burdockyard/core/byfleet"
 	"burdockyard/core/bymember"
 	"burdockyard/core/byplace"
+	"burdockyard/core/byquarantine"
 	"burdockyard/core/byroutes"
 	"burdockyard/io/byforward"
 	"burdockyard/io/bylog"
@@ -125,6 +126,7 @@
 	relayClients       *bypeer.RelayClients
 	callerConns        *callerConns
 	endProbes          *endProbes
+	quarantine         *byquarantine.Quarantine
 	roles              *roleController
 	metrics            *bymetrics.Metrics
 	log                loggers
@@ -178,6 +180,7 @@
 	n.peers = newPeers(n)
 	n.callerConns = newCallerConns(n.clock)
 	n.endProbes = newEndProbes()
+	n.quarantine = byquarantine.New(n.clock, s.Node)
 	n.stop = newStopState()
 	n.roles = newRoleController(n)
 	n.relayClients = bypeer.NewRelayClients()
@@ -265,6 +268,7 @@
 	n.metrics.RegisterGauge("burdock_config_age_seconds", func() float64 { return n.configWatcher.age().Seconds() })
 	n.metrics.RegisterGauge("burdock_endpoint_connections", func() float64 { return float64(n.forwarder.OpenConns()) })
 	n.metrics.RegisterGauge("burdock_retries_left", n.retryBudgets.minLeft)
+	n.metrics.RegisterGauge("burdock_quarantined_inputs", func() float64 { return float64(n.quarantine.Len()) })
 	n.metrics.RegisterGauge("burdock_held_engines", func() float64 { return float64(n.roles.holdCount()) })
 	n.metrics.RegisterGauge("burdock_memory_bytes", memoryBytes)
 	n.metrics.RegisterGauge("burdock_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
@@ -343,7 +347,9 @@
 	n.loadTracker.RemoveUnknown(n.fleet.Contains)
 	n.peers.logReachability()
 	n.view.RemoveExpired()
-	n.retryBudgets.setNodes(1 + len(n.view.Alive()))
+	nodes := 1 + len(n.view.Alive())
+	n.retryBudgets.setNodes(nodes)
+	n.quarantine.SetNodes(nodes)
 	if t := n.routes.Current(); t != nil {
 		n.callerConns.closeIdle(t.Limits())
 	}
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -14,6 +14,7 @@
 	"burdockyard"
 	"burdockyard/core/byfleet"
 	"burdockyard/core/byplace"
+	"burdockyard/core/byquarantine"
 	"burdockyard/core/byroutes"
 	"burdockyard/io/bylog"
 )
@@ -62,6 +63,9 @@
 	endpointFailure *bufferedResponse               // latest 5xx response of an endpoint, nil if there is none
 	backup          *byfleet.Endpoint               // engine that gets copies of the KV cache of the run in progress, nil if none does
 	lastPlan        byplace.Plan                    // latest plan, for the log
+	keys            []byquarantine.Key              // what the request shares with others
+	trial           bool                            // whether the request is a trial of a quarantined key
+	quarantined     bool                            // whether one of the keys was quarantined after the request was admitted
 }
 
 // ServeHTTP implements http.Handler.
@@ -103,6 +107,9 @@
 		c.refuse(reasonStopping, minRetryAfter)
 		return
 	}
+	if !c.passQuarantine() {
+		return
+	}
 	n.retryBudgets.forService(c.service.Name).Deposit()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
@@ -235,6 +242,7 @@
 	reasonOverload        reason = "overload"         // the stream would start after its caller has given up
 	reasonNoEndpoint      reason = "no_endpoint"      // the service has no endpoint that accepts new requests
 	reasonEndpointsFull   reason = "endpoints_full"   // every endpoint that was tried refused
+	reasonQuarantined     reason = "quarantined"      // endpoints end under requests with the same input
 	reasonNoAnswer        reason = "no_answer"        // the request was sent and no complete response arrived
 	reasonEndpointFailed  reason = "endpoint_failed"  // one endpoint may have run the request, the others refused
 )
@@ -242,7 +250,12 @@
 // refuse responds to a request that has not run and will not run, and tells the
 // caller when to retry.
 func (c *call) refuse(cause reason, retryAfter time.Duration) {
-	retryAfter = min(max(retryAfter, minRetryAfter), c.timeLeft()/retryAfterDivisor)
+	c.refuseFor(cause, min(max(retryAfter, minRetryAfter), c.timeLeft()/retryAfterDivisor))
+}
+
+// refuseFor is like refuse, but does not limit the retry delay to the time that the
+// request has left.
+func (c *call) refuseFor(cause reason, retryAfter time.Duration) {
 	c.recordEnd(bylog.OutcomeRefused, bylog.Str("cause", string(cause)), bylog.Millis("back_ms", retryAfter))
 	if retryAfter > 0 {
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -139,6 +139,7 @@
 			n.log.fleet.Info("endpoint leaves", bylog.Str("endpoint", string(e.ID)), bylog.Str("told_by", string(h.Member.Node)))
 		}
 	}
+	n.applyQuarantineChange(n.quarantine.Merge(h.Quarantine), string(h.Member.Node))
 	if p.relay.active.Load() {
 		p.relay.aggregator.RecordHeartbeat(h)
 	}
@@ -445,7 +446,7 @@
 		Member: n.self, CallerAddr: n.settings.CallerAddr, Domain: n.settings.Domain,
 		Leaving: n.stopping.Load(), Ready: n.ready(), Capacity: n.reloadableSettings.Load().Capacity,
 		Seq: n.heartbeatSeq.Add(1), Loads: loads, CachedParts: cachedParts, HeldEngines: n.roles.renewHolds(),
-		LeavingEndpoints: n.fleet.Leaving(),
+		LeavingEndpoints: n.fleet.Leaving(), Quarantine: n.quarantine.News(),
 	}
 	if t := n.routes.Current(); t != nil {
 		heartbeat.Generation = t.Version()
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -98,6 +98,9 @@
 		}
 		defer stored.release(n)
 		n.loadTracker.RecordPrefill(plan.DecodeEngine.ID, c.info.Prompt)
+		if c.isQuarantined() {
+			return outcomeNotRun, burdockyard.ErrNotStarted
+		}
 		attempt.KVSource = n.platform.Protocol.KVSource(stored.endpoint.Addr, stored.prefilled.Handle)
 	}
 	if c.backup = c.planBackup(plan.DecodeEngine); c.backup != nil {
@@ -160,7 +163,7 @@
 		return outcomeAbandoned, err
 	default:
 		n.reportResult(plan.DecodeEngine, byfleet.Failed, err)
-		c.attemptBroke(ctx, plan.DecodeEngine, actionRun, relay.eventCount-eventsBefore, err)
+		c.attemptBroke(ctx, plan.DecodeEngine, actionRun, relay.eventCount-eventsBefore, relay.answerBegun, err)
 		return outcomeUnknown, err
 	}
 }
--- /dev/null
+++ b/io/byentry/quarantine.go
@@ -0,0 +1,98 @@
+package byentry
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"burdockyard"
+	"burdockyard/core/byfleet"
+	"burdockyard/core/byquarantine"
+	"burdockyard/io/bylog"
+)
+
+// minAnswerTime is the time for which an answer must go on after its first event until
+// it counts as begun. An engine that crashes on a prompt may do so right after the first
+// event.
+const minAnswerTime = 100 * time.Millisecond
+
+// requestKeys returns the keys of a request for the quarantine: the parts of its prompt
+// that other prompts may share.
+func requestKeys(info burdockyard.RequestInfo) []byquarantine.Key {
+	var keys []byquarantine.Key
+	for _, id := range sharedParts(info.Prompt) {
+		keys = append(keys, byquarantine.Key(id))
+	}
+	return keys
+}
+
+// passQuarantine reports whether the request may be sent to endpoints. Otherwise it
+// refuses the request.
+func (c *call) passQuarantine() bool {
+	n := c.node
+	c.keys = requestKeys(c.info)
+	d := n.quarantine.Admit(c.keys)
+	if d.Trial {
+		c.trial = true
+		c.log("trial of a quarantined input", bylog.Str("parts", formatKeys(c.keys)))
+		n.peers.sendSoon()
+	}
+	if !d.Admitted {
+		c.refuseFor(reasonQuarantined, d.Wait)
+	}
+	return d.Admitted
+}
+
+// isQuarantined reports whether the request must not be sent to a further endpoint,
+// because one of its keys has been quarantined since it was admitted.
+func (c *call) isQuarantined() bool {
+	if !c.trial && c.node.quarantine.IsQuarantined(c.keys) {
+		c.quarantined = true
+	}
+	return c.quarantined
+}
+
+// recordEndpointEnd records that endpoint e has ended under this request before the answer had
+// begun. An end that the endpoint has announced says nothing about the request.
+func (c *call) recordEndpointEnd(e byfleet.Endpoint) {
+	c.trial = false
+	if len(c.keys) == 0 || !c.node.fleet.AcceptsWork(e.ID) {
+		return
+	}
+	c.node.applyQuarantineChange(c.node.quarantine.RecordEnd(byquarantine.End{
+		Request: xxhash.Sum64String(string(c.info.ID)), Keys: c.keys,
+		Endpoint: xxhash.Sum64String(string(e.ID) + "\x00" + strconv.FormatInt(e.BornMS, 10)),
+	}), string(c.node.self.Node))
+}
+
+// recordAnswer records that the answer to this request has begun and goes on.
+func (c *call) recordAnswer() {
+	if len(c.keys) > 0 {
+		c.node.applyQuarantineChange(c.node.quarantine.RecordAnswer(c.keys), string(c.node.self.Node))
+	}
+}
+
+// applyQuarantineChange logs a change of the quarantine, and tells the peers of it if
+// they must learn of it without delay.
+func (n *Node) applyQuarantineChange(c byquarantine.Change, toldBy string) {
+	if len(c.Quarantined) > 0 {
+		n.log.fleet.Warn("input quarantined, as endpoints end under it", bylog.Str("parts", formatKeys(c.Quarantined)), bylog.Str("told_by", toldBy))
+	}
+	if len(c.Released) > 0 {
+		n.log.fleet.Info("input is free again", bylog.Str("parts", formatKeys(c.Released)), bylog.Str("told_by", toldBy))
+	}
+	if c.News {
+		n.peers.sendSoon()
+	}
+}
+
+// formatKeys returns keys as text for the log.
+func formatKeys(keys []byquarantine.Key) string {
+	var ids []string
+	for _, key := range keys {
+		ids = append(ids, strconv.FormatUint(uint64(key), 16))
+	}
+	return strings.Join(ids, ",")
+}
--- a/io/byentry/relay.go
+++ b/io/byentry/relay.go
@@ -34,6 +34,8 @@
 	pending     []byte        // data received but not forwarded: the beginning of an event
 	lastEventAt time.Time     // when the last complete event arrived, zero before the first
 	maxGap      time.Duration // longest time between two events
+	runEventAt  time.Time     // when the first complete event of the present run arrived, zero before
+	answerBegun bool          // whether the answer of the present run counts as begun
 }
 
 func newEventRelay(c *call) *eventRelay { return &eventRelay{c: c, lastEventID: c.info.LastEventID} }
@@ -45,6 +47,7 @@
 // the first byte of the body arrives and before any event is forwarded.
 func (r *eventRelay) forwardResponse(resp *byforward.Response, onFirstByte func()) error {
 	r.pending = r.pending[:0]
+	r.runEventAt, r.answerBegun = time.Time{}, false
 	if r.headerSent && resp.Status != http.StatusOK {
 		return burdockyard.ErrInterrupted
 	}
@@ -79,10 +82,19 @@
 	if len(r.pending) > 0 && !resp.IsSelfDelimited() {
 		return burdockyard.ErrInterrupted
 	}
+	r.recordAnswer(resp)
 	r.sendHeader(resp)
 	return r.write(r.pending)
 }
 
+// recordAnswer records that the answer of the present run has begun.
+func (r *eventRelay) recordAnswer(resp *byforward.Response) {
+	if !r.answerBegun && resp.Status == http.StatusOK {
+		r.answerBegun = true
+		r.c.recordAnswer()
+	}
+}
+
 // errCallerDisconnected means that writing to the caller's connection failed.
 var errCallerDisconnected = merry.Sentinel("the caller has left")
 
@@ -107,6 +119,11 @@
 		r.maxGap = max(r.maxGap, now.Sub(r.lastEventAt))
 	}
 	r.lastEventAt = now
+	if r.runEventAt.IsZero() {
+		r.runEventAt = now
+	} else if now.Sub(r.runEventAt) >= minAnswerTime {
+		r.recordAnswer(resp)
+	}
 	r.sendHeader(resp)
 	if err := r.write(events); err != nil {
 		return err
--- /dev/null
+++ b/io/bypeer/quarantine.go
@@ -0,0 +1,65 @@
+package bypeer
+
+import (
+	"time"
+
+	"burdockyard/core/byquarantine"
+	"burdockyard/io/bypeer/bypeerpb"
+)
+
+func quarantineToProto(n byquarantine.News) *bypeerpb.QuarantineNews {
+	out := &bypeerpb.QuarantineNews{Answers: eventsToProto(n.Answers), Trials: eventsToProto(n.Trials)}
+	for _, e := range n.Ends {
+		out.Ends = append(out.Ends, &bypeerpb.EndpointEnd{Request: e.Request, Endpoint: e.Endpoint, Keys: convert[uint64](e.Keys), AgeMs: e.Age.Milliseconds()})
+	}
+	for _, v := range n.Quarantined {
+		trialAge := int64(-1)
+		if v.TrialAge >= 0 {
+			trialAge = v.TrialAge.Milliseconds()
+		}
+		out.Quarantined = append(out.Quarantined, &bypeerpb.QuarantinedKey{Key: uint64(v.Key), Ends: int64(v.Ends), AgeMs: v.Age.Milliseconds(), TrialAgeMs: trialAge})
+	}
+	return out
+}
+
+func quarantineFromProto(msg *bypeerpb.QuarantineNews) byquarantine.News {
+	n := byquarantine.News{Answers: eventsFromProto(msg.GetAnswers()), Trials: eventsFromProto(msg.GetTrials())}
+	for _, e := range msg.GetEnds() {
+		n.Ends = append(n.Ends, byquarantine.End{Request: e.GetRequest(), Endpoint: e.GetEndpoint(), Keys: convert[byquarantine.Key](e.GetKeys()), Age: millis(e.GetAgeMs())})
+	}
+	for _, v := range msg.GetQuarantined() {
+		trialAge := time.Duration(-1)
+		if v.GetTrialAgeMs() >= 0 {
+			trialAge = millis(v.GetTrialAgeMs())
+		}
+		n.Quarantined = append(n.Quarantined, byquarantine.Verdict{Key: byquarantine.Key(v.GetKey()), Ends: int(v.GetEnds()), Age: millis(v.GetAgeMs()), TrialAge: trialAge})
+	}
+	return n
+}
+
+func eventsToProto(events []byquarantine.Event) []*bypeerpb.KeyEvent {
+	var out []*bypeerpb.KeyEvent
+	for _, e := range events {
+		out = append(out, &bypeerpb.KeyEvent{Key: uint64(e.Key), AgeMs: e.Age.Milliseconds()})
+	}
+	return out
+}
+
+func eventsFromProto(msgs []*bypeerpb.KeyEvent) []byquarantine.Event {
+	var out []byquarantine.Event
+	for _, e := range msgs {
+		out = append(out, byquarantine.Event{Key: byquarantine.Key(e.GetKey()), Age: millis(e.GetAgeMs())})
+	}
+	return out
+}
+
+// convert converts keys from one type to another.
+func convert[To, From ~uint64](keys []From) []To {
+	var out []To
+	for _, key := range keys {
+		out = append(out, To(key))
+	}
+	return out
+}
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/io/bypeer/server.go
+++ b/io/bypeer/server.go
@@ -105,6 +105,9 @@
 		Ready: h.Ready, Capacity: h.Capacity,
 		Loads: loadsToProto(h.Loads), Reads: cachedPartsToProto(h.CachedParts),
 	}
+	if !h.Quarantine.IsEmpty() {
+		out.Quarantine = quarantineToProto(h.Quarantine)
+	}
 	for _, id := range h.HeldEngines {
 		out.Holds = append(out.Holds, string(id))
 	}
@@ -120,6 +123,7 @@
 		Leaving: msg.GetLeaving(), Generation: msg.GetGeneration(), RecentlyConfirmed: msg.GetFresh(), Seq: msg.GetSeq(),
 		Ready: msg.GetReady(), Capacity: msg.GetCapacity(),
 		Loads: loadsFromProto(msg.GetLoads()), CachedParts: cachedPartsFromProto(msg.GetReads()),
+		Quarantine: quarantineFromProto(msg.GetQuarantine()),
 	}
 	for _, id := range msg.GetHolds() {
 		out.HeldEngines = append(out.HeldEngines, burdockyard.EndpointID(id))
