Quarantine paths of plain services under which endpoints end

The same cause as with parts of prompts, found by looking for it elsewhere: a call that crashes endpoints went on to the next one, and so did the next such call.

Change: a request without a prompt has its host and path as key, without the query. A complete response clears it.

--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -214,7 +214,9 @@
 		}
 		var buffered *bufferedResponse
 		if o == outcomeAnswered {
-			buffered, o, err = c.readResponse(ctx, e, resp)
+			if buffered, o, err = c.readResponse(ctx, e, resp); err == nil {
+				c.recordAnswer()
+			}
 		}
 		inFlight.Done()
 		last, lastErr = o, err
@@ -302,7 +304,7 @@
 		if c.callerGone() || c.timeLeft() <= 0 {
 			return nil, outcomeAbandoned, err
 		}
-		c.attemptBroke(ctx, e, actionRun, 0, true, err)
+		c.attemptBroke(ctx, e, actionRun, 0, false, err)
 		return nil, outcomeUnknown, err
 	}
 	if len(buffered.body) == maxBufferedBody {
--- a/io/byentry/poison_test.go
+++ b/io/byentry/poison_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -50,13 +51,19 @@
 
 // addCrashingEngine starts a decode engine that crashes on poisonPart.
 func (c *poisonedCluster) addCrashingEngine(id string) {
-	r := bystub.NewRunner(bystub.RunnerConfig{ID: id, Service: "llm", Zone: "a", Stage: "decode", EventsPerStream: 6, EventInterval: 20 * time.Millisecond})
+	c.addCrashingRunner(bystub.RunnerConfig{ID: id, Service: "llm", Zone: "a", Stage: "decode", EventsPerStream: 6, EventInterval: 20 * time.Millisecond}, bystub.HasPromptPart(poisonPart))
+}
+
+// addCrashingRunner starts a runner that crashes when it begins to answer a request for
+// which isPoisoned returns true.
+func (c *poisonedCluster) addCrashingRunner(cfg bystub.RunnerConfig, isPoisoned func(*http.Request) bool) {
+	r, id := bystub.NewRunner(cfg), cfg.ID
 	p, err := bystub.StartProcess(r, func() { c.publishEntry(id) })
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	c.t.Cleanup(p.Close)
-	r.CrashOn(poisonPart, func() { p.Crash(engineDownTime) })
+	r.CrashOn(isPoisoned, func() { p.Crash(engineDownTime) })
 	c.runners[id], c.addrs[id], c.processes[id] = r, p.Addr(), p
 	c.publishEntry(id)
 }
@@ -153,6 +160,48 @@
 	}
 }
 
+// TestPathThatEndsEndpointsIsStopped guards against the failure that calls of one path
+// crash one endpoint of a plain service after the other.
+func TestPathThatEndsEndpointsIsStopped(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/read/bad", "/book/bad"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			c := newPoisonedCluster(t, 3, 1)
+			for i := range 4 {
+				c.addCrashingRunner(bystub.RunnerConfig{ID: fmt.Sprint("app-", i), Service: "app", Zone: "a", ServiceTime: 5 * time.Millisecond},
+					func(req *http.Request) bool { return req.URL.Path == path })
+			}
+			sound := strings.TrimSuffix(path, "bad") + "good"
+			for _, n := range c.nodes {
+				c.waitUntil("sound calls are served", func() bool { return n.call("GET", sound, "").status == 200 })
+			}
+			for i, end := 0, time.Now().Add(8*time.Second); time.Now().Before(end); i++ {
+				c.nodes[i%3].call("GET", path+"?q="+fmt.Sprint(i), "")
+				c.nodes[i%3].call("GET", sound, "")
+				time.Sleep(50 * time.Millisecond)
+			}
+			crashes := c.crashes()
+			last := crashes[min(len(crashes), 5)-1]
+			late := 0
+			for _, r := range c.runners {
+				for _, a := range r.ReceivedRequests() {
+					if len(crashes) >= 5 && a.Path == path && a.At.After(last.Add(stableWindow)) {
+						late++
+					}
+				}
+			}
+			t.Logf("%d crashes, %d calls reached endpoints after the bound", len(crashes), late)
+			if late > 3 {
+				t.Errorf("%d calls of the path reach endpoints later than %v after the fifth crash, want at most 3; %d crashes", late, stableWindow, len(crashes))
+			}
+			if got := c.nodes[0].call("GET", sound, ""); got.status != 200 {
+				t.Errorf("sound call got %+v, want status 200", got)
+			}
+		})
+	}
+}
+
 // TestEndOfEngineIsLogged checks that the log names the engine that has ended under a
 // request, and what the request's prompt shares with others.
 func TestEndOfEngineIsLogged(t *testing.T) {
@@ -161,7 +210,7 @@
 	c.nodes[0].call("POST", "/long/1", "x", prompt(true)...)
 	c.waitUntil("the end of the engine is logged", func() bool {
 		for _, line := range strings.Split(c.logs.String(), "\n") {
-			if strings.Contains(line, "attempt broke off") && strings.Contains(line, `"endpoint":"d-1"`) && strings.Contains(line, `"ended":true`) && strings.Contains(line, `"parts":"7c1e,bad1"`) {
+			if strings.Contains(line, "attempt broke off") && strings.Contains(line, `"endpoint":"d-1"`) && strings.Contains(line, `"ended":true`) && strings.Contains(line, `"keys":"7c1e,bad1"`) {
 				return true
 			}
 		}
--- a/io/byentry/quarantine.go
+++ b/io/byentry/quarantine.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"burdockyard"
 	"burdockyard/core/byfleet"
 	"burdockyard/core/byquarantine"
 	"burdockyard/io/bylog"
@@ -18,11 +17,15 @@
 // event.
 const minAnswerTime = 100 * time.Millisecond
 
-// requestKeys returns the keys of a request for the quarantine: the parts of its prompt
-// that other prompts may share.
-func requestKeys(info burdockyard.RequestInfo) []byquarantine.Key {
+// requestKeys returns the keys of the request for the quarantine: the parts of its prompt
+// that other prompts may share or, without a prompt, its host and path.
+func (c *call) requestKeys() []byquarantine.Key {
+	if c.info.Prompt == nil {
+		path, _, _ := strings.Cut(c.path, "?")
+		return []byquarantine.Key{byquarantine.Key(xxhash.Sum64String(c.r.Host + path))}
+	}
 	var keys []byquarantine.Key
-	for _, id := range sharedParts(info.Prompt) {
+	for _, id := range sharedParts(c.info.Prompt) {
 		keys = append(keys, byquarantine.Key(id))
 	}
 	return keys
@@ -32,11 +35,11 @@
 // refuses the request.
 func (c *call) passQuarantine() bool {
 	n := c.node
-	c.keys = requestKeys(c.info)
+	c.keys = c.requestKeys()
 	d := n.quarantine.Admit(c.keys)
 	if d.Trial {
 		c.trial = true
-		c.log("trial of a quarantined input", bylog.Str("parts", formatKeys(c.keys)))
+		c.log("trial of a quarantined input", bylog.Str("keys", formatKeys(c.keys)))
 		n.peers.sendSoon()
 	}
 	if !d.Admitted {
@@ -78,10 +81,10 @@
 // they must learn of it without delay.
 func (n *Node) applyQuarantineChange(c byquarantine.Change, toldBy string) {
 	if len(c.Quarantined) > 0 {
-		n.log.fleet.Warn("input quarantined, as endpoints end under it", bylog.Str("parts", formatKeys(c.Quarantined)), bylog.Str("told_by", toldBy))
+		n.log.fleet.Warn("input quarantined, as endpoints end under it", bylog.Str("keys", formatKeys(c.Quarantined)), bylog.Str("told_by", toldBy))
 	}
 	if len(c.Released) > 0 {
-		n.log.fleet.Info("input is free again", bylog.Str("parts", formatKeys(c.Released)), bylog.Str("told_by", toldBy))
+		n.log.fleet.Info("input is free again", bylog.Str("keys", formatKeys(c.Released)), bylog.Str("told_by", toldBy))
 	}
 	if c.News {
 		n.peers.sendSoon()
