--- a/io/bysoak/bysoak.go
+++ b/io/bysoak/bysoak.go
@@ -77,8 +77,11 @@
 	startedAt time.Time
 	plan      []string
 
+	// mu guards the fields below and plan.
 	mu            sync.Mutex
-	configVersion int // version of the last published configuration, guarded by mu
+	configVersion int // version of the last published configuration
+	poisons       []*poison
+	poison        *poison // the one that callers send, nil if none
 }
 
 // runner is a stub runner and the proxy through which nodes reach it.
@@ -99,7 +102,8 @@
 	storeProxy                           *proxy
 	settingsFile                         string
 
-	restart sync.Mutex // held while the process is replaced; locked before mu
+	disturbances disturbances
+	restart      sync.Mutex // held while the process is replaced; locked before mu
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -125,7 +129,10 @@
 		rng := rand.New(rand.NewPCG(cfg.Seed, uint64(100+i)))
 		group.Go(func() error { s.runCaller(callersCtx, i, rng); return nil })
 	}
+	var trouble errgroup.Group
+	trouble.Go(func() error { s.runPoison(ctx); return nil })
 	s.injectFaults(ctx)
+	_ = trouble.Wait() // the functions return no error
 	s.endAllFaults()
 	faultsEndedAt := time.Now()
 	sleep(ctx, recoveryTime+3*time.Second)
@@ -283,5 +290,7 @@
 
 // logEvent adds a line to the plan, with the time since the start of the run.
 func (s *soak) logEvent(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.plan = append(s.plan, fmt.Sprintf("%6.2f s  ", time.Since(s.startedAt).Seconds())+fmt.Sprintf(format, args...))
 }
--- a/io/bysoak/callers.go
+++ b/io/bysoak/callers.go
@@ -42,6 +42,7 @@
 	var br *bufio.Reader
 	var target *node
 	var nodeStart int
+	poisonRNG := rand.New(rand.NewPCG(s.cfg.Seed, uint64(10_000+id)))
 	for i := 0; ctx.Err() == nil; i++ {
 		sleep(ctx, time.Duration(rng.Int64N(int64(callerPause))))
 		if conn == nil {
@@ -56,6 +57,9 @@
 			conn, br = c, bufio.NewReader(c)
 		}
 		r := s.randomRequest(fmt.Sprintf("c%d-%d", id, i), rng)
+		if r.ownTokens > 0 {
+			r.poisonedPart = s.poisonedPart(poisonRNG)
+		}
 		r.node, r.nodeStart, r.sent = target.name, nodeStart, time.Now()
 		reusable := sendRequest(conn, br, &r)
 		r.finished = time.Now()
@@ -98,7 +102,7 @@
 		return false
 	}
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n", r.method, r.path, bystub.Host) +
-		bystub.RequestHeaders(r.id, callerDeadline, r.sharedPart, r.sharedTokens, r.ownTokens)
+		bystub.RequestHeaders(r.id, callerDeadline, r.sharedPart, r.sharedTokens, r.poisonedPart, r.ownTokens)
 	if r.method == http.MethodPost {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(r.body))
 	}
--- a/io/bysoak/check.go
+++ b/io/bysoak/check.go
@@ -26,6 +26,7 @@
 	// The id of the prompt's shared part, and the tokens in it and in the rest of the
 	// prompt.
 	sharedPart, sharedTokens, ownTokens int
+	poisonedPart                        string // hash of a further part on which runners crash; empty if there is none
 	kind                                kind
 	version                             int    // configuration version that a version probe asks for
 	node                                string // node that the request was sent to
@@ -84,6 +85,7 @@
 		}
 	}
 	checkHistory(h, runs)
+	s.checkPoison()
 	if sentAfterRecovery > 0 {
 		rep.RecoveredShare = float64(answeredAfterRecovery) / float64(sentAfterRecovery)
 	}
--- a/io/bysoak/faults.go
+++ b/io/bysoak/faults.go
@@ -45,12 +45,20 @@
 		}
 		s.logEvent("%s %s", action, n.name)
 		exited := n.exited()
+		endDisturbance := n.disturbances.begin()
 		n.signal(sig)
-		return func() { s.restartNode(n, exited) }
+		return func() {
+			s.restartNode(n, exited)
+			endDisturbance()
+		}
 	case 2:
 		s.logEvent("freeze %s for %v", n.name, duration)
+		endDisturbance := n.disturbances.begin()
 		n.signal(syscall.SIGSTOP)
-		return func() { n.signal(syscall.SIGCONT) }
+		return func() {
+			n.signal(syscall.SIGCONT)
+			endDisturbance()
+		}
 	case 3:
 		s.logEvent("reload %s", n.name)
 		n.signal(syscall.SIGHUP)
--- a/io/bysoak/proxy.go
+++ b/io/bysoak/proxy.go
@@ -35,13 +35,14 @@
 
 // proxy forwards TCP connections to a target. mu guards the fields below it.
 type proxy struct {
-	listener net.Listener
+	address  string
 	target   string
-
-	mu      sync.Mutex
-	mode    proxyMode
-	changed chan struct{} // closed and replaced when the mode is set
-	conns   map[net.Conn]struct{}
+	group    errgroup.Group
+	mu       sync.Mutex
+	listener net.Listener // nil while connections are refused
+	mode     proxyMode
+	changed  chan struct{} // closed and replaced when the mode is set
+	conns    map[net.Conn]struct{}
 }
 
 // startProxy starts a proxy to target on a free loopback port. When ctx is done,
@@ -51,25 +52,70 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
-	var group errgroup.Group
-	group.Go(func() error {
+	p := &proxy{address: l.Addr().String(), target: target, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	p.accept(ctx, l)
+	context.AfterFunc(ctx, func() {
+		p.close()
+		p.setMode(modeReset)
+	})
+	return p, nil
+}
+
+// accept makes the proxy accept connections on l.
+func (p *proxy) accept(ctx context.Context, l net.Listener) {
+	p.mu.Lock()
+	p.listener = l
+	p.mu.Unlock()
+	p.group.Go(func() error {
 		for {
 			c, err := l.Accept()
 			if err != nil {
-				return nil // the listener is closed at the end of the run
+				return nil // the listener is closed by a crash and at the end of the run
 			}
-			group.Go(func() error { p.forwardConn(ctx, c); return nil })
+			p.group.Go(func() error { p.forwardConn(ctx, c); return nil })
 		}
 	})
-	context.AfterFunc(ctx, func() {
-		l.Close()
-		p.setMode(modeReset)
+}
+
+// close makes the proxy refuse new connections. It reports false if it does already.
+func (p *proxy) close() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener == nil {
+		return false
+	}
+	p.listener.Close()
+	p.listener = nil
+	return true
+}
+
+// crash closes all connections and refuses new ones for downTime, as if the process of the
+// target had ended. Then it calls restarted and accepts connections again.
+func (p *proxy) crash(ctx context.Context, downTime time.Duration, restarted func()) {
+	if !p.close() {
+		return
+	}
+	p.mu.Lock()
+	for c := range p.conns {
+		c.Close()
+	}
+	p.mu.Unlock()
+	p.group.Go(func() error {
+		sleep(ctx, downTime)
+		for ctx.Err() == nil {
+			l, err := net.Listen("tcp4", p.address)
+			if err == nil {
+				restarted()
+				p.accept(ctx, l)
+				return nil
+			}
+			sleep(ctx, 10*time.Millisecond) // another connection may use the port for a moment
+		}
+		return nil
 	})
-	return p, nil
 }
 
-func (p *proxy) addr() string { return p.listener.Addr().String() }
+func (p *proxy) addr() string { return p.address }
 
 // setMode changes the mode. modeReset also resets the open connections.
 func (p *proxy) setMode(m proxyMode) {
