--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -70,6 +70,9 @@
 	n.metrics.EndpointLatency(c.service.Name, attemptAction(a)).Update(n.clock.Now().Sub(sentAt).Seconds())
 	info := n.observeResponse(e, resp.Status, resp.Header)
 	n.loadTracker.RecordLoadReport(e.ID, info.Load)
+	if !info.WrongEndpoint {
+		n.recordLimit(e, info.Limit)
+	}
 	switch {
 	case info.WrongEndpoint:
 		n.reportResult(e, byfleet.WrongEndpoint, nil)
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -127,6 +127,7 @@
 	callerConns        *callerConns
 	endProbes          *endProbes
 	quarantine         *byquarantine.Quarantine
+	namedLimits        namedLimits
 	roles              *roleController
 	metrics            *bymetrics.Metrics
 	log                loggers
@@ -180,6 +181,7 @@
 	n.peers = newPeers(n)
 	n.callerConns = newCallerConns(n.clock)
 	n.endProbes = newEndProbes()
+	n.namedLimits.limit = map[burdockyard.EndpointID]burdockyard.RateLimit{}
 	n.quarantine = byquarantine.New(n.clock, s.Node)
 	n.stop = newStopState()
 	n.roles = newRoleController(n)
--- a/io/bymetrics/bymetrics.go
+++ b/io/bymetrics/bymetrics.go
@@ -116,6 +116,12 @@
 	return m.set.GetOrCreateHistogram(fmt.Sprintf(`burdock_hop_seconds{service=%q,asked_to=%q}`, service, action))
 }
 
+// LimitedResponses returns the counter of responses in which an endpoint names a limit of
+// requests.
+func (m *Metrics) LimitedResponses(endpoint string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_limited_responses_total{endpoint=%q}`, endpoint))
+}
+
 // BrokenByEnd returns the counter of attempts that broke off because the process of
 // their endpoint has ended.
 func (m *Metrics) BrokenByEnd(service string) *metrics.Counter {
--- a/protocol.go
+++ b/protocol.go
@@ -35,6 +35,13 @@
 	Slowdown float64 // ratio of the current to the usual duration of work
 }
 
+// RateLimit is what an endpoint that is in need names in its responses: how many
+// requests it takes from all nodes together, for as long as it says so.
+type RateLimit struct {
+	Named     bool    // whether the response names a limit
+	PerSecond float64 // requests per second, from 0; NaN if the limit cannot be read
+}
+
 // ResponseInfo holds what the headers of an endpoint's response contain.
 type ResponseInfo struct {
 	ID            RequestID // ID of the request that the response belongs to; empty if it carries none
@@ -44,6 +51,7 @@
 	// RetryAfter is how long an endpoint that has refused the request wants no requests
 	// from this node; zero if it does not tell.
 	RetryAfter time.Duration
+	Limit      RateLimit
 	Load       LoadReport
 }
 
