--- a/io/byentry/limit_test.go
+++ b/io/byentry/limit_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"burdockyard/platform/bystub"
 )
 
@@ -26,6 +29,93 @@
 	return c
 }
 
+// press sends prompts through all nodes for the given time, and returns how many were
+// sent and how many of them were answered.
+func (c *testCluster) press(length time.Duration, callers int) (sent, answered int) {
+	end := time.Now().Add(length)
+	results := make([][2]int, callers)
+	var group errgroup.Group
+	for i := range callers {
+		group.Go(func() error {
+			rng := rand.New(rand.NewPCG(uint64(i), 8))
+			for time.Now().Before(end) {
+				n := c.nodes[rng.IntN(len(c.nodes))]
+				path, header := "/quick/1", []string{shortPrompt, shortTokens}
+				if i%4 == 0 {
+					path, header = "/long/1", []string{longPrompt, longTokens}
+				}
+				results[i][0]++
+				if got := n.call("POST", path, "x", header...); got.status == 200 {
+					results[i][1]++
+				}
+				time.Sleep(time.Duration(20+rng.IntN(100)) * time.Millisecond)
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		c.t.Fatal(err)
+	}
+	for _, r := range results {
+		sent, answered = sent+r[0], answered+r[1]
+	}
+	return sent, answered
+}
+
+// mostArrivals returns the largest number of requests that a runner received in any 4 s
+// that end after the given time.
+func mostArrivals(r *bystub.Runner, after time.Time) int {
+	received := r.ReceivedRequests()
+	most, from := 0, 0
+	for i, a := range received {
+		for received[from].At.Before(a.At.Add(-4 * time.Second)) {
+			from++
+		}
+		if a.At.After(after) {
+			most = max(most, i-from+1)
+		}
+	}
+	return most
+}
+
+// TestNamedLimitHoldsAcrossNodes guards against the failure that an endpoint gets far
+// more requests than the limit that it has named: it holds for all nodes together.
+func TestNamedLimitHoldsAcrossNodes(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct {
+		endpoint string
+		limit    float64
+	}{{"d-1", 6}, {"p-1", 2.5}, {"d-1", 0.5}} {
+		t.Run(fmt.Sprint(tt.endpoint, "/", tt.limit), func(t *testing.T) {
+			t.Parallel()
+			c := newLimitCluster(t, 3)
+			c.press(500*time.Millisecond, 8)
+			r := c.runners[tt.endpoint]
+			r.NameLimit(fmt.Sprint(tt.limit))
+			told := time.Now().Add(500 * time.Millisecond)
+			sent, answered := c.press(9*time.Second, 12)
+			counted := 0
+			for _, a := range r.ReceivedRequests() {
+				if a.At.After(told) {
+					counted++
+				}
+			}
+			// Nodes may not have been told before, so only windows after that count.
+			most, allowed := mostArrivals(r, told.Add(4*time.Second)), int(1.5*4*tt.limit+5)
+			t.Logf("%d requests in 4 s at most, %d in all; %d of %d answered", most, counted, answered, sent)
+			if most > allowed {
+				t.Errorf("%s got %d requests in 4 s, want at most %d under a limit of %g a second", tt.endpoint, most, allowed, tt.limit)
+			}
+			if tt.limit >= 2 && float64(counted) < 0.5*tt.limit*8 {
+				t.Errorf("%s got %d requests in 8.5 s, want at least half of what its limit of %g a second allows", tt.endpoint, counted, tt.limit)
+			}
+			if answered < sent*9/10 {
+				t.Errorf("%d of %d requests are answered, want the rest to go to the other engine", answered, sent)
+			}
+		})
+	}
+}
+
 // TestNamedLimitIsLogged checks that the log names the limit of an endpoint, and its end.
 func TestNamedLimitIsLogged(t *testing.T) {
 	t.Parallel()
