Keep all nodes together to the limit that an endpoint names

A rest holds for one node alone.

Ruled out: each node keeping to the limit alone, and late news.

Change: core/bylimit gives an endpoint that names a limit about one owner for each request per second, by rendezvous hashing among the known nodes. Each owner spends an equal share through a token bucket, other nodes send nothing there. Nodes tell each other what endpoints say in their heartbeats. Endpoints without a free request are left out before a plan is made, and the decode engine of a plan is reserved before the prompt is read; calls for control are counted. If all are used up, the request is refused at once with the time until one is free. The limit ends with a response without it to a later request, or with the process.

--- a/core/bydigest/bydigest.go
+++ b/core/bydigest/bydigest.go
@@ -32,6 +32,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"burdockyard"
+	"burdockyard/core/bylimit"
 	"burdockyard/core/bymember"
 )
 
@@ -152,7 +153,7 @@
 // know of a.
 func flagsChanged(a, b bymember.Heartbeat) bool {
 	return a.Member != b.Member || a.Leaving != b.Leaving || a.Ready != b.Ready || a.Generation != b.Generation || a.Capacity != b.Capacity ||
-		!slices.Equal(a.LeavingEndpoints, b.LeavingEndpoints) || b.Quarantine.IsNewsAfter(a.Quarantine) ||
+		!slices.Equal(a.LeavingEndpoints, b.LeavingEndpoints) || b.Quarantine.IsNewsAfter(a.Quarantine) || bylimit.IsNewsAfter(b.Limits, a.Limits) ||
 		len(b.HeldEngines) > 0 // peers forget holds that are not repeated
 }
 
@@ -258,7 +259,7 @@
 		case n.pending || refresh:
 			n.pending, n.alive, n.forwardedAt, n.reportedAt = false, false, now, now
 			hb := n.heartbeat
-			hb.Quarantine = hb.Quarantine.Aged(now.Sub(n.receivedAt))
+			hb.Quarantine, hb.Limits = hb.Quarantine.Aged(now.Sub(n.receivedAt)), bylimit.Aged(hb.Limits, now.Sub(n.receivedAt))
 			sameDomain.Heartbeats = append(sameDomain.Heartbeats, hb)
 			if here {
 				otherDomains.Heartbeats = append(otherDomains.Heartbeats, hb)
--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -488,6 +488,18 @@
 	return ""
 }
 
+// BornMS returns the start of an endpoint's process, as in burdockyard.Instance, and false
+// if there is no entry for the endpoint.
+func (f *Fleet) BornMS(id burdockyard.EndpointID) (int64, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	e := f.entries[id]
+	if e == nil {
+		return 0, false
+	}
+	return e.instance.BornMS, true
+}
+
 // Contains reports whether there is an entry for an endpoint.
 func (f *Fleet) Contains(id burdockyard.EndpointID) bool {
 	f.mu.RLock()
--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -21,6 +21,7 @@
 
 	"burdockyard"
 	"burdockyard/core/byfleet"
+	"burdockyard/core/bylimit"
 	"burdockyard/core/byquarantine"
 )
 
@@ -66,6 +67,7 @@
 	LeavingEndpoints  []byfleet.LeavingEndpoint // endpoints that have told this node, or another one, that they are about to end
 	CachedParts       []CachedPart              // prompt parts that engines have prefilled since the previous heartbeat
 	Quarantine        byquarantine.News         // inputs that end endpoints
+	Limits            []bylimit.Statement       // limits that endpoints have named to this node
 	Ready             bool                      // whether the node accepts callers
 	Capacity          float64                   // share of a core that the node may use; weights the directory's answers
 }
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -47,7 +47,8 @@
 // send sends the request to an endpoint and classifies the result.
 func (c *call) send(ctx context.Context, e byfleet.Endpoint, a burdockyard.Attempt) (*byforward.Response, outcome, error) {
 	n := c.node
-	if !n.fleet.AcceptsWork(e.ID) {
+	if !n.fleet.AcceptsWork(e.ID) || !c.takeReservation(e) {
+		c.dropReservation()
 		c.tried[e.ID] = true
 		return nil, outcomeNotRun, burdockyard.ErrNotStarted
 	}
@@ -71,7 +72,7 @@
 	info := n.observeResponse(e, resp.Status, resp.Header)
 	n.loadTracker.RecordLoadReport(e.ID, info.Load)
 	if !info.WrongEndpoint {
-		n.recordLimit(e, info.Limit)
+		n.recordLimit(e, info.Limit, sentAt)
 	}
 	switch {
 	case info.WrongEndpoint:
@@ -139,6 +140,7 @@
 	}
 	if errors.Is(err, burdockyard.ErrNotStarted) {
 		c.sends-- // no byte of the request was sent
+		c.node.limits.Return(e.ID, e.BornMS)
 		if !errors.Is(err, byforward.ErrConnectionLimit) {
 			c.node.reportResult(e, byfleet.Unreachable, err)
 		}
@@ -259,6 +261,8 @@
 		c.refuseFor(reasonQuarantined, c.node.quarantine.TimeToTrial(c.keys))
 	case last == outcomeNotRun && c.possibleRuns > 0:
 		c.fail(reasonEndpointFailed, err) // an endpoint may have run the request earlier
+	case last == outcomeNotRun && c.sends == 0 && c.timeToLimit() > 0:
+		c.refuse(reasonLimited, c.timeToLimit())
 	case last == outcomeNotRun && len(c.tried) == 0:
 		c.refuse(reasonNoEndpoint, c.retryAfterRest(noEndpointRetryAfter))
 	case last == outcomeNotRun:
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -29,6 +29,7 @@
 
 	"burdockyard"
 	"burdockyard/core/byfleet"
+	"burdockyard/core/bylimit"
 	"burdockyard/core/bymember"
 	"burdockyard/core/byplace"
 	"burdockyard/core/byquarantine"
@@ -127,7 +128,7 @@
 	callerConns        *callerConns
 	endProbes          *endProbes
 	quarantine         *byquarantine.Quarantine
-	namedLimits        namedLimits
+	limits             *bylimit.Limits
 	roles              *roleController
 	metrics            *bymetrics.Metrics
 	log                loggers
@@ -181,7 +182,7 @@
 	n.peers = newPeers(n)
 	n.callerConns = newCallerConns(n.clock)
 	n.endProbes = newEndProbes()
-	n.namedLimits.limit = map[burdockyard.EndpointID]burdockyard.RateLimit{}
+	n.limits = bylimit.New(n.clock, s.Node)
 	n.quarantine = byquarantine.New(n.clock, s.Node)
 	n.stop = newStopState()
 	n.roles = newRoleController(n)
@@ -270,6 +271,7 @@
 	n.metrics.RegisterGauge("burdock_config_age_seconds", func() float64 { return n.configWatcher.age().Seconds() })
 	n.metrics.RegisterGauge("burdock_endpoint_connections", func() float64 { return float64(n.forwarder.OpenConns()) })
 	n.metrics.RegisterGauge("burdock_retries_left", n.retryBudgets.minLeft)
+	n.metrics.RegisterGauge("burdock_limited_endpoints", func() float64 { return float64(n.limits.Len()) })
 	n.metrics.RegisterGauge("burdock_quarantined_inputs", func() float64 { return float64(n.quarantine.Len()) })
 	n.metrics.RegisterGauge("burdock_held_engines", func() float64 { return float64(n.roles.holdCount()) })
 	n.metrics.RegisterGauge("burdock_memory_bytes", memoryBytes)
@@ -352,6 +354,8 @@
 	nodes := 1 + len(n.view.Alive())
 	n.retryBudgets.setNodes(nodes)
 	n.quarantine.SetNodes(nodes)
+	n.limits.SetMembers(n.peers.members(), n.stopping.Load())
+	n.limits.RemoveUnknown(n.fleet.Contains)
 	if t := n.routes.Current(); t != nil {
 		n.callerConns.closeIdle(t.Limits())
 	}
@@ -369,6 +373,7 @@
 func (n *Node) shutDown(servers []*http.Server) {
 	n.stopping.Store(true)
 	n.stop.begin(n.clock.Now())
+	n.limits.SetMembers(n.peers.members(), true)
 	n.log.node.Info("leaving", bylog.Int("open_requests", int(n.openRequests.Load())))
 	startedAt := n.clock.Now()
 	n.peers.sendHeartbeat(true, true)
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -65,6 +65,7 @@
 	lastPlan        byplace.Plan                    // latest plan, for the log
 	keys            []byquarantine.Key              // what the request shares with others
 	trial           bool                            // whether the request is a trial of a quarantined key
+	reserved        *byfleet.Endpoint               // endpoint that a later request may be sent to, nil if none
 	quarantined     bool                            // whether one of the keys was quarantined after the request was admitted
 }
 
@@ -243,6 +244,7 @@
 	reasonNoEndpoint      reason = "no_endpoint"      // the service has no endpoint that accepts new requests
 	reasonEndpointsFull   reason = "endpoints_full"   // every endpoint that was tried refused
 	reasonQuarantined     reason = "quarantined"      // endpoints end under requests with the same input
+	reasonLimited         reason = "limited"          // the limits that all endpoints name are used up
 	reasonNoAnswer        reason = "no_answer"        // the request was sent and no complete response arrived
 	reasonEndpointFailed  reason = "endpoint_failed"  // one endpoint may have run the request, the others refused
 )
@@ -319,7 +321,7 @@
 // untriedEndpoints returns the endpoints of the service that may get the request and
 // have not been tried yet.
 func (c *call) untriedEndpoints() []byfleet.Endpoint {
-	all := c.node.fleet.Usable(c.service.Name)
+	all := c.node.withinLimits(c.node.fleet.Usable(c.service.Name))
 	if len(c.tried) == 0 {
 		return all
 	}
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -139,6 +139,7 @@
 			n.log.fleet.Info("endpoint leaves", bylog.Str("endpoint", string(e.ID)), bylog.Str("told_by", string(h.Member.Node)))
 		}
 	}
+	n.mergeLimits(h.Limits)
 	n.applyQuarantineChange(n.quarantine.Merge(h.Quarantine), string(h.Member.Node))
 	if p.relay.active.Load() {
 		p.relay.aggregator.RecordHeartbeat(h)
@@ -177,6 +178,20 @@
 	return p.node.clock.Now().Sub(known.lastSeen) < forgetAfter
 }
 
+// members returns the other nodes that count as members of the fleet and are not about to
+// stop.
+func (p *peers) members() []burdockyard.NodeID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []burdockyard.NodeID
+	for id, known := range p.known {
+		if p.isActive(known) && !known.leaving {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // registerLoop writes this node's row, retrying until it succeeds, and then scans
 // the node table periodically until ctx is done.
 func (p *peers) registerLoop(ctx context.Context) error {
@@ -446,7 +461,7 @@
 		Member: n.self, CallerAddr: n.settings.CallerAddr, Domain: n.settings.Domain,
 		Leaving: n.stopping.Load(), Ready: n.ready(), Capacity: n.reloadableSettings.Load().Capacity,
 		Seq: n.heartbeatSeq.Add(1), Loads: loads, CachedParts: cachedParts, HeldEngines: n.roles.renewHolds(),
-		LeavingEndpoints: n.fleet.Leaving(), Quarantine: n.quarantine.News(),
+		LeavingEndpoints: n.fleet.Leaving(), Quarantine: n.quarantine.News(), Limits: n.limits.Statements(),
 	}
 	if t := n.routes.Current(); t != nil {
 		heartbeat.Generation = t.Version()
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -91,6 +91,11 @@
 		attempt.PrefixSource = plan.PrefixSource
 	} else {
 		work.PrefillTime = 0
+		if !c.reserve(plan.DecodeEngine) {
+			c.tried[plan.DecodeEngine.ID] = true
+			return outcomeNotRun, burdockyard.ErrNotStarted
+		}
+		defer c.dropReservation()
 		var o outcome
 		var err error
 		if stored, o, err = c.prefillPrompt(ctx, plan); o != outcomeAnswered {
--- a/io/byentry/roles.go
+++ b/io/byentry/roles.go
@@ -252,6 +252,7 @@
 	if !n.fleet.AcceptsCalls(e.ID) {
 		return 0, nil, merry.Wrap(burdockyard.ErrNotStarted)
 	}
+	n.limits.Take(e.ID, e.BornMS)
 	req.Host, req.AllowMissingID, req.Deadline = e.Addr, true, n.clock.Now().Add(controlTimeout)
 	resp, err := n.forwarder.Send(ctx, byforward.Target{Addr: e.Addr, MaxConns: minEndpointConns}, req)
 	if err != nil {
--- a/io/bypeer/server.go
+++ b/io/bypeer/server.go
@@ -13,6 +13,7 @@
 	"burdockyard/core/bybooking"
 	"burdockyard/core/bydigest"
 	"burdockyard/core/byfleet"
+	"burdockyard/core/bylimit"
 	"burdockyard/core/bymanifest"
 	"burdockyard/core/bymember"
 	"burdockyard/io/bypeer/bypeerpb"
@@ -108,6 +109,9 @@
 	if !h.Quarantine.IsEmpty() {
 		out.Quarantine = quarantineToProto(h.Quarantine)
 	}
+	for _, s := range h.Limits {
+		out.Limits = append(out.Limits, &bypeerpb.LimitStatement{Endpoint: string(s.Endpoint), BornMs: s.BornMS, Named: s.Named, PerSecond: s.PerSecond, AgeMs: s.Age.Milliseconds()})
+	}
 	for _, id := range h.HeldEngines {
 		out.Holds = append(out.Holds, string(id))
 	}
@@ -125,6 +129,9 @@
 		Loads: loadsFromProto(msg.GetLoads()), CachedParts: cachedPartsFromProto(msg.GetReads()),
 		Quarantine: quarantineFromProto(msg.GetQuarantine()),
 	}
+	for _, s := range msg.GetLimits() {
+		out.Limits = append(out.Limits, bylimit.Statement{Endpoint: burdockyard.EndpointID(s.GetEndpoint()), BornMS: s.GetBornMs(), Named: s.GetNamed(), PerSecond: s.GetPerSecond(), Age: millis(s.GetAgeMs())})
+	}
 	for _, id := range msg.GetHolds() {
 		out.HeldEngines = append(out.HeldEngines, burdockyard.EndpointID(id))
 	}
