--- a/core/bylimit/bylimit_test.go
+++ b/core/bylimit/bylimit_test.go
@@ -202,7 +202,7 @@
 			others = append(others, other.id) // nodes that were killed of late count too
 		}
 		if len(statements) > 0 && !n.mute && !n.killed && !other.deaf && !other.killed && m.rng.IntN(10) > 0 {
-			other.news = append(other.news, limitNews{arrival, bylimit.Aged(statements, arrival.Sub(time.Now()))})
+			other.news = append(other.news, limitNews{arrival, bylimit.Aged(statements, time.Until(arrival))})
 		}
 	}
 	n.SetMembers(others, n.leaving)
