Do not blame a key for ends of endpoints with a poisoned request in progress

Seen: in one of two runs of TestPromptPartThatEndsEnginesIsStopped (path /long/, first code), all 157 sound requests with the first part of the poisoned ones were refused for good. That part had never had an answer, so it was quarantined together with the guilty one. Its trial was then in progress at an engine that a poisoned request crashed, which was taken as proof against it.

Cause: the requests that were in progress at one endpoint were judged one by one.

Change: what speaks for or against a key is the set of keys in progress at the endpoint that has ended, over all nodes.

--- a/core/byquarantine/byquarantine.go
+++ b/core/byquarantine/byquarantine.go
@@ -21,8 +21,8 @@
 // quarantined only after several ends: at different times, of different processes, under
 // different requests, and without any answer to a request with that key. Ends within a
 // moment count once, since endpoints that are lost together have another cause. Once a
-// key is quarantined, the ends under requests with it no longer speak against their
-// other keys.
+// key is quarantined, the ends of endpoints with such a request in progress no longer
+// speak against other keys.
 //
 // # The way out
 //
@@ -132,7 +132,7 @@
 	ends       int
 	lastEnd    time.Time
 	lastTrial  time.Time // zero if there was none
-	companions []Key     // other keys of every request under which an endpoint has ended
+	companions []Key     // keys that were in progress too at each endpoint that has ended
 }
 
 // New returns a Quarantine without keys for the given node.
@@ -218,6 +218,7 @@
 	if v.ends >= provenEnds {
 		delay = min(minTrialDelay<<min(v.ends-provenEnds, 10), maxTrialDelay)
 	}
+	q.updateCompanions(key, v)
 	for _, companion := range v.companions {
 		if q.quarantined[companion] != nil && !slices.Contains(keys, companion) {
 			delay = separateTrialDelay
@@ -317,7 +318,6 @@
 		if e.at.After(v.lastEnd) {
 			v.lastEnd = e.at
 		}
-		v.companions = slices.DeleteFunc(v.companions, func(k Key) bool { return !slices.Contains(e.Keys, k) })
 	}
 	q.judge(e.Keys, c)
 	return true
@@ -364,11 +364,6 @@
 			continue
 		}
 		requests, endedAt[e.Endpoint] = append(requests, e.Request), e.at
-		if v.ends == 0 {
-			v.companions = slices.DeleteFunc(slices.Clone(e.Keys), func(k Key) bool { return k == key })
-		} else {
-			v.companions = slices.DeleteFunc(v.companions, func(k Key) bool { return !slices.Contains(e.Keys, k) })
-		}
 		v.ends++
 		v.lastEnd = e.at
 	}
@@ -378,9 +373,44 @@
 	return v
 }
 
-// isExplained reports whether an end is blamed on another key. The caller must hold mu.
+// isExplained reports whether an end is blamed on another key than the given one. The
+// caller must hold mu.
 func (q *Quarantine) isExplained(e end, key Key) bool {
-	return slices.ContainsFunc(e.Keys, func(k Key) bool { return k != key && q.quarantined[k] != nil })
+	return len(q.quarantined) > 0 &&
+		slices.ContainsFunc(q.keysInProgress(e), func(k Key) bool { return k != key && q.quarantined[k] != nil })
+}
+
+// keysInProgress returns the keys of all requests that were in progress when the endpoint
+// of e ended. The caller must hold mu.
+func (q *Quarantine) keysInProgress(e end) []Key {
+	var keys []Key
+	for _, other := range q.ends {
+		if other.Endpoint == e.Endpoint && other.at.Sub(e.at).Abs() < sameProcess {
+			keys = append(keys, other.Keys...)
+		}
+	}
+	return keys
+}
+
+// updateCompanions computes the companions of a quarantined key anew, unless the ends that
+// it is blamed for are forgotten. The caller must hold mu.
+func (q *Quarantine) updateCompanions(key Key, v *verdict) {
+	var companions []Key
+	found := false
+	for _, e := range q.ends {
+		if !slices.Contains(e.Keys, key) {
+			continue
+		}
+		keys := q.keysInProgress(e)
+		if !found {
+			found, companions = true, slices.DeleteFunc(keys, func(k Key) bool { return k == key || q.quarantined[k] == nil })
+		} else {
+			companions = slices.DeleteFunc(companions, func(k Key) bool { return !slices.Contains(keys, k) })
+		}
+	}
+	if found {
+		v.companions = companions
+	}
 }
 
 // quarantine quarantines a key. The caller must hold mu.
--- a/core/byquarantine/byquarantine_test.go
+++ b/core/byquarantine/byquarantine_test.go
@@ -147,6 +147,43 @@
 	})
 }
 
+// TestInnocentTrialBesideGuiltyRequest guards against the failure that a sound request, let
+// through as a trial, is blamed for the crash of a poisoned one at the same endpoint, so
+// that its key stays quarantined for minutes.
+func TestInnocentTrialBesideGuiltyRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := poisoned(first, poison)
+		for i := range uint64(5) {
+			time.Sleep(500 * time.Millisecond)
+			q.RecordEnd(byquarantine.End{Request: 100 + i, Endpoint: 100 + i, Keys: keys(first)})
+			q.RecordEnd(byquarantine.End{Request: 200 + i, Endpoint: 100 + i, Keys: keys(first, poison)})
+		}
+		time.Sleep(2100 * time.Millisecond)
+		if d := q.Admit(keys(first)); !d.Trial {
+			t.Errorf("decision %+v on a request with the first part only, want a trial", d)
+		}
+		if d := q.Admit(keys(first, poison)); d.Admitted || d.Wait < time.Minute {
+			t.Errorf("decision %+v on a poisoned request, want a wait of minutes", d)
+		}
+	})
+}
+
+// TestBystandersOfKnownPoisonAreNotBlamed checks that ends of endpoints with a poisoned
+// request in progress do not speak against the other requests there.
+func TestBystandersOfKnownPoisonAreNotBlamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := poisoned(poison)
+		for i := range uint64(5) {
+			time.Sleep(500 * time.Millisecond)
+			q.RecordEnd(byquarantine.End{Request: 200 + i, Endpoint: 100 + i, Keys: keys(poison)})
+			q.RecordEnd(byquarantine.End{Request: 100 + i, Endpoint: 100 + i, Keys: keys(other)})
+		}
+		if q.IsQuarantined(keys(other)) {
+			t.Error("the key of bystanders is quarantined")
+		}
+	})
+}
+
 // TestNewsReachesPeers checks that peers quarantine a key by the ends that several nodes
 // have seen, learn of trials and answers, and that a restarted node learns it all.
 func TestNewsReachesPeers(t *testing.T) {
