Take an unframed stream without an event for broken off

A stream without a length or chunks ends with its connection.

Change: such a stream without an event, or within one, has lost its connection; only framed answers, and those that go on for a while, prove a prompt. Calls likewise. Copies of a run do not go to an engine whose limit is used up.

The soak lets runners name limits, and checks them.

--- a/io/byentry/backup.go
+++ b/io/byentry/backup.go
@@ -38,7 +38,7 @@
 	if samples < minBackupSamples || float64(transfer) > maxBackupShare*float64(duration) {
 		return nil
 	}
-	backup, ok := n.loadTracker.PlanBackup(e, n.fleet.Usable(c.service.Name))
+	backup, ok := n.loadTracker.PlanBackup(e, n.withinLimits(n.fleet.Usable(c.service.Name)))
 	if !ok {
 		return nil
 	}
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -219,7 +219,7 @@
 		}
 		var buffered *bufferedResponse
 		if o == outcomeAnswered {
-			if buffered, o, err = c.readResponse(ctx, e, resp); err == nil {
+			if buffered, o, err = c.readResponse(ctx, e, resp); err == nil && resp.IsSelfDelimited() {
 				c.recordAnswer()
 			}
 		}
--- a/io/byentry/limit_test.go
+++ b/io/byentry/limit_test.go
@@ -62,22 +62,6 @@
 	return sent, answered
 }
 
-// mostArrivals returns the largest number of requests that a runner received in any 4 s
-// that end after the given time.
-func mostArrivals(r *bystub.Runner, after time.Time) int {
-	received := r.ReceivedRequests()
-	most, from := 0, 0
-	for i, a := range received {
-		for received[from].At.Before(a.At.Add(-4 * time.Second)) {
-			from++
-		}
-		if a.At.After(after) {
-			most = max(most, i-from+1)
-		}
-	}
-	return most
-}
-
 // TestNamedLimitHoldsAcrossNodes guards against the failure that an endpoint gets far
 // more requests than the limit that it has named: it holds for all nodes together.
 func TestNamedLimitHoldsAcrossNodes(t *testing.T) {
@@ -94,20 +78,19 @@
 			r.NameLimit(fmt.Sprint(tt.limit))
 			told := time.Now().Add(500 * time.Millisecond)
 			sent, answered := c.press(9*time.Second, 12)
-			counted := 0
+			var counted []time.Time // since the nodes have been told
 			for _, a := range r.ReceivedRequests() {
 				if a.At.After(told) {
-					counted++
+					counted = append(counted, a.At)
 				}
 			}
-			// Nodes may not have been told before, so only windows after that count.
-			most, allowed := mostArrivals(r, told.Add(4*time.Second)), int(1.5*4*tt.limit+5)
-			t.Logf("%d requests in 4 s at most, %d in all; %d of %d answered", most, counted, answered, sent)
+			most, allowed := bystub.MostInWindow(counted, 4*time.Second), int(1.5*4*tt.limit+5)
+			t.Logf("%d requests in 4 s at most, %d in all; %d of %d answered", most, len(counted), answered, sent)
 			if most > allowed {
 				t.Errorf("%s got %d requests in 4 s, want at most %d under a limit of %g a second", tt.endpoint, most, allowed, tt.limit)
 			}
-			if tt.limit >= 2 && float64(counted) < 0.5*tt.limit*8 {
-				t.Errorf("%s got %d requests in 8.5 s, want at least half of what its limit of %g a second allows", tt.endpoint, counted, tt.limit)
+			if tt.limit >= 2 && float64(len(counted)) < 0.5*tt.limit*8 {
+				t.Errorf("%s got %d requests in 8.5 s, want at least half of what its limit of %g a second allows", tt.endpoint, len(counted), tt.limit)
 			}
 			if answered < sent*9/10 {
 				t.Errorf("%d of %d requests are answered, want the rest to go to the other engine", answered, sent)
--- a/io/byentry/poison_test.go
+++ b/io/byentry/poison_test.go
@@ -33,11 +33,11 @@
 	sequence int
 }
 
-func newPoisonedCluster(t *testing.T, nodes, engines int) *poisonedCluster {
+func newPoisonedCluster(t *testing.T, nodes, engines int, unframed bool) *poisonedCluster {
 	c := &poisonedCluster{testCluster: newTestCluster(t), processes: map[string]*bystub.Process{}, sequence: 1}
 	c.publishConfig(3, nil)
 	for i := range engines {
-		c.addCrashingEngine(fmt.Sprint("d-", i+1))
+		c.addCrashingEngine(fmt.Sprint("d-", i+1), unframed)
 	}
 	c.addRunner(bystub.RunnerConfig{ID: "p-1", Service: "llm", Zone: "a", Stage: "prefill", ServiceTime: 5 * time.Millisecond})
 	for i := range nodes {
@@ -50,8 +50,8 @@
 }
 
 // addCrashingEngine starts a decode engine that crashes on poisonPart.
-func (c *poisonedCluster) addCrashingEngine(id string) {
-	c.addCrashingRunner(bystub.RunnerConfig{ID: id, Service: "llm", Zone: "a", Stage: "decode", EventsPerStream: 6, EventInterval: 20 * time.Millisecond}, bystub.HasPromptPart(poisonPart))
+func (c *poisonedCluster) addCrashingEngine(id string, unframed bool) {
+	c.addCrashingRunner(bystub.RunnerConfig{ID: id, Service: "llm", Zone: "a", Stage: "decode", EventsPerStream: 6, EventInterval: 20 * time.Millisecond, Unframed: unframed}, bystub.HasPromptPart(poisonPart))
 }
 
 // addCrashingRunner starts a runner that crashes when it begins to answer a request for
@@ -100,10 +100,13 @@
 // part crash engine after engine: after five crashes, they must not reach any engine.
 func TestPromptPartThatEndsEnginesIsStopped(t *testing.T) {
 	t.Parallel()
-	for _, path := range []string{"/quick/", "/long/"} {
-		t.Run(path, func(t *testing.T) {
+	for _, tt := range []struct {
+		path     string
+		unframed bool // whether streams end with their connection, as they do in a crash
+	}{{"/quick/", false}, {"/long/", false}, {"/quick/", true}, {"/long/", true}} {
+		t.Run(fmt.Sprint(tt.path, tt.unframed), func(t *testing.T) {
 			t.Parallel()
-			c := newPoisonedCluster(t, 3, 4)
+			c := newPoisonedCluster(t, 3, 4, tt.unframed)
 			end := time.Now().Add(10 * time.Second)
 			var callers errgroup.Group
 			var mu sync.Mutex
@@ -115,7 +118,10 @@
 					for time.Now().Before(end) {
 						sentAt, poisoned := time.Now(), i < 2
 						n := c.nodes[rng.IntN(len(c.nodes))]
-						got := n.call("POST", path+"1", "x", prompt(poisoned)...)
+						got := n.call("POST", tt.path+"1", "x", prompt(poisoned)...)
+						if poisoned && got.status == 200 && got.err == nil && got.body == "" {
+							t.Error("the empty answer of an engine that has crashed looks complete")
+						}
 						if !poisoned {
 							mu.Lock()
 							soundAt = append(soundAt, sentAt)
@@ -167,7 +173,7 @@
 	for _, path := range []string{"/read/bad", "/book/bad"} {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
-			c := newPoisonedCluster(t, 3, 1)
+			c := newPoisonedCluster(t, 3, 1, false)
 			for i := range 4 {
 				c.addCrashingRunner(bystub.RunnerConfig{ID: fmt.Sprint("app-", i), Service: "app", Zone: "a", ServiceTime: 5 * time.Millisecond},
 					func(req *http.Request) bool { return req.URL.Path == path })
@@ -206,7 +212,7 @@
 // request, and what the request's prompt shares with others.
 func TestEndOfEngineIsLogged(t *testing.T) {
 	t.Parallel()
-	c := newPoisonedCluster(t, 1, 1)
+	c := newPoisonedCluster(t, 1, 1, false)
 	c.nodes[0].call("POST", "/long/1", "x", prompt(true)...)
 	c.waitUntil("the end of the engine is logged", func() bool {
 		for _, line := range strings.Split(c.logs.String(), "\n") {
--- a/io/byentry/relay.go
+++ b/io/byentry/relay.go
@@ -76,13 +76,16 @@
 }
 
 // forwardRemainder forwards the data after the last complete event at the end of a
-// response. A response that is not self-delimited ends when its connection is closed,
-// so one that ends inside an event has been cut off.
+// response. A response that is not self-delimited ends when its connection is closed, so
+// one that ends before its first event or inside an event has been cut off. If it ends
+// early, that does not show that its engine has survived it.
 func (r *eventRelay) forwardRemainder(resp *byforward.Response) error {
-	if len(r.pending) > 0 && !resp.IsSelfDelimited() {
-		return burdockyard.ErrInterrupted
+	if !resp.IsSelfDelimited() && (len(r.pending) > 0 || r.runEventAt.IsZero()) {
+		return merry.Wrap(burdockyard.ErrInterrupted, merry.WithCause(io.ErrUnexpectedEOF))
+	}
+	if resp.IsSelfDelimited() {
+		r.recordAnswer(resp)
 	}
-	r.recordAnswer(resp)
 	r.sendHeader(resp)
 	return r.write(r.pending)
 }
--- a/io/bysoak/bysoak.go
+++ b/io/bysoak/bysoak.go
@@ -81,6 +81,7 @@
 	mu            sync.Mutex
 	configVersion int // version of the last published configuration
 	poisons       []*poison
+	limits        []*limitSpan
 	poison        *poison // the one that callers send, nil if none
 }
 
@@ -131,6 +132,7 @@
 	}
 	var trouble errgroup.Group
 	trouble.Go(func() error { s.runPoison(ctx); return nil })
+	trouble.Go(func() error { s.runLimits(ctx); return nil })
 	s.injectFaults(ctx)
 	_ = trouble.Wait() // the functions return no error
 	s.endAllFaults()
