Move the models of poisoned inputs and limits into a package with a clock of its own

burdock-lab drill plays them at any size and seed, with nodes killed, deaf, restarted or leaving, and with engines that end for other reasons. The checks and their bounds are those of the tests before; seeds and faults are more.

--- a/cmd/burdock-lab/main.go
+++ b/cmd/burdock-lab/main.go
@@ -8,6 +8,7 @@
 //	burdock-lab ablation
 //	burdock-lab capacity
 //	burdock-lab journal
+//	burdock-lab drill --nodes 295 --seeds 10
 package main
 
 import (
@@ -22,6 +23,7 @@
 	Policy   policyCommand   `command:"policy" description:"the four measures beside baselines, bounds and targets"`
 	Capacity capacityCommand `command:"capacity" description:"the slopes behind docs/CAPACITY.md"`
 	Ablation ablationCommand `command:"ablation" description:"the measures with each mechanism off in turn"`
+	Drill    drillCommand    `command:"drill" description:"inputs that end endpoints, and limits that endpoints name, in a modelled fleet"`
 	Journal  journalCommand  `command:"journal" description:"the scores of the users' bench, from its journal"`
 }
 
--- /dev/null
+++ b/io/bydrill/bydrill_test.go
@@ -0,0 +1,78 @@
+package bydrill_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"burdockyard/io/bydrill"
+)
+
+// seeds returns the number of seeds that are played with a number of nodes.
+func seeds(nodes int) uint64 {
+	if nodes > 32 {
+		return 1
+	}
+	return 4
+}
+
+// TestPoisonedRequestsStopAcrossFleet guards against the failure that requests with one
+// input crash engine after engine, because each node learns of it alone.
+func TestPoisonedRequestsStopAcrossFleet(t *testing.T) {
+	for _, fault := range bydrill.Faults() {
+		for _, nodes := range []int{9, 295} {
+			for seed := range seeds(nodes) {
+				t.Run(fmt.Sprint(fault, "/", nodes, "/", seed), func(t *testing.T) {
+					rep := bydrill.PlayPoison(bydrill.Config{Nodes: nodes, Seed: seed, Fault: fault}, 24*time.Second)
+					t.Logf("%+v", rep)
+					if rep.Late > 3 {
+						t.Errorf("%d poisoned requests are sent later than 3 s after the fifth crash, want at most 3", rep.Late)
+					}
+					if rep.Crashes == 0 || rep.Sound == 0 || 2*rep.Begun < rep.Sound {
+						t.Errorf("%d of %d sound requests with the same first key begin after %d crashes, want at least half", rep.Begun, rep.Sound, rep.Crashes)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestKilledEnginesBlameNoInput guards sound callers: engines that end for other reasons,
+// alone or many at a time, must not make nodes refuse requests.
+func TestKilledEnginesBlameNoInput(t *testing.T) {
+	for _, nodes := range []int{9, 295} {
+		for seed := range seeds(nodes) {
+			if rep := bydrill.PlayPoison(bydrill.Config{Nodes: nodes, Seed: seed, Fault: bydrill.Ends}, 0); rep.Refused > 0 {
+				t.Errorf("%d nodes, seed %d: %d sound requests are refused, want none", nodes, seed, rep.Refused)
+			}
+		}
+	}
+}
+
+// TestLimitHoldsAcrossFleet guards against the failure that an endpoint gets far more
+// requests than its limit, because each node keeps to it alone: all nodes together must,
+// also while nodes restart, leave or do not hear each other, and use most of it.
+func TestLimitHoldsAcrossFleet(t *testing.T) {
+	for _, fault := range bydrill.Faults() {
+		for _, nodes := range []int{9, 295} {
+			limits := []float64{0.5, 5.9, 40}
+			if nodes > 32 && fault != bydrill.NoFault {
+				limits = limits[1:2] // for the sake of time
+			}
+			for _, limit := range limits {
+				for seed := range seeds(nodes) {
+					t.Run(fmt.Sprint(fault, "/", nodes, "/", limit, "/", seed), func(t *testing.T) {
+						rep := bydrill.PlayLimit(bydrill.Config{Nodes: nodes, Seed: seed, Fault: fault}, limit)
+						t.Logf("%+v", rep)
+						if allowed := int(1.5*4*limit + 5); rep.Most > allowed {
+							t.Errorf("the endpoint gets %d requests in 4 s, want at most %d", rep.Most, allowed)
+						}
+						if fault == bydrill.NoFault && rep.Mean < limit/2 {
+							t.Errorf("the endpoint gets %.2f requests a second, want at least half of the limit of %g", rep.Mean, limit)
+						}
+					})
+				}
+			}
+		}
+	}
+}
--- a/io/byentry/limit_test.go
+++ b/io/byentry/limit_test.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"burdockyard/io/bydrill"
 	"burdockyard/platform/bystub"
 )
 
@@ -84,7 +85,7 @@
 					counted = append(counted, a.At)
 				}
 			}
-			most, allowed := bystub.MostInWindow(counted, 4*time.Second), int(1.5*4*tt.limit+5)
+			most, allowed := bydrill.MostInWindow(counted, 4*time.Second), int(1.5*4*tt.limit+5)
 			t.Logf("%d requests in 4 s at most, %d in all; %d of %d answered", most, len(counted), answered, sent)
 			if most > allowed {
 				t.Errorf("%s got %d requests in 4 s, want at most %d under a limit of %g a second", tt.endpoint, most, allowed, tt.limit)
--- a/io/bysoak/limit.go
+++ b/io/bysoak/limit.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"burdockyard/platform/bystub"
+	"burdockyard/io/bydrill"
 )
 
 const (
@@ -71,7 +71,7 @@
 			}
 		}
 		allowed := int(math.Floor(limitFactor*limitWindow.Seconds()*span.perSecond)) + limitSlack
-		if most := bystub.MostInWindow(counted, limitWindow); most > allowed {
+		if most := bydrill.MostInWindow(counted, limitWindow); most > allowed {
 			s.history.addViolation("limits: %s got %d requests in %v under a limit of %g a second, allowed %d", span.runner.id, most, limitWindow, span.perSecond, allowed)
 		}
 	}
