Bound what nodes tell of ends and limits, for large fleets

Found by reading: when many engines end at once, each node told all ends that it had seen in each heartbeat for 3 s, and relays pass 30 heartbeats on in one datagram, which could exceed the size of one. Answers to requests with common keys were told again and again for a minute, and each response of a limited endpoint to another owner counted as news.

Change: at most 12 ends, 16 answers, trials and verdicts in one heartbeat; an answer is told once a minute for keys that one more end may quarantine; a limit is news for a second after it has changed.

--- a/core/bylimit/bylimit.go
+++ b/core/bylimit/bylimit.go
@@ -46,8 +46,10 @@
 	bucketTime = time.Second
 	// endNewsTime is how long a node tells that an endpoint names no limit any more.
 	endNewsTime = 10 * time.Second
-	// newsChange is the relative change of a limit of which peers must learn at once.
+	// newsChange is the relative change of a limit of which peers must learn at once, and
+	// newsTime how long it is news.
 	newsChange = 0.1
+	newsTime   = time.Second
 )
 
 // Statement is what an endpoint has last said about its limit.
@@ -57,6 +59,7 @@
 	Named     bool          // whether it names a limit; if not, the former one has ended
 	PerSecond float64       // requests per second from all nodes together
 	Age       time.Duration // time since the response
+	Since     time.Duration // time since the limit was notably another one
 }
 
 // Limits is one node's view of the limits of all endpoints. It is safe for concurrent
@@ -78,6 +81,7 @@
 	perSecond float64
 	saidAt    time.Time // when it said so
 	heardHere bool      // whether it said so to this node
+	changedAt time.Time // when the limit was last notably another one
 
 	share    float64 // requests per second of this node
 	tokens   float64 // as of filledAt; negative if more was taken
@@ -119,31 +123,36 @@
 	case !limit.Named && e.bornMS == bornMS && !sentAt.After(e.saidAt):
 		return false // the response may be older than the limit
 	}
-	before, known := endpoint{}, e != nil
-	if known {
-		before = *e
-	}
-	l.set(id, Statement{BornMS: bornMS, Named: limit.Named, PerSecond: limit.PerSecond}, now, true)
-	return !known || before.named != limit.Named || before.bornMS != bornMS || math.Abs(limit.PerSecond-before.perSecond) > newsChange*before.perSecond
+	return l.set(id, Statement{BornMS: bornMS, Named: limit.Named, PerSecond: limit.PerSecond}, now, true)
+}
+
+// differs reports whether a limit differs notably from another one.
+func differs(perSecond, other float64) bool {
+	return math.Abs(perSecond-other) > newsChange*min(perSecond, other)
 }
 
-// set records a statement. The caller must hold mu.
-func (l *Limits) set(id burdockyard.EndpointID, s Statement, at time.Time, heardHere bool) {
+// set records a statement, and reports whether the limit is notably another one than
+// before. The caller must hold mu.
+func (l *Limits) set(id burdockyard.EndpointID, s Statement, at time.Time, heardHere bool) (changed bool) {
 	e := l.endpoints[id]
 	isNew := e == nil || !e.named
 	if e == nil {
 		e = &endpoint{}
 		l.endpoints[id] = e
 	}
+	if changed = isNew || e.bornMS != s.BornMS || !s.Named || differs(s.PerSecond, e.perSecond); changed {
+		e.changedAt = l.clock.Now().Add(-s.Since)
+	}
 	e.bornMS, e.named, e.perSecond, e.saidAt, e.heardHere = s.BornMS, s.Named, s.PerSecond, at, heardHere
 	if !e.named {
 		e.share, e.tokens = 0, 0
-		return
+		return changed
 	}
 	if isNew {
 		e.tokens, e.filledAt = 0, l.clock.Now()
 	}
 	l.updateShare(id, e)
+	return changed
 }
 
 // updateShare computes this node's share of a limit anew. A smaller one takes effect at
@@ -283,7 +292,7 @@
 	var out []Statement
 	for id, e := range l.endpoints {
 		if e.heardHere && (e.named || now.Sub(e.saidAt) < endNewsTime) {
-			out = append(out, Statement{id, e.bornMS, e.named, e.perSecond, now.Sub(e.saidAt)})
+			out = append(out, Statement{id, e.bornMS, e.named, e.perSecond, now.Sub(e.saidAt), now.Sub(e.changedAt)})
 		}
 	}
 	slices.SortFunc(out, func(a, b Statement) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
@@ -318,16 +327,18 @@
 	out := slices.Clone(statements)
 	for i := range out {
 		out[i].Age += d
+		out[i].Since += d
 	}
 	return out
 }
 
 // IsNewsAfter reports whether peers must learn of the statements without delay, given
-// older ones of the same node.
+// older ones of the same node. It does not count as news that an endpoint has told another
+// node what was known before.
 func IsNewsAfter(statements, older []Statement) bool {
 	return slices.ContainsFunc(statements, func(s Statement) bool {
-		return !slices.ContainsFunc(older, func(o Statement) bool {
-			return o.Endpoint == s.Endpoint && o.BornMS == s.BornMS && o.Named == s.Named && math.Abs(o.PerSecond-s.PerSecond) <= newsChange*o.PerSecond
+		return s.Since < newsTime && !slices.ContainsFunc(older, func(o Statement) bool {
+			return o.Endpoint == s.Endpoint && o.BornMS == s.BornMS && o.Named == s.Named && !differs(s.PerSecond, o.PerSecond)
 		})
 	})
 }
--- a/core/byquarantine/byquarantine.go
+++ b/core/byquarantine/byquarantine.go
@@ -109,7 +109,7 @@
 	answerOrder *list.List // values are of type *answer, the latest first
 	quarantined map[Key]*verdict
 	own         struct { // what this node has found out itself
-		answers map[Key]time.Time // when the announcement of an answer begins
+		answers map[Key]time.Time // when the announcement of an answer begins or has begun, by this node or by a faster one
 		trials  map[Key]time.Time
 	}
 }
@@ -277,7 +277,7 @@
 }
 
 // announce makes this node tell its peers of the last answer to a request with the key,
-// unless it already does or another node is faster. The caller must hold mu.
+// unless they were told of late or another node is faster. The caller must hold mu.
 func (q *Quarantine) announce(key Key, now time.Time) {
 	if _, ok := q.own.answers[key]; !ok {
 		spread := min(time.Duration(q.nodes)*announcementSpread, maxAnnouncementSpread)
@@ -285,10 +285,16 @@
 	}
 }
 
-// isSuspect reports whether an endpoint has lately ended under a request with the key.
-// The caller must hold mu.
+// isSuspect reports whether so many endpoints have lately ended under requests with the
+// key that one more may quarantine it. The caller must hold mu.
 func (q *Quarantine) isSuspect(key Key) bool {
-	return slices.ContainsFunc(q.ends, func(e end) bool { return slices.Contains(e.Keys, key) })
+	ends := 0
+	for _, e := range q.ends {
+		if slices.Contains(e.Keys, key) {
+			ends++
+		}
+	}
+	return ends >= minEnds-1
 }
 
 // addEnd adds an end unless it is known, and judges its keys. The caller must hold mu.
@@ -307,7 +313,7 @@
 	for _, key := range e.Keys {
 		v := q.quarantined[key]
 		if v == nil {
-			if q.lastAnswer(key) != nil {
+			if q.lastAnswer(key) != nil && q.isSuspect(key) {
 				q.announce(key, q.clock.Now())
 			}
 			continue
--- a/core/byquarantine/byquarantine_test.go
+++ b/core/byquarantine/byquarantine_test.go
@@ -256,8 +256,8 @@
 			q.RecordEnd(byquarantine.End{Request: i, Endpoint: i, Keys: k})
 		}
 		n := q.News()
-		if q.Len() > 256 || len(n.Quarantined) > 64 || len(n.Ends) > 512 {
-			t.Errorf("%d keys quarantined, %d told, %d ends told; want at most 256, 64 and 512", q.Len(), len(n.Quarantined), len(n.Ends))
+		if q.Len() > 256 || len(n.Quarantined) > 16 || len(n.Ends) > 12 || len(n.Answers) > 16 {
+			t.Errorf("%d keys quarantined, %d told, %d ends told; want at most 256, 16 and 12", q.Len(), len(n.Quarantined), len(n.Ends))
 		}
 		time.Sleep(3 * time.Hour)
 		if n := q.News(); !n.IsEmpty() || q.Len() > 0 {
--- a/core/byquarantine/news.go
+++ b/core/byquarantine/news.go
@@ -36,9 +36,13 @@
 	Quarantined []Verdict
 }
 
-// maxVerdictsTold is the largest number of quarantined keys in one News. Those that were
-// blamed last come first.
-const maxVerdictsTold = 64
+// The largest numbers of items in one News. A relay passes on the news of 30 nodes in one
+// datagram. The latest items are told; older ones were told before.
+const (
+	maxEndsTold     = 12
+	maxEventsTold   = 16
+	maxVerdictsTold = 16
+)
 
 // IsEmpty reports whether there is nothing to tell.
 func (n News) IsEmpty() bool {
@@ -102,11 +106,13 @@
 			n.Ends = append(n.Ends, told)
 		}
 	}
+	n.Ends = n.Ends[max(len(n.Ends)-maxEndsTold, 0):]
 	for key, from := range q.own.answers {
 		a := q.lastAnswer(key)
-		if a == nil || now.Sub(from) >= newsTime {
+		switch {
+		case a == nil || now.Sub(from) >= endMemory:
 			delete(q.own.answers, key)
-		} else if !now.Before(from) {
+		case !now.Before(from) && now.Sub(from) < newsTime:
 			n.Answers = append(n.Answers, Event{key, now.Sub(a.at)})
 		}
 	}
@@ -124,8 +130,10 @@
 		}
 		n.Quarantined = append(n.Quarantined, told)
 	}
-	slices.SortFunc(n.Answers, func(a, b Event) int { return cmp.Compare(a.Key, b.Key) })
-	slices.SortFunc(n.Trials, func(a, b Event) int { return cmp.Compare(a.Key, b.Key) })
+	for _, events := range []*[]Event{&n.Answers, &n.Trials} {
+		slices.SortFunc(*events, func(a, b Event) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Key, b.Key)) })
+		*events = (*events)[:min(len(*events), maxEventsTold)]
+	}
 	slices.SortFunc(n.Quarantined, func(a, b Verdict) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Key, b.Key)) })
 	n.Quarantined = n.Quarantined[:min(len(n.Quarantined), maxVerdictsTold)]
 	return n
@@ -142,7 +150,7 @@
 	now := q.clock.Now()
 	for _, a := range n.Answers {
 		q.addAnswer(a.Key, now.Add(-a.Age), &c)
-		if from, ok := q.own.answers[a.Key]; ok && now.Before(from) {
+		if from, ok := q.own.answers[a.Key]; !ok || now.Before(from) {
 			q.own.answers[a.Key] = now.Add(-newsTime) // the peer was faster
 		}
 	}
@@ -178,6 +186,9 @@
 		return
 	}
 	if a := q.lastAnswer(told.Key); a != nil && (told.Ends < minEndsAfterAnswer || a.at.After(merged.lastEnd)) {
+		if now.Sub(q.own.answers[told.Key]) >= newsTime {
+			delete(q.own.answers, told.Key)
+		}
 		q.announce(told.Key, now) // the peer does not know of the answer
 		return
 	}
--- a/io/byentry/fleet_test.go
+++ b/io/byentry/fleet_test.go
@@ -12,7 +12,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"burdockyard"
+	"burdockyard/core/byfleet"
 	"burdockyard/core/byplace"
+	"burdockyard/core/byquarantine"
 	"burdockyard/io/bypeer"
 )
 
@@ -224,3 +226,56 @@
 		})
 	}
 }
+
+// TestTroubleReachesFleetThroughRelays lets three nodes see the ends of engines and one
+// hear a limit: all others act on both, also when a relay is lost, and so does a node that
+// hears of them later.
+func TestTroubleReachesFleetThroughRelays(t *testing.T) {
+	const size = 120
+	key := []byquarantine.Key{0xbad1}
+	for _, lost := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newEmulatedFleet(t, size, 4)
+			time.Sleep(3 * time.Second)
+			relay := f.relayOf("a")
+			late := f.nodes[size-9]
+			f.mu.Lock()
+			f.deaf[relay], f.mute[relay], f.deaf[late] = lost, lost, true
+			f.mu.Unlock()
+			for _, n := range f.nodes {
+				n.fleet.Apply([]burdockyard.Instance{{ID: "e1", Service: "s", BornMS: 7}}, nil, time.Now())
+			}
+			for i := range 3 {
+				time.Sleep(200 * time.Millisecond)
+				n := f.nodes[size-1-i]
+				n.applyQuarantineChange(n.quarantine.RecordEnd(byquarantine.End{Request: uint64(i), Endpoint: uint64(i), Keys: key}), "")
+			}
+			worker := f.nodes[size-5]
+			worker.recordLimit(byfleet.Endpoint{Instance: burdockyard.Instance{ID: "e1", BornMS: 7}}, burdockyard.RateLimit{Named: true, PerSecond: 5.9}, time.Now())
+			time.Sleep(time.Second)
+			count := func() (quarantined, limited int) {
+				for _, n := range f.nodes {
+					if n.quarantine.IsQuarantined(key) {
+						quarantined++
+					}
+					limited += n.limits.Len()
+				}
+				return quarantined, limited
+			}
+			healthy := size - 1
+			if lost {
+				healthy--
+			}
+			if quarantined, limited := count(); quarantined < healthy || limited < healthy {
+				t.Errorf("relay lost: %v: after 1 s %d nodes have quarantined the key and %d know the limit, want %d", lost, quarantined, limited, healthy)
+			}
+			f.mu.Lock()
+			f.deaf[late] = false
+			f.mu.Unlock()
+			time.Sleep(6 * time.Second)
+			if !late.quarantine.IsQuarantined(key) || late.limits.Len() != 1 {
+				t.Errorf("relay lost: %v: a node that was cut off does not know of the key or the limit 6 s later", lost)
+			}
+		})
+	}
+}
--- a/io/bypeer/server.go
+++ b/io/bypeer/server.go
@@ -110,7 +110,7 @@
 		out.Quarantine = quarantineToProto(h.Quarantine)
 	}
 	for _, s := range h.Limits {
-		out.Limits = append(out.Limits, &bypeerpb.LimitStatement{Endpoint: string(s.Endpoint), BornMs: s.BornMS, Named: s.Named, PerSecond: s.PerSecond, AgeMs: s.Age.Milliseconds()})
+		out.Limits = append(out.Limits, &bypeerpb.LimitStatement{Endpoint: string(s.Endpoint), BornMs: s.BornMS, Named: s.Named, PerSecond: s.PerSecond, AgeMs: s.Age.Milliseconds(), SinceMs: s.Since.Milliseconds()})
 	}
 	for _, id := range h.HeldEngines {
 		out.Holds = append(out.Holds, string(id))
@@ -130,7 +130,7 @@
 		Quarantine: quarantineFromProto(msg.GetQuarantine()),
 	}
 	for _, s := range msg.GetLimits() {
-		out.Limits = append(out.Limits, bylimit.Statement{Endpoint: burdockyard.EndpointID(s.GetEndpoint()), BornMS: s.GetBornMs(), Named: s.GetNamed(), PerSecond: s.GetPerSecond(), Age: millis(s.GetAgeMs())})
+		out.Limits = append(out.Limits, bylimit.Statement{Endpoint: burdockyard.EndpointID(s.GetEndpoint()), BornMS: s.GetBornMs(), Named: s.GetNamed(), PerSecond: s.GetPerSecond(), Age: millis(s.GetAgeMs()), Since: millis(s.GetSinceMs())})
 	}
 	for _, id := range msg.GetHolds() {
 		out.HeldEngines = append(out.HeldEngines, burdockyard.EndpointID(id))
