Treat limits without end as a very large one, and bound the keys of a request

Found by reading. An infinite limit made the time to wait of an endpoint that takes everything no number, so that the endpoint was left out (TestOneNodeKeepsLimit fails before). A caller could name hundreds of parts in a prompt, which would fill the datagrams in which nodes tell each other of ends: 32 keys of a request count.

--- a/core/bylimit/bylimit.go
+++ b/core/bylimit/bylimit.go
@@ -41,6 +41,9 @@
 	// minPerSecond is the rate up to which an endpoint gets requests even if its limit is
 	// lower. Only its responses show that the limit is over.
 	minPerSecond = 0.1
+	// maxPerSecond is the limit from which on larger ones make no difference. An infinite
+	// one would spoil the arithmetic.
+	maxPerSecond = 1e6
 	// bucketTime is the time in which an empty bucket gets full, if it then holds more
 	// than one request.
 	bucketTime = time.Second
@@ -134,6 +137,7 @@
 // set records a statement, and reports whether the limit is notably another one than
 // before. The caller must hold mu.
 func (l *Limits) set(id burdockyard.EndpointID, s Statement, at time.Time, heardHere bool) (changed bool) {
+	s.PerSecond = min(s.PerSecond, maxPerSecond)
 	e := l.endpoints[id]
 	isNew := e == nil || !e.named
 	if e == nil {
--- a/core/bylimit/bylimit_test.go
+++ b/core/bylimit/bylimit_test.go
@@ -59,6 +59,9 @@
 				if n := taken(l, 7, 10*time.Second); n < tt.min || n > tt.max {
 					t.Errorf("%d requests in 10 s, want %d to %d", n, tt.min, tt.max)
 				}
+				if wait := l.Wait(engine, 7); tt.min >= 900 && wait != 0 {
+					t.Errorf("time to wait %v, want none", wait)
+				}
 				if n := taken(l, 8, time.Second); n != 100 {
 					t.Errorf("%d requests to the next process, want 100: it has named no limit", n)
 				}
--- a/io/byentry/quarantine.go
+++ b/io/byentry/quarantine.go
@@ -17,6 +17,10 @@
 // event.
 const minAnswerTime = 100 * time.Millisecond
 
+// maxKeys is the largest number of keys of one request. Callers could otherwise fill the
+// datagrams in which nodes tell each other of ends.
+const maxKeys = 32
+
 // requestKeys returns the keys of the request for the quarantine: the parts of its prompt
 // that other prompts may share or, without a prompt, its host and path.
 func (c *call) requestKeys() []byquarantine.Key {
@@ -24,8 +28,9 @@
 		path, _, _ := strings.Cut(c.path, "?")
 		return []byquarantine.Key{byquarantine.Key(xxhash.Sum64String(c.r.Host + path))}
 	}
-	var keys []byquarantine.Key
-	for _, id := range sharedParts(c.info.Prompt) {
+	parts := sharedParts(c.info.Prompt)
+	keys := make([]byquarantine.Key, 0, min(len(parts), maxKeys))
+	for _, id := range parts[:min(len(parts), maxKeys)] {
 		keys = append(keys, byquarantine.Key(id))
 	}
 	return keys
@@ -57,8 +62,8 @@
 	return c.quarantined
 }
 
-// recordEndpointEnd records that endpoint e has ended under this request before the answer had
-// begun. An end that the endpoint has announced says nothing about the request.
+// recordEndpointEnd records that endpoint e has ended under this request before the answer
+// had begun. An end that the endpoint has announced says nothing about the request.
 func (c *call) recordEndpointEnd(e byfleet.Endpoint) {
 	c.trial = false
 	if len(c.keys) == 0 || !c.node.fleet.AcceptsWork(e.ID) {
