Label the counter of limited responses by service

By endpoint, each endpoint that ever names a limit would leave a series for the life of the process: engines start again under new ids. Found by reading; nothing else changes. A field of the drill's report that nothing used is gone.

--- a/io/bydrill/limit.go
+++ b/io/bydrill/limit.go
@@ -9,9 +9,8 @@
 
 // LimitReport is what came of a drill in which one endpoint names a limit.
 type LimitReport struct {
-	Most   int     // largest number of requests in 4 s, from nodes that were told of the limit half a second before
-	Mean   float64 // requests per second, without the first seconds
-	Always int     // number of requests per second that callers would have sent there
+	Most int     // largest number of requests in 4 s, from nodes that were told of the limit half a second before
+	Mean float64 // requests per second, without the first seconds
 }
 
 const (
@@ -55,7 +54,7 @@
 	d.startFault(cfg)
 	start := d.now
 	d.run(limitDrillTime)
-	rep := LimitReport{Most: MostInWindow(d.counted, limitWindow), Always: pressure}
+	rep := LimitReport{Most: MostInWindow(d.counted, limitWindow)}
 	used := 0
 	for _, at := range d.all {
 		if at.After(start.Add(limitWindow)) {
--- a/io/byentry/limits.go
+++ b/io/byentry/limits.go
@@ -14,7 +14,7 @@
 // that was sent at sentAt.
 func (n *Node) recordLimit(e byfleet.Endpoint, limit burdockyard.RateLimit, sentAt time.Time) {
 	if limit.Named {
-		n.metrics.LimitedResponses(string(e.ID)).Inc()
+		n.metrics.LimitedResponses(e.Service).Inc()
 	}
 	if n.limits.Observe(e.ID, e.BornMS, limit, sentAt) {
 		n.log.fleet.Info("endpoint names a limit", bylog.Str("endpoint", string(e.ID)), bylog.Bool("named", limit.Named),
--- a/io/bymetrics/bymetrics.go
+++ b/io/bymetrics/bymetrics.go
@@ -116,10 +116,10 @@
 	return m.set.GetOrCreateHistogram(fmt.Sprintf(`burdock_hop_seconds{service=%q,asked_to=%q}`, service, action))
 }
 
-// LimitedResponses returns the counter of responses in which an endpoint names a limit of
-// requests.
-func (m *Metrics) LimitedResponses(endpoint string) *metrics.Counter {
-	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_limited_responses_total{endpoint=%q}`, endpoint))
+// LimitedResponses returns the counter of responses in which an endpoint of a service
+// names a limit of requests.
+func (m *Metrics) LimitedResponses(service string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_limited_responses_total{service=%q}`, service))
 }
 
 // BrokenByEnd returns the counter of attempts that broke off because the process of
