--- a/io/byentry/poison_test.go
+++ b/io/byentry/poison_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"regexp"
 	"slices"
 	"strings"
 	"sync"
@@ -209,14 +210,16 @@
 }
 
 // TestEndOfEngineIsLogged checks that the log names the engine that has ended under a
-// request, and what the request's prompt shares with others.
+// request, what the request's prompt shares with others, and whether the request is the
+// same as one before.
 func TestEndOfEngineIsLogged(t *testing.T) {
 	t.Parallel()
 	c := newPoisonedCluster(t, 1, 1, false)
 	c.nodes[0].call("POST", "/long/1", "x", prompt(true)...)
+	content := regexp.MustCompile(`"content":"[0-9a-f]+","caller":"127\.0\.0\.1"`)
 	c.waitUntil("the end of the engine is logged", func() bool {
 		for _, line := range strings.Split(c.logs.String(), "\n") {
-			if strings.Contains(line, "attempt broke off") && strings.Contains(line, `"endpoint":"d-1"`) && strings.Contains(line, `"ended":true`) && strings.Contains(line, `"keys":"7c1e,bad1"`) {
+			if strings.Contains(line, "attempt broke off") && strings.Contains(line, `"endpoint":"d-1"`) && strings.Contains(line, `"ended":true`) && strings.Contains(line, `"keys":"7c1e,bad1"`) && content.MatchString(line) {
 				return true
 			}
 		}
