Let the soak repeat requests that end each runner, and kill all nodes at once

The soak's runners crashed on parts of prompts only, and no fault struck all nodes at once, so that the incident could not be played. Callers now repeat one request of any kind for 8 s at a time, runners crash on it, and all nodes are killed again and again, among the other faults (cuts, planned stops, releases, a store away, slow or restored). Checked: from 3 s after the third crash on, at most three repetitions reach runners, ever. All nodes are not killed within 4 s of a restore of the store: what both have lost at once is lost.

After a restore, the first two nodes of each failure domain write the records again, not one that may be frozen.

--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -45,6 +45,9 @@
 	baseRetryDelay = 200 * time.Millisecond
 	// maxRetryDelay is the longest delay after a failed store call.
 	maxRetryDelay = 1500 * time.Millisecond
+	// restoringNodes is the number of nodes in a failure domain that write the records of the
+	// quarantine again after the store has been restored from an older copy.
+	restoringNodes = 2
 	// minAgeCheckInterval is the shortest interval between two checks of a copy's age.
 	minAgeCheckInterval = 20 * time.Millisecond
 	// maxConcurrentRelays limits how many nodes a reading is relayed to concurrently.
@@ -363,7 +366,7 @@
 	if !n.roles.claims.ObserveEra(era) {
 		return
 	}
-	if n.view.RankByCapacity("quarantine", n.settings.Domain, n.reloadableSettings.Load().Capacity) == 0 {
+	if n.view.RankByCapacity("quarantine", n.settings.Domain, n.reloadableSettings.Load().Capacity) < restoringNodes {
 		n.quarantine.MarkLost()
 		n.records.saveSoon()
 	}
--- a/io/bysoak/bysoak.go
+++ b/io/bysoak/bysoak.go
@@ -83,6 +83,9 @@
 	poisons       []*poison
 	limits        []*limitSpan
 	poison        *poison // the one that callers send, nil if none
+	repeats       []*poison
+	repeat        record    // request that callers repeat; without a path if none
+	restoredAt    time.Time // when the store was last restored from an older copy
 }
 
 // runner is a stub runner and the proxy through which nodes reach it.
@@ -133,6 +136,7 @@
 	var trouble errgroup.Group
 	trouble.Go(func() error { s.runPoison(ctx); return nil })
 	trouble.Go(func() error { s.runLimits(ctx); return nil })
+	trouble.Go(func() error { s.runRepeats(ctx); return nil })
 	s.injectFaults(ctx)
 	_ = trouble.Wait() // the functions return no error
 	s.endAllFaults()
--- a/io/bysoak/callers.go
+++ b/io/bysoak/callers.go
@@ -57,7 +57,10 @@
 			conn, br = c, bufio.NewReader(c)
 		}
 		r := s.randomRequest(fmt.Sprintf("c%d-%d", id, i), rng)
-		if r.ownTokens > 0 {
+		if repeat, ok := s.repeatedRequest(poisonRNG); ok {
+			repeat.id = r.id
+			r = repeat
+		} else if r.ownTokens > 0 {
 			r.poisonedPart = s.poisonedPart(poisonRNG)
 		}
 		r.node, r.nodeStart, r.sent = target.name, nodeStart, time.Now()
--- a/io/bysoak/check.go
+++ b/io/bysoak/check.go
@@ -86,6 +86,7 @@
 	}
 	checkHistory(h, runs)
 	s.checkPoison()
+	s.checkRepeats()
 	s.checkLimits()
 	if sentAfterRecovery > 0 {
 		rep.RecoveredShare = float64(answeredAfterRecovery) / float64(sentAfterRecovery)
--- a/io/bysoak/faults.go
+++ b/io/bysoak/faults.go
@@ -104,6 +104,9 @@
 		old := s.store.Copy()
 		return func() {
 			s.store.Restore(old)
+			s.mu.Lock()
+			s.restoredAt = time.Now()
+			s.mu.Unlock()
 			s.rewriteRows()
 		}
 	case 13:
--- a/io/bysoak/poison.go
+++ b/io/bysoak/poison.go
@@ -25,12 +25,16 @@
 	poisonTime = 8 * time.Second
 )
 
-// poison is a part of prompts on which runners crash. soak.mu guards crashes.
+// poison is a part of prompts, or a whole request, on which runners crash. soak.mu guards
+// crashes.
 type poison struct {
-	hash    string
+	hash    string // of the part; empty for a whole request
+	path    string // of the whole request
 	crashes []time.Time
 }
 
+func (p *poison) String() string { return p.hash + p.path }
+
 // runPoison makes runners crash on a part of prompts for poisonTime, again and again
 // until the end of the fault period.
 func (s *soak) runPoison(ctx context.Context) {
@@ -59,7 +63,7 @@
 
 // crashRunner ends the process of a runner, which starts again after downTime.
 func (s *soak) crashRunner(ctx context.Context, r *runner, p *poison, downTime time.Duration) {
-	s.logEvent("runner %s crashes on part %s for %v", r.id, p.hash, downTime)
+	s.logEvent("runner %s crashes on %v for %v", r.id, p, downTime)
 	s.mu.Lock()
 	p.crashes = append(p.crashes, time.Now())
 	s.mu.Unlock()
