Write to the hash of a request without dropped results

A hash never fails to write, and nothing else changes: the code assigned results to the blank identifier, which reads like an error that is ignored.

--- a/io/byentry/identity.go
+++ b/io/byentry/identity.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"io"
 	"net"
 	"strings"
 
@@ -21,8 +20,8 @@
 	h := sha256.New()
 	write := func(field string) {
 		// The length keeps the end of one field apart from the beginning of the next.
-		_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(field)))) // never fails
-		_, _ = io.WriteString(h, field)
+		h.Write(binary.AppendUvarint(nil, uint64(len(field))))
+		h.Write([]byte(field))
 	}
 	write(c.r.Method)
 	write(c.r.Host)
@@ -34,7 +33,7 @@
 		write(p.Model)
 		writePrompt(write, p)
 	}
-	_, _ = h.Write(c.body)
+	h.Write(c.body)
 	return binary.BigEndian.Uint64(h.Sum(nil))
 }
 
