--- /dev/null
+++ b/io/byentry/version_test.go
@@ -0,0 +1,143 @@
+package byentry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"burdockyard/platform/bystub"
+)
+
+// newVersionCluster starts nodes and two decode engines of each of two versions.
+func newVersionCluster(t *testing.T, nodes int) *testCluster {
+	c := newTestCluster(t)
+	c.publishConfig(3, nil)
+	for i := range 2 {
+		for _, version := range []string{"v1", "v2"} {
+			c.addRunner(bystub.RunnerConfig{ID: fmt.Sprint("d", i, "-", version), Version: version, Service: "llm", Zone: "a", Stage: "decode", Slots: 24, EventsPerStream: 6, EventInterval: 10 * time.Millisecond})
+		}
+	}
+	for i := range nodes {
+		c.startNode(fmt.Sprint("n", i))
+	}
+	for _, n := range c.nodes {
+		c.waitReady(n)
+	}
+	return c
+}
+
+// versionsOf returns the versions of the runners that have run one of the requests.
+func (c *testCluster) versionsOf(ids ...string) map[string]bool {
+	versions := map[string]bool{}
+	for id, r := range c.runners {
+		for _, run := range r.Runs() {
+			for _, want := range ids {
+				if run.ID == want {
+					_, version, _ := strings.Cut(id, "-")
+					versions[version] = true
+				}
+			}
+		}
+	}
+	return versions
+}
+
+// fill makes the runner that has run the request refuse the next one, and no other runner.
+func (c *testCluster) fill(requestID string) {
+	for _, r := range c.runners {
+		r.SetFaults(bystub.RunnerFaults{})
+		for _, run := range r.Runs() {
+			if run.ID == requestID {
+				r.SetFaults(bystub.RunnerFaults{Shed: 1})
+			}
+		}
+	}
+}
+
+// ownPrompt returns the header of a prompt that shares no part with others, so that no
+// engine is preferred for its cache.
+func ownPrompt(i int) string { return fmt.Sprintf("X-Prompt-Prefix: %x:92,%x:290", 0x7000+i, 0xa000+i) }
+
+// readEvents sends a short prompt, reads the given number of events, and leaves.
+func (n *testNode) readEvents(id, prompt string, events int) error {
+	conn, err := net.Dial("tcp4", n.settings.CallerAddr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	if _, err := fmt.Fprintf(conn, "POST /quick/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 3000\r\n%s\r\n%s\r\nContent-Length: 1\r\n\r\nx", id, prompt, shortTokens); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: "POST"})
+	if err != nil {
+		return err
+	}
+	lines := bufio.NewReader(resp.Body)
+	for events > 0 {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			return err
+		}
+		if line == "\n" {
+			events--
+		}
+	}
+	return nil
+}
+
+// TestStreamGoesOnAtItsVersionOnly guards against the failure that a stream holds events of
+// two versions of the engines' software, within one response or over a caller's tries, and
+// against a refusal of most take-ups although engines of their version serve.
+func TestStreamGoesOnAtItsVersionOnly(t *testing.T) {
+	t.Parallel()
+	const streams = 24
+	t.Run("within one response", func(t *testing.T) {
+		t.Parallel()
+		c := newVersionCluster(t, 1)
+		joined := 0
+		for i := range streams {
+			for _, r := range c.runners {
+				r.SetFaults(bystub.RunnerFaults{})
+			}
+			c.runners[fmt.Sprintf("d%d-v%d", i/2%2, 1+i%2)].SetFaults(bystub.RunnerFaults{Cut: 1})
+			id := fmt.Sprint("cut-", i)
+			c.nodes[0].callWithID(id, "POST", "/quick/1", "x", ownPrompt(i), shortTokens)
+			if len(c.versionsOf(id)) > 1 {
+				joined++
+			}
+		}
+		if joined > 0 {
+			t.Errorf("%d of %d streams go on at another version within one response, want none", joined, streams)
+		}
+	})
+	t.Run("taken up", func(t *testing.T) {
+		t.Parallel()
+		c := newVersionCluster(t, 3)
+		joined, goOn := 0, 0
+		for i := range streams {
+			first, second := fmt.Sprint("first-", i), fmt.Sprint("second-", i)
+			if err := c.nodes[i%3].readEvents(first, ownPrompt(i), 2); err != nil && err != io.EOF {
+				t.Fatal(err)
+			}
+			c.fill(first)
+			got := c.nodes[(i+1)%3].callWithID(second, "POST", "/quick/1", "x", ownPrompt(i), shortTokens, "Last-Event-Id: 2", "Resumes: "+first)
+			if got.status == 200 && got.err == nil {
+				goOn++
+			}
+			if len(c.versionsOf(first, second)) > 1 {
+				joined++
+			}
+		}
+		if joined > 0 {
+			t.Errorf("%d of %d streams are taken up at another version, want none", joined, streams)
+		}
+		if 2*goOn < streams {
+			t.Errorf("%d of %d streams go on when they are taken up, want at least half", goOn, streams)
+		}
+	})
+}
