Keep requests with and without a prompt apart in their hash

Found by reading: a request without a prompt whose body begins with the encoded parts of a prompt could be made to have the hash of another caller's request with that prompt, so that its ends would count for that one. The hash now has a mark for either. TestRequestHash checks what makes requests differ, and that attempts of one request have one hash.

--- a/io/byentry/identity.go
+++ b/io/byentry/identity.go
@@ -30,8 +30,11 @@
 		write(strings.Join(c.r.Header[name], "\n"))
 	}
 	if p := c.info.Prompt; p != nil {
+		write("prompt")
 		write(p.Model)
 		writePrompt(write, p)
+	} else {
+		write("no prompt")
 	}
 	h.Write(c.body)
 	return binary.BigEndian.Uint64(h.Sum(nil))
