Count former ends of a request once in a moment

Found by reading: ends that were about to be forgotten counted one by one for the request itself, also two of one process or of a killed domain, so that a sound request that was hit twice at once could start with two ends. Now they count once in a moment, as others do. The tests of core/byquarantine and TestRequestThatEndsEndpointsIsStopped pass.

--- a/core/byquarantine/byquarantine.go
+++ b/core/byquarantine/byquarantine.go
@@ -726,7 +726,10 @@
 		return
 	}
 	f := q.formerEnds[key]
-	q.addFormer(key, formerEnds{f.ends + 1, later(f.last, e.at)})
+	if e.at.Sub(f.last) < sameMoment {
+		return // it may be the same end, or one with another cause
+	}
+	q.addFormer(key, formerEnds{f.ends + 1, e.at})
 }
 
 // addFormer sets the former ends of a request. The caller must hold mu.
