Play the drills of the fleet in parallel

Each drill has a world of its own, so that the subtests can run in parallel. What they play and check is unchanged.

--- a/io/bydrill/bydrill_test.go
+++ b/io/bydrill/bydrill_test.go
@@ -23,6 +23,7 @@
 		for _, nodes := range []int{9, 295} {
 			for seed := range seeds(nodes) {
 				t.Run(fmt.Sprint(fault, "/", nodes, "/", seed), func(t *testing.T) {
+					t.Parallel()
 					rep := bydrill.PlayPoison(bydrill.Config{Nodes: nodes, Seed: seed, Fault: fault}, 24*time.Second)
 					t.Logf("%+v", rep)
 					if rep.Late > 3 {
@@ -62,6 +63,7 @@
 			for _, limit := range limits {
 				for seed := range seeds(nodes) {
 					t.Run(fmt.Sprint(fault, "/", nodes, "/", limit, "/", seed), func(t *testing.T) {
+						t.Parallel()
 						rep := bydrill.PlayLimit(bydrill.Config{Nodes: nodes, Seed: seed, Fault: fault}, limit)
 						t.Logf("%+v", rep)
 						if allowed := int(1.5*4*limit + 5); rep.Most > allowed {
@@ -89,6 +91,7 @@
 				}
 				for seed := range seeds(nodes) {
 					t.Run(fmt.Sprint(fault, "/", nodes, "/", together, "/", seed), func(t *testing.T) {
+						t.Parallel()
 						rep := bydrill.PlayRepeat(bydrill.Config{Nodes: nodes, Seed: seed, Fault: fault}, together)
 						t.Logf("%+v", rep)
 						if rep.Late > 3 {
