--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -24,6 +24,9 @@
 
 // serveStream handles a request whose response is an event stream.
 func (c *call) serveStream(ctx context.Context) {
+	if c.info.LastEventID != "" {
+		c.log("stream taken up", bylog.Str("began", string(c.info.Resumes)), bylog.Str("last_event", c.info.LastEventID))
+	}
 	if c.info.Prompt == nil || c.service.Model == nil {
 		c.serveStreamWithoutPrompt(ctx)
 		return
@@ -153,7 +156,7 @@
 		}
 		inFlight.PrefillDone(took)
 		n.metrics.RouteTimeToFirstByte(c.route.Name).Update(n.clock.Now().Sub(c.startedAt).Seconds())
-		c.log("first event", bylog.Str("endpoint", string(plan.DecodeEngine.ID)), bylog.Millis("predict_ms", plan.PredictedTTFT),
+		c.log("first event", bylog.Str("endpoint", string(plan.DecodeEngine.ID)), bylog.Str("version", plan.DecodeEngine.Version), bylog.Millis("predict_ms", plan.PredictedTTFT),
 			bylog.Millis("wait_ms", plan.QueueTime), bylog.Int("cached", plan.CachedTokens), bylog.Str("reader", prefillEngineID(plan)),
 			bylog.Str("source", plan.PrefixSource), bylog.Int("tokens", tokens))
 	}
--- a/io/byentry/version_test.go
+++ b/io/byentry/version_test.go
@@ -59,6 +59,23 @@
 	}
 }
 
+// waitStreaming waits until each node passes on the events of a stream while it is running.
+func (c *testCluster) waitStreaming(nodes ...*testNode) {
+	c.t.Helper()
+	for i, n := range nodes {
+		c.waitUntil("events are passed on while the stream is running", func() bool {
+			begun := time.Now()
+			if err := n.readEvents(fmt.Sprint("wait-", requestCount.Add(1)), ownPrompt(900+i), 1); err != nil {
+				return false
+			}
+			first := time.Since(begun)
+			begun = time.Now()
+			err := n.readEvents(fmt.Sprint("wait-", requestCount.Add(1)), ownPrompt(900+i), 6)
+			return err == nil && time.Since(begun) > first+25*time.Millisecond
+		})
+	}
+}
+
 // ownPrompt returns the header of a prompt that shares no part with others, so that no
 // engine is preferred for its cache.
 func ownPrompt(i int) string { return fmt.Sprintf("X-Prompt-Prefix: %x:92,%x:290", 0x7000+i, 0xa000+i) }
@@ -118,6 +135,7 @@
 	t.Run("taken up", func(t *testing.T) {
 		t.Parallel()
 		c := newVersionCluster(t, 3)
+		c.waitStreaming(c.nodes...)
 		joined, goOn := 0, 0
 		for i := range streams {
 			first, second := fmt.Sprint("first-", i), fmt.Sprint("second-", i)
@@ -141,3 +159,24 @@
 		}
 	})
 }
+
+// TestTakenUpStreamIsLogged checks that the log names the stream that a caller takes up, and
+// the version at which it goes on.
+func TestTakenUpStreamIsLogged(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t)
+	c.publishConfig(3, nil)
+	c.addRunner(bystub.RunnerConfig{ID: "d-v7", Version: "v7", Service: "llm", Zone: "a", Stage: "decode", Slots: 24, EventsPerStream: 6, EventInterval: 10 * time.Millisecond})
+	n := c.startNode("n0")
+	c.waitReady(n)
+	c.waitStreaming(n)
+	if err := n.readEvents("first", ownPrompt(1), 2); err != nil {
+		t.Fatal(err)
+	}
+	if got := n.callWithID("second", "POST", "/quick/1", "x", ownPrompt(1), shortTokens, "Last-Event-Id: 2", "Resumes: first"); got.status != 200 {
+		t.Fatalf("the take-up got %+v, want status 200", got)
+	}
+	for _, want := range []string{`"began":"first","last_event":"2","request":"second"`, `"version":"v7"`} {
+		c.waitUntil("the log has "+want, func() bool { return strings.Contains(c.logs.String(), want) })
+	}
+}
--- a/protocol.go
+++ b/protocol.go
@@ -12,6 +12,7 @@
 	Deadline    time.Duration // time left from now; zero if the caller set none
 	Prompt      *Prompt       // description of the prompt; nil if there is none
 	LastEventID string        // ID of the last event that the caller has received; empty if none
+	Resumes     RequestID     // ID of the request that brought the first event of the stream that the caller takes up; empty if it names none
 }
 
 // Attempt holds what the system adds to a request when it sends it to an endpoint.
--- a/routing.go
+++ b/routing.go
@@ -80,6 +80,7 @@
 	Addr       string // host:port
 	Service    string
 	Domain     string
+	Version    string // version of the endpoint's software; empty if it does not tell
 	Slots      int
 	Draining   bool          // whether the endpoint is draining
 	WarmUpLeft time.Duration // remaining time of the slow phase after its start
