--- a/io/byentry/version_test.go
+++ b/io/byentry/version_test.go
@@ -160,6 +160,65 @@
 	})
 }
 
+// TestStreamKeepsVersionWhenAllNodesAreKilled guards against the failure that streams are
+// joined of two versions after all nodes have lost what they knew of them.
+func TestStreamKeepsVersionWhenAllNodesAreKilled(t *testing.T) {
+	t.Parallel()
+	const streams = 24
+	for _, released := range []bool{false, true} {
+		t.Run(fmt.Sprint("right after a release/", released), func(t *testing.T) {
+			t.Parallel()
+			c := newVersionCluster(t, 3)
+			c.waitStreaming(c.nodes...)
+			for i := range streams {
+				if err := c.nodes[i%3].readEvents(fmt.Sprint("first-", i), ownPrompt(i), 2); err != nil && err != io.EOF {
+					t.Fatal(err)
+				}
+			}
+			if released { // the engines of one version are replaced
+				for i := range 2 {
+					c.addRunner(bystub.RunnerConfig{ID: fmt.Sprint("d", i, "-v3"), Version: "v3", Service: "llm", Zone: "a", Stage: "decode", Slots: 24, EventsPerStream: 6, EventInterval: 10 * time.Millisecond})
+					c.setRunnerState(fmt.Sprint("d", i, "-v1"), "draining", 2)
+				}
+				time.Sleep(time.Second)
+			}
+			killed := c.nodes
+			for i := range killed { // as if they had started again
+				c.startNode(fmt.Sprint("restarted-", i))
+			}
+			for _, n := range killed {
+				n.stop()
+			}
+			restarted := c.nodes[len(killed):]
+			for _, n := range restarted {
+				c.waitReady(n)
+			}
+			joined, goOn, sameVersion := 0, 0, 0
+			for i := range streams {
+				first, second := fmt.Sprint("first-", i), fmt.Sprint("second-", i)
+				if c.versionsOf(first)["v2"] || !released {
+					sameVersion++
+				}
+				c.fill(first)
+				got := restarted[i%3].callWithID(second, "POST", "/quick/1", "x", ownPrompt(i), shortTokens, "Last-Event-Id: 2", "Resumes: "+first)
+				if got.status == 200 && got.err == nil {
+					goOn++
+				}
+				if len(c.versionsOf(first, second)) > 1 {
+					joined++
+				}
+			}
+			t.Logf("%d of %d streams go on, %d of them can at their version", goOn, streams, sameVersion)
+			if joined > 0 {
+				t.Errorf("%d of %d streams go on at another version, want none", joined, streams)
+			}
+			if !released && 2*goOn < streams {
+				t.Errorf("%d of %d streams go on, want at least half", goOn, streams)
+			}
+		})
+	}
+}
+
 // TestTakenUpStreamIsLogged checks that the log names the stream that a caller takes up, and
 // the version at which it goes on.
 func TestTakenUpStreamIsLogged(t *testing.T) {
