--- /dev/null
+++ b/core/byversion/byversion.go
@@ -0,0 +1,242 @@
+// Package byversion decides which software version of a service's endpoints begins a
+// stream, and which one began a stream that a caller takes up.
+//
+// # Usage
+//
+//	t := byversion.New(clock, maxAge)
+//	t.Apply(record, storeEra, requestedAt)      // each reading of the store
+//	version, ok := t.Preferred(service, id)     // where a new stream should run
+//	t.MayBegin(service, id, version)            // right before its first event is sent
+//	version, err := t.VersionOf(service, began) // when a caller takes up the stream that began as request began
+//	next, ok := t.Propose(capacity, lifetimes)  // on one node: the record to write
+//
+// # Agreement
+//
+// What versions write does not fit together, so a stream may go on only at the version
+// that began it. No node remembers streams: all of them may be killed at once. Instead the
+// version follows from the ID of the request under a split that all nodes agree on. The
+// split is part of a record in the platform's store.
+//
+// A change of the split has two steps. The first record announces the next split, the
+// second one makes it the active one, not before each reading of the store that lacks
+// the announcement is older than maxAge. A node whose last reading is older than that
+// begins no stream. So a node that takes up a stream always knows all splits under which
+// it may have begun: the active one, the next one, and former ones for as long as such a
+// stream may last. If they disagree on an ID, its version is unknown.
+//
+// A node that may not begin a stream can still run it, if its caller gets no event
+// before the last one: a stream that has come as a whole is not taken up.
+package byversion
+
+import (
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"burdockyard"
+)
+
+// ErrUnknownVersion means that the version that began a stream is not known. The caller
+// has to begin anew.
+var ErrUnknownVersion = merry.Sentinel("the version that began the stream is not known")
+
+const (
+	// clockMargin is added to each wait for other nodes. Their clocks may run at slightly
+	// different rates.
+	clockMargin = 250 * time.Millisecond
+	// settleTime is how long a service must differ from its split until a new split is
+	// announced, so that endpoints which start together make one change.
+	settleTime = 400 * time.Millisecond
+	// maxFormers is the largest number of former splits of a service. No change is
+	// announced while there are as many.
+	maxFormers = 16
+)
+
+// Table is one node's view of the record. It is safe for concurrent use; no other lock is
+// taken while mu is held.
+type Table struct {
+	clock      burdockyard.Clock
+	maxAge     func() time.Duration
+	firstStart bool // whether the whole system starts for the first time, so that no record can be lost
+
+	mu          sync.Mutex
+	record      Record
+	known       bool   // whether there is a record
+	restored    bool   // whether the record is of an earlier era of the store, and this process has no newer one
+	storeEra    uint64 // era of the latest reading
+	confirmedAt time.Time
+	heardEra    uint64               // of the newest record that a peer has named
+	heardSeq    uint64               // of the newest record that a peer has named
+	firstSeen   map[uint64]time.Time // when a record that is still referred to was first seen, by its number
+	differsFrom map[string]time.Time // since when a service differs from its split
+}
+
+// Option sets an optional part of a Table.
+type Option func(*Table)
+
+// WithFirstStart tells that the whole system starts for the first time: a record that the
+// store lacks has never existed.
+func WithFirstStart() Option { return func(t *Table) { t.firstStart = true } }
+
+// New returns a Table without a record. maxAge is the age of the last reading up to which
+// a node may begin streams; it must be the same on all nodes.
+func New(clock burdockyard.Clock, maxAge func() time.Duration, opts ...Option) *Table {
+	t := &Table{clock: clock, maxAge: maxAge, firstSeen: map[uint64]time.Time{}, differsFrom: map[string]time.Time{}}
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
+}
+
+// Apply applies a record as read from the store, or as written to it, by a call made at
+// requestedAt. exists is false if the store has none. It reports whether the record has
+// changed.
+func (t *Table) Apply(r Record, exists bool, storeEra uint64, requestedAt time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if requestedAt.After(t.confirmedAt) {
+		t.confirmedAt = requestedAt
+	}
+	t.storeEra = max(t.storeEra, storeEra)
+	if !exists || t.known && r.compare(t.record) <= 0 {
+		return false
+	}
+	now := t.clock.Now()
+	seen := map[uint64]time.Time{}
+	for number := range r.references() {
+		seen[number] = now
+		if at, ok := t.firstSeen[number]; ok && r.Era == t.record.Era {
+			seen[number] = at // numbers of another era are those of other records
+		}
+	}
+	t.firstSeen = seen
+	t.record, t.known, t.restored = r, true, r.Era != storeEra
+	return true
+}
+
+// references returns the numbers of the record and of earlier ones whose age matters.
+func (r Record) references() map[uint64]bool {
+	numbers := map[uint64]bool{r.Seq: true}
+	for _, s := range r.Services {
+		for _, f := range s.Formers {
+			numbers[f.RetiredBy] = true
+		}
+		for _, number := range []uint64{s.NextSince, s.UnknownSince} {
+			if number > 0 {
+				numbers[number] = true
+			}
+		}
+	}
+	return numbers
+}
+
+// Confirm records that a reading requested at requestedAt shows no other record.
+func (t *Table) Confirm(requestedAt time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if requestedAt.After(t.confirmedAt) {
+		t.confirmedAt = requestedAt
+	}
+}
+
+// Hear records that a peer knows the record with the given era and number.
+func (t *Table) Hear(era, seq uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if era > t.heardEra || era == t.heardEra && seq > t.heardSeq {
+		t.heardEra, t.heardSeq = era, seq
+	}
+}
+
+// Number returns the era and the number of the record, zero if there is none.
+func (t *Table) Number() (era, seq uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.record.Era, t.record.Seq
+}
+
+// IsKnown reports whether this node has read the store.
+func (t *Table) IsKnown() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.confirmedAt.IsZero()
+}
+
+// state returns the state of a service, and whether it may be relied on. The caller must
+// hold mu.
+//
+// A service with a single version may be relied on beyond maxAge: otherwise an outage of
+// the store would keep streams from all callers. Only a node that for so long reaches
+// neither the store nor a peer that does can miss a second version.
+func (t *Table) state(service string) (State, bool) {
+	s, ok := t.record.Services[service]
+	if !ok || t.restored {
+		return State{}, false
+	}
+	hasNewest := t.heardEra < t.record.Era || t.heardEra == t.record.Era && t.heardSeq <= t.record.Seq
+	isFresh := t.clock.Now().Sub(t.confirmedAt) <= t.maxAge()
+	return s, hasNewest && (isFresh || s.isSettled())
+}
+
+// Preferred returns the version at which a new stream should run, and false if there is
+// none.
+func (t *Table) Preferred(service string, id burdockyard.RequestID) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.record.Services[service].Active.VersionOf(id)
+}
+
+// MayBegin reports whether the caller of a new stream may get its first event while the
+// stream is still running at the given version.
+func (t *Table) MayBegin(service string, id burdockyard.RequestID, version string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.state(service)
+	if !ok || s.UnknownSince > 0 && !t.isKnownToAll(s.UnknownSince) {
+		return false // after a lost record, another node may still go by what it remembers of it
+	}
+	active, ok := s.Active.VersionOf(id)
+	return ok && active == version
+}
+
+// isKnownToAll reports whether each node that may begin streams knows the record with the
+// given number: all readings without it are too old by now. The caller must hold mu.
+func (t *Table) isKnownToAll(seq uint64) bool {
+	at, ok := t.firstSeen[seq]
+	return ok && t.clock.Now().Sub(at) >= t.maxAge()+clockMargin
+}
+
+// VersionOf returns the version of the stream that began as the request with the given ID,
+// or ErrUnknownVersion.
+func (t *Table) VersionOf(service string, id burdockyard.RequestID) (string, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.state(service)
+	if !ok || s.UnknownSince > 0 {
+		return "", merry.Wrap(ErrUnknownVersion)
+	}
+	version, ok := s.Active.VersionOf(id)
+	splits := []Split{s.Next}
+	for _, f := range s.Formers {
+		splits = append(splits, f.Split)
+	}
+	for _, split := range splits {
+		if other, otherOK := split.VersionOf(id); otherOK && other != version {
+			ok = false
+		}
+	}
+	if !ok {
+		return "", merry.Wrap(ErrUnknownVersion)
+	}
+	return version, nil
+}
+
+// IsSettled reports whether all streams of a service that may go on have begun at one
+// version.
+func (t *Table) IsSettled(service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.state(service)
+	return ok && s.isSettled()
+}
