--- a/core/byversion/byversion.go
+++ b/core/byversion/byversion.go
@@ -42,9 +42,9 @@
 var ErrUnknownVersion = merry.Sentinel("the version that began the stream is not known")
 
 const (
-	// clockMargin is added to each wait for other nodes. Their clocks may run at slightly
-	// different rates.
-	clockMargin = 250 * time.Millisecond
+	// transitMargin is added to each wait for other nodes. A reading that a peer has relayed
+	// looks younger than it is by the time for which it was on its way.
+	transitMargin = time.Second
 	// settleTime is how long a service must differ from its split until a new split is
 	// announced, so that endpoints which start together make one change.
 	settleTime = 400 * time.Millisecond
@@ -204,7 +204,7 @@
 // given number: all readings without it are too old by now. The caller must hold mu.
 func (t *Table) isKnownToAll(seq uint64) bool {
 	at, ok := t.firstSeen[seq]
-	return ok && t.clock.Now().Sub(at) >= t.maxAge()+clockMargin
+	return ok && t.clock.Now().Sub(at) >= t.maxAge()+transitMargin
 }
 
 // VersionOf returns the version of the stream that began as the request with the given ID,
--- a/core/byversion/propose.go
+++ b/core/byversion/propose.go
@@ -55,7 +55,7 @@
 	changed := false
 	// A node may use a split for maxAge after it was replaced, and a stream lasts for a
 	// lifetime after that.
-	retention := t.maxAge() + lifetime + clockMargin
+	retention := t.maxAge() + lifetime + transitMargin
 	hasLapsed := func(number uint64) bool {
 		at, ok := t.firstSeen[number]
 		return ok && now.Sub(at) >= retention
