--- a/core/bydigest/bydigest.go
+++ b/core/bydigest/bydigest.go
@@ -153,6 +153,7 @@
 // know of a.
 func flagsChanged(a, b bymember.Heartbeat) bool {
 	return a.Member != b.Member || a.Leaving != b.Leaving || a.Ready != b.Ready || a.Generation != b.Generation || a.Capacity != b.Capacity ||
+		a.SplitEra != b.SplitEra || a.SplitSeq != b.SplitSeq ||
 		!slices.Equal(a.LeavingEndpoints, b.LeavingEndpoints) || b.Quarantine.IsNewsAfter(a.Quarantine) || bylimit.IsNewsAfter(b.Limits, a.Limits) ||
 		len(b.HeldEngines) > 0 // peers forget holds that are not repeated
 }
--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -378,6 +378,30 @@
 	return f.byService[service]
 }
 
+// StreamVersions returns how many endpoints of a service accept new streams, by the
+// version of their software. Backoffs do not count: they end soon.
+func (f *Fleet) StreamVersions(service string) map[string]int {
+	entries := f.entriesOf(service)
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	versions := map[string]int{}
+	for _, e := range entries {
+		if e.instance.Service == service && e.instance.Role != burdockyard.RolePrefill && !e.instance.Draining && !e.leaving {
+			versions[e.instance.Version]++
+		}
+	}
+	return versions
+}
+
+// IsSameProcess reports whether an endpoint still is the process of e, as far as the
+// registry tells, and runs the same software.
+func (f *Fleet) IsSameProcess(e Endpoint) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	known := f.entries[e.ID]
+	return known != nil && known.instance.BornMS == e.BornMS && known.instance.Version == e.Version
+}
+
 // AcceptsWork reports whether a request may still be sent to an endpoint. Callers check
 // it right before they send, because the result of Usable may be outdated by then.
 func (f *Fleet) AcceptsWork(id burdockyard.EndpointID) bool {
--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -70,6 +70,8 @@
 	Limits            []bylimit.Statement       // limits that endpoints have named to this node
 	Ready             bool                      // whether the node accepts callers
 	Capacity          float64                   // share of a core that the node may use; weights the directory's answers
+	SplitEra          uint64                    // era of the newest byversion.Record that the node knows
+	SplitSeq          uint64                    // number of that record
 }
 
 // Hash returns a hash of a member's node and incarnation. Relays use it to tell which
--- a/core/byplace/byplace.go
+++ b/core/byplace/byplace.go
@@ -79,6 +79,45 @@
 func (t *LoadTracker) PlanPrompt(req PlacementRequest, engines []byfleet.Endpoint) (Plan, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var best Plan
+	found := false
+	for _, group := range byVersion(engines) {
+		if plan, ok := t.planWithin(req, group); ok && (!found || plan.cost < best.cost) {
+			best, found = plan, true
+		}
+	}
+	return best, found
+}
+
+// byVersion divides engines by the version of their software. Engines of different
+// versions cannot read each other's KV caches. With one version, the slice is returned
+// as it is.
+func byVersion(engines []byfleet.Endpoint) [][]byfleet.Endpoint {
+	var groups [][]byfleet.Endpoint
+	for i, e := range engines {
+		if e.Version != engines[0].Version {
+			break
+		}
+		if i == len(engines)-1 {
+			return [][]byfleet.Endpoint{engines}
+		}
+	}
+	index := map[string]int{} // in groups, by version
+	for _, e := range engines {
+		i, ok := index[e.Version]
+		if !ok {
+			i = len(groups)
+			index[e.Version] = i
+			groups = append(groups, nil)
+		}
+		groups[i] = append(groups[i], e)
+	}
+	return groups
+}
+
+// planWithin selects among engines that can read each other's KV caches. The caller must
+// hold mu.
+func (t *LoadTracker) planWithin(req PlacementRequest, engines []byfleet.Endpoint) (Plan, bool) {
 	var prefillEngines, decodeEngines []endpointLoad
 	for _, e := range engines {
 		load := t.endpointLoad(e)
@@ -244,7 +283,7 @@
 }
 
 // PlanBackup selects the engine that gets copies of the KV cache of a run at engine e:
-// the decode engine with the fewest streams, in another failure domain than e if there is
+// the decode engine of the same version with the fewest streams, in another failure domain than e if there is
 // one, since engines of one domain may be lost together. It returns false if there is no
 // other decode engine.
 func (t *LoadTracker) PlanBackup(e byfleet.Endpoint, engines []byfleet.Endpoint) (byfleet.Endpoint, bool) {
@@ -253,7 +292,7 @@
 	var best byfleet.Endpoint
 	leastStreams, found := 0, false
 	for _, other := range engines {
-		if other.ID == e.ID || other.Role == burdockyard.RolePrefill {
+		if other.ID == e.ID || other.Role == burdockyard.RolePrefill || other.Version != e.Version {
 			continue
 		}
 		streams := t.endpointLoad(other).streams
--- a/core/byroutes/byroutes.go
+++ b/core/byroutes/byroutes.go
@@ -16,6 +16,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"burdockyard"
 )
@@ -54,6 +55,21 @@
 	return slices.SortedFunc(maps.Values(t.config.Services), func(a, b *burdockyard.ServiceSpec) int { return strings.Compare(a.Name, b.Name) })
 }
 
+// StreamTimeouts returns the longest timeout of the resumable streams of each service that
+// has any. unlimited stands for routes without a timeout.
+func (t *Table) StreamTimeouts(unlimited time.Duration) map[string]time.Duration {
+	timeouts := map[string]time.Duration{}
+	for _, r := range t.config.Routes {
+		if r.Kind != burdockyard.KindStream || !r.Resumable {
+			continue
+		}
+		for _, s := range r.Shares {
+			timeouts[s.Service] = max(timeouts[s.Service], cmp.Or(r.Timeout, unlimited))
+		}
+	}
+	return timeouts
+}
+
 // Match returns the route of the host with the longest prefix of the path, or nil if
 // there is none. The host is converted to lower case, and its port is ignored.
 func (t *Table) Match(host, path string) *burdockyard.Route {
--- a/core/byversion/byversion.go
+++ b/core/byversion/byversion.go
@@ -163,6 +163,16 @@
 	return !t.confirmedAt.IsZero()
 }
 
+// HasNone reports whether the store has no record, as before the first node of this
+// release has written one. If a second version comes before that, the first record says
+// that streams of unknown versions may go on. So a service with a single version may
+// begin streams meanwhile, except when the whole system starts for the first time.
+func (t *Table) HasNone() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.known && !t.firstStart && t.heardSeq == 0 && !t.confirmedAt.IsZero() && t.clock.Now().Sub(t.confirmedAt) <= t.maxAge()
+}
+
 // state returns the state of a service, and whether it may be relied on. The caller must
 // hold mu.
 //
--- a/core/byversion/model_test.go
+++ b/core/byversion/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -94,8 +95,9 @@
 		m.propose(n)
 		m.runStreams(n)
 	}
+	m.open = slices.DeleteFunc(m.open, func(s modelStream) bool { return m.clock.now.Sub(s.at) > testLifetime })
 	for _, s := range m.open {
-		if m.clock.now.Sub(s.at) <= testLifetime && m.chance(20, "broken") {
+		if m.chance(20, "broken") {
 			m.takeUp(s)
 		}
 	}
@@ -131,7 +133,9 @@
 	if !ok || n.read.version != m.row.version || n.read.era != m.row.era {
 		return
 	}
-	m.backups = append(m.backups, m.row)
+	if m.row.exists {
+		m.backups = append(m.backups, m.row)
+	}
 	m.row = modelRow{record: next, exists: true, version: m.row.version + 1, era: m.row.era}
 	if m.chance(70, "answered") {
 		n.read = m.row
@@ -242,10 +246,8 @@
 				m.capacity["v0"], m.capacity["v1"] = 8-i/10, 1+i/10
 			}
 			for _, s := range m.open {
-				if m.clock.now.Sub(s.at) <= testLifetime {
-					takeUps++
-					m.takeUp(s)
-				}
+				takeUps++
+				m.takeUp(s)
 			}
 			m.step()
 		}
--- a/core/byversion/propose.go
+++ b/core/byversion/propose.go
@@ -20,14 +20,15 @@
 	}
 	r := t.record.clone()
 	r.Seq, r.Era = t.record.Seq+1, t.storeEra
-	// After a restore of the store, records that nodes knew may be lost, and with them
-	// splits under which streams have begun.
-	lostRecords := t.restored || !t.known && t.storeEra > 0 && !t.firstStart
 	changed := t.known && t.record.Era != t.storeEra
 	for service, endpoints := range capacity {
 		s, ok := r.Services[service]
 		wanted := SplitByCapacity(endpoints)
 		next, serviceChanged := s, false
+		// After a restore of the store, records that nodes knew may be lost, and with them
+		// splits under which streams have begun. Where there was no record at all, nodes of
+		// an earlier release may have begun streams at any version.
+		hasUnknown := t.restored || !t.known && !t.firstStart && len(wanted.shares) > 1
 		switch {
 		case !ok && wanted.IsZero():
 			continue
@@ -38,7 +39,7 @@
 		default:
 			next, serviceChanged = t.proposeState(service, s, wanted, lifetimes[service], r.Seq)
 		}
-		if lostRecords {
+		if hasUnknown {
 			next.UnknownSince, serviceChanged = r.Seq, true
 		}
 		if serviceChanged {
--- a/core/byversion/split.go
+++ b/core/byversion/split.go
@@ -105,9 +105,6 @@
 	return 0
 }
 
-// has reports whether s has the version.
-func (s Split) has(version string) bool { return s.weight(version) > 0 }
-
 // differsFrom reports whether the shares of s and other differ so much that it is worth
 // moving IDs: a version is in only one of them, or the share of one differs by more than
 // maxShareError.
--- a/io/byentry/cluster_test.go
+++ b/io/byentry/cluster_test.go
@@ -44,6 +44,7 @@
 	memoryBytes    int64         // ReloadableSettings.MemoryBytes of each node
 	maxBodyBytes   int           // largest request body that the configuration allows, in bytes
 	maxConnections int           // largest number of connections to one endpoint that the configuration allows
+	firstStart     bool          // Settings.FirstSystemStart of each node
 	logs           syncBuffer    // log output of all nodes
 	logOutput      io.Writer     // where nodes write their logs; nil means logs
 }
@@ -149,7 +150,7 @@
 	store := platform.NewStore(c.addr)
 	ip := nodeIP()
 	s := byentry.Settings{
-		Node: burdockyard.NodeID(name), Domain: "a", ReloadableSettings: byentry.ReloadableSettings{
+		Node: burdockyard.NodeID(name), Domain: "a", FirstSystemStart: c.firstStart, ReloadableSettings: byentry.ReloadableSettings{
 			Capacity: 0.4, MemoryBytes: c.memoryBytes, Grace: c.grace, DrainBound: 2 * time.Second, ConfigBound: 2 * time.Second,
 			RetryRatio: 0.2, RetrySlack: 50, AnswerTTL: time.Second,
 		},
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -56,6 +56,9 @@
 	// if the grace period allows it. Callers use the node's address until the
 	// directory response that contains it expires, some for longer.
 	shutdownServeTime = 6 * time.Second
+	// maxSplitWait is how long a node that starts waits for the splits of versions. Without
+	// them it holds streams that may be resumed.
+	maxSplitWait = 3 * time.Second
 	// readHeaderTimeout is the time limit for reading a request header. It is fixed
 	// at the start, when no configuration with limits is known yet.
 	readHeaderTimeout = 10 * time.Second
@@ -130,6 +133,7 @@
 	quarantine         *byquarantine.Quarantine
 	records            *recordStore
 	limits             *bylimit.Limits
+	versions           *versions
 	roles              *roleController
 	metrics            *bymetrics.Metrics
 	log                loggers
@@ -138,6 +142,7 @@
 	openRequests       atomic.Int64 // number of requests in progress
 	bodyBytes          atomic.Int64 // size of the bodies of requests in progress, as charged against the memory limit
 	heartbeatSeq       atomic.Uint64
+	createdAt          time.Time
 	done               chan struct{} // closed once Run has returned
 }
 
@@ -174,6 +179,7 @@
 	for _, opt := range opts {
 		opt(n)
 	}
+	n.createdAt = n.clock.Now()
 	n.selfHash = bymember.Hash(n.self)
 	n.fleet = byfleet.New(n.clock)
 	n.loadTracker = byplace.NewLoadTracker(n.clock)
@@ -192,7 +198,8 @@
 	n.configWatcher = newTableWatcher(n, p.ConfigTable, func() time.Duration { return n.reloadableSettings.Load().ConfigBound }, configMaxAgeShare, n.log.config, n.applyConfig)
 	instanceWatcher := newTableWatcher(n, p.InstanceTable, func() time.Duration { return n.reloadableSettings.Load().DrainBound }, drainMaxAgeShare, n.log.fleet, n.applyInstances)
 	instanceWatcher.isRoutine = n.isRoutineUpdate
-	n.watchers = []*tableWatcher{n.configWatcher, instanceWatcher}
+	n.versions = newVersions(n)
+	n.watchers = []*tableWatcher{n.configWatcher, instanceWatcher, n.versions.watcher}
 	if s.FirstSystemStart {
 		// All nodes start at the same time. Once they know of each other, one of them
 		// reads the store for all.
@@ -333,6 +340,7 @@
 		group.Go(func() error { return n.queryCaches(ctx) })
 	}
 	group.Go(func() error { return runEvery(ctx, roleCheckInterval, n.roles.reconcile) })
+	group.Go(func() error { return runEvery(ctx, splitCheckInterval, n.versions.reconcile) })
 }
 
 // runEvery calls f once per interval until ctx is done.
@@ -366,7 +374,8 @@
 
 // ready reports whether callers may be directed to this node.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.routes.Current() != nil && n.fleet.Len() > 0 && n.records.known.Load()
+	return !n.stopping.Load() && n.routes.Current() != nil && n.fleet.Len() > 0 && n.records.known.Load() &&
+		(n.versions.table.IsKnown() || n.clock.Now().Sub(n.createdAt) >= maxSplitWait)
 }
 
 // shutDown keeps serving for a while, since callers still use this node's address,
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -68,6 +68,9 @@
 	onlySend        bool                            // whether the request must not be sent more than once
 	reserved        *byfleet.Endpoint               // endpoint that a later request may be sent to, nil if none
 	quarantined     bool                            // whether one of the keys was quarantined after the request was admitted
+	version         string                          // version of the endpoints' software at which a stream should run
+	hasVersion      bool                            // whether version is set
+	versionBound    bool                            // whether the stream must not go on at any other version
 }
 
 // ServeHTTP implements http.Handler.
@@ -245,6 +248,7 @@
 	reasonNoEndpoint      reason = "no_endpoint"      // the service has no endpoint that accepts new requests
 	reasonEndpointsFull   reason = "endpoints_full"   // every endpoint that was tried refused
 	reasonQuarantined     reason = "quarantined"      // endpoints end under requests with the same input
+	reasonVersion         reason = "version"          // the version that began the stream is not known, or no endpoint has it
 	reasonLimited         reason = "limited"          // the limits that all endpoints name are used up
 	reasonNoAnswer        reason = "no_answer"        // the request was sent and no complete response arrived
 	reasonEndpointFailed  reason = "endpoint_failed"  // one endpoint may have run the request, the others refused
@@ -324,7 +328,7 @@
 func (c *call) untriedEndpoints() []byfleet.Endpoint {
 	all := c.node.withinLimits(c.node.fleet.Usable(c.service.Name))
 	if len(c.tried) == 0 {
-		return all
+		return c.withVersion(all)
 	}
 	untried := all[:0]
 	for _, e := range all {
@@ -332,5 +336,5 @@
 			untried = append(untried, e)
 		}
 	}
-	return untried
+	return c.withVersion(untried)
 }
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -142,6 +142,7 @@
 			n.log.fleet.Info("endpoint leaves", bylog.Str("endpoint", string(e.ID)), bylog.Str("told_by", string(h.Member.Node)))
 		}
 	}
+	n.versions.table.Hear(h.SplitEra, h.SplitSeq)
 	n.mergeLimits(h.Limits)
 	n.applyQuarantineChange(n.quarantine.Merge(h.Quarantine), string(h.Member.Node))
 	if p.relay.active.Load() {
@@ -466,6 +467,7 @@
 		Seq: n.heartbeatSeq.Add(1), Loads: loads, CachedParts: cachedParts, HeldEngines: n.roles.renewHolds(),
 		LeavingEndpoints: n.fleet.Leaving(), Quarantine: n.quarantine.News(), Limits: n.limits.Statements(),
 	}
+	heartbeat.SplitEra, heartbeat.SplitSeq = n.versions.table.Number()
 	if t := n.routes.Current(); t != nil {
 		heartbeat.Generation = t.Version()
 	}
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -24,8 +24,8 @@
 
 // serveStream handles a request whose response is an event stream.
 func (c *call) serveStream(ctx context.Context) {
-	if c.info.LastEventID != "" {
-		c.log("stream taken up", bylog.Str("began", string(c.info.Resumes)), bylog.Str("last_event", c.info.LastEventID))
+	if !c.chooseVersion() {
+		return
 	}
 	if c.info.Prompt == nil || c.service.Model == nil {
 		c.serveStreamWithoutPrompt(ctx)
@@ -39,6 +39,10 @@
 			break
 		}
 		if !relay.headerSent && plan.PredictedTTFT > c.startTimeLeft() {
+			if c.hasVersion && !c.versionBound {
+				c.hasVersion = false // engines of another version may be idle
+				continue
+			}
 			c.log("too late to start", bylog.Millis("predict_ms", plan.PredictedTTFT), bylog.Millis("wait_ms", plan.QueueTime))
 			if c.sends == 0 {
 				c.refuse(reasonOverload, plan.PredictedTTFT-c.startTimeLeft())
@@ -160,7 +164,7 @@
 			bylog.Millis("wait_ms", plan.QueueTime), bylog.Int("cached", plan.CachedTokens), bylog.Str("reader", prefillEngineID(plan)),
 			bylog.Str("source", plan.PrefixSource), bylog.Int("tokens", tokens))
 	}
-	err := relay.forwardResponse(resp, onFirstByte)
+	err := relay.forwardResponse(resp, plan.DecodeEngine, onFirstByte)
 	switch {
 	case err == nil:
 		n.reportResult(plan.DecodeEngine, byfleet.Succeeded, nil)
@@ -172,6 +176,7 @@
 	default:
 		n.reportResult(plan.DecodeEngine, byfleet.Failed, err)
 		c.attemptBroke(ctx, plan.DecodeEngine, actionRun, relay.eventCount-eventsBefore, relay.answerBegun, err)
+		relay.dropHeld()
 		return outcomeUnknown, err
 	}
 }
--- a/io/byentry/relay.go
+++ b/io/byentry/relay.go
@@ -10,13 +10,16 @@
 	"github.com/ansel1/merry/v2"
 
 	"burdockyard"
+	"burdockyard/core/byfleet"
 	"burdockyard/io/byforward"
+	"burdockyard/io/bylog"
 )
 
 const (
 	// relayReadBytes is the size of the buffer for reading a stream, in bytes.
 	relayReadBytes = 4 << 10
-	// maxEventBytes is the maximum size of one event, in bytes.
+	// maxEventBytes is the maximum size of one event, and of the events of a stream that
+	// is held, in bytes.
 	maxEventBytes = 1 << 20
 )
 
@@ -26,6 +29,9 @@
 // middle of an event, another engine resumes after the last complete event. If the
 // caller had already got a part of an event, that part would be joined to the next
 // event.
+//
+// A stream that could not be taken up at its version is held: the caller gets its events
+// when it is complete.
 type eventRelay struct {
 	c           *call
 	headerSent  bool          // whether the response header has been sent to the caller
@@ -36,6 +42,10 @@
 	maxGap      time.Duration // longest time between two events
 	runEventAt  time.Time     // when the first complete event of the present run arrived, zero before
 	answerBegun bool          // whether the answer of the present run counts as begun
+
+	endpoint byfleet.Endpoint // endpoint of the present run
+	holding  bool             // whether the events are held until the stream is complete
+	held     []byte           // events held
 }
 
 func newEventRelay(c *call) *eventRelay { return &eventRelay{c: c, lastEventID: c.info.LastEventID} }
@@ -43,10 +53,11 @@
 // resumeID returns the id of the event after which the next engine has to continue.
 func (r *eventRelay) resumeID() string { return r.lastEventID }
 
-// forwardResponse forwards a response until its end. onFirstByte is called once, when
+// forwardResponse forwards a response of endpoint e until its end. onFirstByte is called once, when
 // the first byte of the body arrives and before any event is forwarded.
-func (r *eventRelay) forwardResponse(resp *byforward.Response, onFirstByte func()) error {
+func (r *eventRelay) forwardResponse(resp *byforward.Response, e byfleet.Endpoint, onFirstByte func()) error {
 	r.pending = r.pending[:0]
+	r.endpoint = e
 	r.runEventAt, r.answerBegun = time.Time{}, false
 	if r.headerSent && resp.Status != http.StatusOK {
 		return burdockyard.ErrInterrupted
@@ -87,9 +98,35 @@
 		r.recordAnswer(resp)
 	}
 	r.sendHeader(resp)
+	if err := r.write(r.held); err != nil {
+		return err
+	}
 	return r.write(r.pending)
 }
 
+// begin decides, before the first event is sent, whether the stream is held. Otherwise it
+// may go on only at the version of its endpoint from now on.
+func (r *eventRelay) begin(resp *byforward.Response) {
+	if r.headerSent || r.holding || resp.Status != http.StatusOK {
+		return
+	}
+	c := r.c
+	if r.holding = !c.mayBegin(r.endpoint); r.holding {
+		c.node.metrics.StreamsHeld(c.service.Name).Inc()
+		c.log("stream held", bylog.Str("endpoint", string(r.endpoint.ID)), bylog.Str("version", r.endpoint.Version))
+		return
+	}
+	c.version, c.hasVersion, c.versionBound = r.endpoint.Version, true, true
+}
+
+// dropHeld forgets held events of a run that has broken off, so that another run can begin
+// at the start.
+func (r *eventRelay) dropHeld() {
+	if r.holding {
+		r.holding, r.held, r.eventCount, r.lastEventID = false, nil, 0, r.c.info.LastEventID
+	}
+}
+
 // recordAnswer records that the answer of the present run has begun.
 func (r *eventRelay) recordAnswer(resp *byforward.Response) {
 	if !r.answerBegun && resp.Status == http.StatusOK {
@@ -127,6 +164,13 @@
 	} else if now.Sub(r.runEventAt) >= minAnswerTime {
 		r.recordAnswer(resp)
 	}
+	if r.begin(resp); r.holding {
+		if r.held = append(r.held, events...); len(r.held) > maxEventBytes {
+			return burdockyard.ErrInterrupted
+		}
+		r.pending = append(r.pending[:0], r.pending[end:]...)
+		return nil
+	}
 	r.sendHeader(resp)
 	if err := r.write(events); err != nil {
 		return err
--- a/io/byentry/version_test.go
+++ b/io/byentry/version_test.go
@@ -13,7 +13,8 @@
 	"burdockyard/platform/bystub"
 )
 
-// newVersionCluster starts nodes and two decode engines of each of two versions.
+// newVersionCluster starts nodes and two decode engines of each of two versions, and waits
+// until nodes pass on the events of running streams.
 func newVersionCluster(t *testing.T, nodes int) *testCluster {
 	c := newTestCluster(t)
 	c.publishConfig(3, nil)
@@ -22,12 +23,15 @@
 			c.addRunner(bystub.RunnerConfig{ID: fmt.Sprint("d", i, "-", version), Version: version, Service: "llm", Zone: "a", Stage: "decode", Slots: 24, EventsPerStream: 6, EventInterval: 10 * time.Millisecond})
 		}
 	}
+	c.firstStart = true
 	for i := range nodes {
 		c.startNode(fmt.Sprint("n", i))
 	}
+	c.firstStart = false
 	for _, n := range c.nodes {
 		c.waitReady(n)
 	}
+	c.waitStreaming(c.nodes...)
 	return c
 }
 
@@ -135,7 +139,6 @@
 	t.Run("taken up", func(t *testing.T) {
 		t.Parallel()
 		c := newVersionCluster(t, 3)
-		c.waitStreaming(c.nodes...)
 		joined, goOn := 0, 0
 		for i := range streams {
 			first, second := fmt.Sprint("first-", i), fmt.Sprint("second-", i)
@@ -169,7 +172,6 @@
 		t.Run(fmt.Sprint("right after a release/", released), func(t *testing.T) {
 			t.Parallel()
 			c := newVersionCluster(t, 3)
-			c.waitStreaming(c.nodes...)
 			for i := range streams {
 				if err := c.nodes[i%3].readEvents(fmt.Sprint("first-", i), ownPrompt(i), 2); err != nil && err != io.EOF {
 					t.Fatal(err)
@@ -235,7 +237,7 @@
 	if got := n.callWithID("second", "POST", "/quick/1", "x", ownPrompt(1), shortTokens, "Last-Event-Id: 2", "Resumes: first"); got.status != 200 {
 		t.Fatalf("the take-up got %+v, want status 200", got)
 	}
-	for _, want := range []string{`"began":"first","last_event":"2","request":"second"`, `"version":"v7"`} {
+	for _, want := range []string{`"began":"first","last_event":"2","version":"v7","known":true,"request":"second"`, `"version":"v7"`} {
 		c.waitUntil("the log has "+want, func() bool { return strings.Contains(c.logs.String(), want) })
 	}
 }
--- a/io/bymetrics/bymetrics.go
+++ b/io/bymetrics/bymetrics.go
@@ -122,6 +122,18 @@
 	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_limited_responses_total{service=%q}`, service))
 }
 
+// StreamsTakenUp returns the counter of streams of a service that callers have taken up, by
+// whether the version that began them was known.
+func (m *Metrics) StreamsTakenUp(service string, known bool) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_streams_taken_up_total{service=%q,version_known="%t"}`, service, known))
+}
+
+// StreamsHeld returns the counter of streams of a service whose callers got no event before
+// the last one.
+func (m *Metrics) StreamsHeld(service string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_streams_held_total{service=%q}`, service))
+}
+
 // BrokenByEnd returns the counter of attempts that broke off because the process of
 // their endpoint has ended.
 func (m *Metrics) BrokenByEnd(service string) *metrics.Counter {
--- a/io/bypeer/server.go
+++ b/io/bypeer/server.go
@@ -103,7 +103,7 @@
 	out := &bypeerpb.Heartbeat{
 		Member: memberToProto(h.Member), CallerAddr: h.CallerAddr, Domain: h.Domain,
 		Leaving: h.Leaving, Generation: h.Generation, Fresh: h.RecentlyConfirmed, Seq: h.Seq,
-		Ready: h.Ready, Capacity: h.Capacity,
+		Ready: h.Ready, Capacity: h.Capacity, SplitEra: h.SplitEra, SplitSeq: h.SplitSeq,
 		Loads: loadsToProto(h.Loads), Reads: cachedPartsToProto(h.CachedParts),
 	}
 	if !h.Quarantine.IsEmpty() {
@@ -125,7 +125,7 @@
 	out := bymember.Heartbeat{
 		Member: memberFromProto(msg.GetMember()), CallerAddr: msg.GetCallerAddr(), Domain: msg.GetDomain(),
 		Leaving: msg.GetLeaving(), Generation: msg.GetGeneration(), RecentlyConfirmed: msg.GetFresh(), Seq: msg.GetSeq(),
-		Ready: msg.GetReady(), Capacity: msg.GetCapacity(),
+		Ready: msg.GetReady(), Capacity: msg.GetCapacity(), SplitEra: msg.GetSplitEra(), SplitSeq: msg.GetSplitSeq(),
 		Loads: loadsFromProto(msg.GetLoads()), CachedParts: cachedPartsFromProto(msg.GetReads()),
 		Quarantine: quarantineFromProto(msg.GetQuarantine()),
 	}
