--- a/io/byforward/byforward.go
+++ b/io/byforward/byforward.go
@@ -448,11 +448,15 @@
 	return nil
 }
 
-// encodeHeader returns the request line and the header of r, with room for its
-// body.
+// encodeHeader returns the request line and the header of r, with room for a body that
+// is written together with them.
 func encodeHeader(r *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	room := 512
+	if len(r.Body) <= maxInlineBody {
+		room += len(r.Body)
+	}
+	b.Grow(room)
 	b.WriteString(r.Method + " " + r.Path + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for key, values := range r.Header {
 		for _, v := range values {
--- a/io/byforward/byforward_test.go
+++ b/io/byforward/byforward_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -285,16 +286,16 @@
 	}
 }
 
-// TestResponseBeforeBodyIsRead checks that a response gets through although the
-// endpoint sends it before reading a long request body and then reads no more of
-// that body.
-func TestResponseBeforeBodyIsRead(t *testing.T) {
+// newEarlyEndpoint starts an endpoint that serves one connection. It sends its response
+// before reading a long request body, and then reads no more of that body.
+func newEarlyEndpoint(t *testing.T) (addr string) {
+	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	go func() { // serves one connection
+	t.Cleanup(func() { l.Close() })
+	go func() { // returns soon after the connection is served
 		c, err := l.Accept()
 		if err != nil {
 			return
@@ -307,8 +308,30 @@
 		_, _ = io.WriteString(c, strings.ReplaceAll(withLength, "%s", req.Header.Get("X-Request-Id")))
 		time.Sleep(time.Second)
 	}()
-	status, body, err := send(newForwarder(), l.Addr().String(), "r1", make([]byte, 32<<20))
+	return l.Addr().String()
+}
+
+// TestResponseBeforeBodyIsRead checks that a response gets through although the
+// endpoint sends it before reading a long request body and then reads no more of
+// that body.
+func TestResponseBeforeBodyIsRead(t *testing.T) {
+	status, body, err := send(newForwarder(), newEarlyEndpoint(t), "r1", make([]byte, 32<<20))
 	if err != nil || status != http.StatusOK || body != "data" {
 		t.Errorf("response is %d %q with error %v, want 200 and data without an error", status, body, err)
 	}
 }
+
+// TestLongBodyIsNotAllocatedAgain guards against the failure that sending a long body
+// allocates memory of its size, which takes time from the deadline.
+func TestLongBodyIsNotAllocatedAgain(t *testing.T) {
+	f, addr, body := newForwarder(), newEarlyEndpoint(t), make([]byte, 32<<20)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	if _, _, err := send(f, addr, "r1", body); err != nil {
+		t.Fatal(err)
+	}
+	runtime.ReadMemStats(&after)
+	if n := after.TotalAlloc - before.TotalAlloc; n >= uint64(len(body)) {
+		t.Errorf("sending a body of %d bytes allocates %d bytes, want less than the body", len(body), n)
+	}
+}
