--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -281,7 +282,7 @@
 			p.node.log.members.Warn("row of a node has an invalid value", bylog.Str("row", row.Key), bylog.Err(err))
 			continue
 		}
-		id := burdockyard.NodeID(row.Key[len(nodeTable)+1:])
+		id := burdockyard.NodeID(strings.TrimPrefix(row.Key, nodeTable+"/"))
 		if id == p.node.self.Node {
 			registered = true
 			continue
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -434,7 +435,7 @@
 
 // instanceID returns the endpoint ID in the key of a row of the instance table.
 func (n *Node) instanceID(key string) burdockyard.EndpointID {
-	return burdockyard.EndpointID(key[len(n.platform.InstanceTable)+1:])
+	return burdockyard.EndpointID(strings.TrimPrefix(key, n.platform.InstanceTable+"/"))
 }
 
 // sleep waits for d, or until ctx is done.
