--- a/io/byentry/records.go
+++ b/io/byentry/records.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -26,6 +27,11 @@
 	maxRecordWrites = 40
 	// trialClaimTimeout limits the claim of a trial.
 	trialClaimTimeout = 500 * time.Millisecond
+	// maxRecordBytes, maxRecordEnds and maxRecordMS, the end of the year 9999, bound what a
+	// row can hold. One beyond them comes from another writer.
+	maxRecordBytes = 1 << 10
+	maxRecordEnds  = 1_000_000
+	maxRecordMS    = 253_402_300_799_999
 	// recordRetryDelay is the longest delay after a failed read or write of records.
 	recordRetryDelay = time.Second
 )
@@ -52,17 +58,25 @@
 	return json.Marshal(row)
 }
 
-// decodeRecord decodes a row of the quarantine table.
+// decodeRecord decodes a row of the quarantine table. Other writers have access to it. If
+// only the value is invalid, the record that is returned with the error has its key.
 func decodeRecord(row burdockyard.Row) (byquarantine.Record, error) {
 	key, err := strconv.ParseUint(strings.TrimPrefix(row.Key, quarantineTable+"/"), 16, 64)
-	if err != nil {
-		return byquarantine.Record{}, merry.Prepend(err, "row "+row.Key)
+	if err != nil || recordKey(byquarantine.Key(key)) != row.Key {
+		return byquarantine.Record{}, fmt.Errorf("row %s: the key is not a hexadecimal number", row.Key)
+	}
+	r := byquarantine.Record{Key: byquarantine.Key(key)}
+	if len(row.Value) > maxRecordBytes {
+		return r, fmt.Errorf("row %s: %d bytes; expected at most %d", row.Key, len(row.Value), maxRecordBytes)
 	}
 	var v recordRow
 	if err := json.Unmarshal(row.Value, &v); err != nil {
-		return byquarantine.Record{}, merry.Prepend(err, "row "+row.Key)
+		return r, merry.Prepend(err, "row "+row.Key)
 	}
-	r := byquarantine.Record{Key: byquarantine.Key(key), Ends: v.Ends, LastEnd: time.UnixMilli(v.LastEndMS)}
+	if v.Ends < 0 || v.Ends > maxRecordEnds || max(v.LastEndMS, v.LastTrialMS) > maxRecordMS || min(v.LastEndMS, v.LastTrialMS) < 0 {
+		return r, fmt.Errorf("row %s: %+v is out of range", row.Key, v)
+	}
+	r.Ends, r.LastEnd = v.Ends, time.UnixMilli(v.LastEndMS)
 	if v.LastTrialMS > 0 {
 		r.LastTrial = time.UnixMilli(v.LastTrialMS)
 	}
@@ -75,6 +89,31 @@
 	wake  chan struct{} // has an element if there may be unsaved records
 	known atomic.Bool   // whether this node knows the records, from the store or from a peer that does
 	done  chan struct{} // closed once run has returned
+
+	oddRows oddRows // used by run only
+}
+
+// oddRows remembers rows that could not be decoded, so that each is logged once and not at
+// each reading. The zero value is ready for use.
+type oddRows struct {
+	versions map[string]burdockyard.StoreVersion
+}
+
+// maxOddRows is the largest number of rows that an oddRows remembers.
+const maxOddRows = 1000
+
+// isNew reports whether the row was not given to isNew before at this version.
+func (o *oddRows) isNew(row burdockyard.Row) bool {
+	version := burdockyard.StoreVersion{Era: row.Era, Number: row.Version}
+	last, known := o.versions[row.Key]
+	if known && last == version || !known && len(o.versions) >= maxOddRows {
+		return false
+	}
+	if o.versions == nil {
+		o.versions = map[string]burdockyard.StoreVersion{}
+	}
+	o.versions[row.Key] = version
+	return true
 }
 
 func newRecordStore(n *Node) *recordStore {
@@ -130,7 +169,8 @@
 	s.node.metrics.StoreCalls(quarantineTable, outcome).Inc()
 }
 
-// scan returns the rows of the table and the records in those that can be decoded.
+// scan returns the rows of the table that belong to a key, and the records in those that
+// can be decoded.
 func (s *recordStore) scan(ctx context.Context) (map[byquarantine.Key]burdockyard.Row, []byquarantine.Record, error) {
 	snap, err := s.node.platform.Registry.Scan(ctx, quarantineTable)
 	if err != nil {
@@ -140,11 +180,15 @@
 	var records []byquarantine.Record
 	for _, row := range snap.Rows {
 		r, err := decodeRecord(row)
+		if r.Key != 0 {
+			rows[r.Key] = row
+		}
 		if err != nil {
-			s.node.log.fleet.Warn("row of the quarantine has an invalid value", bylog.Err(err))
+			if s.oddRows.isNew(row) {
+				s.node.log.fleet.Warn("row of the quarantine has an invalid value", bylog.Err(err))
+			}
 			continue
 		}
-		rows[r.Key] = row
 		records = append(records, r)
 	}
 	return rows, records, nil
