--- a/io/byentry/odd_test.go
+++ b/io/byentry/odd_test.go
@@ -67,3 +67,22 @@
 		})
 	}
 }
+
+// TestOddNodeRowNamesNoPeer guards against heartbeats to an address that no node can have,
+// and a line in the log at each reading of an odd row.
+func TestOddNodeRowNamesNoPeer(t *testing.T) {
+	for _, value := range []string{"", "[]", `{"addr":"10.0.0.2:0"}`, `{"addr":"10.0.0.2:65536"}`, `{"addr":7}`, `{"capacity":1e400,"addr":"10.0.0.2:1"}`, strings.Repeat("[", 60_000)} {
+		store := &nodeTableStore{rows: map[string]burdockyard.Row{"nodes/odd": {Key: "nodes/odd", Value: []byte(value), Version: 3}}}
+		var logs bytes.Buffer
+		n := New(Settings{Node: "n1", Domain: "a", PeerAddr: "10.0.0.1:1"}, Platform{Registry: store, Table: store}, WithLog(bylog.New(&logs, "info", "n1")))
+		for range 3 {
+			if err := n.peers.scanNodes(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		sameDomain, otherDomain := n.peers.countByDomain()
+		if lines := strings.Count(logs.String(), "invalid value"); sameDomain+otherDomain != 0 || lines != 1 {
+			t.Errorf("row %.40q: %d peers and %d lines in the log after three readings, want none and 1", value, sameDomain+otherDomain, lines)
+		}
+	}
+}
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -59,6 +61,8 @@
 	deregisterTimeout = 300 * time.Millisecond
 	// maxDirectoryAddresses limits the number of addresses in a directory response.
 	maxDirectoryAddresses = 64
+	// maxNodeRowBytes limits the size of a row in the node table.
+	maxNodeRowBytes = 4 << 10
 )
 
 // nodeRow is the JSON value of a row in the node table.
@@ -69,6 +73,21 @@
 	Capacity    float64                 `json:"capacity"` // as in bymember.Heartbeat
 }
 
+// decodeNodeRow decodes a row of the node table. Other writers have access to it.
+func decodeNodeRow(row burdockyard.Row) (nodeRow, error) {
+	var r nodeRow
+	if len(row.Value) > maxNodeRowBytes {
+		return r, fmt.Errorf("%d bytes; expected at most %d", len(row.Value), maxNodeRowBytes)
+	}
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return r, err
+	}
+	if addr, err := netip.ParseAddrPort(r.Addr); err != nil || addr.Port() == 0 {
+		return r, errors.New("addr is not an IP address and a port")
+	}
+	return r, nil
+}
+
 // peers exchanges heartbeats with the other nodes and tracks which of them are
 // known. mu is a leaf lock.
 type peers struct {
@@ -85,6 +104,8 @@
 	topology  topology                    // latest result of currentTopology
 
 	relay relayState
+
+	oddRows oddRows // used by registerLoop only
 }
 
 // peer is another node, known from its heartbeats or from the node table.
@@ -277,9 +298,11 @@
 	}
 	registered := false
 	for _, row := range snap.Rows {
-		var r nodeRow
-		if err := json.Unmarshal(row.Value, &r); err != nil {
-			p.node.log.members.Warn("row of a node has an invalid value", bylog.Str("row", row.Key), bylog.Err(err))
+		r, err := decodeNodeRow(row)
+		if err != nil {
+			if p.oddRows.isNew(row) {
+				p.node.log.members.Warn("row of a node has an invalid value", bylog.Str("row", row.Key), bylog.Err(err))
+			}
 			continue
 		}
 		id := burdockyard.NodeID(strings.TrimPrefix(row.Key, nodeTable+"/"))
