--- a/io/byforward/byforward.go
+++ b/io/byforward/byforward.go
@@ -25,6 +25,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -59,11 +60,14 @@
 	// maxHeadBytes limits the size in bytes of all headers that are read before the
 	// body of a response. The bytes of an endpoint in trouble may never end.
 	maxHeadBytes = 64 << 10
-	// maxDuplicates is how many late copies of the former response on a connection are
+	// maxDuplicates is how many late copies of earlier responses on a connection are
 	// skipped before the response to a request, and maxDuplicateBytes the largest size of
 	// each.
 	maxDuplicates     = 2
 	maxDuplicateBytes = 256 << 10
+	// maxCarriedIDs is how many IDs of earlier requests are known of each connection. A
+	// request is sent again under its ID within seconds, if at all.
+	maxCarriedIDs = 32
 	// maxResponseHeaders is how many response headers are read in search of a final
 	// one. Interim responses (1xx) are skipped.
 	maxResponseHeaders = 5
@@ -88,7 +92,7 @@
 	Body           []byte
 	Deadline       time.Time     // end of the time for the whole exchange, reading the body included
 	MaxIdle        time.Duration // reuse only connections idle for at most this long; 0 means no limit
-	AllowMissingID bool          // accept a response without a request ID
+	AllowMissingID bool          // accept a response without a request ID, on a connection of its own
 }
 
 // Forwarder sends requests to endpoints and pools the connections to them. It is
@@ -112,10 +116,10 @@
 	net.Conn
 	addr        string
 	in          *limitedReader
-	br          *bufio.Reader         // reads from in
-	lastID      burdockyard.RequestID // ID of the last request on it that had one
-	idleSince   time.Time             // when it was returned to the pool
-	idleTimeout time.Duration         // how long it may stay idle
+	br          *bufio.Reader           // reads from in
+	carriedIDs  []burdockyard.RequestID // IDs of the last requests on it that had one, at most maxCarriedIDs
+	idleSince   time.Time               // when it was returned to the pool
+	idleTimeout time.Duration           // how long it may stay idle
 }
 
 // New returns a Forwarder without connections. requestIDOf returns the request ID
@@ -176,10 +180,13 @@
 // acquire returns an idle connection that is fit for reuse, or dials a new one.
 func (f *Forwarder) acquire(ctx context.Context, t Target, r *Request) (*conn, error) {
 	for {
-		c, atLimit := f.takeIdleOrReserve(t, r)
+		c, replaced, atLimit := f.takeIdleOrReserve(t, r)
 		if atLimit {
 			return nil, notStarted(ErrConnectionLimit)
 		}
+		if replaced != nil {
+			replaced.Close() // it was idle, so no request is lost
+		}
 		if c == nil {
 			return f.dial(ctx, t, r)
 		}
@@ -190,11 +197,12 @@
 	}
 }
 
-// takeIdleOrReserve removes the most recently used connection from the pool and
-// returns it. If there is none that r accepts, it returns nil and counts one more
-// connection as open, which the caller must dial or give back with decrementOpen.
-// atLimit reports that the limit of t is reached.
-func (f *Forwarder) takeIdleOrReserve(t Target, r *Request) (c *conn, atLimit bool) {
+// takeIdleOrReserve removes the most recently used connection that r accepts from the
+// pool and returns it. If there is none, it returns nil and counts one more connection as
+// open, which the caller must dial or give back with decrementOpen. At the limit of t, the
+// new connection takes the place of an idle one, which the caller must close. atLimit
+// reports that there is none either.
+func (f *Forwarder) takeIdleOrReserve(t Target, r *Request) (c, replaced *conn, atLimit bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.pools[t.Addr]
@@ -203,19 +211,28 @@
 		f.pools[t.Addr] = p
 	}
 	now := f.clock.Now()
-	if n := len(p.idle); n > 0 {
-		c = p.idle[n-1]
-		if r.MaxIdle == 0 || now.Sub(c.idleSince) <= r.MaxIdle {
-			p.idle = p.idle[:n-1]
-			return c, false
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; r.accepts(c, now) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c, nil, false
 		}
-		c = nil
 	}
-	if p.open >= t.MaxConns {
-		return nil, true
+	if p.open < t.MaxConns {
+		p.open++
+		return nil, nil, false
+	}
+	if len(p.idle) == 0 {
+		return nil, nil, true
 	}
-	p.open++
-	return nil, false
+	replaced = p.idle[0]
+	p.idle = slices.Delete(p.idle, 0, 1)
+	return nil, replaced, false
+}
+
+// accepts reports whether r can be sent on an idle connection. A late copy of an earlier
+// response on it must be told from the response to r by its ID.
+func (r *Request) accepts(c *conn, now time.Time) bool {
+	return !r.AllowMissingID && !slices.Contains(c.carriedIDs, r.ID) && (r.MaxIdle == 0 || now.Sub(c.idleSince) <= r.MaxIdle)
 }
 
 func (f *Forwarder) dial(ctx context.Context, t Target, r *Request) (*conn, error) {
@@ -397,16 +414,28 @@
 		return merry.Wrap(burdockyard.ErrRequestMismatch)
 	}
 	resp.c.idleTimeout = keepAliveTimeout(httpResp.Header.Get("Keep-Alive"))
-	if r.ID != "" {
-		resp.c.lastID = r.ID
+	if resp.f.requestIDOf(httpResp.Header) == "" {
+		resp.reusable = false // a late copy could not be told from the next response
 	}
 	return nil
 }
 
+// recordID records that c carries a request with the given ID.
+func (c *conn) recordID(id burdockyard.RequestID) {
+	if len(c.carriedIDs) == maxCarriedIDs {
+		c.carriedIDs = slices.Delete(c.carriedIDs, 0, 1)
+	}
+	c.carriedIDs = append(c.carriedIDs, id)
+}
+
 // readOwnResponse reads the header of the response to r. An endpoint may send a response
-// for a second time, so late that the next request is already on its way. Such a copy
-// is skipped: without it, the outcome of the next request would be unknown.
+// for a second time, so late that a later request is already on its way. Such a copy
+// is skipped: without it, the outcome of that request would be unknown.
 func (resp *Response) readOwnResponse(r *Request) (*http.Response, error) {
+	earlierIDs := resp.c.carriedIDs
+	if r.ID != "" {
+		defer resp.c.recordID(r.ID)
+	}
 	for duplicates := 0; ; duplicates++ {
 		resp.c.in.left = maxHeadBytes
 		httpResp, err := readResponse(resp.c.br, r.Method)
@@ -415,7 +444,7 @@
 			return nil, err
 		}
 		id := resp.f.requestIDOf(httpResp.Header)
-		if id == "" || id == r.ID || id != resp.c.lastID || duplicates == maxDuplicates {
+		if id == "" || id == r.ID || !slices.Contains(earlierIDs, id) || duplicates == maxDuplicates {
 			return httpResp, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(httpResp.Body, maxDuplicateBytes))
@@ -423,7 +452,7 @@
 			return nil, err
 		}
 		if n == maxDuplicateBytes {
-			return nil, errors.New("a second copy of the former response is too long")
+			return nil, errors.New("a second copy of an earlier response is too long")
 		}
 	}
 }
--- a/io/byforward/byforward_test.go
+++ b/io/byforward/byforward_test.go
@@ -188,6 +188,52 @@
 	}
 }
 
+// TestConnectionIsNotReusedIfCopyCouldPass guards against a late copy of an earlier response
+// that is taken for the response to a request: one with the same ID, or one whose response
+// may lack an ID. A full pool must not keep such a request from being sent.
+func TestConnectionIsNotReusedIfCopyCouldPass(t *testing.T) {
+	withoutID := strings.ReplaceAll(withLength, "X-Request-Id: %s\r\n", "")
+	tests := []struct {
+		name     string
+		response string
+		ids      []string // of the requests, empty for a control call
+		conns    int
+	}{
+		{"other requests", withLength, []string{"r1", "r2", "r3"}, 1},
+		{"the same ID again", withLength, []string{"r1", "r1"}, 2},
+		{"the same ID later", withLength, []string{"r1", "r2", "r3", "r1"}, 2},
+		{"control calls", withoutID, []string{"", "", ""}, 3},
+		{"control call after a request", withLength, []string{"r1", ""}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEndpoint(t, cannedResponse{response: tt.response})
+			f := newForwarder()
+			for i, id := range tt.ids {
+				resp, err := f.Send(context.Background(), byforward.Target{Addr: e.addr, MaxConns: 1}, &byforward.Request{
+					ID: burdockyard.RequestID(id), Method: http.MethodPost, Path: "/", Host: "h", Header: http.Header{"X-Request-Id": {id}},
+					Deadline: time.Now().Add(2 * time.Second), AllowMissingID: id == "",
+				})
+				if err != nil {
+					t.Fatalf("request %d: %v", i, err)
+				}
+				if data, err := resp.ReadAll(100); err != nil || string(data) != "data" {
+					t.Errorf("request %d: response body is %q with error %v, want data", i, data, err)
+				}
+				resp.Close()
+				if n := f.OpenConns(); n > 1 {
+					t.Errorf("request %d: %d connections are open, want at most 1", i, n)
+				}
+			}
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if e.conns != tt.conns {
+				t.Errorf("endpoint accepted %d connections, want %d", e.conns, tt.conns)
+			}
+		})
+	}
+}
+
 // TestHeadWithoutEndIsCut checks that a header or first line that never ends is given up
 // long before the deadline.
 func TestHeadWithoutEndIsCut(t *testing.T) {
