--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -83,8 +83,15 @@
 		n.reportResult(e, byfleet.Failed, nil)
 	}
 	if info.NotRun {
-		c.log("endpoint refused", append(c.attemptFields(e, a), bylog.Int("status", resp.Status))...)
 		c.drainBody(resp)
+		isDoubtful := c.isDoubtful(resp)
+		resp.Close()
+		if isDoubtful {
+			n.reportResult(e, byfleet.Failed, nil)
+			c.warn("refusal not believed", append(c.attemptFields(e, a), bylog.Int("status", resp.Status))...)
+			return nil, outcomeUnknown, burdockyard.ErrRequestMismatch
+		}
+		c.log("endpoint refused", append(c.attemptFields(e, a), bylog.Int("status", resp.Status))...)
 		return nil, outcomeNotRun, burdockyard.ErrNotStarted
 	}
 	return resp, outcomeAnswered, nil
@@ -161,7 +168,24 @@
 	if _, err := resp.ReadAll(maxBufferedBody); err != nil {
 		c.node.log.calls.Debug("refusal body not read to its end", bylog.Str("request", string(c.info.ID)), bylog.Err(err))
 	}
-	resp.Close()
+}
+
+// isDoubtful reports whether a refusal may be a copy of an earlier one, although it carries
+// the ID of the request: the endpoint repeats refusals on its connection, or another
+// response to the request follows.
+func (c *call) isDoubtful(resp *byforward.Response) bool {
+	decode := c.node.platform.Protocol.DecodeResponse
+	for _, earlier := range resp.Copies() {
+		if decode(earlier.Status, earlier.Header).NotRun {
+			return true
+		}
+	}
+	next, found := resp.Next()
+	if !found {
+		return false
+	}
+	info := decode(next.Status, next.Header)
+	return !info.NotRun && (info.ID == c.info.ID || next.Header == nil)
 }
 
 // endpointConnLimit returns the maximum number of connections to one endpoint from
--- a/io/byforward/byforward.go
+++ b/io/byforward/byforward.go
@@ -25,6 +25,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -68,6 +69,8 @@
 	// maxCarriedIDs is how many IDs of earlier requests are known of each connection. A
 	// request is sent again under its ID within seconds, if at all.
 	maxCarriedIDs = 32
+	// nextHeadTimeout is how long the rest of a head that has begun to come is waited for.
+	nextHeadTimeout = 5 * time.Millisecond
 	// maxResponseHeaders is how many response headers are read in search of a final
 	// one. Interim responses (1xx) are skipped.
 	maxResponseHeaders = 5
@@ -286,22 +289,35 @@
 // Unread data belongs to no request in progress: it is a late or duplicate
 // response.
 func (c *conn) isReusable() bool {
+	_, err := c.peek()
+	return err == syscall.EAGAIN
+}
+
+// hasUnread reports whether there is data to read.
+func (c *conn) hasUnread() bool {
+	n, err := c.peek()
+	return err == nil && n > 0
+}
+
+// peek looks for a byte to read without waiting for one or reading it. The error is EAGAIN
+// if there is none yet; n is 0 if the connection has been closed.
+func (c *conn) peek() (n int, err error) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, syscall.EINVAL
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	wouldBlock := false
 	var buf [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, err := syscall.Read(int(fd), buf[:])
-		wouldBlock = err == syscall.EAGAIN
+	if rawErr := raw.Read(func(fd uintptr) bool {
+		n, _, err = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
-	})
-	return err == nil && wouldBlock
+	}); rawErr != nil {
+		return 0, rawErr
+	}
+	return n, err
 }
 
 // release returns a connection to the pool.
@@ -370,6 +386,12 @@
 	}
 }
 
+// Head is the first part of a response.
+type Head struct {
+	Status int
+	Header http.Header
+}
+
 // Response is a response whose header has been read and whose body has not. One
 // goroutine uses it at a time.
 type Response struct {
@@ -386,6 +408,7 @@
 	selfDelimited bool            // the body has a Content-Length or is chunked
 	reusable      bool            // the endpoint keeps c open and the body is self-delimited
 	complete      bool            // the body was read to its end
+	copies        []Head          // copies of earlier responses that came before
 	closed        bool            // c is closed or back in the pool
 }
 
@@ -436,7 +459,7 @@
 	if r.ID != "" {
 		defer resp.c.recordID(r.ID)
 	}
-	for duplicates := 0; ; duplicates++ {
+	for {
 		resp.c.in.left = maxHeadBytes
 		httpResp, err := readResponse(resp.c.br, r.Method)
 		resp.c.in.left = math.MaxInt64
@@ -444,9 +467,13 @@
 			return nil, err
 		}
 		id := resp.f.requestIDOf(httpResp.Header)
-		if id == "" || id == r.ID || !slices.Contains(earlierIDs, id) || duplicates == maxDuplicates {
+		if id == "" || id == r.ID || !slices.Contains(earlierIDs, id) || len(resp.copies) == maxDuplicates {
 			return httpResp, nil
 		}
+		if httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0 {
+			return nil, errors.New("a second copy of an earlier response has no end")
+		}
+		resp.copies = append(resp.copies, Head{httpResp.StatusCode, httpResp.Header})
 		n, err := io.Copy(io.Discard, io.LimitReader(httpResp.Body, maxDuplicateBytes))
 		if err != nil {
 			return nil, err
@@ -543,6 +570,35 @@
 // chunked encoding, rather than by the end of the connection.
 func (resp *Response) IsSelfDelimited() bool { return resp.selfDelimited }
 
+// Copies returns the heads of copies of earlier responses that came before the response.
+func (resp *Response) Copies() []Head { return resp.copies }
+
+// Next returns the head of a response that has already come after this one. It is called
+// once the body has been read to its end. If it returns true, the connection is not used
+// again. A head that is not complete yet is returned without a header.
+func (resp *Response) Next() (Head, bool) {
+	if !resp.complete || resp.c.br.Buffered() == 0 && !resp.c.hasUnread() {
+		return Head{}, false
+	}
+	resp.reusable = false
+	if err := resp.c.SetReadDeadline(resp.f.clock.Now().Add(nextHeadTimeout)); err != nil {
+		return Head{}, false
+	}
+	const firstBytes = "HTTP/"
+	if start, _ := resp.c.br.Peek(len(firstBytes)); !strings.HasPrefix(firstBytes, string(start)) {
+		return Head{}, false // the bytes belong to no request
+	}
+	resp.c.in.left = maxHeadBytes
+	next, err := readResponse(resp.c.br, http.MethodGet)
+	switch {
+	case err == nil:
+		return Head{next.StatusCode, next.Header}, true
+	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.ErrUnexpectedEOF):
+		return Head{}, true
+	}
+	return Head{}, false
+}
+
 // ReadAll reads the rest of the body. It fails if that is longer than limit bytes.
 func (resp *Response) ReadAll(limit int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(resp, limit+1))
