--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -79,7 +79,7 @@
 		n.reportResult(e, byfleet.WrongEndpoint, nil)
 	case info.NotRun:
 		n.reportResult(e, byfleet.Shed, nil)
-	case resp.Status >= http.StatusInternalServerError:
+	case resp.Status >= http.StatusInternalServerError || info.Unproven:
 		n.reportResult(e, byfleet.Failed, nil)
 	}
 	if info.NotRun {
@@ -94,6 +94,13 @@
 		c.log("endpoint refused", append(c.attemptFields(e, a), bylog.Int("status", resp.Status))...)
 		return nil, outcomeNotRun, burdockyard.ErrNotStarted
 	}
+	if info.Unproven {
+		// Callers take the status for a promise that the request has not run.
+		c.drainBody(resp)
+		resp.Close()
+		c.warn("endpoint failed", bylog.Str("endpoint", string(e.ID)), bylog.Int("status", resp.Status))
+		return nil, outcomeUnknown, burdockyard.ErrInterrupted
+	}
 	return resp, outcomeAnswered, nil
 }
 
--- a/io/byentry/refusal_test.go
+++ b/io/byentry/refusal_test.go
@@ -176,3 +176,36 @@
 		})
 	}
 }
+
+// TestUnprovenRefusalIsNotPassedOn guards against the failure that a caller is told that its
+// request has not run because of a response that does not say so: callers take a status of
+// 408, 429 or 503 for a promise.
+func TestUnprovenRefusalIsNotPassedOn(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"} {
+		for _, path := range []string{"/book/1", "/read/1", "/quick/1", "/long/1"} {
+			t.Run(status[:3]+path, func(t *testing.T) {
+				t.Parallel()
+				c := newTestCluster(t)
+				c.publishConfig(3, nil)
+				answer := strings.Replace(refusalOf("%s", status), "X-Not-Executed: 1", "Retry-After: 0.1", 1)
+				var runners []*rawRunner
+				for _, service := range []string{"app", "llm"} {
+					for i := range 2 {
+						runners = append(runners, c.addRawRunner(fmt.Sprint(service, i), service, rawBytes{answer: answer}))
+					}
+				}
+				n := c.startNode("n1")
+				c.waitReady(n)
+				got := n.callWithID("next", "POST", path, "x", shortPrompt, shortTokens)
+				limit := 1
+				if path == "/read/1" || path == "/quick/1" {
+					limit = 2 // may run twice
+				}
+				if runs := totalRuns("next", runners...); got.status != 502 || runs < 1 || runs > limit {
+					t.Errorf("got response %+v after %d runs, want status 502 after 1 to %d", got, runs, limit)
+				}
+			})
+		}
+	}
+}
--- a/protocol.go
+++ b/protocol.go
@@ -47,6 +47,7 @@
 type ResponseInfo struct {
 	ID            RequestID // ID of the request that the response belongs to; empty if it carries none
 	NotRun        bool      // whether the endpoint reports that the request has not run
+	Unproven      bool      // whether the status tells callers that the request has not run, though the endpoint does not say so
 	WrongEndpoint bool      // whether the address now belongs to another endpoint
 	Leaving       bool      // whether the endpoint is about to end and wants no new requests
 	// RetryAfter is how long an endpoint that has refused the request wants no requests
