--- /dev/null
+++ b/io/byentry/broken_test.go
@@ -0,0 +1,158 @@
+package byentry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// addBreakingEngine starts an engine that answers a new stream with first and one that it
+// is to continue with next, and registers it in the store. It closes the connection after
+// each answer. In both texts, %s is the ID of the request.
+func (c *testCluster) addBreakingEngine(id, first, next string) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() { l.Close() })
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body) // otherwise closing would reset the connection
+		text := first
+		if req.Header.Get("Last-Event-Id") != "" {
+			text = next
+		}
+		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "%s", req.Header.Get("X-Request-Id")))
+	}
+	var group errgroup.Group
+	group.Go(func() error { // returns when the listener is closed
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			group.Go(func() error { serve(conn); return nil })
+		}
+	})
+	entry := fmt.Sprintf(`{"service":"llm","address":%q,"zone":"a","slots":4,"state":"ready","sequence":1,"version":"v1","stage":"decode"}`, l.Addr())
+	c.store.Set("servers", id, []byte(entry))
+}
+
+// httpAnswer returns a response with the given status, further header lines and body.
+func httpAnswer(status, header, body string) string {
+	return "HTTP/1.1 " + status + "\r\nX-Request-Id: %s\r\n" + header + "\r\n" + body
+}
+
+// inChunks returns the chunks of a body, without the last one.
+func inChunks(parts ...string) string {
+	var b strings.Builder
+	for _, p := range parts {
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(p), p)
+	}
+	return b.String()
+}
+
+// testEvents returns the events with the given ids.
+func testEvents(ids ...int) string {
+	var b strings.Builder
+	for _, id := range ids {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", id, id)
+	}
+	return b.String()
+}
+
+// TestErrorOfNextEngineStaysOutOfStream guards against the failure that a stream that has
+// begun and broken off holds the text of the next engine's error, or ends as if it were
+// complete.
+func TestErrorOfNextEngineStaysOutOfStream(t *testing.T) {
+	t.Parallel()
+	const sse, chunked, lastChunk = "Content-Type: text/event-stream\r\n", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n"
+	length := func(body string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
+	withLength := func(status, header, body string) string { return httpAnswer(status, header+length(body), body) }
+	inOne := func(status, header, body string) string {
+		return httpAnswer(status, header+chunked, inChunks(body)+lastChunk)
+	}
+	const jsonError = `{"error":"overloaded"}`
+	const wholeHead = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 9\r\n\r\noverload\n\n"
+	headInChunks := inOne("200 OK", sse, testEvents(3)+strings.ReplaceAll(wholeHead, "\r", "")+testEvents(4))
+	two := testEvents(1, 2)
+	firsts := []struct{ name, answer string }{
+		{"chunked", httpAnswer("200 OK", sse+chunked, inChunks(testEvents(1), testEvents(2)+"id: 3\nda"))},
+		{"with a length", httpAnswer("200 OK", sse+"Content-Length: 500\r\n", two)},
+		{"ended by close", httpAnswer("200 OK", sse, two+"id: 3\nda")},
+	}
+	for _, next := range []struct {
+		name, answer string
+		want         string // events that the caller gets of it
+		complete     bool
+	}{
+		{"sound", inOne("200 OK", sse, testEvents(3, 4)), testEvents(3, 4), true},
+		{"sound, with a length", withLength("200 OK", sse, testEvents(3, 4)), testEvents(3, 4), true},
+		{"sound, ended by close", httpAnswer("200 OK", sse, testEvents(3, 4)), testEvents(3, 4), true},
+		{"sound, with several tokens in an event", inOne("200 OK", sse, testEvents(5, 9)), testEvents(5, 9), true},
+		{"sound, with comments and other fields", inOne("200 OK", sse, ": wait\n\nx-weight-versions: 2\n"+testEvents(3)+"event: end\ndata: [DONE]\n\n"), ": wait\n\nx-weight-versions: 2\n" + testEvents(3) + "event: end\ndata: [DONE]\n\n", true},
+		{"400", withLength("400 Bad Request", "", "no such thing\n\n"), "", false},
+		{"404 as JSON", inOne("404 Not Found", "Content-Type: application/json\r\n", jsonError+"\n\n"), "", false},
+		{"404 ended by close", httpAnswer("404 Not Found", "", jsonError+"\n\n"), "", false},
+		{"429 as events", withLength("429 Too Many Requests", sse, testEvents(3)), "", false},
+		{"500", withLength("500 Internal Server Error", "", "failed\n\n"), "", false},
+		{"500 in chunks", inOne("500 Internal Server Error", sse, testEvents(3)), "", false},
+		{"500 ended by close", httpAnswer("500 Internal Server Error", "", "failed\n\n"), "", false},
+		{"500 that is long", withLength("500 Internal Server Error", "", strings.Repeat("failed\n\n", 60_000)), "", false},
+		{"503", withLength("503 Service Unavailable", "", "full\n\n"), "", false},
+		{"503, not executed", withLength("503 Service Unavailable", "X-Not-Executed: 1\r\n", "full\n\n"), "", false},
+		{"204", httpAnswer("204 No Content", "", ""), "", false},
+		{"206", inOne("206 Partial Content", sse, testEvents(3, 4)), "", false},
+		{"JSON", withLength("200 OK", "Content-Type: application/json\r\n", jsonError), "", false},
+		{"JSON with empty lines", inOne("200 OK", "Content-Type: application/json\r\n", jsonError+"\n\n"), "", false},
+		{"JSON ended by close", httpAnswer("200 OK", "Content-Type: application/json\r\n", jsonError+"\n\n"), "", false},
+		{"JSON as events", withLength("200 OK", sse, jsonError), "", false},
+		{"JSON as events, with empty lines", inOne("200 OK", sse, jsonError+"\n\n"), "", false},
+		{"JSON as events, ended by close", httpAnswer("200 OK", sse, jsonError+"\n\n"), "", false},
+		{"text without a type", withLength("200 OK", "", "overloaded\n\n"), "", false},
+		{"page", inOne("200 OK", "Content-Type: text/html\r\n", "<html>\n\n</html>"), "", false},
+		{"encoded", inOne("200 OK", sse+"Content-Encoding: gzip\r\n", testEvents(3, 4)), "", false},
+		{"no body", httpAnswer("200 OK", sse+"Content-Length: 0\r\n", ""), "", false},
+		{"no body, in chunks", httpAnswer("200 OK", sse+chunked, lastChunk), "", false},
+		{"no body, ended by close", httpAnswer("200 OK", sse, ""), "", false},
+		{"no events but empty lines", inOne("200 OK", sse, "\n\n\n\n"), "", false},
+		{"error as an event without an id", inOne("200 OK", sse, "event: error\ndata: overloaded\n\n"), "", false},
+		{"error as a field", inOne("200 OK", sse, "error: overloaded\n\n"), "", false},
+		{"from the start", inOne("200 OK", sse, testEvents(1, 2, 3, 4)), "", false},
+		{"the last event again", inOne("200 OK", sse, testEvents(2, 3, 4)), "", false},
+		{"ids fall", inOne("200 OK", sse, testEvents(3, 5, 4)), testEvents(3, 5), false},
+		{"id is no number", inOne("200 OK", sse, "id: three\ndata: x\n\n"), "", false},
+		{"ends inside an event", withLength("200 OK", sse, testEvents(3)+"id: 4\ndata: pie"), testEvents(3), false},
+		{"head in the middle, in chunks", headInChunks, testEvents(3), false},
+		{"head in the middle, with a length", withLength("200 OK", sse, testEvents(3)+wholeHead), testEvents(3), false},
+		{"head in the middle, ended by close", httpAnswer("200 OK", sse, testEvents(3)+wholeHead), testEvents(3), false},
+		{"head between chunks", httpAnswer("200 OK", sse+chunked, inChunks(testEvents(3))+wholeHead), testEvents(3), false},
+		{"another answer after the head", httpAnswer("200 OK", sse, wholeHead+testEvents(3)), "", false},
+	} {
+		for _, first := range firsts {
+			t.Run(next.name+"/"+first.name, func(t *testing.T) {
+				t.Parallel()
+				c := newTestCluster(t)
+				c.publishConfig(3, nil)
+				c.addBreakingEngine("d1", first.answer, next.answer)
+				c.addBreakingEngine("d2", first.answer, next.answer)
+				n := c.startNode("n1")
+				c.waitReady(n)
+				got := n.call("POST", "/quick/1", "q", shortPrompt, shortTokens)
+				if got.status != 200 || got.body != two+next.want || (got.err == nil) != next.complete {
+					t.Errorf("got status %d, error %v and body %q, want status 200, a complete response: %t, and body %q", got.status, got.err, got.body, next.complete, two+next.want)
+				}
+			})
+		}
+	}
+}
--- a/io/byentry/relay.go
+++ b/io/byentry/relay.go
@@ -43,6 +43,9 @@
 	runEventAt  time.Time     // when the first complete event of the present run arrived, zero before
 	answerBegun bool          // whether the answer of the present run counts as begun
 
+	mediaType    string       // type of the first response, whose header was sent
+	continuation continuation // checks the present run, if it is not the first
+
 	endpoint byfleet.Endpoint // endpoint of the present run
 	holding  bool             // whether the events are held until the stream is complete
 	held     []byte           // events held
@@ -59,8 +62,10 @@
 	r.pending = r.pending[:0]
 	r.endpoint = e
 	r.runEventAt, r.answerBegun = time.Time{}, false
-	if r.headerSent && resp.Status != http.StatusOK {
-		return burdockyard.ErrInterrupted
+	if r.headerSent {
+		if err := r.continuation.begin(resp, r.mediaType, r.lastEventID); err != nil {
+			return err
+		}
 	}
 	buf := make([]byte, relayReadBytes)
 	received := false
@@ -94,6 +99,9 @@
 	if !resp.IsSelfDelimited() && (len(r.pending) > 0 || r.runEventAt.IsZero()) {
 		return merry.Wrap(burdockyard.ErrInterrupted, merry.WithCause(io.ErrUnexpectedEOF))
 	}
+	if err := r.continuation.end(r.pending); err != nil {
+		return err
+	}
 	if resp.IsSelfDelimited() {
 		r.recordAnswer(resp)
 	}
@@ -152,6 +160,12 @@
 		return nil
 	}
 	end += len("\n\n")
+	var brokenOff error
+	if r.continuation.active {
+		if end, brokenOff = r.continuation.accept(r.pending[:end]); end == 0 {
+			return brokenOff
+		}
+	}
 	events := r.pending[:end]
 	r.recordEvents(events)
 	now := r.c.node.clock.Now()
@@ -179,7 +193,7 @@
 	if err := http.NewResponseController(r.c.w).Flush(); err != nil {
 		return merry.Wrap(errCallerDisconnected, merry.WithCause(err))
 	}
-	return nil
+	return brokenOff
 }
 
 // recordEvents counts events and stores the id of the last one.
@@ -201,7 +215,7 @@
 	if r.headerSent {
 		return
 	}
-	r.headerSent = true
+	r.headerSent, r.mediaType = true, mediaTypeOf(resp.Header)
 	h := r.c.w.Header()
 	for key, values := range r.c.node.platform.Protocol.ResponseHeaders(resp.Header) {
 		h[key] = values
