--- a/io/byentry/broken_test.go
+++ b/io/byentry/broken_test.go
@@ -156,3 +156,37 @@
 		}
 	}
 }
+
+// TestBrokenStreamIsNoCompleteResponse guards against the failure that a caller that speaks
+// HTTP/1.0, where a response ends with its connection, takes a stream that broke off for a
+// complete one.
+func TestBrokenStreamIsNoCompleteResponse(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct {
+		name, answer string
+		complete     bool
+	}{
+		{"complete", httpAnswer("200 OK", "Content-Type: text/event-stream\r\n", testEvents(1, 2)), true},
+		{"broken off", httpAnswer("200 OK", "Content-Type: text/event-stream\r\nContent-Length: 500\r\n", testEvents(1, 2)), false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := newTestCluster(t)
+			c.publishConfig(3, nil)
+			c.addBreakingEngine("d1", tt.answer, "")
+			n := c.startNode("n1")
+			c.waitReady(n)
+			conn, err := net.Dial("tcp4", n.settings.CallerAddr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := fmt.Fprintf(conn, "POST /long/1 HTTP/1.0\r\nHost: h.example\r\nX-Request-Id: old\r\nX-Deadline-Ms: 3000\r\n%s\r\n%s\r\nContent-Length: 1\r\n\r\nq", shortPrompt, shortTokens); err != nil {
+				t.Fatal(err)
+			}
+			if data, err := io.ReadAll(conn); (err == nil) != tt.complete {
+				t.Errorf("the connection ended with error %v after %q, want an error: %t", err, data, !tt.complete)
+			}
+		})
+	}
+}
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -376,7 +376,7 @@
 	}
 	if err != nil {
 		c.recordEnd(bylog.OutcomeInterrupted, bylog.Str("endpoint", string(buffered.endpoint)), bylog.Err(err))
-		panic(http.ErrAbortHandler) // closes the connection, so that the caller sees that the response is incomplete
+		c.abort()
 	}
 	c.recordEnd(bylog.OutcomeAnswered, bylog.Int("status", buffered.status), bylog.Str("endpoint", string(buffered.endpoint)))
 }
--- a/io/byentry/callers.go
+++ b/io/byentry/callers.go
@@ -1,6 +1,7 @@
 package byentry
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -59,3 +60,21 @@
 		conn.Close()
 	}
 }
+
+// connKey is the key of a caller's connection in the context of its requests.
+type connKey struct{}
+
+// withConn is the http.Server.ConnContext hook of the server for callers.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// abort ends a response that is incomplete by closing the caller's connection. It does not
+// return. A response to HTTP/1.0 has no chunks and ends with its connection, so that
+// connection is reset.
+func (c *call) abort() {
+	if conn, ok := c.r.Context().Value(connKey{}).(*net.TCPConn); ok && !c.r.ProtoAtLeast(1, 1) {
+		_ = conn.SetLinger(0) // fails only if the connection is closed already
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -240,7 +240,7 @@
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	group, serveCtx := errgroup.WithContext(serveCtx)
-	callerServer := &http.Server{Handler: n, ReadHeaderTimeout: readHeaderTimeout, ConnState: n.callerConns.track, ErrorLog: nil}
+	callerServer := &http.Server{Handler: n, ReadHeaderTimeout: readHeaderTimeout, ConnContext: withConn, ConnState: n.callerConns.track, ErrorLog: nil}
 	servers := []*http.Server{
 		callerServer,
 		{Handler: n.platform.NewReadiness(n.ready), ReadHeaderTimeout: readHeaderTimeout},
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -65,7 +65,7 @@
 }
 
 // endStream ends a request that cannot continue on another endpoint. If the response
-// to the caller has begun, it panics with http.ErrAbortHandler.
+// to the caller has begun, it does not return.
 func (c *call) endStream(relay *eventRelay, last outcome, err error) {
 	if !relay.headerSent {
 		c.sendFinalResponse(last, err)
@@ -73,7 +73,7 @@
 	}
 	c.endpointFailure.close()
 	c.recordEnd(bylog.OutcomeInterrupted, bylog.Int("events", relay.eventCount), bylog.Err(err))
-	panic(http.ErrAbortHandler) // so that the caller detects the truncated response
+	c.abort()
 }
 
 // planPrompt selects the engines for the prompt, and returns false if there are none.
