--- a/io/byentry/broken_test.go
+++ b/io/byentry/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -12,10 +13,34 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// addBreakingEngine starts an engine that answers a new stream with first and one that it
+// publishServices publishes a configuration with the given services. Each has a route of
+// every kind, whose prefix is /NAME/KIND/; streams can be resumed on the route "resumable".
+func (c *testCluster) publishServices(names ...string) {
+	var routes, services []map[string]any
+	for _, name := range names {
+		for kind, attempts := range map[string]int{"safe": 2, "unsafe": 1, "resumable": 2, "streaming": 1} {
+			route := map[string]any{"name": name + "-" + kind, "host": "h.example", "prefix": "/" + name + "/" + kind + "/", "kind": kind, "timeoutMs": 5000, "targetLatencyMs": 300, "attempts": attempts, "service": name}
+			if kind == "resumable" {
+				route["kind"], route["resumable"] = "streaming", true
+			}
+			route["stickySessions"] = route["kind"] == "streaming"
+			routes = append(routes, route)
+		}
+		services = append(services, map[string]any{"name": name, "healthPath": "/health", "maxConnections": c.maxConnections, "engine": map[string]any{
+			"slots": 12, "kvCapacityTokens": 360000, "kvTokenBytes": 131072, "linkMbps": 740000.0, "handleTtlS": 5.0, "stageSwitchS": 3.0}})
+	}
+	data, err := json.Marshal(map[string]any{"version": 3, "routes": routes, "services": services,
+		"limits": map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": c.maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.store.Set("op", "config", data)
+}
+
+// addBreakingEngine starts an engine of a service that answers a new stream with first and one that it
 // is to continue with next, and registers it in the store. It closes the connection after
 // each answer. In both texts, %s is the ID of the request.
-func (c *testCluster) addBreakingEngine(id, first, next string) {
+func (c *testCluster) addBreakingEngine(id, service, first, next string) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		c.t.Fatal(err)
@@ -44,7 +69,7 @@
 			group.Go(func() error { serve(conn); return nil })
 		}
 	})
-	entry := fmt.Sprintf(`{"service":"llm","address":%q,"zone":"a","slots":4,"state":"ready","sequence":1,"version":"v1","stage":"decode"}`, l.Addr())
+	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":4,"state":"ready","sequence":1,"version":"v1","stage":"decode"}`, service, l.Addr())
 	c.store.Set("servers", id, []byte(entry))
 }
 
@@ -91,7 +116,7 @@
 		{"with a length", httpAnswer("200 OK", sse+"Content-Length: 500\r\n", two)},
 		{"ended by close", httpAnswer("200 OK", sse, two+"id: 3\nda")},
 	}
-	for _, next := range []struct {
+	nexts := []struct {
 		name, answer string
 		want         string // events that the caller gets of it
 		complete     bool
@@ -138,17 +163,25 @@
 		{"head in the middle, ended by close", httpAnswer("200 OK", sse, testEvents(3)+wholeHead), testEvents(3), false},
 		{"head between chunks", httpAnswer("200 OK", sse+chunked, inChunks(testEvents(3))+wholeHead), testEvents(3), false},
 		{"another answer after the head", httpAnswer("200 OK", sse, wholeHead+testEvents(3)), "", false},
-	} {
-		for _, first := range firsts {
+	}
+	c := newTestCluster(t)
+	var services []string
+	for i, next := range nexts {
+		for j, first := range firsts {
+			service := fmt.Sprintf("s-%d-%d", i, j)
+			services = append(services, service)
+			for _, id := range []string{"d1-", "d2-"} {
+				c.addBreakingEngine(id+service, service, first.answer, next.answer)
+			}
+		}
+	}
+	c.publishServices(services...)
+	n := c.startNode("n1")
+	c.waitReady(n)
+	for i, next := range nexts {
+		for j, first := range firsts {
 			t.Run(next.name+"/"+first.name, func(t *testing.T) {
-				t.Parallel()
-				c := newTestCluster(t)
-				c.publishConfig(3, nil)
-				c.addBreakingEngine("d1", first.answer, next.answer)
-				c.addBreakingEngine("d2", first.answer, next.answer)
-				n := c.startNode("n1")
-				c.waitReady(n)
-				got := n.call("POST", "/quick/1", "q", shortPrompt, shortTokens)
+				got := n.call("POST", fmt.Sprintf("/s-%d-%d/resumable/1", i, j), "q", shortPrompt, shortTokens)
 				if got.status != 200 || got.body != two+next.want || (got.err == nil) != next.complete {
 					t.Errorf("got status %d, error %v and body %q, want status 200, a complete response: %t, and body %q", got.status, got.err, got.body, next.complete, two+next.want)
 				}
@@ -173,7 +206,7 @@
 			t.Parallel()
 			c := newTestCluster(t)
 			c.publishConfig(3, nil)
-			c.addBreakingEngine("d1", tt.answer, "")
+			c.addBreakingEngine("d1", "llm", tt.answer, "")
 			n := c.startNode("n1")
 			c.waitReady(n)
 			conn, err := net.Dial("tcp4", n.settings.CallerAddr)
--- a/io/byentry/refusal_test.go
+++ b/io/byentry/refusal_test.go
@@ -126,7 +126,7 @@
 	t.Parallel()
 	const full, busy, other = "503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request"
 	long := strings.Repeat("x", 40_000)
-	for _, tt := range []struct {
+	tests := []struct {
 		name   string
 		bytes  rawBytes
 		body   string
@@ -152,25 +152,34 @@
 		{"before a long body", rawBytes{before: refusalOf("first", full), early: true}, long, 200},
 		{"without an ID, before a long body", rawBytes{before: refusalOf("", full), early: true}, long, 502},
 		{"without a length", rawBytes{before: strings.Replace(refusalOf("first", full), "Content-Length: 7\r\n", "", 1)}, "x", 502},
-	} {
+	}
+	c := newTestCluster(t)
+	var services []string
+	runners := map[string][]*rawRunner{} // by service
+	for i, tt := range tests {
+		service := fmt.Sprint("s-", i)
+		services = append(services, service)
+		for _, id := range []string{"a-", "b-"} {
+			runners[service] = append(runners[service], c.addRawRunner(id+service, service, tt.bytes))
+		}
+	}
+	c.publishServices(services...)
+	n := c.startNode("n1")
+	c.waitReady(n)
+	for i, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			t.Parallel()
-			c := newTestCluster(t)
-			c.publishConfig(3, nil)
-			first, second := c.addRawRunner("app-1", "app", tt.bytes), c.addRawRunner("app-2", "app", tt.bytes)
-			n := c.startNode("n1")
-			c.waitReady(n)
-			if got := n.callWithID("first", "POST", "/book/1", "x"); got.status != 503 {
+			path := "/" + services[i] + "/unsafe/1"
+			if got := n.callWithID("first", "POST", path, "x"); got.status != 503 {
 				t.Fatalf("got response %+v to a refused request, want status 503", got)
 			}
 			if tt.bytes.late != "" {
 				time.Sleep(100 * time.Millisecond)
 			}
-			got := n.callWithID("next", "POST", "/book/1", tt.body)
+			got := n.callWithID("next", "POST", path, tt.body)
 			if got.status != tt.status || tt.status == 200 && got.body != "done" {
 				t.Errorf("got response %+v, want status %d", got, tt.status)
 			}
-			if runs := totalRuns("next", first, second); runs > 1 || got.status == 503 && runs > 0 {
+			if runs := totalRuns("next", runners[services[i]]...); runs > 1 || got.status == 503 && runs > 0 {
 				t.Errorf("the request has run %d times and got status %d, want at most one run, and none with status 503", runs, got.status)
 			}
 		})
@@ -182,27 +191,30 @@
 // 408, 429 or 503 for a promise.
 func TestUnprovenRefusalIsNotPassedOn(t *testing.T) {
 	t.Parallel()
-	for _, status := range []string{"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"} {
-		for _, path := range []string{"/book/1", "/read/1", "/quick/1", "/long/1"} {
-			t.Run(status[:3]+path, func(t *testing.T) {
-				t.Parallel()
-				c := newTestCluster(t)
-				c.publishConfig(3, nil)
-				answer := strings.Replace(refusalOf("%s", status), "X-Not-Executed: 1", "Retry-After: 0.1", 1)
-				var runners []*rawRunner
-				for _, service := range []string{"app", "llm"} {
-					for i := range 2 {
-						runners = append(runners, c.addRawRunner(fmt.Sprint(service, i), service, rawBytes{answer: answer}))
-					}
-				}
-				n := c.startNode("n1")
-				c.waitReady(n)
-				got := n.callWithID("next", "POST", path, "x", shortPrompt, shortTokens)
-				limit := 1
-				if path == "/read/1" || path == "/quick/1" {
-					limit = 2 // may run twice
-				}
-				if runs := totalRuns("next", runners...); got.status != 502 || runs < 1 || runs > limit {
+	c := newTestCluster(t)
+	runners := map[string][]*rawRunner{} // by service
+	var services []string
+	statuses := []string{"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"}
+	kinds := map[string]int{"safe": 2, "unsafe": 1, "resumable": 2, "streaming": 1} // with how often a request may run
+	for _, status := range statuses {
+		for kind := range kinds {
+			service := status[:3] + "-" + kind
+			services = append(services, service)
+			answer := strings.Replace(refusalOf("%s", status), "X-Not-Executed: 1\r\n", "", 1)
+			for _, id := range []string{"a-", "b-"} {
+				runners[service] = append(runners[service], c.addRawRunner(id+service, service, rawBytes{answer: answer}))
+			}
+		}
+	}
+	c.publishServices(services...)
+	n := c.startNode("n1")
+	c.waitReady(n)
+	for _, status := range statuses {
+		for kind, limit := range kinds {
+			t.Run(status[:3]+"/"+kind, func(t *testing.T) {
+				service := status[:3] + "-" + kind
+				got := n.callWithID("next", "POST", "/"+service+"/"+kind+"/1", "x", shortPrompt, shortTokens)
+				if runs := totalRuns("next", runners[service]...); got.status != 502 || runs < 1 || runs > limit {
 					t.Errorf("got response %+v after %d runs, want status 502 after 1 to %d", got, runs, limit)
 				}
 			})
