--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -79,14 +79,28 @@
 		n.reportResult(e, byfleet.WrongEndpoint, nil)
 	case info.NotRun:
 		n.reportResult(e, byfleet.Shed, nil)
-	case resp.Status >= http.StatusInternalServerError:
+	case resp.Status >= http.StatusInternalServerError || info.Unproven:
 		n.reportResult(e, byfleet.Failed, nil)
 	}
 	if info.NotRun {
-		c.log("endpoint refused", append(c.attemptFields(e, a), bylog.Int("status", resp.Status))...)
 		c.drainBody(resp)
+		isDoubtful := c.isDoubtful(resp)
+		resp.Close()
+		if isDoubtful {
+			n.reportResult(e, byfleet.Failed, nil)
+			c.warn("refusal not believed", append(c.attemptFields(e, a), bylog.Int("status", resp.Status))...)
+			return nil, outcomeUnknown, burdockyard.ErrRequestMismatch
+		}
+		c.log("endpoint refused", append(c.attemptFields(e, a), bylog.Int("status", resp.Status))...)
 		return nil, outcomeNotRun, burdockyard.ErrNotStarted
 	}
+	if info.Unproven {
+		// Callers take the status for a promise that the request has not run.
+		c.drainBody(resp)
+		resp.Close()
+		c.warn("endpoint failed", bylog.Str("endpoint", string(e.ID)), bylog.Int("status", resp.Status))
+		return nil, outcomeUnknown, burdockyard.ErrInterrupted
+	}
 	return resp, outcomeAnswered, nil
 }
 
@@ -161,7 +175,24 @@
 	if _, err := resp.ReadAll(maxBufferedBody); err != nil {
 		c.node.log.calls.Debug("refusal body not read to its end", bylog.Str("request", string(c.info.ID)), bylog.Err(err))
 	}
-	resp.Close()
+}
+
+// isDoubtful reports whether a refusal may be a copy of an earlier one, although it carries
+// the ID of the request: the endpoint repeats refusals on its connection, or another
+// response to the request follows.
+func (c *call) isDoubtful(resp *byforward.Response) bool {
+	decode := c.node.platform.Protocol.DecodeResponse
+	for _, earlier := range resp.Copies() {
+		if decode(earlier.Status, earlier.Header).NotRun {
+			return true
+		}
+	}
+	next, found := resp.Next()
+	if !found {
+		return false
+	}
+	info := decode(next.Status, next.Header)
+	return !info.NotRun && (info.ID == c.info.ID || next.Header == nil)
 }
 
 // endpointConnLimit returns the maximum number of connections to one endpoint from
@@ -345,7 +376,7 @@
 	}
 	if err != nil {
 		c.recordEnd(bylog.OutcomeInterrupted, bylog.Str("endpoint", string(buffered.endpoint)), bylog.Err(err))
-		panic(http.ErrAbortHandler) // closes the connection, so that the caller sees that the response is incomplete
+		c.abort()
 	}
 	c.recordEnd(bylog.OutcomeAnswered, bylog.Int("status", buffered.status), bylog.Str("endpoint", string(buffered.endpoint)))
 }
