--- a/io/byentry/cluster_test.go
+++ b/io/byentry/cluster_test.go
@@ -71,6 +71,7 @@
 	settings byentry.Settings
 	stop     context.CancelFunc
 	group    *errgroup.Group
+	paths    *bystub.Paths // links of the node to the runners, nil if it reaches them directly
 }
 
 func newTestCluster(t *testing.T) *testCluster {
@@ -145,11 +146,25 @@
 var nodesStarted atomic.Int64
 
 // startNode starts a Node, which is stopped when the test ends.
-func (c *testCluster) startNode(name string) *testNode {
-	store := platform.NewStore(c.addr)
+func (c *testCluster) startNode(name string) *testNode { return c.startNodeAt(name, "a", c.addr) }
+
+// startNodeWithPaths starts a Node that has a link of its own to each runner, which the
+// test may cut. It is the only node of its failure domain, since nodes of one domain pass
+// readings of the registry on to each other.
+func (c *testCluster) startNodeWithPaths(name string) *testNode {
+	paths := bystub.NewPaths(c.store)
+	c.t.Cleanup(paths.Close)
+	n := c.startNodeAt(name, "domain-of-"+name, c.serveHandler(paths))
+	n.paths = paths
+	return n
+}
+
+// startNodeAt starts a Node in a failure domain that reads the store at an address.
+func (c *testCluster) startNodeAt(name, domain, storeAddr string) *testNode {
+	store := platform.NewStore(storeAddr)
 	ip := nodeIP()
 	s := byentry.Settings{
-		Node: burdockyard.NodeID(name), Domain: "a", ReloadableSettings: byentry.ReloadableSettings{
+		Node: burdockyard.NodeID(name), Domain: domain, ReloadableSettings: byentry.ReloadableSettings{
 			Capacity: 0.4, MemoryBytes: c.memoryBytes, Grace: c.grace, DrainBound: 2 * time.Second, ConfigBound: 2 * time.Second,
 			RetryRatio: 0.2, RetrySlack: 50, AnswerTTL: time.Second,
 		},
