--- /dev/null
+++ b/core/byreach/byreach_test.go
@@ -0,0 +1,188 @@
+package byreach_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"burdockyard"
+	"burdockyard/core/byreach"
+)
+
+// testClock is a clock that a test sets.
+type testClock struct{ now time.Time }
+
+func (c *testClock) Now() time.Time { return c.now }
+
+func endpoint(i int) burdockyard.EndpointID { return burdockyard.EndpointID(fmt.Sprint("e", i)) }
+
+// TestCutOffNeedsOwnFailuresAndWitness guards against a node that blames the endpoints for
+// its own links, and against one that withdraws because some or all endpoints have failed.
+func TestCutOffNeedsOwnFailuresAndWitness(t *testing.T) {
+	reaching, losing := byreach.Peer{Reached: []string{"app"}}, byreach.Peer{Lost: []string{"app"}}
+	many := func(p byreach.Peer, n int) []byreach.Peer { return slices.Repeat([]byreach.Peer{p}, n) }
+	for _, tt := range []struct {
+		name                      string
+		endpoints, contact, fails int
+		age                       time.Duration // since the failures
+		peers                     []byreach.Peer
+		lost, cutOff              bool
+	}{
+		{"fleet of 9, all fail, peers reach", 5, 0, 4, 0, many(reaching, 8), true, true},
+		{"4 of 7 nodes are cut off", 5, 0, 4, 0, append(many(reaching, 3), many(losing, 3)...), true, true},
+		{"200 of 295 nodes are cut off", 40, 0, 6, 0, append(many(reaching, 95), many(losing, 199)...), true, true},
+		{"nobody reaches them", 5, 0, 5, 0, many(losing, 6), true, false},
+		{"no peers", 5, 0, 5, 0, nil, true, false},
+		{"peers reach another service", 5, 0, 5, 0, []byreach.Peer{{Reached: []string{"llm"}}}, true, false},
+		{"one of two endpoints fails", 2, 1, 1, 0, many(reaching, 6), false, false},
+		{"half of the endpoints fail", 8, 4, 4, 0, many(reaching, 6), false, false},
+		{"two thirds of the tried endpoints fail", 9, 2, 4, 0, many(reaching, 6), true, true},
+		{"a single failure of many endpoints", 9, 0, 1, 0, many(reaching, 6), false, false},
+		{"the only endpoint fails", 1, 0, 1, 0, many(reaching, 6), true, true},
+		{"one failure of one tried endpoint, long ago", 9, 0, 1, 2 * time.Second, many(reaching, 6), false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := &testClock{time.Unix(1000, 0)}
+			r := byreach.New(clock)
+			for i := range tt.contact {
+				r.RecordContact("app", endpoint(i))
+			}
+			for i := range tt.fails {
+				r.RecordFailure("app", endpoint(tt.contact+i), tt.endpoints)
+			}
+			clock.now = clock.now.Add(tt.age)
+			if got := r.IsLost("app"); got != tt.lost {
+				t.Errorf("IsLost returned %v, want %v", got, tt.lost)
+			}
+			if got := r.IsCutOff("app", tt.peers); got != tt.cutOff {
+				t.Errorf("IsCutOff returned %v, want %v", got, tt.cutOff)
+			}
+			if r.IsLost("llm") {
+				t.Error("a service that was not tried counts as lost")
+			}
+		})
+	}
+}
+
+// TestFailuresOverTimeDoNotAddUp guards against endpoints that crash one after the other,
+// as in a release, being taken for a lost link.
+func TestFailuresOverTimeDoNotAddUp(t *testing.T) {
+	clock := &testClock{time.Unix(1000, 0)}
+	r := byreach.New(clock)
+	for i := range 20 {
+		r.RecordFailure("app", endpoint(i), 20)
+		clock.now = clock.now.Add(1100 * time.Millisecond)
+	}
+	if r.IsLost("app") {
+		t.Error("single failures, more than a second apart, count as a lost link")
+	}
+}
+
+// TestProbesFindCutAndRecovery checks that requests which hang lead to probes, that
+// responses on old connections do not end a cut, and that new connections do at once.
+func TestProbesFindCutAndRecovery(t *testing.T) {
+	clock := &testClock{time.Unix(1000, 0)}
+	r := byreach.New(clock)
+	r.RecordContact("app", "e1")
+	defer r.BeginWait("app")()
+	if clock.now = clock.now.Add(time.Second); r.ProbesDue("app", 5) != 0 {
+		t.Error("a single slow request is probed for")
+	}
+	defer r.BeginWait("app")()
+	due := r.ProbesDue("app", 5)
+	for i := range due {
+		r.RecordProbe("app", endpoint(i), false, 5)
+	}
+	if due < 2 || !r.IsLost("app") {
+		t.Fatalf("%d probes were due and failed, lost is %v; want at least 2 and true", due, r.IsLost("app"))
+	}
+	r.RecordContact("app", "e1")
+	r.RecordContact("app", "e2")
+	if !r.IsLost("app") {
+		t.Error("responses on old connections have ended the cut")
+	}
+	for range 8 {
+		clock.now = clock.now.Add(300 * time.Millisecond)
+		if due := r.ProbesDue("app", 5); due != 1 {
+			t.Errorf("%d probes are due during the cut, want 1 in each 300 ms", due)
+		}
+		r.RecordProbe("app", "e3", false, 5)
+	}
+	clock.now = clock.now.Add(300 * time.Millisecond)
+	healed := clock.now
+	for i := 0; r.IsLost("app"); i++ {
+		for range r.ProbesDue("app", 5) {
+			r.RecordProbe("app", endpoint(i), true, 5)
+		}
+		if clock.now = clock.now.Add(100 * time.Millisecond); clock.now.Sub(healed) > 2*time.Second {
+			t.Fatal("the links still count as lost 2 s after they are back")
+		}
+	}
+}
+
+// TestCallersAreDirectedToNodesThatReach guards against directories that name nodes which
+// are cut off, or that name nobody.
+func TestCallersAreDirectedToNodesThatReach(t *testing.T) {
+	reaching, cut := byreach.Peer{Reached: []string{"app", "llm"}}, byreach.Peer{Lost: []string{"app", "llm"}}
+	partly, idle := byreach.Peer{Reached: []string{"llm"}, Lost: []string{"app"}}, byreach.Peer{}
+	for _, tt := range []struct {
+		name        string
+		nodes, want []byreach.Peer
+	}{
+		{"all reach", []byreach.Peer{reaching, reaching, idle}, []byreach.Peer{reaching, reaching, idle}},
+		{"some are cut off", []byreach.Peer{reaching, cut, partly, idle}, []byreach.Peer{reaching, idle}},
+		{"all are cut off", []byreach.Peer{cut, cut}, []byreach.Peer{cut, cut}},
+		{"nobody reaches one service", []byreach.Peer{partly, partly, cut}, []byreach.Peer{partly, partly}},
+		{"each is cut off from another service", []byreach.Peer{partly, {Reached: []string{"app"}, Lost: []string{"llm"}}}, []byreach.Peer{partly, {Reached: []string{"app"}, Lost: []string{"llm"}}}},
+	} {
+		got := byreach.Directed(tt.nodes, func(p byreach.Peer) byreach.Peer { return p })
+		if fmt.Sprint(got) != fmt.Sprint(tt.want) {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// TestOutageOfEndpointsWithdrawsNobody checks, for any order of results, that no node counts
+// as cut off while no peer states that it reaches the endpoints, and that a node whose
+// attempts all succeed never counts as cut off.
+func TestOutageOfEndpointsWithdrawsNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := &testClock{time.Unix(1000, 0)}
+		const nodes, endpoints = 7, 9
+		trackers := make([]*byreach.Tracker, nodes)
+		cut := make([]bool, nodes)
+		for i := range trackers {
+			trackers[i] = byreach.New(clock)
+			cut[i] = rapid.Bool().Draw(t, "cut")
+		}
+		down := rapid.Bool().Draw(t, "all endpoints are down")
+		for range rapid.IntRange(1, 200).Draw(t, "attempts") {
+			i, e := rapid.IntRange(0, nodes-1).Draw(t, "node"), endpoint(rapid.IntRange(0, endpoints-1).Draw(t, "endpoint"))
+			failed := down || cut[i]
+			if rapid.Bool().Draw(t, "probe") {
+				trackers[i].RecordProbe("app", e, !failed, endpoints)
+			} else if failed {
+				trackers[i].RecordFailure("app", e, endpoints)
+			} else {
+				trackers[i].RecordContact("app", e)
+			}
+			clock.now = clock.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			var statements []byreach.Peer
+			for _, r := range trackers {
+				reached, lost := r.Statements()
+				statements = append(statements, byreach.Peer{Reached: reached, Lost: lost})
+			}
+			for n, r := range trackers {
+				if r.IsCutOff("app", slices.Delete(slices.Clone(statements), n, n+1)) && (down || !cut[n]) {
+					t.Fatalf("node %d counts as cut off; it is cut off: %v, endpoints are down: %v", n, cut[n], down)
+				}
+			}
+			if len(byreach.Directed(statements, func(p byreach.Peer) byreach.Peer { return p })) == 0 {
+				t.Fatal("callers are directed to nobody")
+			}
+		}
+	})
+}
