--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -63,12 +63,15 @@
 	c.sends++
 	c.tried[e.ID] = true
 	sentAt := n.clock.Now()
+	endWait := n.reach.BeginWait(e.Service)
 	resp, err := n.forwarder.Send(ctx, byforward.Target{Addr: e.Addr, MaxConns: n.endpointConnLimit(c.service)}, req)
+	endWait()
 	if err != nil {
 		c.warn("send failed", append(c.attemptFields(e, a), bylog.Str("addr", e.Addr), bylog.Err(err))...)
 		return nil, c.classifySendError(ctx, e, attemptAction(a), err), err
 	}
 	n.metrics.EndpointLatency(c.service.Name, attemptAction(a)).Update(n.clock.Now().Sub(sentAt).Seconds())
+	n.recordContact(e)
 	info := n.observeResponse(e, resp.Status, resp.Header)
 	n.loadTracker.RecordLoadReport(e.ID, info.Load)
 	if !info.WrongEndpoint {
@@ -143,6 +146,9 @@
 		c.node.limits.Return(e.ID, e.BornMS)
 		if !errors.Is(err, byforward.ErrConnectionLimit) {
 			c.node.reportResult(e, byfleet.Unreachable, err)
+			if ctx.Err() == nil && c.timeLeft() > 0 {
+				c.node.recordLinkFailure(e)
+			}
 		}
 		return outcomeNotRun
 	}
@@ -151,6 +157,9 @@
 		return outcomeAbandoned
 	}
 	c.node.reportResult(e, byfleet.Unreachable, err)
+	if isLinkFailure(err) {
+		c.node.recordLinkFailure(e)
+	}
 	c.attemptBroke(ctx, e, action, 0, false, err)
 	return outcomeUnknown
 }
--- a/io/byentry/cut_test.go
+++ b/io/byentry/cut_test.go
@@ -1,6 +1,7 @@
 package byentry_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -31,6 +32,7 @@
 			if got := c.totalRuns(); got != 0 {
 				t.Errorf("%d requests have run, want 0", got)
 			}
+			c.waitUntil("the log tells that the links are lost", func() bool { return strings.Contains(c.logs.String(), "links to endpoints lost") })
 			if err := n.paths.Heal(); err != nil {
 				t.Fatal(err)
 			}
@@ -39,6 +41,7 @@
 			if took := time.Since(healed); took > 3*time.Second {
 				t.Errorf("the node served again after %v, want at most 3 s", took)
 			}
+			c.waitUntil("the log tells that the links are back", func() bool { return strings.Contains(c.logs.String(), "links to endpoints regained") })
 		})
 	}
 }
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -33,6 +33,7 @@
 	"burdockyard/core/bymember"
 	"burdockyard/core/byplace"
 	"burdockyard/core/byquarantine"
+	"burdockyard/core/byreach"
 	"burdockyard/core/byroutes"
 	"burdockyard/io/byforward"
 	"burdockyard/io/bylog"
@@ -127,6 +128,7 @@
 	relayClients       *bypeer.RelayClients
 	callerConns        *callerConns
 	endProbes          *endProbes
+	reach              *byreach.Tracker
 	quarantine         *byquarantine.Quarantine
 	records            *recordStore
 	limits             *bylimit.Limits
@@ -183,6 +185,7 @@
 	n.peers = newPeers(n)
 	n.callerConns = newCallerConns(n.clock)
 	n.endProbes = newEndProbes()
+	n.reach = byreach.New(n.clock)
 	n.limits = bylimit.New(n.clock, s.Node)
 	n.quarantine = byquarantine.New(n.clock, s.Node)
 	n.records = newRecordStore(n)
@@ -333,6 +336,7 @@
 		group.Go(func() error { return n.queryCaches(ctx) })
 	}
 	group.Go(func() error { return runEvery(ctx, roleCheckInterval, n.roles.reconcile) })
+	group.Go(func() error { return runEvery(ctx, reachCheckInterval, newReachMonitor(n).check) })
 }
 
 // runEvery calls f once per interval until ctx is done.
--- /dev/null
+++ b/io/byentry/reach.go
@@ -0,0 +1,114 @@
+package byentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"burdockyard/core/byfleet"
+	"burdockyard/io/bylog"
+)
+
+const (
+	// reachCheckInterval is the time between two checks of the links to the endpoints.
+	reachCheckInterval = 50 * time.Millisecond
+	// reachProbeTimeout limits the probe of a link. Endpoints accept in about 1 ms.
+	reachProbeTimeout = 300 * time.Millisecond
+)
+
+// recordContact records a response of endpoint e.
+func (n *Node) recordContact(e byfleet.Endpoint) {
+	if n.reach.IsLost(e.Service) {
+		// A request that was sent although the links count as lost is as good as a probe.
+		n.reach.RecordProbe(e.Service, e.ID, true, len(n.fleet.Usable(e.Service)))
+		return
+	}
+	n.reach.RecordContact(e.Service, e.ID)
+}
+
+// recordLinkFailure records that an attempt at endpoint e has failed for want of a link.
+func (n *Node) recordLinkFailure(e byfleet.Endpoint) {
+	n.reach.RecordFailure(e.Service, e.ID, len(n.fleet.Usable(e.Service)))
+}
+
+// isLinkFailure reports whether err, of an attempt that got no byte of a response, means
+// that the connection has failed rather than that the endpoint has closed it.
+func isLinkFailure(err error) bool {
+	for _, failure := range []error{syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EPIPE, syscall.EHOSTUNREACH, syscall.ENETUNREACH} {
+		if errors.Is(err, failure) {
+			return true
+		}
+	}
+	return false
+}
+
+// reachMonitor probes the links to the endpoints of each service where that is due, and
+// reports changes. Only the goroutine that calls check uses it.
+type reachMonitor struct {
+	node *Node
+	lost map[string]time.Time // since when the links to a service are lost, by service; zero while they are not
+}
+
+func newReachMonitor(n *Node) *reachMonitor {
+	return &reachMonitor{node: n, lost: map[string]time.Time{}}
+}
+
+// check probes the links that are due and reports what has changed since the last call.
+func (m *reachMonitor) check(ctx context.Context) {
+	t := m.node.routes.Current()
+	if t == nil {
+		return
+	}
+	var probes errgroup.Group
+	for _, s := range t.Services() {
+		endpoints := m.node.fleet.Usable(s.Name)
+		order := rand.Perm(len(endpoints))
+		for _, i := range order[:m.node.reach.ProbesDue(s.Name, len(endpoints))] {
+			probes.Go(func() error { m.probe(ctx, endpoints[i], len(endpoints)); return nil })
+		}
+	}
+	_ = probes.Wait() // probes return no error
+	for _, s := range t.Services() {
+		m.report(s.Name, len(m.node.fleet.Usable(s.Name)))
+	}
+}
+
+// probe opens a connection to an endpoint, one of the given number.
+func (m *reachMonitor) probe(ctx context.Context, e byfleet.Endpoint, endpoints int) {
+	err := m.node.forwarder.Probe(ctx, e.Addr, reachProbeTimeout)
+	if ctx.Err() != nil {
+		return
+	}
+	m.node.metrics.LinkProbes(e.Service).Inc()
+	m.node.reach.RecordProbe(e.Service, e.ID, err == nil, endpoints)
+}
+
+// report logs whether the links to a service were lost or regained, and tells the peers.
+func (m *reachMonitor) report(service string, endpoints int) {
+	n := m.node
+	before, known := m.lost[service]
+	if !known {
+		n.metrics.RegisterGauge(fmt.Sprintf(`burdock_reached_endpoints{service=%q}`, service), func() float64 {
+			reached, _ := n.reach.Reached(service)
+			return float64(reached)
+		})
+	}
+	since := n.reach.LostSince(service)
+	m.lost[service] = since
+	if before.IsZero() == since.IsZero() {
+		return
+	}
+	reached, failed := n.reach.Reached(service)
+	fields := []bylog.Field{bylog.Str("service", service), bylog.Int("reached", reached), bylog.Int("failed", failed), bylog.Int("endpoints", endpoints)}
+	if since.IsZero() {
+		n.log.fleet.Info("links to endpoints regained", append(fields, bylog.Millis("lost_ms", n.clock.Now().Sub(before)))...)
+	} else {
+		n.log.fleet.Warn("links to endpoints lost", fields...)
+	}
+	n.peers.sendSoon()
+}
--- a/io/byforward/byforward.go
+++ b/io/byforward/byforward.go
@@ -265,6 +265,18 @@
 	return false
 }
 
+// Probe opens a new connection to addr and closes it without sending anything. It takes at
+// most timeout.
+func (f *Forwarder) Probe(ctx context.Context, addr string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	nc, err := f.dialer.DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		return merry.Prepend(err, "probing "+addr)
+	}
+	return nc.Close()
+}
+
 // isReusable reports whether an idle connection is open and has no data to read.
 // Unread data belongs to no request in progress: it is a late or duplicate
 // response.
--- a/io/bymetrics/bymetrics.go
+++ b/io/bymetrics/bymetrics.go
@@ -116,6 +116,12 @@
 	return m.set.GetOrCreateHistogram(fmt.Sprintf(`burdock_hop_seconds{service=%q,asked_to=%q}`, service, action))
 }
 
+// LinkProbes returns the counter of connections that were opened to endpoints of a service
+// only to find out whether this node reaches them.
+func (m *Metrics) LinkProbes(service string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_link_probes_total{service=%q}`, service))
+}
+
 // LimitedResponses returns the counter of responses in which an endpoint of a service
 // names a limit of requests.
 func (m *Metrics) LimitedResponses(service string) *metrics.Counter {
