--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -23,6 +23,7 @@
 	"burdockyard/core/byfleet"
 	"burdockyard/core/bylimit"
 	"burdockyard/core/byquarantine"
+	"burdockyard/core/byreach"
 )
 
 const (
@@ -68,6 +69,7 @@
 	CachedParts       []CachedPart              // prompt parts that engines have prefilled since the previous heartbeat
 	Quarantine        byquarantine.News         // inputs that end endpoints
 	Limits            []bylimit.Statement       // limits that endpoints have named to this node
+	Reach             byreach.Peer              // services whose endpoints the node reaches, and those that it has lost
 	Ready             bool                      // whether the node accepts callers
 	Capacity          float64                   // share of a core that the node may use; weights the directory's answers
 }
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -466,6 +466,7 @@
 		Seq: n.heartbeatSeq.Add(1), Loads: loads, CachedParts: cachedParts, HeldEngines: n.roles.renewHolds(),
 		LeavingEndpoints: n.fleet.Leaving(), Quarantine: n.quarantine.News(), Limits: n.limits.Statements(),
 	}
+	heartbeat.Reach.Reached, heartbeat.Reach.Lost = n.reach.Statements()
 	if t := n.routes.Current(); t != nil {
 		heartbeat.Generation = t.Version()
 	}
--- a/io/bypeer/server.go
+++ b/io/bypeer/server.go
@@ -16,6 +16,7 @@
 	"burdockyard/core/bylimit"
 	"burdockyard/core/bymanifest"
 	"burdockyard/core/bymember"
+	"burdockyard/core/byreach"
 	"burdockyard/io/bypeer/bypeerpb"
 )
 
@@ -105,6 +106,7 @@
 		Leaving: h.Leaving, Generation: h.Generation, Fresh: h.RecentlyConfirmed, Seq: h.Seq,
 		Ready: h.Ready, Capacity: h.Capacity,
 		Loads: loadsToProto(h.Loads), Reads: cachedPartsToProto(h.CachedParts),
+		ReachedServices: h.Reach.Reached, LostServices: h.Reach.Lost,
 	}
 	if !h.Quarantine.IsEmpty() {
 		out.Quarantine = quarantineToProto(h.Quarantine)
@@ -128,6 +130,7 @@
 		Ready: msg.GetReady(), Capacity: msg.GetCapacity(),
 		Loads: loadsFromProto(msg.GetLoads()), CachedParts: cachedPartsFromProto(msg.GetReads()),
 		Quarantine: quarantineFromProto(msg.GetQuarantine()),
+		Reach:      byreach.Peer{Reached: msg.GetReachedServices(), Lost: msg.GetLostServices()},
 	}
 	for _, s := range msg.GetLimits() {
 		out.Limits = append(out.Limits, bylimit.Statement{Endpoint: burdockyard.EndpointID(s.GetEndpoint()), BornMS: s.GetBornMs(), Named: s.GetNamed(), PerSecond: s.GetPerSecond(), Age: millis(s.GetAgeMs()), Since: millis(s.GetSinceMs())})
