--- a/core/byreach/byreach.go
+++ b/core/byreach/byreach.go
@@ -277,6 +277,27 @@
 // Reaches reports whether the peer states that it reaches the endpoints of a service.
 func (p Peer) Reaches(name string) bool { return slices.Contains(p.Reached, name) }
 
+// Pick returns the index of one of the weights, each with a probability in proportion to
+// it, given u in [0, 1). It returns false if none is positive.
+func Pick(weights []float64, u float64) (int, bool) {
+	total := 0.0
+	for _, w := range weights {
+		total += w
+	}
+	last, ok := 0, false
+	left := u * total
+	for i, w := range weights {
+		if w <= 0 {
+			continue
+		}
+		if last, ok = i, true; left < w {
+			break
+		}
+		left -= w
+	}
+	return last, ok
+}
+
 // Directed returns those of the nodes to which callers should be directed: the ones that
 // have lost no service which another of them reaches, or all if there are none such.
 func Directed[T any](nodes []T, statement func(T) Peer) []T {
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -72,6 +72,7 @@
 	}
 	n.metrics.EndpointLatency(c.service.Name, attemptAction(a)).Update(n.clock.Now().Sub(sentAt).Seconds())
 	n.recordContact(e)
+	c.reachedEndpoint = true
 	info := n.observeResponse(e, resp.Status, resp.Header)
 	n.loadTracker.RecordLoadReport(e.ID, info.Load)
 	if !info.WrongEndpoint {
@@ -147,6 +148,7 @@
 		if !errors.Is(err, byforward.ErrConnectionLimit) {
 			c.node.reportResult(e, byfleet.Unreachable, err)
 			if ctx.Err() == nil && c.timeLeft() > 0 {
+				c.linkFailures++
 				c.node.recordLinkFailure(e)
 			}
 		}
@@ -158,6 +160,7 @@
 	}
 	c.node.reportResult(e, byfleet.Unreachable, err)
 	if isLinkFailure(err) {
+		c.linkFailures++
 		c.node.recordLinkFailure(e)
 	}
 	c.attemptBroke(ctx, e, action, 0, false, err)
@@ -243,10 +246,13 @@
 			c.keepFailure(buffered)
 			last = outcomeUnknown
 		}
-		if !c.takeRetry(last) {
+		if c.lacksLink() || !c.takeRetry(last) {
 			break
 		}
 	}
+	if c.handOverInstead(ctx, last) {
+		return
+	}
 	c.sendFinalResponse(last, lastErr)
 }
 
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -11,7 +11,8 @@
 // The loops in watch.go follow the configuration and the endpoint registry.
 // peers.go exchanges heartbeats with the other nodes. ingress.go accepts a request,
 // call.go or prompt.go sends it to endpoints, and relay.go streams events back to
-// the caller.
+// the caller. reach.go watches the links to the endpoints; while they are lost,
+// handover.go hands requests over to nodes that reach them.
 package byentry
 
 import (
@@ -69,7 +70,7 @@
 	CallerAddr       string        // address that serves callers' requests
 	ReadyAddr        string        // address that serves readiness checks
 	DirectoryAddr    string        // address that tells callers which nodes to connect to
-	PeerAddr         string        // address for other nodes: UDP for heartbeats, TCP for relayed table readings
+	PeerAddr         string        // address for other nodes: UDP for heartbeats, TCP for relayed table readings and handed-over requests
 	MetricsAddr      string        // address that serves /metrics; empty disables it
 	FirstSystemStart bool          // whether the whole system starts for the first time; engines' caches are then not queried
 	ClaimTTL         time.Duration // how long a claim on an engine entitles this node to send it orders
@@ -137,6 +138,8 @@
 	log                loggers
 	stopping           atomic.Bool
 	stop               *stopState
+	handoversTaken     atomic.Int64 // number of requests in progress that other nodes have handed over
+	losesCallers       atomic.Bool  // whether callers should use other nodes, as this one is cut off from a service
 	openRequests       atomic.Int64 // number of requests in progress
 	bodyBytes          atomic.Int64 // size of the bodies of requests in progress, as charged against the memory limit
 	heartbeatSeq       atomic.Uint64
@@ -241,7 +244,7 @@
 		callerServer,
 		{Handler: n.platform.NewReadiness(n.ready), ReadHeaderTimeout: readHeaderTimeout},
 		{Handler: n.platform.NewDirectory(n.directoryAddresses), ReadHeaderTimeout: readHeaderTimeout},
-		{Handler: bypeer.NewRelayHandler(n.applyRelayedReading), ReadHeaderTimeout: readHeaderTimeout},
+		{Handler: n.peerHandler(), ReadHeaderTimeout: readHeaderTimeout},
 	}
 	if n.settings.MetricsAddr != "" {
 		servers = append(servers, &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: readHeaderTimeout})
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -68,16 +68,22 @@
 	onlySend        bool                            // whether the request must not be sent more than once
 	reserved        *byfleet.Endpoint               // endpoint that a later request may be sent to, nil if none
 	quarantined     bool                            // whether one of the keys was quarantined after the request was admitted
+	handedOver      *handover                       // set if another node has handed the request over
+	linkFailures    int                             // number of attempts that failed for want of a link
+	reachedEndpoint bool                            // whether an endpoint has responded to an attempt
 }
 
 // ServeHTTP implements http.Handler.
-func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) { n.serveRequest(w, r, nil) }
+
+// serveRequest serves a request of a caller, or one that another node hands over.
+func (n *Node) serveRequest(w http.ResponseWriter, r *http.Request, h *handover) {
 	n.openRequests.Add(1)
 	defer n.openRequests.Add(-1)
-	if n.stopping.Load() {
+	if n.stopping.Load() || h == nil && n.losesCallers.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{node: n, r: r, w: w, startedAt: n.clock.Now(), tried: map[burdockyard.EndpointID]bool{}}
+	c := &call{node: n, r: r, w: w, startedAt: n.clock.Now(), tried: map[burdockyard.EndpointID]bool{}, handedOver: h}
 	table := n.routes.Current()
 	if table == nil || !n.records.known.Load() {
 		c.deadline = c.startedAt.Add(defaultDeadline)
@@ -109,12 +115,22 @@
 		c.refuse(reasonStopping, minRetryAfter)
 		return
 	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	if h != nil {
+		done, ok := c.takeOver()
+		defer done()
+		if !ok {
+			return
+		}
+	} else if n.isCutOff(c.service.Name) {
+		c.handOver(ctx)
+		return
+	}
 	if !c.passQuarantine() {
 		return
 	}
 	n.retryBudgets.forService(c.service.Name).Deposit()
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
-	defer cancel()
 	if c.route.Kind == burdockyard.KindStream {
 		c.serveStream(ctx)
 		return
@@ -221,12 +237,16 @@
 // to start.
 func (c *call) startTimeLeft() time.Duration {
 	startTimeout := max(minStartTimeout, startTimeoutObjectives*c.route.LatencyTarget, startTimeoutGaps*c.route.TargetEventGap)
+	if c.handedOver != nil {
+		startTimeout -= c.handedOver.waited
+	}
 	return min(c.timeLeft(), c.startedAt.Add(startTimeout).Sub(c.node.clock.Now()))
 }
 
 // reject responds to an invalid request.
 func (c *call) reject(status int, cause string) {
 	c.recordEnd(bylog.OutcomeRejected, bylog.Int("status", status), bylog.Str("cause", cause))
+	c.markNotRun(reasonRejected)
 	if status == http.StatusRequestEntityTooLarge || status == http.StatusBadRequest || status == http.StatusRequestTimeout {
 		c.w.Header().Set("Connection", "close") // the rest of the body is left unread
 	}
@@ -246,6 +266,9 @@
 	reasonEndpointsFull   reason = "endpoints_full"   // every endpoint that was tried refused
 	reasonQuarantined     reason = "quarantined"      // endpoints end under requests with the same input
 	reasonLimited         reason = "limited"          // the limits that all endpoints name are used up
+	reasonNoLink          reason = "no_link"          // this node has lost its links to the endpoints, and no other node could take the request
+	reasonPeerFull        reason = "peer_full"        // the node has taken over as many requests from others as it can bear
+	reasonRejected        reason = "rejected"         // another node takes the request for invalid
 	reasonNoAnswer        reason = "no_answer"        // the request was sent and no complete response arrived
 	reasonEndpointFailed  reason = "endpoint_failed"  // one endpoint may have run the request, the others refused
 )
@@ -263,6 +286,7 @@
 	if retryAfter > 0 {
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
+	c.markNotRun(cause)
 	http.Error(c.w, "not run: "+string(cause), http.StatusServiceUnavailable)
 }
 
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -50,10 +50,13 @@
 		if last == outcomeAnswered {
 			return
 		}
-		if !c.takeRetry(last) {
+		if !relay.headerSent && c.lacksLink() || !c.takeRetry(last) {
 			break
 		}
 	}
+	if !relay.headerSent && c.handOverInstead(ctx, last) {
+		return
+	}
 	c.endStream(relay, last, lastErr)
 }
 
@@ -262,9 +265,12 @@
 		if last == outcomeAnswered {
 			return
 		}
-		if !c.takeRetry(last) {
+		if !relay.headerSent && c.lacksLink() || !c.takeRetry(last) {
 			break
 		}
 	}
+	if !relay.headerSent && c.handOverInstead(ctx, last) {
+		return
+	}
 	c.endStream(relay, last, lastErr)
 }
--- a/io/byentry/reach.go
+++ b/io/byentry/reach.go
@@ -23,7 +23,7 @@
 
 // recordContact records a response of endpoint e.
 func (n *Node) recordContact(e byfleet.Endpoint) {
-	if n.reach.IsLost(e.Service) {
+	if n.reach.IsLost(e.Service) && !n.isCutOff(e.Service) {
 		// A request that was sent although the links count as lost is as good as a probe.
 		n.reach.RecordProbe(e.Service, e.ID, true, len(n.fleet.Usable(e.Service)))
 		return
@@ -73,9 +73,12 @@
 		}
 	}
 	_ = probes.Wait() // probes return no error
+	cutOff := false
 	for _, s := range t.Services() {
 		m.report(s.Name, len(m.node.fleet.Usable(s.Name)))
+		cutOff = cutOff || m.node.isCutOff(s.Name)
 	}
+	m.node.losesCallers.Store(cutOff)
 }
 
 // probe opens a connection to an endpoint, one of the given number.
--- a/io/bymetrics/bymetrics.go
+++ b/io/bymetrics/bymetrics.go
@@ -122,6 +122,13 @@
 	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_link_probes_total{service=%q}`, service))
 }
 
+// Handovers returns the counter of requests to a service that pass between two nodes,
+// because one of them has lost its links to the endpoints: "sent" by that one, "taken" or
+// "refused" by the other.
+func (m *Metrics) Handovers(service, outcome string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_handovers_total{service=%q,outcome=%q}`, service, outcome))
+}
+
 // LimitedResponses returns the counter of responses in which an endpoint of a service
 // names a limit of requests.
 func (m *Metrics) LimitedResponses(service string) *metrics.Counter {
