--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -12,6 +12,7 @@
 	"burdockyard"
 	"burdockyard/core/bydigest"
 	"burdockyard/core/bymember"
+	"burdockyard/core/byreach"
 	"burdockyard/io/bygossip"
 	"burdockyard/io/bylog"
 	"burdockyard/io/bypeer"
@@ -466,7 +467,7 @@
 		Seq: n.heartbeatSeq.Add(1), Loads: loads, CachedParts: cachedParts, HeldEngines: n.roles.renewHolds(),
 		LeavingEndpoints: n.fleet.Leaving(), Quarantine: n.quarantine.News(), Limits: n.limits.Statements(),
 	}
-	heartbeat.Reach.Reached, heartbeat.Reach.Lost = n.reach.Statements()
+	heartbeat.Reach = n.ownReach()
 	if t := n.routes.Current(); t != nil {
 		heartbeat.Generation = t.Version()
 	}
@@ -475,12 +476,14 @@
 
 // directoryAddresses returns the addresses to which callers may connect, and how long
 // callers may cache them. It considers this node and the peers that are reachable,
-// ready and not leaving.
+// ready and not leaving, and names nodes that have lost their links to endpoints only if
+// there are no others.
 func (n *Node) directoryAddresses(_, domain string) ([]string, time.Duration) {
 	var nodes []bymember.Heartbeat
 	if n.ready() {
 		nodes = append(nodes, bymember.Heartbeat{
 			Member: n.self, CallerAddr: n.settings.CallerAddr, Domain: n.settings.Domain, Capacity: n.reloadableSettings.Load().Capacity,
+			Reach: n.ownReach(),
 		})
 	}
 	for _, h := range n.view.ReceivedWithin(unreachableAfter) {
@@ -488,6 +491,7 @@
 			nodes = append(nodes, h)
 		}
 	}
+	nodes = byreach.Directed(nodes, func(h bymember.Heartbeat) byreach.Peer { return h.Reach })
 	var addrs []string
 	for _, h := range bymember.SelectNodes(nodes, domain, maxDirectoryAddresses) {
 		addrs = append(addrs, h.CallerAddr)
--- a/io/byentry/reach.go
+++ b/io/byentry/reach.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"burdockyard/core/byfleet"
+	"burdockyard/core/byreach"
 	"burdockyard/io/bylog"
 )
 
@@ -36,6 +37,12 @@
 	n.reach.RecordFailure(e.Service, e.ID, len(n.fleet.Usable(e.Service)))
 }
 
+// ownReach returns what this node states in its heartbeats.
+func (n *Node) ownReach() byreach.Peer {
+	reached, lost := n.reach.Statements()
+	return byreach.Peer{Reached: reached, Lost: lost}
+}
+
 // isLinkFailure reports whether err, of an attempt that got no byte of a response, means
 // that the connection has failed rather than that the endpoint has closed it.
 func isLinkFailure(err error) bool {
