--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -212,10 +212,16 @@
 // the same order, and when a node leaves, only its own jobs move. Nodes of the
 // failure domain named domain come first.
 func (v *View) Rank(key, domain, ownDomain string) int {
+	return v.RankAmong(key, domain, ownDomain, func(Heartbeat) bool { return true })
+}
+
+// RankAmong is like Rank, but counts only those other nodes for which eligible returns
+// true.
+func (v *View) RankAmong(key, domain, ownDomain string, eligible func(Heartbeat) bool) int {
 	ownScore := score(key, v.self.Node)
 	rank := 0
 	for _, hb := range v.Alive() {
-		if hb.Leaving {
+		if hb.Leaving || !eligible(hb) {
 			continue
 		}
 		if ranksBefore(hb.Domain == domain, score(key, hb.Member.Node), ownDomain == domain, ownScore) {
--- a/io/byentry/roles.go
+++ b/io/byentry/roles.go
@@ -14,6 +14,7 @@
 	"burdockyard"
 	"burdockyard/core/byclaim"
 	"burdockyard/core/byfleet"
+	"burdockyard/core/bymember"
 	"burdockyard/core/byrole"
 	"burdockyard/io/byforward"
 	"burdockyard/io/bylog"
@@ -100,10 +101,17 @@
 }
 
 // isResponsible reports whether this node is the one that orders role changes for a
-// service.
+// service: the first one among those that have not lost their links to its engines, or
+// among all if all have.
 func (r *roleController) isResponsible(service string) bool {
 	n := r.node
-	return n.ready() && n.view.Rank("roles/"+service, "", n.settings.Domain) == 0
+	if n.isCutOff(service) {
+		return false
+	}
+	lost := n.reach.IsLost(service)
+	return n.ready() && n.view.RankAmong("roles/"+service, "", n.settings.Domain, func(h bymember.Heartbeat) bool {
+		return lost || !slices.Contains(h.Reach.Lost, service)
+	}) == 0
 }
 
 // changeRole claims an engine that does not have the given role, puts it on hold, and
--- a/io/byentry/roles_test.go
+++ b/io/byentry/roles_test.go
@@ -10,6 +10,7 @@
 
 	"burdockyard"
 	"burdockyard/core/bymember"
+	"burdockyard/core/byreach"
 	"burdockyard/core/byrole"
 	"burdockyard/io/bymem"
 	"burdockyard/platform"
@@ -129,3 +130,27 @@
 		t.Errorf("d1 accepted %d orders, want none", n)
 	}
 }
+
+// TestCutOffNodeOrdersNoEngine guards against role changes that nobody orders, because the
+// node that ranks first has lost its links to the engines, or that two nodes order.
+func TestCutOffNodeOrdersNoEngine(t *testing.T) {
+	whole, cut := byreach.Peer{Reached: []string{"llm"}}, byreach.Peer{Lost: []string{"llm"}}
+	for _, tt := range []struct {
+		own, peer byreach.Peer
+		want      string // which of the two is responsible: this node, the peer, or the one that ranks first
+	}{{whole, whole, "first"}, {whole, cut, "this"}, {cut, whole, "peer"}, {cut, cut, "first"}} {
+		for _, peer := range []string{"n1", "n2", "n3", "n4", "n5"} {
+			n := newRoleTestNode(t, bymem.NewTable(), "n0").node
+			n.records.known.Store(true)
+			n.view.RecordHeartbeat(bymember.Heartbeat{Member: burdockyard.Member{Node: burdockyard.NodeID(peer), Incarnation: "1"}, Seq: 1, Ready: true, Reach: tt.peer})
+			if n.reach.RecordContact("llm", "p1"); len(tt.own.Lost) > 0 {
+				n.reach.RecordFailure("llm", "p1", 2)
+				n.reach.RecordFailure("llm", "p2", 2)
+			}
+			isFirst := n.view.Rank("roles/llm", "", "a") == 0
+			if got, want := n.roles.isResponsible("llm"), tt.want == "this" || tt.want == "first" && isFirst; got != want {
+				t.Errorf("with statement %+v and %+v of peer %s, the node is responsible: %v, want %v", tt.own, tt.peer, peer, got, want)
+			}
+		}
+	}
+}
