--- a/core/byreach/byreach.go
+++ b/core/byreach/byreach.go
@@ -18,9 +18,10 @@
 // # States
 //
 // The links to a service are lost once attempts at two thirds of the endpoints that were
-// tried within a window have failed, with no contact since. Then only probes, which open a
-// connection and send nothing, show that they are back: connections from before may live
-// on while new ones are refused.
+// tried within a window have failed, and no endpoint at all has been in contact for a
+// while: if some crash, the others go on answering. Then only probes, which open a
+// connection and send nothing, show that the links are back: connections from before may
+// live on while new ones are refused.
 package byreach
 
 import (
@@ -40,9 +41,9 @@
 	// minFailed is the number of endpoints that must have failed, if the service has that
 	// many.
 	minFailed = 2
-	// suspectAfter is how long requests wait without a byte from any endpoint until the
-	// links are probed.
-	suspectAfter = 400 * time.Millisecond
+	// quietAfter is the time without contact with any endpoint after which the links may
+	// be lost. Requests that wait for so long lead to probes.
+	quietAfter = 400 * time.Millisecond
 	// minWaiting is the number of requests that must wait for that.
 	minWaiting = 2
 	// probeInterval is the shortest time between two rounds of probes of one service.
@@ -50,9 +51,6 @@
 	// suspectProbes is the number of endpoints that are probed on suspicion, and after a
 	// probe has succeeded while the links count as lost.
 	suspectProbes = 3
-	// quietAfter is how long there must have been no contact for a failed dial to count
-	// as a sign that further ones will fail too.
-	quietAfter = 500 * time.Millisecond
 )
 
 // Tracker tracks the links of one node. It is safe for concurrent use; mu is a leaf lock.
@@ -66,6 +64,7 @@
 type service struct {
 	results      map[burdockyard.EndpointID]result
 	lastContact  time.Time // with any endpoint
+	lastFailure  time.Time // at any endpoint
 	waiting      int       // requests without a response
 	waitingSince time.Time // when waiting last rose from 0
 	probedAt     time.Time
@@ -73,10 +72,9 @@
 	lostAt       time.Time // when the links were lost; zero while they are not
 }
 
-// result is the latest result at one endpoint.
+// result holds when the latest attempts at one endpoint had contact and failed.
 type result struct {
-	at     time.Time
-	failed bool
+	contactAt, failedAt time.Time
 }
 
 // New returns a Tracker without results.
@@ -117,7 +115,9 @@
 	defer t.mu.Unlock()
 	s := t.service(name)
 	s.lastContact = t.clock.Now()
-	s.results[id] = result{at: s.lastContact}
+	r := s.results[id]
+	r.contactAt = s.lastContact
+	s.results[id] = r
 }
 
 // RecordFailure records that an attempt at an endpoint has failed for want of a link: its
@@ -127,8 +127,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, now := t.service(name), t.clock.Now()
-	s.results[id] = result{at: now, failed: true}
-	if s.lostAt.IsZero() && s.mostFail(now, endpoints) {
+	s.lastFailure = now
+	r := s.results[id]
+	r.failedAt = now
+	s.results[id] = r
+	tried, failed, _ := s.count(now)
+	isQuiet := now.Sub(s.lastContact) >= quietAfter
+	if s.lostAt.IsZero() && isQuiet && failed >= max(min(minFailed, endpoints), 1) && failed*lostDenominator >= tried*lostNumerator {
 		s.lostAt = now
 		s.confirm = false
 	}
@@ -148,24 +153,45 @@
 		return
 	}
 	s.confirm = true
-	if !s.mostFail(t.clock.Now(), endpoints) {
+	if tried, failed, _ := s.count(t.clock.Now()); failed*lostDenominator <= tried*lostNumerator {
 		s.lostAt = time.Time{}
 	}
 }
 
-// mostFail reports whether the latest results at most endpoints that were tried are
-// failures. It removes results that no longer count.
-func (s *service) mostFail(now time.Time, endpoints int) bool {
-	failed := 0
+// count returns the number of endpoints that were tried lately, of those at which the
+// latest attempt failed, and of those at which any attempt failed. It removes results that
+// no longer count.
+func (s *service) count(now time.Time) (tried, failed, anyFailed int) {
 	for id, r := range s.results {
-		switch {
-		case now.Sub(r.at) > window:
+		hasContact, hasFailure := now.Sub(r.contactAt) <= window, now.Sub(r.failedAt) <= window
+		if !hasContact && !hasFailure {
 			delete(s.results, id)
-		case r.failed:
+			continue
+		}
+		if hasFailure {
+			anyFailed++
+		}
+		if hasFailure && !r.contactAt.After(r.failedAt) {
 			failed++
 		}
 	}
-	return failed >= max(min(minFailed, endpoints), 1) && failed*lostDenominator >= len(s.results)*lostNumerator
+	return len(s.results), failed, anyFailed
+}
+
+// isDoubtful reports whether attempts at several endpoints fail though there may be
+// contact, as when old connections live on and new ones are refused.
+func (s *service) isDoubtful(now time.Time) bool {
+	tried, _, anyFailed := s.count(now)
+	return anyFailed >= minFailed || anyFailed > 0 && anyFailed*lostDenominator >= tried*lostNumerator
+}
+
+// HasFailedWithin reports whether an attempt at any endpoint of the service has failed for
+// want of a link in the last d.
+func (t *Tracker) HasFailedWithin(name string, d time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	return s != nil && t.clock.Now().Sub(s.lastFailure) < d
 }
 
 // IsLost reports whether the links to the service are lost.
@@ -200,26 +226,17 @@
 func (t *Tracker) Reached(name string) (reached, failed int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, now := t.services[name], t.clock.Now()
+	s := t.services[name]
 	if s == nil {
 		return 0, 0
 	}
-	for id, r := range s.results {
-		switch {
-		case now.Sub(r.at) > window:
-			delete(s.results, id)
-		case r.failed:
-			failed++
-		default:
-			reached++
-		}
-	}
-	return reached, failed
+	tried, failed, _ := s.count(t.clock.Now())
+	return tried - failed, failed
 }
 
 // Statements returns the services whose endpoints the node reaches as far as it knows, and
-// those that it has lost, both in order. A service of which it has no result is in
-// neither.
+// those that it has lost, both in order. A service of which it has no result, or of which
+// attempts at several endpoints fail, is in neither.
 func (t *Tracker) Statements() (reached, lost []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -227,7 +244,7 @@
 		switch {
 		case !s.lostAt.IsZero():
 			lost = append(lost, name)
-		case !s.lastContact.IsZero():
+		case !s.lastContact.IsZero() && !s.isDoubtful(t.clock.Now()):
 			reached = append(reached, name)
 		}
 	}
@@ -247,7 +264,7 @@
 		return 0
 	}
 	probes := 1
-	switch isQuiet := now.Sub(s.lastContact) >= suspectAfter && now.Sub(s.waitingSince) >= suspectAfter; {
+	switch isQuiet := now.Sub(s.lastContact) >= quietAfter && now.Sub(s.waitingSince) >= quietAfter; {
 	case !s.lostAt.IsZero() && s.confirm:
 		s.confirm = false
 		probes = suspectProbes
