--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -72,7 +72,6 @@
 	}
 	n.metrics.EndpointLatency(c.service.Name, attemptAction(a)).Update(n.clock.Now().Sub(sentAt).Seconds())
 	n.recordContact(e)
-	c.reachedEndpoint = true
 	info := n.observeResponse(e, resp.Status, resp.Header)
 	n.loadTracker.RecordLoadReport(e.ID, info.Load)
 	if !info.WrongEndpoint {
@@ -87,6 +86,7 @@
 		n.reportResult(e, byfleet.Failed, nil)
 	}
 	if info.NotRun {
+		c.endpointRefused = true
 		c.log("endpoint refused", append(c.attemptFields(e, a), bylog.Int("status", resp.Status))...)
 		c.drainBody(resp)
 		return nil, outcomeNotRun, burdockyard.ErrNotStarted
@@ -280,6 +280,8 @@
 		c.refuse(reasonLimited, c.timeToLimit())
 	case last == outcomeNotRun && len(c.tried) == 0:
 		c.refuse(reasonNoEndpoint, c.retryAfterRest(noEndpointRetryAfter))
+	case last == outcomeNotRun && c.handedOver != nil && c.onlyLinksFailed():
+		c.refuse(reasonNoLink, noEndpointRetryAfter)
 	case last == outcomeNotRun:
 		c.refuse(reasonEndpointsFull, c.retryAfterRest(endpointsFullRetryAfter))
 	default:
--- a/io/byentry/handover.go
+++ b/io/byentry/handover.go
@@ -42,6 +42,8 @@
 	// sameDomainPreference is how much more often a node of the same failure domain gets a
 	// request than one of equal capacity in another domain.
 	sameDomainPreference = 3
+	// setAsideTime is how long an endpoint that could not be connected to may be set aside.
+	setAsideTime = 2 * time.Second
 	// maxPeerConns limits the open connections to another node for requests.
 	maxPeerConns = 256
 )
@@ -142,11 +144,10 @@
 // handOverInstead hands the request over to a peer if this node could not serve it for
 // want of a link, and reports whether it did. last is the outcome of the last attempt.
 func (c *call) handOverInstead(ctx context.Context, last outcome) bool {
-	onlyLinksFailed := c.linkFailures > 0 && !c.reachedEndpoint
 	switch {
 	case c.handedOver != nil || c.trial || c.onlySend || c.callerGone() || c.timeLeft() <= 0 || c.isQuarantined():
 		return false
-	case !onlyLinksFailed && !c.lacksLink() || len(c.node.peersReaching(c.service.Name)) == 0:
+	case !c.onlyLinksFailed() && !c.lacksLink() || len(c.node.peersReaching(c.service.Name)) == 0:
 		return false
 	case (last != outcomeNotRun || c.possibleRuns > 0) && (!c.route.Idempotent() || !c.takeRetry(last)):
 		return false
@@ -155,6 +156,19 @@
 	return true
 }
 
+// onlyLinksFailed reports whether the request could not be served for want of a link, and
+// not because an endpoint refused it.
+func (c *call) onlyLinksFailed() bool {
+	return !c.endpointRefused && (c.linkFailures > 0 || c.endpointsSetAside())
+}
+
+// endpointsSetAside reports whether no endpoint could be tried because those that could
+// serve the request were set aside when this node could not connect to them.
+func (c *call) endpointsSetAside() bool {
+	_, rests := c.node.fleet.RestLeft(c.service.Name)
+	return len(c.tried) == 0 && !rests && c.timeToLimit() == 0 && c.node.reach.HasFailedWithin(c.service.Name, setAsideTime)
+}
+
 // handOver serves the request through other nodes. It always responds to the caller.
 func (c *call) handOver(ctx context.Context) {
 	last, lastErr := outcomeNotRun, error(nil)
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -70,7 +70,7 @@
 	quarantined     bool                            // whether one of the keys was quarantined after the request was admitted
 	handedOver      *handover                       // set if another node has handed the request over
 	linkFailures    int                             // number of attempts that failed for want of a link
-	reachedEndpoint bool                            // whether an endpoint has responded to an attempt
+	endpointRefused bool                            // whether an endpoint has refused the request
 }
 
 // ServeHTTP implements http.Handler.
@@ -266,7 +266,7 @@
 	reasonEndpointsFull   reason = "endpoints_full"   // every endpoint that was tried refused
 	reasonQuarantined     reason = "quarantined"      // endpoints end under requests with the same input
 	reasonLimited         reason = "limited"          // the limits that all endpoints name are used up
-	reasonNoLink          reason = "no_link"          // this node has lost its links to the endpoints, and no other node could take the request
+	reasonNoLink          reason = "no_link"          // this node could connect to no endpoint, and no other node has taken the request
 	reasonPeerFull        reason = "peer_full"        // the node has taken over as many requests from others as it can bear
 	reasonRejected        reason = "rejected"         // another node takes the request for invalid
 	reasonNoAnswer        reason = "no_answer"        // the request was sent and no complete response arrived
