--- a/io/byentry/handover_test.go
+++ b/io/byentry/handover_test.go
@@ -242,3 +242,64 @@
 		}
 	}
 }
+
+// TestCutFromOneServiceLeavesTheOther guards against a node that hands everything over, or
+// nothing, when its links to the endpoints of one of two services hang, and against one
+// that takes an outage of all endpoints for a cut of its own.
+func TestCutFromOneServiceLeavesTheOther(t *testing.T) {
+	t.Parallel()
+	c, nodes := newCutCluster(t, 3)
+	traffic, stop := c.startCutTraffic(nodes, 60*time.Millisecond)
+	time.Sleep(time.Second)
+	setLinks := func(n *testNode, change func(*bystub.Link) error) {
+		for id, addr := range c.addrs {
+			l, err := n.paths.Link(addr)
+			if err == nil && strings.HasPrefix(id, "app-") {
+				err = change(l)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	setLinks(nodes[1], func(l *bystub.Link) error { return l.Cut(bystub.CutHang) })
+	time.Sleep(2500 * time.Millisecond)
+	log := len(c.logs.String())
+	traffic.count(true)
+	time.Sleep(time.Second)
+	traffic.count(false)
+	for _, line := range strings.Split(c.logs.String()[log:], "\n") {
+		if strings.Contains(line, "handed over") && !strings.Contains(line, `"route":"read"`) && !strings.Contains(line, `"route":"book"`) {
+			t.Fatalf("a stream was handed over though the node reaches its engines: %s", line)
+		}
+	}
+	time.Sleep(300 * time.Millisecond) // in which the counted requests end
+	// Then nobody reaches the endpoints of the service: nobody withdraws, nothing has run
+	// that is reported as not run.
+	for _, n := range []*testNode{nodes[0], nodes[2]} {
+		setLinks(n, func(l *bystub.Link) error { return l.Cut(bystub.CutReset) })
+	}
+	time.Sleep(2 * time.Second)
+	for _, n := range nodes {
+		if got := len(n.directoryAddrs()); got != len(nodes) {
+			t.Errorf("the directory of %s names %d nodes while nobody reaches the endpoints, want %d", n.settings.Node, got, len(nodes))
+		}
+	}
+	for _, n := range nodes {
+		setLinks(n, (*bystub.Link).Heal)
+	}
+	healed := time.Now()
+	for _, n := range nodes {
+		c.waitUntil("the node serves again", func() bool { return traffic.send(n, cutRequests[0]).status == 200 })
+	}
+	if took := time.Since(healed); took > 2*time.Second {
+		t.Errorf("all nodes served again %v after their links were back, want at most 2 s", took)
+	}
+	stop()
+	traffic.checkTruth()
+	for key, got := range traffic.sent {
+		if got.served*3 < got.sent*2 {
+			t.Errorf("%s: %d of %d served while one node was cut off from one service, want two thirds", key, got.served, got.sent)
+		}
+	}
+}
