--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -63,12 +63,15 @@
 	c.sends++
 	c.tried[e.ID] = true
 	sentAt := n.clock.Now()
+	endWait := n.reach.BeginWait(e.Service)
 	resp, err := n.forwarder.Send(ctx, byforward.Target{Addr: e.Addr, MaxConns: n.endpointConnLimit(c.service)}, req)
+	endWait()
 	if err != nil {
 		c.warn("send failed", append(c.attemptFields(e, a), bylog.Str("addr", e.Addr), bylog.Err(err))...)
 		return nil, c.classifySendError(ctx, e, attemptAction(a), err), err
 	}
 	n.metrics.EndpointLatency(c.service.Name, attemptAction(a)).Update(n.clock.Now().Sub(sentAt).Seconds())
+	n.recordContact(e)
 	info := n.observeResponse(e, resp.Status, resp.Header)
 	n.loadTracker.RecordLoadReport(e.ID, info.Load)
 	if !info.WrongEndpoint {
@@ -91,6 +94,7 @@
 			c.warn("refusal not believed", append(c.attemptFields(e, a), bylog.Int("status", resp.Status))...)
 			return nil, outcomeUnknown, burdockyard.ErrRequestMismatch
 		}
+		c.endpointRefused = true
 		c.log("endpoint refused", append(c.attemptFields(e, a), bylog.Int("status", resp.Status))...)
 		return nil, outcomeNotRun, burdockyard.ErrNotStarted
 	}
@@ -157,6 +161,10 @@
 		c.node.limits.Return(e.ID, e.BornMS)
 		if !errors.Is(err, byforward.ErrConnectionLimit) {
 			c.node.reportResult(e, byfleet.Unreachable, err)
+			if ctx.Err() == nil && c.timeLeft() > 0 {
+				c.linkFailures++
+				c.node.recordLinkFailure(e)
+			}
 		}
 		return outcomeNotRun
 	}
@@ -165,6 +173,10 @@
 		return outcomeAbandoned
 	}
 	c.node.reportResult(e, byfleet.Unreachable, err)
+	if isLinkFailure(err) {
+		c.linkFailures++
+		c.node.recordLinkFailure(e)
+	}
 	c.attemptBroke(ctx, e, action, 0, false, err)
 	return outcomeUnknown
 }
@@ -265,10 +277,13 @@
 			c.keepFailure(buffered)
 			last = outcomeUnknown
 		}
-		if !c.takeRetry(last) {
+		if c.lacksLink() || !c.takeRetry(last) {
 			break
 		}
 	}
+	if c.handOverInstead(ctx, last) {
+		return
+	}
 	c.sendFinalResponse(last, lastErr)
 }
 
@@ -296,6 +311,8 @@
 		c.refuse(reasonLimited, c.timeToLimit())
 	case last == outcomeNotRun && len(c.tried) == 0:
 		c.refuse(reasonNoEndpoint, c.retryAfterRest(noEndpointRetryAfter))
+	case last == outcomeNotRun && c.handedOver != nil && c.onlyLinksFailed():
+		c.refuse(reasonNoLink, noEndpointRetryAfter)
 	case last == outcomeNotRun:
 		c.refuse(reasonEndpointsFull, c.retryAfterRest(endpointsFullRetryAfter))
 	default:
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -71,16 +71,22 @@
 	version         string                          // version of the endpoints' software at which a stream should run
 	hasVersion      bool                            // whether version is set
 	versionBound    bool                            // whether the stream must not go on at any other version
+	handedOver      *handover                       // set if another node has handed the request over
+	linkFailures    int                             // number of attempts that failed for want of a link
+	endpointRefused bool                            // whether an endpoint has refused the request
 }
 
 // ServeHTTP implements http.Handler.
-func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) { n.serveRequest(w, r, nil) }
+
+// serveRequest serves a request of a caller, or one that another node hands over.
+func (n *Node) serveRequest(w http.ResponseWriter, r *http.Request, h *handover) {
 	n.openRequests.Add(1)
 	defer n.openRequests.Add(-1)
-	if n.stopping.Load() {
+	if n.stopping.Load() || h == nil && n.losesCallers.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{node: n, r: r, w: w, startedAt: n.clock.Now(), tried: map[burdockyard.EndpointID]bool{}}
+	c := &call{node: n, r: r, w: w, startedAt: n.clock.Now(), tried: map[burdockyard.EndpointID]bool{}, handedOver: h}
 	table := n.routes.Current()
 	if table == nil || !n.records.known.Load() {
 		c.deadline = c.startedAt.Add(defaultDeadline)
@@ -112,12 +118,22 @@
 		c.refuse(reasonStopping, minRetryAfter)
 		return
 	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	if h != nil {
+		done, ok := c.takeOver()
+		defer done()
+		if !ok {
+			return
+		}
+	} else if n.isCutOff(c.service.Name) {
+		c.handOver(ctx)
+		return
+	}
 	if !c.passQuarantine() {
 		return
 	}
 	n.retryBudgets.forService(c.service.Name).Deposit()
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
-	defer cancel()
 	if c.route.Kind == burdockyard.KindStream {
 		c.serveStream(ctx)
 		return
@@ -224,12 +240,16 @@
 // to start.
 func (c *call) startTimeLeft() time.Duration {
 	startTimeout := max(minStartTimeout, startTimeoutObjectives*c.route.LatencyTarget, startTimeoutGaps*c.route.TargetEventGap)
+	if c.handedOver != nil {
+		startTimeout -= c.handedOver.waited
+	}
 	return min(c.timeLeft(), c.startedAt.Add(startTimeout).Sub(c.node.clock.Now()))
 }
 
 // reject responds to an invalid request.
 func (c *call) reject(status int, cause string) {
 	c.recordEnd(bylog.OutcomeRejected, bylog.Int("status", status), bylog.Str("cause", cause))
+	c.markNotRun(reasonRejected)
 	if status == http.StatusRequestEntityTooLarge || status == http.StatusBadRequest || status == http.StatusRequestTimeout {
 		c.w.Header().Set("Connection", "close") // the rest of the body is left unread
 	}
@@ -250,6 +270,9 @@
 	reasonQuarantined     reason = "quarantined"      // endpoints end under requests with the same input
 	reasonVersion         reason = "version"          // the version that began the stream is not known, or no endpoint has it
 	reasonLimited         reason = "limited"          // the limits that all endpoints name are used up
+	reasonNoLink          reason = "no_link"          // this node could connect to no endpoint, and no other node has taken the request
+	reasonPeerFull        reason = "peer_full"        // the node has taken over as many requests from others as it can bear
+	reasonRejected        reason = "rejected"         // another node takes the request for invalid
 	reasonNoAnswer        reason = "no_answer"        // the request was sent and no complete response arrived
 	reasonEndpointFailed  reason = "endpoint_failed"  // one endpoint may have run the request, the others refused
 )
@@ -267,6 +290,7 @@
 	if retryAfter > 0 {
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
+	c.markNotRun(cause)
 	http.Error(c.w, "not run: "+string(cause), http.StatusServiceUnavailable)
 }
 
--- a/io/byentry/relay.go
+++ b/io/byentry/relay.go
@@ -46,6 +46,7 @@
 	mediaType    string       // type of the first response, whose header was sent
 	continuation continuation // checks the present run, if it is not the first
 
+	passesOn bool             // whether another node runs the stream and decides whether it is held
 	endpoint byfleet.Endpoint // endpoint of the present run
 	holding  bool             // whether the events are held until the stream is complete
 	held     []byte           // events held
@@ -115,7 +116,7 @@
 // begin decides, before the first event is sent, whether the stream is held. Otherwise it
 // may go on only at the version of its endpoint from now on.
 func (r *eventRelay) begin(resp *byforward.Response) {
-	if r.headerSent || r.holding || resp.Status != http.StatusOK {
+	if r.headerSent || r.holding || r.passesOn || resp.Status != http.StatusOK {
 		return
 	}
 	c := r.c
