--- a/io/byforward/byforward.go
+++ b/io/byforward/byforward.go
@@ -33,6 +33,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"burdockyard"
 )
@@ -41,9 +42,15 @@
 	// dialTimeout limits how long connecting to an endpoint may take. Endpoints
 	// accept in about 1 ms, and TCP retransmits a lost SYN only after 1 s.
 	dialTimeout = 700 * time.Millisecond
-	// unackedTimeout is how long sent data may stay unacknowledged before the
-	// kernel closes the connection.
-	unackedTimeout = 1200 * time.Millisecond
+	// unackedTimeout is how long data that was sent again may stay unacknowledged, or
+	// the endpoint's receive window closed, before the kernel closes the connection. A
+	// sound endpoint may be silent for 1.5 s. The last time that the kernel sends data
+	// again before unackedTimeout must be later than that.
+	unackedTimeout = 2400 * time.Millisecond
+	// maxRetransmitInterval limits the time between two retransmissions. Without it they
+	// would come 1.4 s and 3 s after the data, so that an endpoint that was silent for 1.5 s
+	// would get none before unackedTimeout.
+	maxRetransmitInterval = time.Second
 	// defaultIdleTimeout is how long an idle connection is kept if the endpoint
 	// sends no usable Keep-Alive timeout.
 	defaultIdleTimeout = 3 * time.Second
@@ -67,9 +74,9 @@
 	// maxResponseHeaders is how many response headers are read in search of a final
 	// one. Interim responses (1xx) are skipped.
 	maxResponseHeaders = 5
-	// optTCPUserTimeout is the socket option TCP_USER_TIMEOUT of Linux, which
-	// package syscall does not define.
-	optTCPUserTimeout = 0x12
+	// optTCPRTOMaxMS is the socket option TCP_RTO_MAX_MS of Linux 6.15 and later, which
+	// package unix does not define.
+	optTCPRTOMaxMS = 44
 )
 
 // Target is the endpoint that a request is sent to.
@@ -123,17 +130,22 @@
 func New(clock burdockyard.Clock, requestIDOf func(http.Header) burdockyard.RequestID) *Forwarder {
 	return &Forwarder{
 		clock: clock, requestIDOf: requestIDOf, pools: map[string]*pool{},
-		dialer: net.Dialer{Timeout: dialTimeout, Control: setUserTimeout},
+		// With TCP_USER_TIMEOUT, a single lost keep-alive probe breaks the connection.
+		// Without probes, deadlines and idle timeouts bound the life of all connections.
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setTimeouts},
 	}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a socket, so that the kernel closes the
+// setTimeouts sets TCP_USER_TIMEOUT on a socket, so that the kernel closes the
 // connection when its peer no longer acknowledges data. Without it a dead peer
 // cannot be told from an endpoint that is slow to respond.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+func setTimeouts(_, _ string, c syscall.RawConn) error {
 	var err error
 	ctrl := c.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, optTCPUserTimeout, int(unackedTimeout.Milliseconds()))
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		// These only make the kernel send data again sooner after a silence.
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_THIN_LINEAR_TIMEOUTS, 1)
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, optTCPRTOMaxMS, int(maxRetransmitInterval.Milliseconds()))
 	})
 	return errors.Join(ctrl, err)
 }
