--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -378,6 +378,10 @@
 	return f.byService[service]
 }
 
+// Count returns the number of known endpoints of a service, whether they may get work or
+// not.
+func (f *Fleet) Count(service string) int { return len(f.entriesOf(service)) }
+
 // StreamVersions returns how many endpoints of a service accept new streams, by the
 // version of their software. Backoffs do not count: they end soon.
 func (f *Fleet) StreamVersions(service string) map[string]int {
--- a/io/byentry/reach.go
+++ b/io/byentry/reach.go
@@ -17,7 +17,7 @@
 
 const (
 	// reachCheckInterval is the time between two checks of the links to the endpoints.
-	reachCheckInterval = 50 * time.Millisecond
+	reachCheckInterval = 100 * time.Millisecond
 	// reachProbeTimeout limits the probe of a link. Endpoints accept in about 1 ms.
 	reachProbeTimeout = 300 * time.Millisecond
 )
@@ -73,16 +73,19 @@
 	}
 	var probes errgroup.Group
 	for _, s := range t.Services() {
+		due := m.node.reach.ProbesDue(s.Name, m.node.fleet.Count(s.Name))
+		if due == 0 {
+			continue
+		}
 		endpoints := m.node.fleet.Usable(s.Name)
-		order := rand.Perm(len(endpoints))
-		for _, i := range order[:m.node.reach.ProbesDue(s.Name, len(endpoints))] {
+		for _, i := range rand.Perm(len(endpoints))[:min(due, len(endpoints))] {
 			probes.Go(func() error { m.probe(ctx, endpoints[i], len(endpoints)); return nil })
 		}
 	}
 	_ = probes.Wait() // probes return no error
 	cutOff := false
 	for _, s := range t.Services() {
-		m.report(s.Name, len(m.node.fleet.Usable(s.Name)))
+		m.report(s.Name, m.node.fleet.Count(s.Name))
 		cutOff = cutOff || m.node.isCutOff(s.Name)
 	}
 	m.node.losesCallers.Store(cutOff)
