--- a/io/byentry/reach.go
+++ b/io/byentry/reach.go
@@ -17,7 +17,7 @@
 
 const (
 	// reachCheckInterval is the time between two checks of the links to the endpoints.
-	reachCheckInterval = 100 * time.Millisecond
+	reachCheckInterval = 50 * time.Millisecond
 	// reachProbeTimeout limits the probe of a link. Endpoints accept in about 1 ms.
 	reachProbeTimeout = 300 * time.Millisecond
 )
