--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -64,7 +64,12 @@
 	c.tried[e.ID] = true
 	sentAt := n.clock.Now()
 	endWait := n.reach.BeginWait(e.Service)
-	resp, err := n.forwarder.Send(ctx, byforward.Target{Addr: e.Addr, MaxConns: n.endpointConnLimit(c.service)}, req)
+	sendCtx, keepWaiting := ctx, func() {}
+	if c.handedOver == nil && (c.route.Idempotent() || a.PrefillOnly) {
+		sendCtx, keepWaiting = n.linkWaits.begin(ctx, e.Service)
+	}
+	resp, err := n.forwarder.Send(sendCtx, byforward.Target{Addr: e.Addr, MaxConns: n.endpointConnLimit(c.service)}, req)
+	keepWaiting() // also while the body is read
 	endWait()
 	if err != nil {
 		c.warn("send failed", append(c.attemptFields(e, a), bylog.Str("addr", e.Addr), bylog.Err(err))...)
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -130,6 +130,7 @@
 	callerConns        *callerConns
 	endProbes          *endProbes
 	reach              *byreach.Tracker
+	linkWaits          linkWaits
 	quarantine         *byquarantine.Quarantine
 	records            *recordStore
 	limits             *bylimit.Limits
--- a/io/byentry/handover_test.go
+++ b/io/byentry/handover_test.go
@@ -303,3 +303,30 @@
 		}
 	}
 }
+
+// TestWaitingRequestsSurviveCut guards against requests that wait until their deadline for
+// an endpoint that the node no longer reaches, though they may be sent again.
+func TestWaitingRequestsSurviveCut(t *testing.T) {
+	t.Parallel()
+	c, nodes := newCutCluster(t, 2)
+	traffic, stop := c.startCutTraffic(nodes, 30*time.Millisecond)
+	time.Sleep(time.Second)
+	stop()
+	if err := nodes[1].paths.Cut(bystub.CutHang); err != nil {
+		t.Fatal(err)
+	}
+	traffic.count(true)
+	var group errgroup.Group
+	for _, r := range []cutRequest{cutRequests[0], cutRequests[2]} {
+		for range 4 {
+			group.Go(func() error { traffic.send(nodes[1], r); return nil })
+		}
+	}
+	_ = group.Wait() // its goroutines return no error
+	for key, got := range traffic.sent {
+		if got.served != got.sent {
+			t.Errorf("%s: %d of %d served that were sent right after the cut, want all", key, got.served, got.sent)
+		}
+	}
+	traffic.checkTruth()
+}
--- a/io/byentry/reach.go
+++ b/io/byentry/reach.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -54,6 +55,43 @@
 	return false
 }
 
+// linkWaits holds the requests that wait for an endpoint and may be sent again. They need
+// not wait any longer once the node is cut off. mu is a leaf lock.
+type linkWaits struct {
+	mu      sync.Mutex
+	cancels map[string]map[*context.CancelFunc]struct{} // by service
+}
+
+// begin registers a request that waits for an endpoint of the service. ctx ends once the
+// node is cut off, unless done is called before.
+func (l *linkWaits) begin(ctx context.Context, service string) (waitCtx context.Context, done func()) {
+	waitCtx, cancel := context.WithCancel(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cancels == nil {
+		l.cancels = map[string]map[*context.CancelFunc]struct{}{}
+	}
+	if l.cancels[service] == nil {
+		l.cancels[service] = map[*context.CancelFunc]struct{}{}
+	}
+	l.cancels[service][&cancel] = struct{}{}
+	return waitCtx, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.cancels[service], &cancel)
+	}
+}
+
+// end ends the waits of a service.
+func (l *linkWaits) end(service string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for cancel := range l.cancels[service] {
+		(*cancel)()
+	}
+	delete(l.cancels, service)
+}
+
 // reachMonitor probes the links to the endpoints of each service where that is due, and
 // reports changes. Only the goroutine that calls check uses it.
 type reachMonitor struct {
@@ -83,7 +121,10 @@
 	cutOff := false
 	for _, s := range t.Services() {
 		m.report(s.Name, len(m.node.fleet.Usable(s.Name)))
-		cutOff = cutOff || m.node.isCutOff(s.Name)
+		if m.node.isCutOff(s.Name) {
+			cutOff = true
+			m.node.linkWaits.end(s.Name)
+		}
 	}
 	m.node.losesCallers.Store(cutOff)
 }
