--- a/io/byentry/silence_test.go
+++ b/io/byentry/silence_test.go
@@ -100,3 +100,39 @@
 		t.Errorf("%d requests ran %d times, want one run each", count, runs)
 	}
 }
+
+// TestSilentEndpointGetsWorkAgain guards against an endpoint that is set aside for long after
+// a short silence, in which many requests found no connection to it.
+func TestSilentEndpointGetsWorkAgain(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t)
+	c.publishConfig(3, nil)
+	cfg := bystub.RunnerConfig{ID: "app-1", Service: "app", Zone: "a", Slots: 16, ServiceTime: 50 * time.Millisecond}
+	l := c.addSilentRunner(cfg)
+	cfg.ID = "app-2"
+	c.addRunner(cfg)
+	n := c.startNode("n1")
+	c.waitReady(n)
+	var group errgroup.Group
+	send := func(during time.Duration) {
+		for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			group.Go(func() error { n.call("GET", "/read/1", ""); return nil })
+		}
+	}
+	send(200 * time.Millisecond)
+	if err := l.Silence(); err != nil {
+		t.Fatal(err)
+	}
+	send(soundSilence)
+	if err := l.Wake(); err != nil {
+		t.Fatal(err)
+	}
+	send(time.Second)
+	silent, sound := c.runners["app-1"].Arrivals(), c.runners["app-2"].Arrivals()
+	send(500 * time.Millisecond)
+	silent, sound = c.runners["app-1"].Arrivals()-silent, c.runners["app-2"].Arrivals()-sound
+	_ = group.Wait() // the requests return no error
+	if 5*silent < sound {
+		t.Errorf("from 1 s to 1.5 s after its silence the endpoint gets %d requests and the other one %d, want at least a fifth as many", silent, sound)
+	}
+}
