--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -40,6 +40,7 @@
 	"burdockyard/io/bylog"
 	"burdockyard/io/bymetrics"
 	"burdockyard/io/bypeer"
+	"burdockyard/io/bypeer/bypeerpb"
 )
 
 const (
@@ -131,7 +132,9 @@
 	watchers           []*tableWatcher // one for each table that the node follows, including configWatcher
 	relayClients       *bypeer.RelayClients
 	callerConns        *callerConns
-	endProbes          *endProbes
+	endProofs          *endProofs // for this node's own requests
+	testimonies        *endProofs // for other nodes
+	witnessClient      bypeer.WitnessClient
 	reach              *byreach.Tracker
 	linkWaits          linkWaits
 	quarantine         *byquarantine.Quarantine
@@ -194,7 +197,8 @@
 	n.retryBudgets = newRetryBudgets(n.clock)
 	n.peers = newPeers(n)
 	n.callerConns = newCallerConns(n.clock)
-	n.endProbes = newEndProbes()
+	n.endProofs, n.testimonies = newEndProofs(maxProofs), newEndProofs(maxExaminations)
+	n.witnessClient = bypeer.NewWitnessClient()
 	n.reach = byreach.New(n.clock)
 	n.limits = bylimit.New(n.clock, s.Node)
 	n.quarantine = byquarantine.New(n.clock, s.Node)
@@ -276,6 +280,14 @@
 	return group.Wait()
 }
 
+// peerCallHandler returns a handler that serves the calls of other nodes.
+func (n *Node) peerCallHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(bypeerpb.RelayPathPrefix, bypeer.NewRelayHandler(n.applyRelayedReading))
+	mux.Handle(bypeerpb.WitnessPathPrefix, bypeer.NewWitnessHandler(n.examine))
+	return mux
+}
+
 // metricsHandler returns a handler that serves the node's metrics in the
 // Prometheus text format.
 func (n *Node) metricsHandler() http.Handler {
--- a/io/byentry/handover.go
+++ b/io/byentry/handover.go
@@ -16,7 +16,6 @@
 	"burdockyard/core/byreach"
 	"burdockyard/io/byforward"
 	"burdockyard/io/bylog"
-	"burdockyard/io/bypeer"
 )
 
 // A node that has lost its links to the endpoints of a service hands requests over to a
@@ -82,11 +81,11 @@
 
 // peerHandler returns the handler of the address for other nodes.
 func (n *Node) peerHandler() http.Handler {
-	readings := bypeer.NewRelayHandler(n.applyRelayedReading)
+	calls := n.peerCallHandler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		text := r.Header.Get(headerHandover)
 		if text == "" {
-			readings.ServeHTTP(w, r)
+			calls.ServeHTTP(w, r)
 			return
 		}
 		r.Header.Del(headerHandover)
--- a/io/byentry/roles_test.go
+++ b/io/byentry/roles_test.go
@@ -142,6 +142,7 @@
 		for _, peer := range []string{"n1", "n2", "n3", "n4", "n5"} {
 			n := newRoleTestNode(t, bymem.NewTable(), "n0").node
 			n.records.known.Store(true)
+			n.versions.table.Confirm(n.clock.Now())
 			n.view.RecordHeartbeat(bymember.Heartbeat{Member: burdockyard.Member{Node: burdockyard.NodeID(peer), Incarnation: "1"}, Seq: 1, Ready: true, Reach: tt.peer})
 			if len(tt.own.Lost) == 0 {
 				n.reach.RecordContact("llm", "p1")
--- a/io/byforward/byforward.go
+++ b/io/byforward/byforward.go
@@ -284,19 +284,6 @@
 	return n, err
 }
 
-// IsRefused reports whether a new connection to addr is refused, which proves that no
-// process serves there any more. It takes at most timeout.
-func (f *Forwarder) IsRefused(ctx context.Context, addr string, timeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	nc, err := f.dialer.DialContext(ctx, "tcp4", addr)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	nc.Close() // nothing was sent on it
-	return false
-}
-
 // Probe opens a new connection to addr and closes it without sending anything. It takes at
 // most timeout.
 func (f *Forwarder) Probe(ctx context.Context, addr string, timeout time.Duration) error {
--- a/io/byforward/silence_test.go
+++ b/io/byforward/silence_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -65,9 +67,13 @@
 	}
 }
 
+// sendCount numbers the requests: a connection does not carry two of one ID.
+var sendCount atomic.Int64
+
 func sendUntil(f *byforward.Forwarder, addr string, body []byte, deadline time.Duration) error {
+	id := fmt.Sprint("r", sendCount.Add(1))
 	resp, err := f.Send(context.Background(), byforward.Target{Addr: addr, MaxConns: 4}, &byforward.Request{
-		ID: "r", Method: http.MethodPost, Path: "/", Host: "h", Header: http.Header{"X-Request-Id": {"r"}}, Body: body, Deadline: time.Now().Add(deadline)})
+		ID: burdockyard.RequestID(id), Method: http.MethodPost, Path: "/", Host: "h", Header: http.Header{"X-Request-Id": {id}}, Body: body, Deadline: time.Now().Add(deadline)})
 	if err != nil {
 		return err
 	}
