--- a/core/byquarantine/byquarantine.go
+++ b/core/byquarantine/byquarantine.go
@@ -64,6 +64,9 @@
 	// sameProcess is the time within which two ends of one endpoint that look alike are
 	// the same one. Later, the endpoint has been restarted without telling.
 	sameProcess = time.Second
+	// noticeTime is the time within which all requests in progress at an endpoint notice
+	// its end. An endpoint takes longer to start again.
+	noticeTime = 300 * time.Millisecond
 	// endMemory and maxEnds bound the ends that are remembered.
 	endMemory = time.Minute
 	maxEnds   = 512
@@ -447,6 +450,7 @@
 	if len(q.ends) >= maxEnds {
 		q.ends = slices.Delete(q.ends, 0, 1)
 	}
+	e.at = q.alignTimes(e)
 	i, _ := slices.BinarySearchFunc(q.ends, e.at, func(known end, at time.Time) int { return known.at.Compare(at) })
 	q.ends = slices.Insert(q.ends, i, e)
 	for _, key := range e.Keys {
@@ -475,6 +479,28 @@
 	return true
 }
 
+// alignTimes returns the time at which the endpoint of e has ended: the earliest one at
+// which a request there is known to have broken. The others have noticed the end later,
+// and must not count as ends of other moments. If e is the earliest, the times of the
+// others are set to its time. The caller must hold mu.
+func (q *Quarantine) alignTimes(e end) time.Time {
+	i := slices.IndexFunc(q.ends, func(known end) bool { return known.Endpoint == e.Endpoint && known.at.Sub(e.at).Abs() < noticeTime })
+	if i < 0 {
+		return e.at
+	}
+	noticed := q.ends[i].at
+	if !noticed.After(e.at) {
+		return noticed
+	}
+	for i := range q.ends {
+		if q.ends[i].Endpoint == e.Endpoint && q.ends[i].at.Equal(noticed) {
+			q.ends[i].at = e.at
+		}
+	}
+	slices.SortStableFunc(q.ends, func(a, b end) int { return a.at.Compare(b.at) })
+	return e.at
+}
+
 // savingNodes is about the number of nodes that store the record of a request without
 // having seen an end under it.
 const savingNodes = 2
--- a/core/byquarantine/byquarantine_test.go
+++ b/core/byquarantine/byquarantine_test.go
@@ -54,6 +54,14 @@
 		{"ends long ago", []step{{gap, 1, keys(poison)}, {gap, 2, keys(poison)}, {time.Minute, 3, keys(poison)}}, nil},
 		{"the first part has answers", []step{{gap, 0, keys(first)}, {gap, 1, keys(first, poison)}, {gap, 2, keys(first, poison)}, {gap, 3, keys(first, poison)}}, keys(poison)},
 		{"the first part has none", []step{{gap, 1, keys(first, poison)}, {gap, 2, keys(first, poison)}, {gap, 3, keys(first, poison)}}, keys(first, poison)},
+		{"a bystander notices an end late", []step{
+			{gap, 3, keys(first, poison)}, {50 * time.Millisecond, 1, keys(first, poison)}, {60 * time.Millisecond, 1, keys(first)},
+			{560 * time.Millisecond, 4, keys(first, poison)},
+		}, nil},
+		{"endpoints crash again before their entries change", []step{
+			{gap, 1, keys(poison)}, {10 * time.Millisecond, 2, keys(poison)}, {10 * time.Millisecond, 3, keys(poison)},
+			{600 * time.Millisecond, 2, keys(poison)}, {120 * time.Millisecond, 3, keys(poison)},
+		}, keys(poison)},
 		{"an answer between the ends", []step{{gap, 1, keys(poison)}, {gap, 2, keys(poison)}, {gap, 0, keys(poison)}, {gap, 3, keys(poison)}}, nil},
 		{"bystanders of the poisoned requests", []step{
 			{gap, 1, keys(poison)}, {gap, 2, keys(poison)}, {gap, 3, keys(poison)},
@@ -78,6 +86,28 @@
 	}
 }
 
+// TestEndToldAfterLateNoticeIsOneMoment guards against the failure that a bystander who
+// notices an end late makes it one of another moment, although a peer tells of it earlier.
+func TestEndToldAfterLateNoticeIsOneMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := byquarantine.New(burdockyard.SystemClock{}, "n1")
+		q.RecordEnd(byquarantine.End{Request: 1, Endpoint: 3, Keys: keys(first, poison)})
+		time.Sleep(110 * time.Millisecond)
+		q.RecordEnd(byquarantine.End{Request: 2, Endpoint: 1, Keys: keys(first)})
+		q.Merge(byquarantine.News{Ends: []byquarantine.End{{Request: 3, Endpoint: 1, Keys: keys(first, poison), Age: 60 * time.Millisecond}}})
+		time.Sleep(560 * time.Millisecond)
+		q.RecordEnd(byquarantine.End{Request: 4, Endpoint: 4, Keys: keys(first, poison)})
+		if q.IsQuarantined(keys(first)) || q.IsQuarantined(keys(poison)) {
+			t.Error("a key is quarantined after ends in two moments")
+		}
+		time.Sleep(150 * time.Millisecond)
+		q.RecordEnd(byquarantine.End{Request: 5, Endpoint: 5, Keys: keys(first, poison)})
+		if !q.IsQuarantined(keys(first)) || !q.IsQuarantined(keys(poison)) {
+			t.Error("want both keys quarantined after ends in three moments")
+		}
+	})
+}
+
 // poisoned returns a node at which the given keys are quarantined.
 func poisoned(k ...byquarantine.Key) *byquarantine.Quarantine {
 	q := byquarantine.New(burdockyard.SystemClock{}, "n1")
