--- a/core/byquarantine/byquarantine_test.go
+++ b/core/byquarantine/byquarantine_test.go
@@ -273,6 +273,52 @@
 	})
 }
 
+// TestTimeToTrialPassesAsNewsTravel guards against the failure that nodes take the time for
+// which news travel for a later end or trial, again and again, so that the next trial never
+// comes.
+func TestTimeToTrialPassesAsNewsTravel(t *testing.T) {
+	const travelTime, fleet = 5 * time.Millisecond, 20
+	synctest.Test(t, func(t *testing.T) {
+		nodes := []*byquarantine.Quarantine{poisoned(poison)}
+		for i := 2; i <= fleet; i++ {
+			nodes = append(nodes, byquarantine.New(burdockyard.SystemClock{}, burdockyard.NodeID(fmt.Sprint("n", i))))
+		}
+		// Each node tells the others of what has just arrived from the one before.
+		exchange := func(rounds int) {
+			for i := range rounds * fleet {
+				news := nodes[i%fleet].News()
+				time.Sleep(travelTime)
+				for j, to := range nodes {
+					if j != i%fleet {
+						to.Merge(news)
+					}
+				}
+			}
+		}
+		check := func(after string) {
+			t.Helper()
+			exchange(1)
+			var before []time.Duration
+			for _, n := range nodes {
+				before = append(before, n.TimeToTrial(keys(poison)))
+			}
+			exchange(20)
+			for i, n := range nodes {
+				if got, want := n.TimeToTrial(keys(poison)), before[i]-20*fleet*travelTime; got > want {
+					t.Errorf("node %d, after %s: the time to the next trial is %v, want at most %v", i, after, got, want)
+				}
+			}
+		}
+		check("the ends")
+		for !nodes[0].Admit(keys(poison)).Trial {
+			time.Sleep(100 * time.Millisecond)
+		}
+		check("a trial")
+		nodes[0].RecordEnd(byquarantine.End{Request: 100, Endpoint: 100, Keys: keys(poison)})
+		check("another end")
+	})
+}
+
 // TestMemoryIsBounded records far more ends, answers and keys than are kept.
 func TestMemoryIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/byquarantine/news.go
+++ b/core/byquarantine/news.go
@@ -179,14 +179,16 @@
 	}
 	for _, t := range n.Trials {
 		if v := q.quarantined[t.Key]; v != nil {
-			v.lastTrial = later(v.lastTrial, now.Add(-t.Age))
+			v.mergeTrial(now.Add(-t.Age))
 		}
 	}
 	c.Unsaved = len(q.unsaved) > 0
 	return c
 }
 
-// mergeVerdict applies a peer's verdict on a key. The caller must hold mu.
+// mergeVerdict applies a peer's verdict on a key. An age that a peer tells lacks the time
+// for which the news travelled, so the same end or trial seems later at each node that
+// passes it on. It must not put off the next trial. The caller must hold mu.
 func (q *Quarantine) mergeVerdict(told Verdict, now time.Time, c *Change) {
 	merged := &verdict{ends: told.Ends, lastEnd: now.Add(-told.Age)}
 	if told.TrialAge >= 0 {
@@ -197,8 +199,10 @@
 	}
 	known := q.quarantined[told.Key]
 	if known != nil {
-		known.ends = max(known.ends, merged.ends)
-		known.lastEnd, known.lastTrial = later(known.lastEnd, merged.lastEnd), later(known.lastTrial, merged.lastTrial)
+		if merged.ends > known.ends {
+			known.ends, known.lastEnd = merged.ends, later(known.lastEnd, merged.lastEnd)
+		}
+		known.mergeTrial(merged.lastTrial)
 		return
 	}
 	if a := q.lastAnswer(told.Key); a != nil && (told.Ends < minEndsAfterAnswer || a.at.After(merged.lastEnd)) {
@@ -212,6 +216,14 @@
 	c.Quarantined = append(c.Quarantined, told.Key)
 }
 
+// mergeTrial applies the time of a trial that a peer tells of. Trials of one key are at
+// least separateTrialDelay apart, so one that seems later by less is the known one.
+func (v *verdict) mergeTrial(at time.Time) {
+	if at.Sub(v.lastTrial) >= separateTrialDelay {
+		v.lastTrial = at
+	}
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/io/bydrill/poison.go
+++ b/io/bydrill/poison.go
@@ -132,7 +132,7 @@
 
 // gossip sends the news of a node to all others.
 func (d *poisonDrill) gossip(n *poisonNode, delay time.Duration) {
-	news := n.News().Aged(delay)
+	news := n.News()
 	if news.IsEmpty() || n.mute {
 		return
 	}
