--- a/core/byquarantine/byquarantine.go
+++ b/core/byquarantine/byquarantine.go
@@ -229,7 +229,7 @@
 	ends       int
 	lastEnd    time.Time
 	lastTrial  time.Time // zero if there was none
-	companions []Key     // keys that were in progress too at each endpoint that has ended
+	companions []Key     // keys that were in progress too at each endpoint that has ended, and may be to blame
 }
 
 // New returns a Quarantine without keys for the given node.
@@ -339,7 +339,7 @@
 	}
 	q.updateCompanions(key, v)
 	for _, companion := range v.companions {
-		if q.quarantined[companion] != nil && !slices.Contains(keys, companion) {
+		if q.isCompanion(companion, key) && !slices.Contains(keys, companion) {
 			delay = separateTrialDelay
 		}
 	}
@@ -658,7 +658,7 @@
 		}
 		keys := q.keysInProgress(e)
 		if !found {
-			found, companions = true, slices.DeleteFunc(keys, func(k Key) bool { return k == key || q.quarantined[k] == nil })
+			found, companions = true, slices.DeleteFunc(keys, func(k Key) bool { return k == key || !q.isCompanion(k, key) })
 		} else {
 			companions = slices.DeleteFunc(companions, func(k Key) bool { return !slices.Contains(keys, k) })
 		}
@@ -668,6 +668,14 @@
 	}
 }
 
+// isCompanion reports whether k, which was in progress at the ends that a quarantined key is
+// blamed for, may be to blame in place of it. If a bystander is the first to notice an end,
+// a key that it shares with the request to blame may be quarantined alone, and then explains
+// all ends. The caller must hold mu.
+func (q *Quarantine) isCompanion(k, key Key) bool {
+	return q.quarantined[k] != nil || !key.IsRequest() && !k.IsRequest() && q.lastAnswer(k) == nil
+}
+
 // quarantine quarantines a key. The caller must hold mu.
 func (q *Quarantine) quarantine(key Key, v *verdict) {
 	if len(q.quarantined) >= maxQuarantined {
--- a/core/byquarantine/byquarantine_test.go
+++ b/core/byquarantine/byquarantine_test.go
@@ -177,6 +177,57 @@
 	})
 }
 
+// TestBystanderThatEndsFirstIsNotBlamedAlone guards against the failure that a key which sound
+// requests share with poisoned ones explains all ends and stays quarantined for minutes,
+// because a sound request was the first to notice the last one.
+func TestBystanderThatEndsFirstIsNotBlamedAlone(t *testing.T) {
+	const gap = 150 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		q := byquarantine.New(burdockyard.SystemClock{}, "n1")
+		play(q, []step{{gap, 1, keys(first, poison)}, {gap, 2, keys(first, poison)}, {gap, 3, keys(first)}, {time.Millisecond, 3, keys(first, poison)}})
+		time.Sleep(2100 * time.Millisecond)
+		if d := q.Admit(keys(first, poison)); d.Admitted {
+			t.Error("a poisoned request was admitted after 2 s")
+		}
+		if d := q.Admit(keys(first)); !d.Trial {
+			t.Errorf("decision %+v on a request with the first part only, want a trial", d)
+		}
+		q.RecordAnswer(keys(first))
+		if !q.Admit(keys(first)).Admitted || q.Admit(keys(first, poison)).Admitted {
+			t.Error("want the first part free and the other one quarantined")
+		}
+	})
+}
+
+// TestSoundBystanderGivesPoisonNoEarlyTrial guards against the failure that a key in progress
+// beside each poisoned request makes nodes try a request without that key too early.
+func TestSoundBystanderGivesPoisonNoEarlyTrial(t *testing.T) {
+	const gap = 150 * time.Millisecond
+	for _, answered := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			q := byquarantine.New(burdockyard.SystemClock{}, "n1")
+			if answered {
+				q.RecordAnswer(keys(other))
+			}
+			for i := range uint64(3) {
+				time.Sleep(gap)
+				q.RecordEnd(byquarantine.End{Request: 100 + i, Endpoint: i, Keys: keys(poison)})
+				q.RecordEnd(byquarantine.End{Request: 200 + i, Endpoint: i, Keys: keys(other)})
+			}
+			early := 0
+			for start := time.Now(); time.Since(start) < 4900*time.Millisecond; time.Sleep(50 * time.Millisecond) {
+				if q.Admit(keys(poison)).Admitted {
+					early++
+					q.RecordEnd(byquarantine.End{Request: 300 + uint64(early), Endpoint: 300 + uint64(early), Keys: keys(poison)})
+				}
+			}
+			if want := map[bool]int{true: 0, false: 1}[answered]; early > want {
+				t.Errorf("other key answered %v: %d poisoned requests are admitted within 5 s, want at most %d", answered, early, want)
+			}
+		})
+	}
+}
+
 // TestInnocentTrialBesideGuiltyRequest guards against the failure that a sound request, let
 // through as a trial, is blamed for the crash of a poisoned one at the same endpoint, so
 // that its key stays quarantined for minutes.
