--- a/io/byentry/poison_test.go
+++ b/io/byentry/poison_test.go
@@ -36,6 +36,7 @@
 
 func newPoisonedCluster(t *testing.T, nodes, engines int, unframed bool) *poisonedCluster {
 	c := &poisonedCluster{testCluster: newTestCluster(t), processes: map[string]*bystub.Process{}, sequence: 1}
+	t.Cleanup(c.printBlame)
 	c.publishConfig(3, nil)
 	for i := range engines {
 		c.addCrashingEngine(fmt.Sprint("d-", i+1), unframed)
@@ -87,6 +88,21 @@
 	return all
 }
 
+// printBlame prints the log lines that tell which inputs the nodes blamed, and why, if the
+// test has failed.
+func (c *poisonedCluster) printBlame() {
+	if !c.t.Failed() {
+		return
+	}
+	for _, line := range strings.Split(c.logs.String(), "\n") {
+		if blameLine.MatchString(line) {
+			c.t.Log(line)
+		}
+	}
+}
+
+var blameLine = regexp.MustCompile(`"ended":true|input quarantined|input is free again|trial`)
+
 // prompt returns the headers of a prompt whose first part is shared by all prompts of the
 // test and whose last part is its own.
 func prompt(poisoned bool) []string {
