--- a/core/byquarantine/byquarantine.go
+++ b/core/byquarantine/byquarantine.go
@@ -64,6 +64,9 @@
 	// sameProcess is the time within which two ends of one endpoint that look alike are
 	// the same one. Later, the endpoint has been restarted without telling.
 	sameProcess = time.Second
+	// noticeTime is the time within which all requests in progress at an endpoint notice
+	// its end. An endpoint takes longer to start again.
+	noticeTime = 300 * time.Millisecond
 	// endMemory and maxEnds bound the ends that are remembered.
 	endMemory = time.Minute
 	maxEnds   = 512
@@ -226,7 +229,7 @@
 	ends       int
 	lastEnd    time.Time
 	lastTrial  time.Time // zero if there was none
-	companions []Key     // keys that were in progress too at each endpoint that has ended
+	companions []Key     // keys that were in progress too at each endpoint that has ended, and may be to blame
 }
 
 // New returns a Quarantine without keys for the given node.
@@ -336,7 +339,7 @@
 	}
 	q.updateCompanions(key, v)
 	for _, companion := range v.companions {
-		if q.quarantined[companion] != nil && !slices.Contains(keys, companion) {
+		if q.isCompanion(companion, key) && !slices.Contains(keys, companion) {
 			delay = separateTrialDelay
 		}
 	}
@@ -481,7 +484,7 @@
 // and must not count as ends of other moments. If e is the earliest, the times of the
 // others are set to its time. The caller must hold mu.
 func (q *Quarantine) alignTimes(e end) time.Time {
-	i := slices.IndexFunc(q.ends, func(known end) bool { return isTogether(e, known) })
+	i := slices.IndexFunc(q.ends, func(known end) bool { return known.Endpoint == e.Endpoint && known.at.Sub(e.at).Abs() < noticeTime })
 	if i < 0 {
 		return e.at
 	}
@@ -655,7 +658,7 @@
 		}
 		keys := q.keysInProgress(e)
 		if !found {
-			found, companions = true, slices.DeleteFunc(keys, func(k Key) bool { return k == key || q.quarantined[k] == nil })
+			found, companions = true, slices.DeleteFunc(keys, func(k Key) bool { return k == key || !q.isCompanion(k, key) })
 		} else {
 			companions = slices.DeleteFunc(companions, func(k Key) bool { return !slices.Contains(keys, k) })
 		}
@@ -665,6 +668,14 @@
 	}
 }
 
+// isCompanion reports whether k, which was in progress at the ends that a quarantined key is
+// blamed for, may be to blame in place of it. If a bystander is the first to notice an end,
+// a key that it shares with the request to blame may be quarantined alone, and then explains
+// all ends. The caller must hold mu.
+func (q *Quarantine) isCompanion(k, key Key) bool {
+	return q.quarantined[k] != nil || !key.IsRequest() && !k.IsRequest() && q.lastAnswer(k) == nil
+}
+
 // quarantine quarantines a key. The caller must hold mu.
 func (q *Quarantine) quarantine(key Key, v *verdict) {
 	if len(q.quarantined) >= maxQuarantined {
