--- a/core/byversion/byversion.go
+++ b/core/byversion/byversion.go
@@ -63,7 +63,7 @@
 	mu          sync.Mutex
 	record      Record
 	known       bool   // whether there is a record
-	restored    bool   // whether the record is of an earlier era of the store, and this process has no newer one
+	restored    bool   // whether records may be lost that are newer than this one, as the store was restored
 	storeEra    uint64 // era of the latest reading
 	confirmedAt time.Time
 	heardEra    uint64               // of the newest record that a peer has named
@@ -95,6 +95,9 @@
 func (t *Table) Apply(r Record, exists bool, storeEra uint64, requestedAt time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.known && storeEra > t.storeEra && requestedAt.Sub(t.confirmedAt) > t.maxAge() {
+		t.restored = true // records that this node has never read may have been lost
+	}
 	if requestedAt.After(t.confirmedAt) {
 		t.confirmedAt = requestedAt
 	}
@@ -184,9 +187,13 @@
 	if !ok || t.restored {
 		return State{}, false
 	}
-	hasNewest := t.heardEra < t.record.Era || t.heardEra == t.record.Era && t.heardSeq <= t.record.Seq
 	isFresh := t.clock.Now().Sub(t.confirmedAt) <= t.maxAge()
-	return s, hasNewest && (isFresh || s.isSettled())
+	return s, t.hasNewest() && (isFresh || s.isSettled())
+}
+
+// hasNewest reports whether no peer has named a newer record. The caller must hold mu.
+func (t *Table) hasNewest() bool {
+	return t.heardEra < t.record.Era || t.heardEra == t.record.Era && t.heardSeq <= t.record.Seq
 }
 
 // Preferred returns the version at which a new stream should run, and false if there is
--- a/core/byversion/byversion_test.go
+++ b/core/byversion/byversion_test.go
@@ -132,3 +132,79 @@
 		})
 	}
 }
+
+// capacity returns the argument of Propose for one service.
+func capacity(endpoints map[string]int) map[string]map[string]int {
+	return map[string]map[string]int{service: endpoints}
+}
+
+func lifetimes() map[string]time.Duration { return map[string]time.Duration{service: testLifetime} }
+
+// A node that was out of touch while others changed the split does not know what a restore
+// of the store has undone. If it went by its old record, streams would go on at another
+// version on all nodes.
+func TestRestoreBehindLaggardLeavesVersionsUnknown(t *testing.T) {
+	for _, hears := range []bool{false, true} {
+		t.Run(fmt.Sprint("hears of the newest record/", hears), func(t *testing.T) {
+			clock := &testClock{now: time.Unix(1_000_000, 0)}
+			old := byversion.Record{Era: 1, Seq: 4, Services: map[string]byversion.State{service: {Active: byversion.NewSplit(map[string]int{"v1": 4})}}}
+			laggard, other := newTable(clock), newTable(clock)
+			laggard.Apply(old, true, 1, clock.now)
+			other.Apply(old, true, 1, clock.now)
+			for !other.MayBegin(service, "s", "v2") { // a release that only the other node sees
+				clock.now = clock.now.Add(200 * time.Millisecond)
+				other.Confirm(clock.now)
+				if next, ok := other.Propose(capacity(map[string]int{"v2": 4}), lifetimes()); ok {
+					other.Apply(next, true, 1, clock.now)
+				}
+			}
+			if hears {
+				laggard.Hear(other.Number())
+			}
+			laggard.Apply(old, true, 2, clock.now)
+			if v, err := laggard.VersionOf(service, "s"); err == nil {
+				t.Errorf("the laggard takes up a stream of v2 at %s", v)
+			}
+			next, ok := laggard.Propose(capacity(map[string]int{"v2": 4}), lifetimes())
+			if !ok {
+				return
+			}
+			third := newTable(clock)
+			third.Apply(next, true, 2, clock.now)
+			if v, err := third.VersionOf(service, "s"); err == nil && v != "v2" {
+				t.Errorf("by the laggard's record, a stream of v2 goes on at %s", v)
+			}
+		})
+	}
+}
+
+// A split that became active before every older reading is too old would let a node take up
+// streams without knowing of it.
+func TestSplitWaitsForOldReadings(t *testing.T) {
+	clock := &testClock{now: time.Unix(1_000_000, 0)}
+	record := byversion.Record{Seq: 1, Services: map[string]byversion.State{service: {Active: byversion.NewSplit(map[string]int{"v1": 4, "v2": 4})}}}
+	leader, follower := newTable(clock), newTable(clock)
+	leader.Apply(record, true, 0, clock.now)
+	announced := false
+	for range 100 {
+		clock.now = clock.now.Add(100 * time.Millisecond)
+		leader.Confirm(clock.now)
+		next, ok := leader.Propose(capacity(map[string]int{"v2": 8}), lifetimes())
+		if !ok {
+			continue
+		}
+		if !announced {
+			// The follower has read just before. The reading is relayed, and looks younger.
+			follower.Apply(record, true, 0, clock.now.Add(900*time.Millisecond))
+			announced = true
+		}
+		leader.Apply(next, true, 0, clock.now)
+		if next.Services[service].Next.IsZero() {
+			if _, err := follower.VersionOf(service, "s"); err == nil {
+				t.Error("the next split is active while a node without it takes up streams")
+			}
+			return
+		}
+	}
+	t.Error("the split has not changed")
+}
--- a/core/byversion/propose.go
+++ b/core/byversion/propose.go
@@ -15,12 +15,13 @@
 func (t *Table) Propose(capacity map[string]map[string]int, lifetimes map[string]time.Duration) (Record, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.confirmedAt.IsZero() {
+	isNewEra := t.known && t.record.Era != t.storeEra
+	if t.confirmedAt.IsZero() || !t.hasNewest() && !isNewEra {
 		return Record{}, false
 	}
 	r := t.record.clone()
 	r.Seq, r.Era = t.record.Seq+1, t.storeEra
-	changed := t.known && t.record.Era != t.storeEra
+	changed := isNewEra
 	for service, endpoints := range capacity {
 		s, ok := r.Services[service]
 		wanted := SplitByCapacity(endpoints)
@@ -28,7 +29,7 @@
 		// After a restore of the store, records that nodes knew may be lost, and with them
 		// splits under which streams have begun. Where there was no record at all, nodes of
 		// an earlier release may have begun streams at any version.
-		hasUnknown := t.restored || !t.known && !t.firstStart && len(wanted.shares) > 1
+		hasUnknown := t.restored || isNewEra && !t.hasNewest() || !t.known && !t.firstStart && len(wanted.shares) > 1
 		switch {
 		case !ok && wanted.IsZero():
 			continue
