--- a/core/byversion/byversion.go
+++ b/core/byversion/byversion.go
@@ -167,9 +167,9 @@
 }
 
 // HasNone reports whether the store has no record, as before the first node of this
-// release has written one. If a second version comes before that, the first record says
-// that streams of unknown versions may go on. So a service with a single version may
-// begin streams meanwhile, except when the whole system starts for the first time.
+// release has written one. Nodes may begin streams then, since the first record says that
+// streams of unknown versions may go on, except when the whole system starts for the
+// first time.
 func (t *Table) HasNone() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/byversion/byversion_test.go
+++ b/core/byversion/byversion_test.go
@@ -208,3 +208,34 @@
 	}
 	t.Error("the split has not changed")
 }
+
+// Before the first record, streams may have begun at a version that has left. If they counted
+// as streams of the versions that are left, they would go on at another one.
+func TestFirstRecordLeavesVersionsUnknown(t *testing.T) {
+	clock := &testClock{now: time.Unix(1_000_000, 0)}
+	table := newTable(clock)
+	table.Apply(byversion.Record{}, false, 3, clock.now)
+	if !table.HasNone() {
+		t.Error("the store has no record, and the table does not say so")
+	}
+	if v, err := table.VersionOf(service, "s"); err == nil {
+		t.Errorf("without a record, a stream goes on at %s", v)
+	}
+	record, ok := table.Propose(capacity(map[string]int{"v2": 4}), lifetimes())
+	if !ok || !table.Apply(record, true, 3, clock.now) || table.HasNone() {
+		t.Fatal("the first record is not proposed")
+	}
+	if v, err := table.VersionOf(service, "s"); err == nil {
+		t.Errorf("after the first record, a stream from before goes on at %s", v)
+	}
+	for range 50 { // until no stream from before can go on
+		clock.now = clock.now.Add(200 * time.Millisecond)
+		table.Confirm(clock.now)
+		if record, ok := table.Propose(capacity(map[string]int{"v2": 4}), lifetimes()); ok {
+			table.Apply(record, true, 3, clock.now)
+		}
+	}
+	if v, err := table.VersionOf(service, "s"); err != nil || v != "v2" {
+		t.Errorf("a stream goes on at %q, error %v, want v2", v, err)
+	}
+}
--- a/core/byversion/model_test.go
+++ b/core/byversion/model_test.go
@@ -133,9 +133,7 @@
 	if !ok || n.read.version != m.row.version || n.read.era != m.row.era {
 		return
 	}
-	if m.row.exists {
-		m.backups = append(m.backups, m.row)
-	}
+	m.backups = append(m.backups, m.row)
 	m.row = modelRow{record: next, exists: true, version: m.row.version + 1, era: m.row.era}
 	if m.chance(70, "answered") {
 		n.read = m.row
--- a/core/byversion/propose.go
+++ b/core/byversion/propose.go
@@ -27,9 +27,9 @@
 		wanted := SplitByCapacity(endpoints)
 		next, serviceChanged := s, false
 		// After a restore of the store, records that nodes knew may be lost, and with them
-		// splits under which streams have begun. Where there was no record at all, nodes of
-		// an earlier release may have begun streams at any version.
-		hasUnknown := t.restored || isNewEra && !t.hasNewest() || !t.known && !t.firstStart && len(wanted.shares) > 1
+		// splits under which streams have begun. Where there was no record at all, streams
+		// may have begun at any version, also at one that has left since.
+		hasUnknown := t.restored || isNewEra && !t.hasNewest() || !t.known && !t.firstStart
 		switch {
 		case !ok && wanted.IsZero():
 			continue
--- a/io/byentry/version_test.go
+++ b/io/byentry/version_test.go
@@ -226,6 +226,7 @@
 func TestTakenUpStreamIsLogged(t *testing.T) {
 	t.Parallel()
 	c := newTestCluster(t)
+	c.firstStart = true
 	c.publishConfig(3, nil)
 	c.addRunner(bystub.RunnerConfig{ID: "d-v7", Version: "v7", Service: "llm", Zone: "a", Stage: "decode", Slots: 24, EventsPerStream: 6, EventInterval: 10 * time.Millisecond})
 	n := c.startNode("n0")
--- a/io/byentry/versions.go
+++ b/io/byentry/versions.go
@@ -223,9 +223,8 @@
 // false if it is not known.
 func (c *call) versionTakenUp() (string, bool) {
 	t, service := c.node.versions.table, c.service.Name
-	// Streams that are not resumable begin at any version.
-	if version, ok := c.onlyVersion(); !c.route.Idempotent() || ok && t.HasNone() {
-		return version, ok
+	if !c.route.Idempotent() { // such streams begin at any version
+		return c.onlyVersion()
 	}
 	if c.info.Resumes == "" && !t.IsSettled(service) {
 		return "", false
@@ -286,7 +285,7 @@
 	if c.versionBound || !c.route.Idempotent() {
 		return true
 	}
-	if _, ok := c.onlyVersion(); ok && c.node.versions.table.HasNone() {
+	if c.node.versions.table.HasNone() {
 		return true
 	}
 	return c.node.fleet.IsSameProcess(e) && c.node.versions.table.MayBegin(c.service.Name, c.info.ID, e.Version)
