--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -397,13 +397,13 @@
 	return versions
 }
 
-// IsSameProcess reports whether an endpoint still is the process of e, as far as the
-// registry tells, and runs the same software.
-func (f *Fleet) IsSameProcess(e Endpoint) bool {
+// IsReplaced reports whether the endpoint of e has started again since, or at another
+// version, as far as the registry tells.
+func (f *Fleet) IsReplaced(e Endpoint) bool {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	known := f.entries[e.ID]
-	return known != nil && known.instance.BornMS == e.BornMS && known.instance.Version == e.Version
+	return known != nil && (known.instance.BornMS != e.BornMS || known.instance.Version != e.Version)
 }
 
 // AcceptsWork reports whether a request may still be sent to an endpoint. Callers check
--- a/io/byentry/relay.go
+++ b/io/byentry/relay.go
@@ -167,6 +167,9 @@
 			return brokenOff
 		}
 	}
+	if r.runEventAt.IsZero() && r.c.versionBound && r.c.node.fleet.IsReplaced(r.endpoint) {
+		return burdockyard.ErrInterrupted // the events may be of another version
+	}
 	events := r.pending[:end]
 	r.recordEvents(events)
 	now := r.c.node.clock.Now()
--- a/io/byentry/version_test.go
+++ b/io/byentry/version_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"burdockyard/platform/bystub"
 )
 
@@ -242,3 +244,38 @@
 		c.waitUntil("the log has "+want, func() bool { return strings.Contains(c.logs.String(), want) })
 	}
 }
+
+// TestStreamIsNotTakenUpAtReplacedEndpoint guards against the failure that a stream goes on
+// at an endpoint that has started again under its ID, at another version, since the plan was made.
+func TestStreamIsNotTakenUpAtReplacedEndpoint(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t)
+	c.firstStart = true
+	c.publishConfig(3, nil)
+	cfg := bystub.RunnerConfig{ID: "d", Version: "v1", Service: "llm", Zone: "a", Stage: "decode", Slots: 24, EventsPerStream: 6, EventInterval: 10 * time.Millisecond}
+	replacedSoon := make(chan struct{})
+	c.addRunner(cfg).CrashOn(func(*http.Request) bool { <-replacedSoon; return false }, nil) // only delays the first event
+	n := c.startNode("n0")
+	c.waitReady(n)
+	c.waitUntil("the split is in force", func() bool { return strings.Contains(c.logs.String(), "split of versions") })
+	done := make(chan reply, 1)
+	var group errgroup.Group
+	group.Go(func() error {
+		done <- n.callWithID("second", "POST", "/quick/1", "x", ownPrompt(1), shortTokens, "Last-Event-Id: 2", "Resumes: first")
+		return nil
+	})
+	c.waitUntil("the take-up runs", func() bool { return len(c.runners["d"].Runs()) > 0 })
+	cfg.Version = "v2"
+	replaced := bystub.NewRunner(cfg)
+	replaced.Restart()
+	c.store.Set("servers", "d", replaced.StoreEntry(c.addrs["d"], "ready", 1))
+	time.Sleep(time.Second) // within which nodes read the entry
+	close(replacedSoon)
+	got := <-done
+	if got.status == 200 && strings.Contains(got.body, "id:") {
+		t.Errorf("the take-up got %q, want no event of an endpoint that was replaced", got.body)
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/io/byentry/versions.go
+++ b/io/byentry/versions.go
@@ -288,5 +288,5 @@
 	if c.node.versions.table.HasNone() {
 		return true
 	}
-	return c.node.fleet.IsSameProcess(e) && c.node.versions.table.MayBegin(c.service.Name, c.info.ID, e.Version)
+	return !c.node.fleet.IsReplaced(e) && c.node.versions.table.MayBegin(c.service.Name, c.info.ID, e.Version)
 }
