--- a/io/byentry/versions.go
+++ b/io/byentry/versions.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -101,10 +102,13 @@
 	node            *Node
 	table           *byversion.Table
 	watcher         *tableWatcher
-	row             atomic.Pointer[burdockyard.Row] // row that was applied last
-	longestDeadline atomic.Int64                    // longest time that a caller of a resumable stream was ready to wait, in nanoseconds
-	writtenAt       time.Time                       // when this node has last written a record
-	writtenOver     uint64                          // version of the row that it wrote over
+	longestDeadline atomic.Int64 // longest time that a caller of a resumable stream was ready to wait, in nanoseconds
+	writtenAt       time.Time    // when this node has last written a record
+	writtenOver     uint64       // version of the row that it wrote over
+
+	// mu is held while a reading is applied to table. It is locked before the lock of table.
+	mu  sync.Mutex
+	row burdockyard.Row // row that table was last told of; zero if there was none
 }
 
 func newVersions(n *Node) *versions {
@@ -121,9 +125,11 @@
 
 // apply applies a reading of the table.
 func (v *versions) apply(_ bymirror.Delta, requestedAt time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	row, exists := v.watcher.mirror.Row(splitKey)
 	era := v.watcher.mirror.Version().Era
-	if last := v.row.Load(); exists && last != nil && last.Version == row.Version && last.Era == row.Era {
+	if exists && v.row.Version == row.Version && v.row.Era == row.Era {
 		v.table.Confirm(requestedAt)
 		return
 	}
@@ -134,8 +140,8 @@
 			v.node.log.fleet.Warn("record of the splits not taken", bylog.Err(err))
 			return // without a confirmation, the former record is soon too old to begin streams by
 		}
-		v.row.Store(&row)
 	}
+	v.row = row
 	if v.table.Apply(record, exists, era, requestedAt) {
 		v.logRecord(record)
 		v.node.peers.sendSoon()
@@ -157,17 +163,17 @@
 	if routes == nil || n.stopping.Load() || n.view.RankByCapacity(splitTable, n.settings.Domain, n.reloadableSettings.Load().Capacity) > 0 {
 		return
 	}
-	row, _ := v.watcher.mirror.Row(splitKey)
-	if row.Version == v.writtenOver && n.clock.Now().Sub(v.writtenAt) < splitReadWait {
-		return
-	}
 	capacity, lifetimes := map[string]map[string]int{}, routes.StreamTimeouts(defaultDeadline)
 	for service, timeout := range lifetimes {
 		lifetimes[service] = min(max(timeout, time.Duration(v.longestDeadline.Load())), maxStreamLifetime)
 		capacity[service] = n.fleet.StreamVersions(service)
 	}
+	// The write must be over the row that the proposal is based on.
+	v.mu.Lock()
+	row := v.row
 	next, changed := v.table.Propose(capacity, lifetimes)
-	if !changed {
+	v.mu.Unlock()
+	if !changed || row.Version == v.writtenOver && n.clock.Now().Sub(v.writtenAt) < splitReadWait {
 		return
 	}
 	value, err := encodeSplits(next)
