--- a/core/byversion/byversion_test.go
+++ b/core/byversion/byversion_test.go
@@ -239,3 +239,36 @@
 		t.Errorf("a stream goes on at %q, error %v, want v2", v, err)
 	}
 }
+
+// A next split with a version that has left would hold its share of new streams for seconds
+// after a release of all endpoints at once.
+func TestReleaseOfAllEndpointsHoldsStreamsBriefly(t *testing.T) {
+	clock := &testClock{now: time.Unix(1_000_000, 0)}
+	table := newTable(clock)
+	table.Apply(byversion.Record{Seq: 1, Services: map[string]byversion.State{service: {Active: byversion.NewSplit(map[string]int{"v1": 9})}}}, true, 0, clock.now)
+	endpoints := map[string]int{"v1": 9, "v2": 9}
+	held := 0
+	for i := range 100 {
+		clock.now = clock.now.Add(100 * time.Millisecond)
+		table.Confirm(clock.now)
+		if i == 10 {
+			endpoints = map[string]int{"v2": 9}
+		}
+		if next, ok := table.Propose(capacity(endpoints), lifetimes()); ok {
+			table.Apply(next, true, 0, clock.now)
+		}
+		for k := range 100 {
+			version, _ := table.Preferred(service, requestID(k))
+			if endpoints[version] == 0 {
+				version = "v2"
+			}
+			if !table.MayBegin(service, requestID(k), version) {
+				held++
+			}
+		}
+	}
+	// The wait for other nodes is maxAge and a second.
+	if limit := 100 * 10 * 3.5; float64(held) > limit {
+		t.Errorf("%.1f s of new streams are held, want at most 3.5 s", float64(held)/1000)
+	}
+}
--- a/core/byversion/propose.go
+++ b/core/byversion/propose.go
@@ -73,6 +73,9 @@
 		if t.isKnownToAll(s.NextSince) {
 			s.Formers = append(s.Formers, Former{Split: s.Active, RetiredBy: seq})
 			s.Active, s.Next, s.NextSince, changed = s.Next, Split{}, 0, true
+		} else if !wanted.IsZero() && s.Next.lacks(wanted) {
+			// A version of the next split has left. No stream has begun under it yet.
+			s.Next, s.NextSince, changed = wanted, seq, true
 		}
 		return s, changed
 	}
--- a/core/byversion/split.go
+++ b/core/byversion/split.go
@@ -105,6 +105,11 @@
 	return 0
 }
 
+// lacks reports whether a version of s is not in other.
+func (s Split) lacks(other Split) bool {
+	return slices.ContainsFunc(s.shares, func(sh share) bool { return other.weight(sh.version) == 0 })
+}
+
 // differsFrom reports whether the shares of s and other differ so much that it is worth
 // moving IDs: a version is in only one of them, or the share of one differs by more than
 // maxShareError.
