--- a/core/byversion/byversion.go
+++ b/core/byversion/byversion.go
@@ -20,10 +20,18 @@
 // A change of the split has two steps. The first record announces the next split, the
 // second one makes it the active one, not before each reading of the store that lacks
 // the announcement is older than maxAge. A node whose last reading is older than that
-// begins no stream. So a node that takes up a stream always knows all splits under which
+// begins no stream, with one exception: if all streams are of one version and no peer has
+// named a newer record, it goes on, since an outage of the store would otherwise keep
+// streams from all callers. Such a node is wrong only if it reaches neither the store nor
+// any node that does while the split changes. So any other node that takes up a stream always knows all splits under which
 // it may have begun: the active one, the next one, and former ones for as long as such a
 // stream may last. If they disagree on an ID, its version is unknown.
 //
+// Records outlive all nodes, but a store that is restored from an older copy may lose some.
+// Then, and before the first record, UnknownSince of a state says that streams may have
+// begun under splits that nobody knows; for as long as such streams may last, none is taken
+// up, and none begins until each node knows of that.
+//
 // A node that may not begin a stream can still run it, if its caller gets no event
 // before the last one: a stream that has come as a whole is not taken up.
 package byversion
@@ -173,7 +181,7 @@
 func (t *Table) HasNone() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.known && !t.firstStart && t.heardSeq == 0 && !t.confirmedAt.IsZero() && t.clock.Now().Sub(t.confirmedAt) <= t.maxAge()
+	return !t.known && !t.firstStart && t.heardSeq == 0 && !t.confirmedAt.IsZero() && t.isFresh()
 }
 
 // state returns the state of a service, and whether it may be relied on. The caller must
@@ -187,8 +195,16 @@
 	if !ok || t.restored {
 		return State{}, false
 	}
-	isFresh := t.clock.Now().Sub(t.confirmedAt) <= t.maxAge()
-	return s, t.hasNewest() && (isFresh || s.isSettled())
+	return s, t.isFresh() || t.hasNewest() && s.isSettled()
+}
+
+// isFresh reports whether the last reading is young enough to begin streams by. While it
+// is, no split can be active that it lacks. The steady clock stands still while a VM is
+// suspended, and the wall clock may be set, so the longer of both times counts. The caller
+// must hold mu.
+func (t *Table) isFresh() bool {
+	now := t.clock.Now()
+	return max(now.Sub(t.confirmedAt), now.Round(0).Sub(t.confirmedAt.Round(0))) <= t.maxAge()
 }
 
 // hasNewest reports whether no peer has named a newer record. The caller must hold mu.
--- a/core/byversion/byversion_test.go
+++ b/core/byversion/byversion_test.go
@@ -95,6 +95,7 @@
 		{"one version, store away", byversion.Record{Seq: 1, Services: map[string]byversion.State{service: {Active: one}}}, 0, time.Minute, 1, 1, 1},
 		{"one version, store away, peer knows more", byversion.Record{Seq: 1, Services: map[string]byversion.State{service: {Active: one}}}, 0, time.Minute, 2, 0, 0},
 		{"two versions", byversion.Record{Seq: 1, Services: map[string]byversion.State{service: {Active: two}}}, 0, 0, 0, 1, 1},
+		{"two versions, fresh reading, peer knows more", byversion.Record{Seq: 1, Services: map[string]byversion.State{service: {Active: two}}}, 0, 0, 2, 1, 1},
 		{"two versions, old reading", byversion.Record{Seq: 1, Services: map[string]byversion.State{service: {Active: two}}}, 0, testMaxAge + 1, 0, 0, 0},
 		{"announced", byversion.Record{Seq: 2, Services: map[string]byversion.State{service: {Active: one, Next: two, NextSince: 2}}}, 0, 0, 0, 0.5, 1},
 		{"switched", byversion.Record{Seq: 3, Services: map[string]byversion.State{service: {Active: two, Formers: []byversion.Former{{Split: one, RetiredBy: 3}}}}}, 0, 0, 0, 0.5, 1},
