--- a/io/byentry/version_test.go
+++ b/io/byentry/version_test.go
@@ -279,3 +279,39 @@
 		t.Error(err)
 	}
 }
+
+// TestHeldStreamBeginsAgain guards against the failure that the events of a held stream whose
+// engine broke off are joined with those of an engine of another version.
+func TestHeldStreamBeginsAgain(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t) // its first record leaves the versions of streams unknown for a while
+	c.publishConfig(3, nil)
+	for _, version := range []string{"v1", "v2"} {
+		c.addRunner(bystub.RunnerConfig{ID: "d-" + version, Version: version, Service: "llm", Zone: "a", Stage: "decode", Slots: 24, EventsPerStream: 6, EventInterval: 10 * time.Millisecond})
+	}
+	n := c.startNode("n0")
+	c.waitReady(n)
+	c.waitUntil("the first record is written", func() bool { return strings.Contains(c.logs.String(), `"unknown":true`) })
+	rejoined, whole := 0, 0
+	const streams = 8
+	for i := range streams {
+		c.runners["d-v1"].SetFaults(bystub.RunnerFaults{Cut: 1})
+		id := fmt.Sprint("held-", i)
+		if got := n.callWithID(id, "POST", "/quick/1", "x", ownPrompt(i), shortTokens); got.status == 200 && strings.Count(got.body, "id: ") == 6 {
+			whole++
+		}
+		for _, r := range c.runners {
+			for _, run := range r.Runs() {
+				if run.ID == id && run.LastEventID != "" {
+					rejoined++
+				}
+			}
+		}
+	}
+	if !strings.Contains(c.logs.String(), "stream held") {
+		t.Fatal("no stream was held")
+	}
+	if rejoined > 0 || whole != streams {
+		t.Errorf("%d of %d streams are whole, %d runs go on with events that were held; want all and none", whole, streams, rejoined)
+	}
+}
