--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -530,6 +530,18 @@
 	return Suspended
 }
 
+// ForgetFailures ends the backoff of the endpoints of a service that failed attempts have
+// started. Those that have shed requests, or asked for a rest, are not affected.
+func (f *Fleet) ForgetFailures(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.entries {
+		if e.instance.Service == service && e.consecutiveFailures > 0 && e.consecutiveSheds == 0 {
+			e.consecutiveFailures, e.backoffUntil = 0, time.Time{}
+		}
+	}
+}
+
 // Report records the result of an attempt and returns how the endpoint's
 // availability changed. It ignores endpoints that are not known.
 func (f *Fleet) Report(id burdockyard.EndpointID, r Result) StateChange {
--- a/core/byfleet/byfleet_test.go
+++ b/core/byfleet/byfleet_test.go
@@ -321,3 +321,20 @@
 		expectUsable(t, f, "an absurd time is limited", "a", "b")
 	})
 }
+
+// TestForgottenFailuresEndBackoff guards against endpoints that get no work for seconds after
+// a node has its links back, and against work for those that are full.
+func TestForgottenFailuresEndBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetWith("a", "b", "c")
+		for range 5 {
+			f.Report("a", byfleet.Unreachable)
+		}
+		f.Report("b", byfleet.Shed)
+		expectUsable(t, f, "a is unreachable and b full", "c")
+		f.ForgetFailures("other")
+		expectUsable(t, f, "failures of another service are forgotten", "c")
+		f.ForgetFailures("app")
+		expectUsable(t, f, "failures are forgotten", "a", "c")
+	})
+}
--- a/io/byentry/reach.go
+++ b/io/byentry/reach.go
@@ -157,6 +157,9 @@
 	reached, failed := n.reach.Reached(service)
 	fields := []bylog.Field{bylog.Str("service", service), bylog.Int("reached", reached), bylog.Int("failed", failed), bylog.Int("endpoints", endpoints)}
 	if since.IsZero() {
+		if n.losesCallers.Load() {
+			n.fleet.ForgetFailures(service) // they were failures of the links
+		}
 		n.log.fleet.Info("links to endpoints regained", append(fields, bylog.Millis("lost_ms", n.clock.Now().Sub(before)))...)
 	} else {
 		n.log.fleet.Warn("links to endpoints lost", fields...)
