--- a/io/byentry/reach.go
+++ b/io/byentry/reach.go
@@ -21,6 +21,9 @@
 	reachCheckInterval = 50 * time.Millisecond
 	// reachProbeTimeout limits the probe of a link. Endpoints accept in about 1 ms.
 	reachProbeTimeout = 300 * time.Millisecond
+	// maxOwnDelay is how late the end of a probe's time may be noticed for its failure to
+	// count.
+	maxOwnDelay = 50 * time.Millisecond
 )
 
 // recordContact records a response of endpoint e.
@@ -131,9 +134,10 @@
 
 // probe opens a connection to an endpoint, one of the given number.
 func (m *reachMonitor) probe(ctx context.Context, e byfleet.Endpoint, endpoints int) {
+	startedAt := m.node.clock.Now()
 	err := m.node.forwarder.Probe(ctx, e.Addr, reachProbeTimeout)
-	if ctx.Err() != nil {
-		return
+	if ctx.Err() != nil || err != nil && m.node.clock.Now().Sub(startedAt) > reachProbeTimeout+maxOwnDelay {
+		return // a node that got no processor time for a while has learned nothing
 	}
 	m.node.metrics.LinkProbes(e.Service).Inc()
 	m.node.reach.RecordProbe(e.Service, e.ID, err == nil, endpoints)
--- a/io/byentry/reach_test.go
+++ b/io/byentry/reach_test.go
@@ -61,3 +61,20 @@
 		})
 	}
 }
+
+// FuzzHandoverHeader checks that no value of the header with which nodes hand requests over
+// yields a negative or endless waiting time, and that a node reads what it has written.
+func FuzzHandoverHeader(f *testing.F) {
+	for _, text := range []string{"", "x", "1d 250 1", "t -5 -1", "t 9223372036854775807 9223372036854775807", "t 1e9 nan", "t  1"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		h := parseHandover(text)
+		if h.waited < 0 || h.waited > maxWaited || h.possibleRuns < 0 {
+			t.Errorf("%q yields %+v, want a waiting time from 0 to %v and no negative number of runs", text, h, maxWaited)
+		}
+		if again := parseHandover(h.String()); *again != *h {
+			t.Errorf("%q yields %+v, and that yields %+v; want the same", text, h, again)
+		}
+	})
+}
