--- a/core/bydigest/bydigest.go
+++ b/core/bydigest/bydigest.go
@@ -154,7 +154,7 @@
 func flagsChanged(a, b bymember.Heartbeat) bool {
 	return a.Member != b.Member || a.Leaving != b.Leaving || a.Ready != b.Ready || a.Generation != b.Generation || a.Capacity != b.Capacity ||
 		!slices.Equal(a.LeavingEndpoints, b.LeavingEndpoints) || b.Quarantine.IsNewsAfter(a.Quarantine) || bylimit.IsNewsAfter(b.Limits, a.Limits) ||
-		!slices.Equal(a.Reach.Reached, b.Reach.Reached) || !slices.Equal(a.Reach.Lost, b.Reach.Lost) ||
+		!slices.Equal(a.Reach.Lost, b.Reach.Lost) || // a node in doubt may leave and enter Reach.Reached often
 		len(b.HeldEngines) > 0 // peers forget holds that are not repeated
 }
 
--- a/core/bydigest/bydigest_test.go
+++ b/core/bydigest/bydigest_test.go
@@ -9,6 +9,7 @@
 	"burdockyard"
 	"burdockyard/core/bydigest"
 	"burdockyard/core/bymember"
+	"burdockyard/core/byreach"
 )
 
 func heartbeat(node, domain string, loads ...bymember.Load) bymember.Heartbeat {
@@ -190,3 +191,29 @@
 		t.Errorf("got orders %v and %v, want the same one, with n2 first", candidates, reordered)
 	}
 }
+
+// TestLossOfLinksIsPassedOnAtOnce guards against requests being sent to a node that has lost
+// its links, and against a heartbeat for each doubt of a node.
+func TestLossOfLinksIsPassedOnAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := bydigest.New(burdockyard.SystemClock{}, "a")
+		for _, tt := range []struct {
+			reach byreach.Peer
+			want  int
+		}{
+			{byreach.Peer{Reached: []string{"s"}}, 1}, // a new node
+			{byreach.Peer{}, 0},
+			{byreach.Peer{Reached: []string{"s"}}, 0},
+			{byreach.Peer{Lost: []string{"s"}}, 1},
+			{byreach.Peer{Reached: []string{"s"}}, 1},
+		} {
+			hb := heartbeat("n1", "a")
+			hb.Reach = tt.reach
+			time.Sleep(1200 * time.Millisecond)
+			a.RecordHeartbeat(hb)
+			if same, _ := a.Take(false); len(same.Heartbeats) != tt.want {
+				t.Errorf("%d heartbeats with %+v are passed on, want %d", len(same.Heartbeats), tt.reach, tt.want)
+			}
+		}
+	})
+}
