--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -71,11 +71,12 @@
 	WrongEndpoint        // another endpoint answered at the address
 	NoAnswer             // no response before the request's deadline
 	Silent               // no response for far longer than predicted
+	NoConnection         // no connection could be opened in time
 )
 
 // String returns the name of the result in logs.
 func (r Result) String() string {
-	return [...]string{"succeeded", "failed", "unreachable", "full", "another endpoint at the address", "no answer", "silent"}[r]
+	return [...]string{"succeeded", "failed", "unreachable", "full", "another endpoint at the address", "no answer", "silent", "no connection"}[r]
 }
 
 // StateChange is a change in an endpoint's availability that a result caused and that
@@ -105,6 +106,8 @@
 	suspended           bool // reported as suspended, with no success since
 	failRate            float64
 	backoffUntil        time.Time
+	hanging             bool      // whether no connection could be opened in time, and none since
+	failRateBefore      float64   // failRate when the endpoint began to hang
 	wrongEndpointUntil  time.Time // no work until then, as another endpoint uses the address
 	heldUntil           time.Time // no work until then, as its role is about to change
 	leaving             bool      // the endpoint itself has told a node that it is about to end
@@ -571,6 +574,38 @@
 	return Suspended
 }
 
+// Hanging returns up to n endpoints that are in backoff because no connection to them could
+// be opened in time. shuffle is like rand.Shuffle.
+func (f *Fleet) Hanging(n int, shuffle func(n int, swap func(i, j int))) []Endpoint {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	now := f.clock.Now()
+	var hanging []Endpoint
+	for _, e := range f.entries {
+		if e.hanging && now.Before(e.backoffUntil) && e.acceptsWork(now) {
+			hanging = append(hanging, Endpoint{Instance: e.instance, FailRate: e.failRate})
+		}
+	}
+	slices.SortFunc(hanging, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	shuffle(len(hanging), func(i, j int) { hanging[i], hanging[j] = hanging[j], hanging[i] })
+	return hanging[:min(n, len(hanging))]
+}
+
+// RecordConnection records that a new connection to an endpoint could be opened. If the
+// endpoint was hanging, the failures since then had one cause, which is over: its backoff
+// ends, and they are forgotten.
+func (f *Fleet) RecordConnection(id burdockyard.EndpointID) StateChange {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.entries[id]
+	if e == nil || !e.hanging {
+		return Unchanged
+	}
+	e.hanging, e.suspended = false, false
+	e.consecutiveFailures, e.failRate, e.backoffUntil = 0, e.failRateBefore, time.Time{}
+	return Restored
+}
+
 // Report records the result of an attempt and returns how the endpoint's
 // availability changed. It ignores endpoints that are not known.
 func (f *Fleet) Report(id burdockyard.EndpointID, r Result) StateChange {
@@ -596,9 +631,12 @@
 		e.wrongEndpointUntil, e.suspended = now.Add(wrongEndpointSuspension), true
 		return Suspended
 	}
+	if r == NoConnection && !e.hanging {
+		e.hanging, e.failRateBefore = true, e.failRate
+	}
 	e.consecutiveFailures++
 	e.failRate += failRateSampleWeight * (1 - e.failRate)
-	if e.consecutiveFailures < failureThreshold && r != Unreachable && r != Silent {
+	if e.consecutiveFailures < failureThreshold && r != Unreachable && r != Silent && r != NoConnection {
 		return Unchanged
 	}
 	backoff := minFailureBackoff << min(e.consecutiveFailures-1, 8)
--- a/core/byfleet/byfleet_test.go
+++ b/core/byfleet/byfleet_test.go
@@ -351,3 +351,34 @@
 		}
 	})
 }
+
+// TestOneHangCountsOnce guards against an endpoint that is set aside for long, and avoided
+// for longer, because many requests found no connection to it in one silence.
+func TestOneHangCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetWith("a", "b")
+		f.Report("a", byfleet.Failed)
+		before, _ := f.Lookup("a")
+		for range 12 {
+			f.Report("a", byfleet.NoConnection)
+		}
+		f.Report("b", byfleet.Unreachable)
+		keepOrder := func(int, func(i, j int)) {}
+		if got := f.Hanging(2, keepOrder); len(got) != 1 || got[0].ID != "a" {
+			t.Errorf("Hanging returned %v, want a only", got)
+		}
+		if s := f.RecordConnection("b"); s != byfleet.Unchanged {
+			t.Errorf("RecordConnection returned %v for an endpoint that breaks connections, want no change", s)
+		}
+		if s := f.RecordConnection("a"); s != byfleet.Restored {
+			t.Errorf("RecordConnection returned %v for an endpoint that was hanging, want it restored", s)
+		}
+		expectUsable(t, f, "a accepts connections again", "a")
+		if after, _ := f.Lookup("a"); after.FailRate != before.FailRate {
+			t.Errorf("failure rate is %v, want %v as before", after.FailRate, before.FailRate)
+		}
+		if got := f.Hanging(2, keepOrder); len(got) != 0 {
+			t.Errorf("Hanging returned %v, want none", got)
+		}
+	})
+}
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -142,7 +143,7 @@
 		c.sends-- // no byte of the request was sent
 		c.node.limits.Return(e.ID, e.BornMS)
 		if !errors.Is(err, byforward.ErrConnectionLimit) {
-			c.node.reportResult(e, byfleet.Unreachable, err)
+			c.node.reportResult(e, dialResult(err), err)
 		}
 		return outcomeNotRun
 	}
@@ -155,6 +156,14 @@
 	return outcomeUnknown
 }
 
+// dialResult returns the result of an attempt for which no connection could be opened.
+func dialResult(err error) byfleet.Result {
+	if netErr := net.Error(nil); errors.As(err, &netErr) && netErr.Timeout() {
+		return byfleet.NoConnection
+	}
+	return byfleet.Unreachable
+}
+
 // drainBody reads and discards the rest of a response so that its connection can be
 // reused.
 func (c *call) drainBody(resp *byforward.Response) {
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -345,6 +345,7 @@
 		group.Go(func() error { return n.queryCaches(ctx) })
 	}
 	group.Go(func() error { return runEvery(ctx, roleCheckInterval, n.roles.reconcile) })
+	group.Go(func() error { return runEvery(ctx, hangingProbeInterval, n.probeHanging) })
 }
 
 // runEvery calls f once per interval until ctx is done.
