--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -361,6 +361,7 @@
 	group.Go(func() error { return runEvery(ctx, roleCheckInterval, n.roles.reconcile) })
 	group.Go(func() error { return runEvery(ctx, splitCheckInterval, n.versions.reconcile) })
 	group.Go(func() error { return runEvery(ctx, reachCheckInterval, newReachMonitor(n).check) })
+	group.Go(func() error { return runEvery(ctx, hangingProbeInterval, n.probeHanging) })
 }
 
 // runEvery calls f once per interval until ctx is done.
