--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -24,6 +24,7 @@
 	"burdockyard/core/bylimit"
 	"burdockyard/core/byquarantine"
 	"burdockyard/core/byreach"
+	"burdockyard/core/byversion"
 )
 
 const (
@@ -74,6 +75,7 @@
 	Capacity          float64                   // share of a core that the node may use; weights the directory's answers
 	SplitEra          uint64                    // era of the newest byversion.Record that the node knows
 	SplitSeq          uint64                    // number of that record
+	StreamStarts      []byversion.Start         // streams that the node has begun, as byversion.Table.News returns them
 }
 
 // Hash returns a hash of a member's node and incarnation. Relays use it to tell which
--- a/core/byversion/byversion.go
+++ b/core/byversion/byversion.go
@@ -7,6 +7,7 @@
 //	t.Apply(record, storeEra, requestedAt)      // each reading of the store
 //	version, ok := t.Preferred(service, id)     // where a new stream should run
 //	t.MayBegin(service, id, version)            // right before its first event is sent
+//	t.RecordStart(service, id, version)         // if it is
 //	version, err := t.VersionOf(service, began) // when a caller takes up the stream that began as request began
 //	next, ok := t.Propose(capacity, lifetimes)  // on one node: the record to write
 //
@@ -25,7 +26,8 @@
 // streams from all callers. Such a node is wrong only if it reaches neither the store nor
 // any node that does while the split changes. So any other node that takes up a stream always knows all splits under which
 // it may have begun: the active one, the next one, and former ones for as long as such a
-// stream may last. If they disagree on an ID, its version is unknown.
+// stream may last. If they disagree on an ID, the version is known only to the node that
+// began the stream, and to those that it could tell.
 //
 // Records outlive all nodes, but a store that is restored from an older copy may lose some.
 // Then, and before the first record, UnknownSince of a state says that streams may have
@@ -41,6 +43,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
 
 	"burdockyard"
 )
@@ -78,6 +81,8 @@
 	heardSeq    uint64               // of the newest record that a peer has named
 	firstSeen   map[uint64]time.Time // when a record that is still referred to was first seen, by its number
 	differsFrom map[string]time.Time // since when a service differs from its split
+	allSettled  bool                 // whether the record has no service with several splits or versions
+	starts      map[uint64]start     // streams that may still go on, by the hash of their request's ID
 }
 
 // Option sets an optional part of a Table.
@@ -90,7 +95,7 @@
 // New returns a Table without a record. maxAge is the age of the last reading up to which
 // a node may begin streams; it must be the same on all nodes.
 func New(clock burdockyard.Clock, maxAge func() time.Duration, opts ...Option) *Table {
-	t := &Table{clock: clock, maxAge: maxAge, firstSeen: map[uint64]time.Time{}, differsFrom: map[string]time.Time{}}
+	t := &Table{clock: clock, maxAge: maxAge, firstSeen: map[uint64]time.Time{}, differsFrom: map[string]time.Time{}, starts: map[uint64]start{}}
 	for _, opt := range opts {
 		opt(t)
 	}
@@ -123,6 +128,10 @@
 	}
 	t.firstSeen = seen
 	t.record, t.known, t.restored = r, true, r.Era != storeEra
+	t.allSettled = true
+	for _, s := range r.Services {
+		t.allSettled = t.allSettled && s.isSettled()
+	}
 	return true
 }
 
@@ -245,24 +254,16 @@
 func (t *Table) VersionOf(service string, id burdockyard.RequestID) (string, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, ok := t.state(service)
-	if !ok || s.UnknownSince > 0 {
-		return "", merry.Wrap(ErrUnknownVersion)
+	hash := xxhash.Sum64String(string(id))
+	if start, ok := t.starts[hash]; ok {
+		return start.version, nil
 	}
-	version, ok := s.Active.VersionOf(id)
-	splits := []Split{s.Next}
-	for _, f := range s.Formers {
-		splits = append(splits, f.Split)
-	}
-	for _, split := range splits {
-		if other, otherOK := split.VersionOf(id); otherOK && other != version {
-			ok = false
+	if s, ok := t.state(service); ok {
+		if version, ok := s.versionOfHash(hash); ok {
+			return version, nil
 		}
 	}
-	if !ok {
-		return "", merry.Wrap(ErrUnknownVersion)
-	}
-	return version, nil
+	return "", merry.Wrap(ErrUnknownVersion)
 }
 
 // IsSettled reports whether all streams of a service that may go on have begun at one
--- a/core/byversion/byversion_test.go
+++ b/core/byversion/byversion_test.go
@@ -273,3 +273,48 @@
 		t.Errorf("%.1f s of new streams are held, want at most 3.5 s", float64(held)/1000)
 	}
 }
+
+// A stream whose ID a new split gives to another version would be refused, although a node
+// knows which version began it.
+func TestPeersAreToldOfStreamsThatSplitsDisagreeOn(t *testing.T) {
+	clock := &testClock{now: time.Unix(1_000_000, 0)}
+	one, two := byversion.NewSplit(map[string]int{"v1": 4}), byversion.NewSplit(map[string]int{"v1": 4, "v2": 4})
+	first := byversion.Record{Seq: 1, Services: map[string]byversion.State{service: {Active: one}}}
+	announced := byversion.Record{Seq: 2, Services: map[string]byversion.State{service: {Active: one, Next: two, NextSince: 2}}}
+	teller, peer := newTable(clock), newTable(clock)
+	teller.Apply(first, true, 0, clock.now)
+	const streams = 40
+	for i := range streams {
+		teller.RecordStart(service, requestID(i), "v1")
+	}
+	if news := teller.News(); len(news) > 0 {
+		t.Errorf("%d streams are told while all are of one version, want none", len(news))
+	}
+	teller.Apply(announced, true, 0, clock.now)
+	peer.Apply(announced, true, 0, clock.now)
+	peer.Merge(teller.News())
+	for i := range streams {
+		if v, err := peer.VersionOf(service, requestID(i)); v != "v1" {
+			t.Errorf("the peer takes a stream of v1 for one of %q, error %v", v, err)
+		}
+	}
+	clock.now = clock.now.Add(time.Second)
+	if news := teller.News(); len(news) > 0 {
+		t.Errorf("%d streams are told a second later, want none", len(news))
+	}
+	peer.ForgetStarts(testLifetime)
+	if v, err := peer.VersionOf(service, requestID(0)); v != "v1" {
+		t.Errorf("after a second the version is %q, error %v, want v1", v, err)
+	}
+	clock.now = clock.now.Add(testLifetime)
+	peer.ForgetStarts(testLifetime)
+	known := 0
+	for i := range streams {
+		if _, err := peer.VersionOf(service, requestID(i)); err == nil {
+			known++
+		}
+	}
+	if known == streams {
+		t.Error("streams are remembered for longer than they last")
+	}
+}
--- a/core/byversion/model_test.go
+++ b/core/byversion/model_test.go
@@ -83,7 +83,13 @@
 			era, seq = e, s
 		}
 	}
+	teller := m.nodes[rapid.IntRange(0, len(m.nodes)-1).Draw(m.t, "teller")]
+	news := teller.table.News()
 	for _, n := range m.nodes {
+		if !n.deaf && m.chance(80, "is told") {
+			n.table.Merge(news)
+		}
+		n.table.ForgetStarts(testLifetime)
 		if !n.deaf && m.chance(50, "hears") {
 			n.table.Hear(era, seq)
 		}
@@ -168,6 +174,7 @@
 		case !m.isLost(n) && n.table.MayBegin(service, s.id, s.version):
 			m.open = append(m.open, s)
 			m.begun++
+			n.table.RecordStart(service, s.id, s.version)
 		}
 	}
 	n.starts = kept
--- a/core/byversion/record.go
+++ b/core/byversion/record.go
@@ -30,6 +30,24 @@
 	return len(s.Active.shares) == 1 && s.Next.IsZero() && len(s.Formers) == 0 && s.UnknownSince == 0
 }
 
+// versionOfHash returns the version that began the stream whose request ID has the given
+// hash, and false if the splits under which it may have begun disagree.
+func (s State) versionOfHash(id uint64) (string, bool) {
+	if s.UnknownSince > 0 {
+		return "", false
+	}
+	version, ok := s.Active.versionOfHash(id)
+	if other, otherOK := s.Next.versionOfHash(id); otherOK && other != version {
+		return "", false
+	}
+	for _, f := range s.Formers {
+		if other, otherOK := f.Split.versionOfHash(id); otherOK && other != version {
+			return "", false
+		}
+	}
+	return version, ok
+}
+
 // Record is the durable agreement on all services. A record is never changed in place:
 // each change has a higher sequence number.
 type Record struct {
--- a/core/byversion/split.go
+++ b/core/byversion/split.go
@@ -76,10 +76,14 @@
 // weights moves only IDs that go to a version which has gained, or come from one which
 // has lost. All arithmetic is on integers, so that nodes on different processors agree.
 func (s Split) VersionOf(id burdockyard.RequestID) (version string, ok bool) {
+	return s.versionOfHash(xxhash.Sum64String(string(id)))
+}
+
+// versionOfHash is like VersionOf for the hash of an ID.
+func (s Split) versionOfHash(idHash uint64) (version string, ok bool) {
 	if len(s.shares) == 1 {
 		return s.shares[0].version, true
 	}
-	idHash := xxhash.Sum64String(string(id))
 	var buf [16]byte
 	binary.LittleEndian.PutUint64(buf[:], idHash)
 	var best uint64
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -390,6 +390,7 @@
 	n.limits.RemoveUnknown(n.fleet.Contains)
 	if t := n.routes.Current(); t != nil {
 		n.callerConns.closeIdle(t.Limits())
+		n.versions.forgetStarts(t)
 	}
 }
 
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -166,6 +166,7 @@
 		}
 	}
 	n.versions.table.Hear(h.SplitEra, h.SplitSeq)
+	n.versions.table.Merge(h.StreamStarts)
 	n.mergeLimits(h.Limits)
 	n.applyQuarantineChange(n.quarantine.Merge(h.Quarantine), string(h.Member.Node))
 	if p.relay.active.Load() {
@@ -493,6 +494,7 @@
 		LeavingEndpoints: n.fleet.Leaving(), Quarantine: n.quarantine.News(), Limits: n.limits.Statements(),
 	}
 	heartbeat.SplitEra, heartbeat.SplitSeq = n.versions.table.Number()
+	heartbeat.StreamStarts = n.versions.table.News()
 	heartbeat.Reach = n.ownReach()
 	if t := n.routes.Current(); t != nil {
 		heartbeat.Generation = t.Version()
--- a/io/byentry/relay.go
+++ b/io/byentry/relay.go
@@ -126,6 +126,9 @@
 		return
 	}
 	c.version, c.hasVersion, c.versionBound = r.endpoint.Version, true, true
+	if c.route.Idempotent() && c.info.LastEventID == "" {
+		c.node.versions.table.RecordStart(c.service.Name, c.info.ID, c.version)
+	}
 }
 
 // dropHeld forgets held events of a run that has broken off, so that another run can begin
--- a/io/byentry/versions.go
+++ b/io/byentry/versions.go
@@ -13,6 +13,7 @@
 	"burdockyard"
 	"burdockyard/core/byfleet"
 	"burdockyard/core/bymirror"
+	"burdockyard/core/byroutes"
 	"burdockyard/core/byversion"
 	"burdockyard/io/bylog"
 )
@@ -156,6 +157,25 @@
 	}
 }
 
+// lifetimes returns how long after its first event a stream of each service may be taken
+// up.
+func (v *versions) lifetimes(routes *byroutes.Table) map[string]time.Duration {
+	lifetimes := routes.StreamTimeouts(defaultDeadline)
+	for service, timeout := range lifetimes {
+		lifetimes[service] = min(max(timeout, time.Duration(v.longestDeadline.Load())), maxStreamLifetime)
+	}
+	return lifetimes
+}
+
+// forgetStarts forgets the streams that can no longer be taken up.
+func (v *versions) forgetStarts(routes *byroutes.Table) {
+	longest := time.Second
+	for _, lifetime := range v.lifetimes(routes) {
+		longest = max(longest, lifetime)
+	}
+	v.table.ForgetStarts(longest)
+}
+
 // reconcile writes a new record if one is due. One node of each failure domain does so.
 func (v *versions) reconcile(ctx context.Context) {
 	n := v.node
@@ -163,9 +183,8 @@
 	if routes == nil || n.stopping.Load() || n.view.RankByCapacity(splitTable, n.settings.Domain, n.reloadableSettings.Load().Capacity) > 0 {
 		return
 	}
-	capacity, lifetimes := map[string]map[string]int{}, routes.StreamTimeouts(defaultDeadline)
-	for service, timeout := range lifetimes {
-		lifetimes[service] = min(max(timeout, time.Duration(v.longestDeadline.Load())), maxStreamLifetime)
+	capacity, lifetimes := map[string]map[string]int{}, v.lifetimes(routes)
+	for service := range lifetimes {
 		capacity[service] = n.fleet.StreamVersions(service)
 	}
 	// The write must be over the row that the proposal is based on.
--- a/io/bypeer/server.go
+++ b/io/bypeer/server.go
@@ -17,6 +17,7 @@
 	"burdockyard/core/bymanifest"
 	"burdockyard/core/bymember"
 	"burdockyard/core/byreach"
+	"burdockyard/core/byversion"
 	"burdockyard/io/bypeer/bypeerpb"
 )
 
@@ -114,6 +115,9 @@
 	for _, s := range h.Limits {
 		out.Limits = append(out.Limits, &bypeerpb.LimitStatement{Endpoint: string(s.Endpoint), BornMs: s.BornMS, Named: s.Named, PerSecond: s.PerSecond, AgeMs: s.Age.Milliseconds(), SinceMs: s.Since.Milliseconds()})
 	}
+	for _, s := range h.StreamStarts {
+		out.StreamStarts = append(out.StreamStarts, &bypeerpb.StreamStart{Id: s.ID, Version: s.Version, AgeMs: s.Age.Milliseconds()})
+	}
 	for _, id := range h.HeldEngines {
 		out.Holds = append(out.Holds, string(id))
 	}
@@ -135,6 +139,9 @@
 	for _, s := range msg.GetLimits() {
 		out.Limits = append(out.Limits, bylimit.Statement{Endpoint: burdockyard.EndpointID(s.GetEndpoint()), BornMS: s.GetBornMs(), Named: s.GetNamed(), PerSecond: s.GetPerSecond(), Age: millis(s.GetAgeMs()), Since: millis(s.GetSinceMs())})
 	}
+	for _, s := range msg.GetStreamStarts() {
+		out.StreamStarts = append(out.StreamStarts, byversion.Start{ID: s.GetId(), Version: s.GetVersion(), Age: millis(s.GetAgeMs())})
+	}
 	for _, id := range msg.GetHolds() {
 		out.HeldEngines = append(out.HeldEngines, burdockyard.EndpointID(id))
 	}
