--- a/io/bysoak/bysoak.go
+++ b/io/bysoak/bysoak.go
@@ -54,8 +54,20 @@
 	Nodes       int           // number of entry nodes
 	Callers     int           // number of concurrent callers; values below 1 count as 1
 	FaultPeriod time.Duration // how long faults are injected
+	Versions    VersionTrouble
 }
 
+// VersionTrouble says whether the software of the decode runners is replaced by other
+// versions during a run.
+type VersionTrouble string
+
+// The kinds of trouble with versions.
+const (
+	OneVersion    VersionTrouble = "one"   // all runners stay at one version
+	VersionsAmong VersionTrouble = "among" // releases and what breaks streams, among all other faults
+	VersionsAlone VersionTrouble = "alone" // releases and what breaks streams, without other faults
+)
+
 // Report is the result of a soak run.
 type Report struct {
 	Plan           []string // injected faults and the end of all faults, each with its time
@@ -63,15 +75,19 @@
 	Answered       int      // requests with status 200 and a complete body
 	Refused        int      // requests with a refusal status
 	RecoveredShare float64  // share of the requests after the recovery time that were answered
+	TakenUp        Share    // streams that went on of those that callers took up, at calm nodes with two runners of the version
+	Begun          Share    // streams that began of the new ones, at calm nodes with two runners of one version
 	Violations     []string // guarantees that were broken
 }
 
+// Share is a part of a number of things.
+type Share struct{ Part, All int }
+
 // soak is the state of one run.
 type soak struct {
 	cfg       Config
 	rng       *rand.Rand
 	store     *bystub.Store
-	runners   []*runner
 	nodes     []*node
 	history   history
 	startedAt time.Time
@@ -79,13 +95,16 @@
 
 	// mu guards the fields below and plan.
 	mu            sync.Mutex
-	configVersion int // version of the last published configuration
+	runners       []*runner // also those that have ended
+	configVersion int       // version of the last published configuration
 	poisons       []*poison
 	limits        []*limitSpan
 	poison        *poison // the one that callers send, nil if none
 	repeats       []*poison
 	repeat        record    // request that callers repeat; without a path if none
 	restoredAt    time.Time // when the store was last restored from an older copy
+
+	storeDisturbances disturbances // times in which the store failed for all nodes or was restored
 }
 
 // runner is a stub runner and the proxy through which nodes reach it.
@@ -94,9 +113,14 @@
 	proxy *proxy
 	id    string
 
+	disturbances disturbances // times in which the runner did not serve as it should
+
 	// soak.mu guards the fields below.
-	seq   int    // sequence number of the last published entry
-	state string // state in that entry
+	seq     int    // sequence number of the last published entry
+	state   string // state in that entry
+	leaving bool   // whether the runner has left or is going to, for good
+	ended   bool   // whether its process has ended for good
+	lives   []life // when it was ready
 }
 
 // node is an entry node that runs as a process.
@@ -107,7 +131,8 @@
 	settingsFile                         string
 
 	disturbances disturbances
-	restart      sync.Mutex // held while the process is replaced; locked before mu
+	storeCuts    disturbances // times without a sound path to the store
+	restart      sync.Mutex   // held while the process is replaced; locked before mu
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -134,10 +159,15 @@
 		group.Go(func() error { s.runCaller(callersCtx, i, rng); return nil })
 	}
 	var trouble errgroup.Group
-	trouble.Go(func() error { s.runPoison(ctx); return nil })
-	trouble.Go(func() error { s.runLimits(ctx); return nil })
-	trouble.Go(func() error { s.runRepeats(ctx); return nil })
-	s.injectFaults(ctx)
+	if s.hasVersions() {
+		trouble.Go(func() error { s.runVersions(ctx); return nil })
+	}
+	if cfg.Versions != VersionsAlone {
+		trouble.Go(func() error { s.runPoison(ctx); return nil })
+		trouble.Go(func() error { s.runLimits(ctx); return nil })
+		trouble.Go(func() error { s.runRepeats(ctx); return nil })
+		s.injectFaults(ctx)
+	}
 	_ = trouble.Wait() // the functions return no error
 	s.endAllFaults()
 	faultsEndedAt := time.Now()
@@ -164,27 +194,21 @@
 	if err != nil {
 		return err
 	}
-	for _, c := range []bystub.RunnerConfig{
+	configs := []bystub.RunnerConfig{
 		{ID: "app-1", Service: "app", ServiceTime: 5 * time.Millisecond}, {ID: "app-2", Service: "app", ServiceTime: 5 * time.Millisecond},
 		{ID: "app-3", Service: "app", ServiceTime: 5 * time.Millisecond},
 		{ID: "p-1", Service: "llm", Stage: "prefill", ServiceTime: 10 * time.Millisecond}, {ID: "p-2", Service: "llm", Stage: "prefill", ServiceTime: 10 * time.Millisecond},
-		{ID: "d-1", Service: "llm", Stage: "decode", EventsPerStream: eventsPerStream, EventInterval: 10 * time.Millisecond},
-		{ID: "d-2", Service: "llm", Stage: "decode", EventsPerStream: eventsPerStream, EventInterval: 10 * time.Millisecond},
-		{ID: "d-3", Service: "llm", Stage: "decode", EventsPerStream: eventsPerStream, EventInterval: 10 * time.Millisecond},
-	} {
-		c.Zone, c.Slots = "a", 16
-		stub := bystub.NewRunner(c)
-		addr, err := serveHTTP(ctx, stub)
-		if err != nil {
-			return err
+		s.decodeRunner(1, "v1"), s.decodeRunner(2, "v1"), s.decodeRunner(3, "v1"),
+	}
+	if s.hasVersions() {
+		for number := 4; number <= versionedDecodeRunners; number++ {
+			configs = append(configs, s.decodeRunner(number, "v1"))
 		}
-		p, err := startProxy(ctx, addr)
-		if err != nil {
+	}
+	for _, c := range configs {
+		if _, err := s.startRunner(ctx, c); err != nil {
 			return err
 		}
-		r := &runner{stub: stub, proxy: p, id: c.ID}
-		s.runners = append(s.runners, r)
-		s.publishEntry(r, "ready")
 	}
 	s.publishConfig()
 	for i := range s.cfg.Nodes {
@@ -213,11 +237,62 @@
 	return nil
 }
 
+// decodeRunner returns the configuration of a decode runner.
+func (s *soak) decodeRunner(number int, version string) bystub.RunnerConfig {
+	c := bystub.RunnerConfig{ID: fmt.Sprint("d-", number), Service: "llm", Stage: "decode", EventsPerStream: eventsPerStream, EventInterval: 10 * time.Millisecond}
+	if s.hasVersions() {
+		c.Version, c.TellsVersion, c.EventInterval = version, true, versionedEventInterval
+	}
+	return c
+}
+
+// startRunner starts a runner and its proxy and publishes its entry.
+func (s *soak) startRunner(ctx context.Context, c bystub.RunnerConfig) (*runner, error) {
+	c.Zone, c.Slots = "a", 16
+	stub := bystub.NewRunner(c)
+	addr, err := serveHTTP(ctx, stub)
+	if err != nil {
+		return nil, err
+	}
+	p, err := startProxy(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	r := &runner{stub: stub, proxy: p, id: c.ID}
+	s.mu.Lock()
+	s.runners = append(s.runners, r)
+	s.mu.Unlock()
+	s.publishEntry(r, "ready")
+	return r, nil
+}
+
+// liveRunners returns the runners that have not ended.
+func (s *soak) liveRunners() []*runner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var live []*runner
+	for _, r := range s.runners {
+		if !r.ended {
+			live = append(live, r)
+		}
+	}
+	return live
+}
+
 // publishEntry writes the runner's entry in the given state to the store, with
-// the next sequence number.
+// the next sequence number. A runner that is leaving never becomes ready again.
 func (s *soak) publishEntry(r *runner, state string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if r.ended {
+		r.recordState("")
+		s.store.Remove("servers", r.id)
+		return
+	}
+	if r.leaving && r.state == "draining" {
+		state = "draining"
+	}
+	r.recordState(state)
 	r.seq++
 	r.state = state
 	s.store.Set("servers", r.id, r.stub.StoreEntry(r.proxy.addr(), state, r.seq))
--- a/io/bysoak/callers.go
+++ b/io/bysoak/callers.go
@@ -43,6 +43,7 @@
 	var target *node
 	var nodeStart int
 	poisonRNG := rand.New(rand.NewPCG(s.cfg.Seed, uint64(10_000+id)))
+	takeUpRNG := rand.New(rand.NewPCG(s.cfg.Seed, uint64(20_000+id)))
 	for i := 0; ctx.Err() == nil; i++ {
 		sleep(ctx, time.Duration(rng.Int64N(int64(callerPause))))
 		if conn == nil {
@@ -63,6 +64,9 @@
 		} else if r.ownTokens > 0 {
 			r.poisonedPart = s.poisonedPart(poisonRNG)
 		}
+		if s.hasVersions() && r.kind == kindResumable && takeUpRNG.Float64() < breakOffShare {
+			r.breakOffAfter = 1 + takeUpRNG.IntN(eventsPerStream-1)
+		}
 		r.node, r.nodeStart, r.sent = target.name, nodeStart, time.Now()
 		reusable := sendRequest(conn, br, &r)
 		r.finished = time.Now()
@@ -71,6 +75,9 @@
 			conn.Close()
 			conn = nil
 		}
+		if s.hasVersions() && r.kind == kindResumable {
+			s.takeUp(r, takeUpRNG)
+		}
 	}
 	if conn != nil {
 		conn.Close()
@@ -101,11 +108,18 @@
 // sendRequest sends a request and stores the response in r. It reports whether
 // the connection can be reused.
 func sendRequest(conn net.Conn, br *bufio.Reader, r *record) bool {
-	if err := conn.SetDeadline(time.Now().Add(callerDeadline)); err != nil {
+	timeLeft := callerDeadline
+	if !r.deadline.IsZero() {
+		timeLeft = time.Until(r.deadline)
+	}
+	if err := conn.SetDeadline(time.Now().Add(timeLeft)); err != nil {
 		return false
 	}
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n", r.method, r.path, bystub.Host) +
-		bystub.RequestHeaders(r.id, callerDeadline, r.sharedPart, r.sharedTokens, r.poisonedPart, r.ownTokens)
+		bystub.RequestHeaders(r.id, timeLeft, r.sharedPart, r.sharedTokens, r.poisonedPart, r.ownTokens)
+	if r.resumes != "" {
+		head += fmt.Sprintf("Resumes: %s\r\nLast-Event-Id: %d\r\n", r.resumes, r.lastEvent)
+	}
 	if r.method == http.MethodPost {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(r.body))
 	}
@@ -116,8 +130,12 @@
 	if err != nil {
 		return false
 	}
+	r.status, r.stamp, r.retryAfter = resp.StatusCode, bystub.ResponseStamp(resp.Header), resp.Header.Get("Retry-After")
+	if r.breakOffAfter > 0 && r.status == http.StatusOK {
+		r.answer = readEvents(resp.Body, r.breakOffAfter)
+		return false
+	}
 	body, err := io.ReadAll(resp.Body)
-	r.status, r.answer, r.complete = resp.StatusCode, string(body), err == nil
-	r.stamp = bystub.ResponseStamp(resp.Header)
+	r.answer, r.complete = string(body), err == nil
 	return err == nil && !resp.Close
 }
--- a/io/bysoak/check.go
+++ b/io/bysoak/check.go
@@ -36,6 +36,16 @@
 	answer                              string // response body
 	complete                            bool   // whether the body was read without an error
 	stamp                               string // stamp that the answering runner set on the response
+	retryAfter                          string // Retry-After of the response
+
+	// Of a request that takes a stream up: the request that brought its first event, and
+	// the last event that the caller has. resumes is empty for other requests.
+	resumes   string
+	lastEvent int
+	// Of a stream: the number of events after which the caller breaks the connection, 0
+	// for never; and when the caller gives up, zero for callerDeadline after it was sent.
+	breakOffAfter int
+	deadline      time.Time
 }
 
 // history collects the callers' records and the broken guarantees. mu guards
@@ -79,12 +89,13 @@
 		}
 		if r.kind != kindVersionProbe && r.sent.After(faultsEndedAt.Add(recoveryTime)) {
 			sentAfterRecovery++
-			if r.status == 200 && r.complete {
+			if events, _ := r.events(); r.status == 200 && (r.complete || r.breakOffAfter > 0 && len(events) >= r.breakOffAfter) {
 				answeredAfterRecovery++
 			}
 		}
 	}
 	checkHistory(h, runs)
+	rep.TakenUp, rep.Begun = s.checkTakeUps()
 	s.checkPoison()
 	s.checkRepeats()
 	s.checkLimits()
@@ -130,6 +141,7 @@
 			probes[process] = append(probes[process], r)
 		}
 	}
+	checkVersions(h, runs)
 	for process, processProbes := range probes {
 		checkConfigVersions(h, process, processProbes)
 	}
@@ -160,14 +172,16 @@
 	}
 	switch r.kind {
 	case kindResumable, kindNonResumable:
-		for i, event := range strings.Split(strings.TrimSuffix(r.answer, "\n\n"), "\n\n") {
-			if event != "" && event != fmt.Sprintf("id: %d\ndata: piece %d of %s", i+1, i+1, r.id) && r.complete {
-				h.addViolation("streams: event %d of %s is %q", i+1, r.id, event)
+		events, rest := r.events()
+		for i, event := range events {
+			number := r.lastEvent + i + 1
+			if text, _, _ := strings.Cut(event, versionMark); text != fmt.Sprintf("id: %d\ndata: piece %d of %s", number, number, r.id) {
+				h.addViolation("streams: event %d of %s is %q", number, r.id, event)
 				return
 			}
 		}
-		if r.complete && strings.Count(r.answer, "id: ") != eventsPerStream {
-			h.addViolation("streams: %s looks whole with %d of %d events", r.id, strings.Count(r.answer, "id: "), eventsPerStream)
+		if r.complete && (rest != "" || r.lastEvent+len(events) != eventsPerStream) {
+			h.addViolation("streams: %s looks whole with %d of %d events and %q", r.id, r.lastEvent+len(events), eventsPerStream, rest)
 		}
 	default:
 		if want := fmt.Sprintf("%s %s %s %d", r.method, r.path, r.id, len(r.body)); r.complete && r.answer != want {
@@ -176,5 +190,11 @@
 	}
 }
 
+// events returns the whole events of a stream, and what follows the last one.
+func (r record) events() (events []string, rest string) {
+	parts := strings.Split(r.answer, "\n\n")
+	return parts[:len(parts)-1], parts[len(parts)-1]
+}
+
 // eventsPerStream is the number of events in each stream.
 const eventsPerStream = 6
--- a/io/bysoak/faults.go
+++ b/io/bysoak/faults.go
@@ -35,7 +35,8 @@
 // duration is the time until the caller ends it.
 func (s *soak) startFault(duration time.Duration) func() {
 	n := s.nodes[s.rng.IntN(len(s.nodes))]
-	r := s.runners[s.rng.IntN(len(s.runners))]
+	live := s.liveRunners()
+	r := live[s.rng.IntN(len(live))]
 	noop := func() {}
 	switch s.rng.IntN(19) {
 	case 0, 1:
@@ -67,34 +68,34 @@
 		mode := proxyMode(1 + s.rng.IntN(int(modeCount)-1))
 		s.logEvent("store %v for %s, %v", mode, n.name, duration)
 		n.storeProxy.setMode(mode)
-		return func() { n.storeProxy.setMode(modeForward) }
+		return disturb(&n.storeCuts, func() { n.storeProxy.setMode(modeForward) })
 	case 5:
 		f := []bystub.StoreFaults{{Down: true}, {Slow: 300 * time.Millisecond}, {Lose: 3}, {Lose: 2, LateBy: time.Second}}[s.rng.IntN(4)]
 		s.logEvent("store %+v for %v", f, duration)
 		s.store.SetFaults(f)
-		return func() { s.store.SetFaults(bystub.StoreFaults{}) }
+		return disturb(&s.storeDisturbances, func() { s.store.SetFaults(bystub.StoreFaults{}) })
 	case 6:
 		s.logEvent("store forgets its history")
 		s.store.TrimFeed()
-		return noop
+		return disturb(&s.storeDisturbances, noop)
 	case 7:
 		mode := proxyMode(1 + s.rng.IntN(int(modeCount)-1))
 		s.logEvent("runner %s %v for %v", r.id, mode, duration)
 		r.proxy.setMode(mode)
-		return func() { r.proxy.setMode(modeForward) }
+		return disturb(&r.disturbances, func() { r.proxy.setMode(modeForward) })
 	case 8:
 		f := []bystub.RunnerFaults{{Shed: 20}, {Error: 20}, {Lose: 5}, {Cross: 3}, {Extra: 5}, {Cut: 3}, {Silent: 2}}[s.rng.IntN(7)]
 		s.logEvent("runner %s %+v", r.id, f)
 		r.stub.SetFaults(f)
-		return func() { r.stub.SetFaults(bystub.RunnerFaults{}) }
+		return disturb(&r.disturbances, func() { r.stub.SetFaults(bystub.RunnerFaults{}) })
 	case 9:
 		s.logEvent("runner %s leaves for %v", r.id, duration)
 		s.publishEntry(r, "draining")
-		return func() { s.restartRunner(r) }
+		return disturb(&r.disturbances, func() { s.restartRunner(r) })
 	case 10:
 		s.logEvent("entry of %s lapses for %v", r.id, duration)
 		s.store.Remove("servers", r.id)
-		return func() { s.publishEntry(r, "ready") }
+		return disturb(&r.disturbances, func() { s.publishEntry(r, "ready") })
 	case 11:
 		s.logEvent("forged entry with the address of %s", r.id)
 		s.store.Set("servers", "forged", r.stub.StoreEntry(r.proxy.addr(), "ready", 1))
@@ -102,39 +103,43 @@
 	case 12:
 		s.logEvent("store is restored from a copy, %v old", duration)
 		old := s.store.Copy()
-		return func() {
-			s.store.Restore(old)
-			s.mu.Lock()
-			s.restoredAt = time.Now()
-			s.mu.Unlock()
-			s.rewriteRows()
-		}
+		return disturb(&s.storeDisturbances, func() { s.restoreStore(old) })
 	case 13:
 		s.logEvent("runner %s tells that it leaves for %v", r.id, duration)
 		r.stub.SetFaults(bystub.RunnerFaults{Leaving: true})
-		return func() {
+		return disturb(&r.disturbances, func() {
 			r.stub.SetFaults(bystub.RunnerFaults{})
 			s.restartRunner(r)
-		}
+		})
 	case 14:
 		f := bystub.RunnerFaults{Shed: 20, RetryAfter: []string{"0.4", "2", "soon", "1e300"}[s.rng.IntN(4)]}
 		s.logEvent("runner %s %+v", r.id, f)
 		r.stub.SetFaults(f)
-		return func() {
+		return disturb(&r.disturbances, func() {
 			r.stub.SetFaults(bystub.RunnerFaults{})
 			s.restartRunner(r) // so that no node keeps an absurdly long rest
-		}
+		})
 	case 15:
 		f := bystub.RunnerFaults{Endless: []string{"line", "head", "body", "trailer"}[s.rng.IntN(4)]}
 		s.logEvent("runner %s %+v", r.id, f)
 		r.stub.SetFaults(f)
-		return func() { r.stub.SetFaults(bystub.RunnerFaults{}) }
+		return disturb(&r.disturbances, func() { r.stub.SetFaults(bystub.RunnerFaults{}) })
 	default:
 		s.logEvent("configuration %d", s.publishConfig())
 		return noop
 	}
 }
 
+// disturb begins a disturbance and returns a function that ends the fault behind it and
+// the disturbance.
+func disturb(d *disturbances, endFault func()) func() {
+	endDisturbance := d.begin()
+	return func() {
+		endFault()
+		endDisturbance()
+	}
+}
+
 // restartRunner gives the runner a new process and publishes its entry.
 func (s *soak) restartRunner(r *runner) {
 	s.mu.Lock()
@@ -144,11 +149,26 @@
 	s.publishEntry(r, "ready")
 }
 
+// restoreStore replaces the rows of the store by an older copy.
+func (s *soak) restoreStore(old bystub.StoreCopy) {
+	s.store.Restore(old)
+	s.mu.Lock()
+	s.restoredAt = time.Now()
+	s.mu.Unlock()
+	s.rewriteRows()
+}
+
 // rewriteRows does what runners and the operator do after the store was restored: they
 // write again what they wrote last, under the next sequence numbers.
 func (s *soak) rewriteRows() {
+	s.mu.Lock()
+	states := map[*runner]string{}
 	for _, r := range s.runners {
-		s.publishEntry(r, r.state)
+		states[r] = r.state
+	}
+	s.mu.Unlock()
+	for r, state := range states {
+		s.publishEntry(r, state)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -179,7 +199,7 @@
 // endAllFaults ends all faults and restarts the nodes whose process has exited.
 func (s *soak) endAllFaults() {
 	s.store.SetFaults(bystub.StoreFaults{})
-	for _, r := range s.runners {
+	for _, r := range s.liveRunners() {
 		r.proxy.setMode(modeForward)
 		r.stub.SetFaults(bystub.RunnerFaults{})
 		s.publishEntry(r, "ready")
--- a/io/bysoak/limit.go
+++ b/io/bysoak/limit.go
@@ -34,11 +34,14 @@
 	rng := rand.New(rand.NewPCG(s.cfg.Seed, 3))
 	for end := time.Now().Add(s.cfg.FaultPeriod); time.Now().Before(end) && ctx.Err() == nil; {
 		sleep(ctx, time.Duration(rng.Int64N(int64(time.Second))))
-		span := &limitSpan{runner: s.runners[rng.IntN(len(s.runners))], perSecond: []float64{0.5, 3, 5.9, 12}[rng.IntN(4)], from: time.Now()}
+		live := s.liveRunners()
+		span := &limitSpan{runner: live[rng.IntN(len(live))], perSecond: []float64{0.5, 3, 5.9, 12}[rng.IntN(4)], from: time.Now()}
 		s.logEvent("runner %s names a limit of %g a second", span.runner.id, span.perSecond)
+		endDisturbance := span.runner.disturbances.begin()
 		span.runner.stub.NameLimit(strconv.FormatFloat(span.perSecond, 'g', -1, 64))
 		sleep(ctx, limitTime)
 		span.runner.stub.NameLimit("")
+		endDisturbance()
 		span.to = time.Now()
 		s.logEvent("runner %s names no limit any more", span.runner.id)
 		s.mu.Lock()
--- a/io/bysoak/poison.go
+++ b/io/bysoak/poison.go
@@ -46,7 +46,7 @@
 		s.mu.Lock()
 		s.poisons, s.poison = append(s.poisons, p), p
 		s.mu.Unlock()
-		for _, r := range s.runners {
+		for _, r := range s.liveRunners() {
 			downTime := time.Duration(300+rng.IntN(1200)) * time.Millisecond
 			r.stub.CrashOn(bystub.HasPromptPart(p.hash), func() { s.crashRunner(ctx, r, p, downTime) })
 		}
@@ -56,7 +56,7 @@
 		s.mu.Unlock()
 		s.logEvent("no more prompts with part %s", p.hash)
 	}
-	for _, r := range s.runners {
+	for _, r := range s.liveRunners() {
 		r.stub.CrashOn(nil, nil)
 	}
 }
@@ -67,7 +67,19 @@
 	s.mu.Lock()
 	p.crashes = append(p.crashes, time.Now())
 	s.mu.Unlock()
-	r.proxy.crash(ctx, downTime, func() { s.restartRunner(r) })
+	s.crashFor(ctx, r, downTime, func() { s.restartRunner(r) })
+}
+
+// crashFor ends the process of a runner and calls restarted when it starts again.
+func (s *soak) crashFor(ctx context.Context, r *runner, downTime time.Duration, restarted func()) {
+	endDisturbance := r.disturbances.begin()
+	isDown := !r.proxy.crash(ctx, downTime, func() {
+		restarted()
+		endDisturbance()
+	})
+	if isDown {
+		endDisturbance()
+	}
 }
 
 // poisonedPart returns the hash of the part that makes a stream poisoned, or "" if it is
@@ -81,7 +93,8 @@
 	return s.poison.hash
 }
 
-// disturbances are the times in which a node was stopped, frozen or restarted.
+// disturbances are the times in which a part was disturbed, such as a node that was
+// stopped, frozen or restarted.
 type disturbances struct {
 	mu   sync.Mutex
 	list []*disturbance
@@ -102,7 +115,7 @@
 	}
 }
 
-// isCalm reports whether the node was not disturbed in the stableWindow before t.
+// isCalm reports whether the part was not disturbed in the stableWindow before t.
 func (d *disturbances) isCalm(t time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/io/bysoak/proxy.go
+++ b/io/bysoak/proxy.go
@@ -40,6 +40,7 @@
 	group    errgroup.Group
 	mu       sync.Mutex
 	listener net.Listener // nil while connections are refused
+	ended    bool         // whether connections are refused for good
 	mode     proxyMode
 	changed  chan struct{} // closed and replaced when the mode is set
 	conns    map[net.Conn]struct{}
@@ -61,9 +62,14 @@
 	return p, nil
 }
 
-// accept makes the proxy accept connections on l.
+// accept makes the proxy accept connections on l, unless it has ended.
 func (p *proxy) accept(ctx context.Context, l net.Listener) {
 	p.mu.Lock()
+	if p.ended {
+		p.mu.Unlock()
+		l.Close()
+		return
+	}
 	p.listener = l
 	p.mu.Unlock()
 	p.group.Go(func() error {
@@ -90,19 +96,16 @@
 }
 
 // crash closes all connections and refuses new ones for downTime, as if the process of the
-// target had ended. Then it calls restarted and accepts connections again.
-func (p *proxy) crash(ctx context.Context, downTime time.Duration, restarted func()) {
+// target had ended. Then it calls restarted and accepts connections again. It reports false
+// if connections are refused already.
+func (p *proxy) crash(ctx context.Context, downTime time.Duration, restarted func()) bool {
 	if !p.close() {
-		return
-	}
-	p.mu.Lock()
-	for c := range p.conns {
-		c.Close()
+		return false
 	}
-	p.mu.Unlock()
+	p.closeConns()
 	p.group.Go(func() error {
 		sleep(ctx, downTime)
-		for ctx.Err() == nil {
+		for ctx.Err() == nil && !p.hasEnded() {
 			l, err := net.Listen("tcp4", p.address)
 			if err == nil {
 				restarted()
@@ -113,6 +116,30 @@
 		}
 		return nil
 	})
+	return true
+}
+
+// end closes all connections and refuses new ones for good.
+func (p *proxy) end() {
+	p.mu.Lock()
+	p.ended = true
+	p.mu.Unlock()
+	p.close()
+	p.closeConns()
+}
+
+func (p *proxy) hasEnded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
+func (p *proxy) closeConns() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		c.Close()
+	}
 }
 
 func (p *proxy) addr() string { return p.address }
--- a/io/bysoak/repeat.go
+++ b/io/bysoak/repeat.go
@@ -18,10 +18,12 @@
 	// many runners, and stableWindow later, it reaches runners at most so many times, ever.
 	repeatCrashes       = 3
 	maxRepeatedArrivals = 3
+	// repeatPrefix begins what follows the route's prefix in the path of a repeated request.
+	repeatPrefix = "repeat-"
 	// killPause is the longest time between two kills of all nodes.
 	killPause = 8 * time.Second
 	// restoreTime is how long after a restore of the store nodes may need to write again
-	// what it has lost. All nodes are not killed meanwhile.
+	// what it has lost. If requests are repeated, all nodes are not killed meanwhile.
 	restoreTime = 4 * time.Second
 )
 
@@ -34,7 +36,7 @@
 	for i := 0; time.Now().Before(end) && ctx.Err() == nil; i++ {
 		p := s.startRepeat(ctx, rng, i)
 		for until := time.Now().Add(repeatTime); time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, 100*time.Millisecond) {
-			if time.Now().After(nextKill) && time.Now().Before(end) && s.killAllNodes(ctx) {
+			if time.Now().After(nextKill) && time.Now().Before(end) && s.killAllNodes(ctx, 100*time.Millisecond) {
 				nextKill = time.Now().Add(time.Duration(rng.Int64N(int64(killPause))))
 			}
 		}
@@ -53,9 +55,9 @@
 		{kind: kindResumable, method: "POST", path: "/quick/", body: "q", sharedPart: 1, sharedTokens: 92, ownTokens: 290},
 		{kind: kindNonResumable, method: "POST", path: "/long/", body: "s", sharedPart: 1, sharedTokens: 13_300, ownTokens: 3_700},
 	}[rng.IntN(4)]
-	repeat.path += fmt.Sprint("repeat-", i)
+	repeat.path += fmt.Sprint(repeatPrefix, i)
 	p := &poison{path: repeat.path}
-	for _, r := range s.runners {
+	for _, r := range s.liveRunners() {
 		downTime := time.Duration(300+rng.IntN(1200)) * time.Millisecond
 		r.stub.CrashAlsoOn(func(req *http.Request) bool { return req.URL.Path == p.path }, func() { s.crashRunner(ctx, r, p, downTime) })
 	}
@@ -73,11 +75,11 @@
 	return s.repeat, s.repeat.path != "" && rng.Float64() < repeatShare
 }
 
-// killAllNodes kills all nodes at once and starts them again, unless the store was
-// restored lately. It reports whether it has done so.
-func (s *soak) killAllNodes(ctx context.Context) bool {
+// killAllNodes kills all nodes at once and starts them again after downTime, unless the
+// store was restored lately and requests are repeated. It reports whether it has done so.
+func (s *soak) killAllNodes(ctx context.Context, downTime time.Duration) bool {
 	s.mu.Lock()
-	restored := time.Since(s.restoredAt) < restoreTime
+	restored := len(s.repeats) > 0 && time.Since(s.restoredAt) < restoreTime
 	s.mu.Unlock()
 	if restored {
 		return false
@@ -89,7 +91,7 @@
 		exited, ends = append(exited, n.exited()), append(ends, n.disturbances.begin())
 		n.signal(syscall.SIGKILL)
 	}
-	sleep(ctx, 100*time.Millisecond)
+	sleep(ctx, downTime)
 	for i, n := range s.nodes {
 		s.restartNode(n, exited[i])
 		ends[i]()
