--- a/cmd/burdock-lab/drill.go
+++ b/cmd/burdock-lab/drill.go
@@ -28,5 +28,19 @@
 			fmt.Printf("| %s | %d | %d | %d | %d of %d | %d | %.1f |\n", fault, cfg.Seed, poison.Crashes, poison.Late, poison.Begun, poison.Sound, limit.Most, limit.Mean)
 		}
 	}
+	c.printVersions()
 	return nil
 }
+
+// printVersions plays releases with each fault and prints what came of them.
+func (c *drillCommand) printVersions() {
+	fmt.Println("\n| fault | seed | streams at two versions | taken up that go on | new ones that begin | held to their end | writes to the store | longest wait of a version for its share |\n|---|---|---|---|---|---|---|---|")
+	for _, fault := range bydrill.VersionFaults() {
+		for i := range c.Seeds {
+			cfg := bydrill.Config{Nodes: c.Nodes, Seed: c.Seed + uint64(i), Fault: fault}
+			rep := bydrill.PlayVersions(cfg)
+			fmt.Printf("| %s | %d | %d | %d of %d | %d of %d | %d | %d | %v |\n",
+				fault, cfg.Seed, rep.Joined, rep.GoneOn, rep.TakeUps, rep.Begun, rep.New, rep.Held, rep.Writes, rep.ShareWait)
+		}
+	}
+}
--- a/io/bydrill/bydrill.go
+++ b/io/bydrill/bydrill.go
@@ -6,6 +6,7 @@
 //
 //	report := bydrill.PlayPoison(bydrill.Config{Nodes: 295, Seed: 1, Fault: bydrill.Restarts})
 //	report := bydrill.PlayLimit(bydrill.Config{Nodes: 9, Seed: 1}, 5.9)
+//	report := bydrill.PlayVersions(bydrill.Config{Nodes: 9, Seed: 1, Fault: bydrill.KillOfAll})
 //
 // burdock-lab drill prints the reports.
 package bydrill
--- a/io/bydrill/bydrill_test.go
+++ b/io/bydrill/bydrill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -106,3 +107,48 @@
 		}
 	}
 }
+
+// TestStreamsKeepTheirVersionAcrossFleet guards against the failure that callers get streams
+// joined of two software versions: after releases, and when nodes or the store fail meanwhile.
+func TestStreamsKeepTheirVersionAcrossFleet(t *testing.T) {
+	playVersions(t, func(t *testing.T, rep bydrill.VersionReport) {
+		if rep.Joined > 0 {
+			t.Errorf("%d streams go on at another version, want none", rep.Joined)
+		}
+		if rep.ShareWait == 0 || 2*rep.Begun < rep.New {
+			t.Errorf("%d of %d streams begin, want at least half, and some at new versions", rep.Begun, rep.New)
+		}
+	})
+}
+
+// TestTakenUpStreamsGoOnAcrossFleet guards against the failure that nodes refuse streams that
+// callers take up although endpoints of the version serve.
+func TestTakenUpStreamsGoOnAcrossFleet(t *testing.T) {
+	playVersions(t, func(t *testing.T, rep bydrill.VersionReport) {
+		if rep.TakeUps < 12 || 2*rep.GoneOn*rep.New < rep.Begun*rep.TakeUps {
+			t.Errorf("%d of %d take-ups go on and %d of %d streams begin, want 12 take-ups and half of that share", rep.GoneOn, rep.TakeUps, rep.Begun, rep.New)
+		}
+	})
+}
+
+// playedVersions holds a func() bydrill.VersionReport for each bydrill.Config, so that two
+// tests share one play.
+var playedVersions sync.Map
+
+// playVersions plays all faults and checks the reports.
+func playVersions(t *testing.T, check func(*testing.T, bydrill.VersionReport)) {
+	for _, fault := range bydrill.VersionFaults() {
+		for _, nodes := range []int{9, 295} {
+			for seed := range seeds(nodes) {
+				t.Run(fmt.Sprint(fault, "/", nodes, "/", seed), func(t *testing.T) {
+					t.Parallel()
+					cfg := bydrill.Config{Nodes: nodes, Seed: seed, Fault: fault}
+					play, _ := playedVersions.LoadOrStore(cfg, sync.OnceValue(func() bydrill.VersionReport { return bydrill.PlayVersions(cfg) }))
+					rep := play.(func() bydrill.VersionReport)()
+					t.Logf("%+v", rep)
+					check(t, rep)
+				})
+			}
+		}
+	}
+}
