--- a/cmd/burdock-soak/main.go
+++ b/cmd/burdock-soak/main.go
@@ -24,14 +24,14 @@
 
 // options are the command-line flags.
 type options struct {
-	Bin      string        `long:"bin" default:"bin/burdock" description:"the burdock program"`
-	Seed     uint64        `long:"seed" default:"1" description:"the first seed"`
-	Seeds    int           `long:"seeds" default:"1" description:"how many seeds to run, one after another"`
-	Nodes    int           `long:"nodes" default:"5" description:"entry nodes"`
-	Callers  int           `long:"callers" default:"24" description:"callers at a time"`
-	Length   time.Duration `long:"length" default:"15s" description:"of the part with faults"`
-	Versions string        `long:"versions" default:"turns" choice:"turns" choice:"one" choice:"among" choice:"alone" description:"releases of decode runners: none, among other faults, alone, or these three in turn by seed"`
-	Keep     bool          `long:"keep" description:"keep the logs, also of a seed that passed"`
+	Bin     string        `long:"bin" default:"bin/burdock" description:"the burdock program"`
+	Seed    uint64        `long:"seed" default:"1" description:"the first seed"`
+	Seeds   int           `long:"seeds" default:"1" description:"how many seeds to run, one after another"`
+	Nodes   int           `long:"nodes" default:"5" description:"entry nodes"`
+	Callers int           `long:"callers" default:"24" description:"callers at a time"`
+	Length  time.Duration `long:"length" default:"15s" description:"of the part with faults"`
+	Trouble string        `long:"trouble" default:"turns" choice:"turns" choice:"faults" choice:"versions" choice:"faults-versions" choice:"cuts" description:"what happens; in turns: another kind for each seed"`
+	Keep    bool          `long:"keep" description:"keep the logs, also of a seed that passed"`
 }
 
 func main() {
@@ -79,7 +79,7 @@
 	if err != nil {
 		return false, err
 	}
-	rep, err := bysoak.Run(ctx, bysoak.Config{Program: program, Dir: dir, Seed: seed, Nodes: o.Nodes, Callers: o.Callers, FaultPeriod: o.Length, Versions: o.versions(seed)})
+	rep, err := bysoak.Run(ctx, bysoak.Config{Program: program, Dir: dir, Seed: seed, Nodes: o.Nodes, Callers: o.Callers, FaultPeriod: o.Length, Trouble: o.trouble(seed)})
 	if err != nil {
 		return false, fmt.Errorf("seed %d, logs in %s: %w", seed, dir, err)
 	}
@@ -88,9 +88,9 @@
 	if !passed {
 		verdict = "RED"
 	}
-	fmt.Printf("seed %d: %s, versions %s, %d faults, %d requests, %d answered, %d refused, %.3f served after recovery, %d of %d streams taken up, %d of %d begun\n",
-		seed, verdict, o.versions(seed), len(rep.Plan)-1, rep.Requests, rep.Answered, rep.Refused, rep.RecoveredShare,
-		rep.TakenUp.Part, rep.TakenUp.All, rep.Begun.Part, rep.Begun.All)
+	fmt.Printf("seed %d: %s, %s, %d faults, %d requests, %d answered, %d refused, %.3f served after recovery, streams taken up %v, begun %v, served where cut off %v, elsewhere %v, booked at silent runners %v\n",
+		seed, verdict, o.trouble(seed), len(rep.Plan)-1, rep.Requests, rep.Answered, rep.Refused, rep.RecoveredShare,
+		rep.TakenUp, rep.Begun, rep.CutOff, rep.Others, rep.Silenced)
 	if !passed {
 		for _, line := range append(rep.Plan, rep.Violations...) {
 			fmt.Println("  ", line)
@@ -103,10 +103,11 @@
 	return true, os.RemoveAll(dir)
 }
 
-// versions returns the trouble with versions that a seed gets.
-func (o options) versions(seed uint64) bysoak.VersionTrouble {
-	if o.Versions != "turns" {
-		return bysoak.VersionTrouble(o.Versions)
+// trouble returns the kind of trouble that a seed gets.
+func (o options) trouble(seed uint64) bysoak.Trouble {
+	if o.Trouble != "turns" {
+		return bysoak.Trouble(o.Trouble)
 	}
-	return []bysoak.VersionTrouble{bysoak.OneVersion, bysoak.VersionsAmong, bysoak.VersionsAlone}[seed%3]
+	all := bysoak.Troubles()
+	return all[seed%uint64(len(all))]
 }
--- a/io/bysoak/bysoak.go
+++ b/io/bysoak/bysoak.go
@@ -54,20 +54,23 @@
 	Nodes       int           // number of entry nodes
 	Callers     int           // number of concurrent callers; values below 1 count as 1
 	FaultPeriod time.Duration // how long faults are injected
-	Versions    VersionTrouble
+	Trouble     Trouble
 }
 
-// VersionTrouble says whether the software of the decode runners is replaced by other
-// versions during a run.
-type VersionTrouble string
+// Trouble says what happens during a run.
+type Trouble string
 
-// The kinds of trouble with versions.
+// The kinds of trouble.
 const (
-	OneVersion    VersionTrouble = "one"   // all runners stay at one version
-	VersionsAmong VersionTrouble = "among" // releases and what breaks streams, among all other faults
-	VersionsAlone VersionTrouble = "alone" // releases and what breaks streams, without other faults
+	Faults         Trouble = "faults"          // faults of nodes, runners and the store
+	Versions       Trouble = "versions"        // releases of new versions of the runners, and what breaks streams
+	FaultsVersions Trouble = "faults-versions" // both
+	Cuts           Trouble = "cuts"            // nodes are cut off from all runners
 )
 
+// Troubles returns all kinds of trouble.
+func Troubles() []Trouble { return []Trouble{Faults, FaultsVersions, Versions, Cuts} }
+
 // Report is the result of a soak run.
 type Report struct {
 	Plan           []string // injected faults and the end of all faults, each with its time
@@ -77,18 +80,24 @@
 	RecoveredShare float64  // share of the requests after the recovery time that were answered
 	TakenUp        Share    // streams that went on of those that callers took up, at calm nodes with two runners of the version
 	Begun          Share    // streams that began of the new ones, at calm nodes with two runners of one version
+	Silenced       Share    // bookings that were answered of those in progress at runners that fell silent
+	CutOff, Others Share    // first tries that were served at nodes that were cut off from all runners, and at the others meanwhile
 	Violations     []string // guarantees that were broken
 }
 
 // Share is a part of a number of things.
 type Share struct{ Part, All int }
 
+// String implements fmt.Stringer.
+func (s Share) String() string { return fmt.Sprintf("%d of %d", s.Part, s.All) }
+
 // soak is the state of one run.
 type soak struct {
 	cfg       Config
 	rng       *rand.Rand
 	store     *bystub.Store
 	nodes     []*node
+	domains   []*domain // failure domains that can be cut off, if the trouble is Cuts
 	history   history
 	startedAt time.Time
 	plan      []string
@@ -104,6 +113,9 @@
 	repeat        record    // request that callers repeat; without a path if none
 	restoredAt    time.Time // when the store was last restored from an older copy
 
+	silences    []silence
+	failedDials []failedDial
+
 	storeDisturbances disturbances // times in which the store failed for all nodes or was restored
 }
 
@@ -125,7 +137,7 @@
 
 // node is an entry node that runs as a process.
 type node struct {
-	name                                 string
+	name, domain                         string
 	callerAddr, readyAddr, directoryAddr string
 	storeProxy                           *proxy
 	settingsFile                         string
@@ -162,7 +174,10 @@
 	if s.hasVersions() {
 		trouble.Go(func() error { s.runVersions(ctx); return nil })
 	}
-	if cfg.Versions != VersionsAlone {
+	if cfg.Trouble == Cuts {
+		trouble.Go(func() error { s.runCuts(ctx); return nil })
+	}
+	if cfg.Trouble == Faults || cfg.Trouble == FaultsVersions {
 		trouble.Go(func() error { s.runPoison(ctx); return nil })
 		trouble.Go(func() error { s.runLimits(ctx); return nil })
 		trouble.Go(func() error { s.runRepeats(ctx); return nil })
@@ -212,11 +227,17 @@
 	}
 	s.publishConfig()
 	for i := range s.cfg.Nodes {
-		p, err := startProxy(ctx, storeAddr)
+		domain, addr := "a", storeAddr
+		if s.cfg.Trouble == Cuts {
+			if domain, addr, err = s.cuttableDomain(ctx, i); err != nil {
+				return err
+			}
+		}
+		p, err := startProxy(ctx, addr)
 		if err != nil {
 			return err
 		}
-		n := &node{name: fmt.Sprintf("n%d", i+1), storeProxy: p}
+		n := &node{name: fmt.Sprintf("n%d", i+1), domain: domain, storeProxy: p}
 		if err := n.writeSettings(s.cfg.Dir, nodeIP(i)); err != nil {
 			return err
 		}
@@ -304,7 +325,7 @@
 	addr := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	n.callerAddr, n.readyAddr, n.directoryAddr = addr(callerPort), addr(readyPort), addr(directoryPort)
 	settings := bystub.NodeSettings{
-		Name: n.name, IP: ip, Domain: "a", CallerAddr: n.callerAddr, Ready: n.readyAddr, Directory: n.directoryAddr,
+		Name: n.name, IP: ip, Domain: n.domain, CallerAddr: n.callerAddr, Ready: n.readyAddr, Directory: n.directoryAddr,
 		PeerPort: peerPort, Store: n.storeProxy.addr(), Grace: stopGrace,
 	}
 	n.settingsFile = filepath.Join(dir, n.name+".conf")
@@ -367,6 +388,9 @@
 			<-n.exited()
 		}
 	}
+	for _, d := range s.domains {
+		d.paths.Close()
+	}
 }
 
 // logEvent adds a line to the plan, with the time since the start of the run.
--- a/io/bysoak/callers.go
+++ b/io/bysoak/callers.go
@@ -53,6 +53,7 @@
 			target.mu.Unlock()
 			c, err := net.DialTimeout("tcp4", target.callerAddr, time.Second)
 			if err != nil {
+				s.recordFailedDial(target)
 				continue
 			}
 			conn, br = c, bufio.NewReader(c)
--- a/io/bysoak/check.go
+++ b/io/bysoak/check.go
@@ -89,7 +89,7 @@
 		}
 		if r.kind != kindVersionProbe && r.sent.After(faultsEndedAt.Add(recoveryTime)) {
 			sentAfterRecovery++
-			if events, _ := r.events(); r.status == 200 && (r.complete || r.breakOffAfter > 0 && len(events) >= r.breakOffAfter) {
+			if r.isServed() {
 				answeredAfterRecovery++
 			}
 		}
@@ -99,6 +99,8 @@
 	s.checkPoison()
 	s.checkRepeats()
 	s.checkLimits()
+	rep.CutOff, rep.Others = s.checkCuts()
+	rep.Silenced = s.checkSilences()
 	if sentAfterRecovery > 0 {
 		rep.RecoveredShare = float64(answeredAfterRecovery) / float64(sentAfterRecovery)
 	}
@@ -190,6 +192,13 @@
 	}
 }
 
+// isServed reports whether the caller got the whole response, or as much of a stream as it
+// has read.
+func (r record) isServed() bool {
+	events, _ := r.events()
+	return r.status == 200 && (r.complete || r.breakOffAfter > 0 && len(events) >= r.breakOffAfter)
+}
+
 // events returns the whole events of a stream, and what follows the last one.
 func (r record) events() (events []string, rest string) {
 	parts := strings.Split(r.answer, "\n\n")
--- a/io/bysoak/check_test.go
+++ b/io/bysoak/check_test.go
@@ -43,31 +43,40 @@
 		r.complete = r.lastEvent+len(versions) == eventsPerStream
 		return r
 	}
+	none := [4]Share{}
 	tests := []struct {
 		name    string
 		records []record
 		runs    map[string]int
 		want    string
+		shares  [4]Share // taken up, begun, served where cut off, served elsewhere
 	}{
-		{"stream is taken up at its version", []record{part("a", "", 1, "v1", "v1"), part("b", "a", 3, "v1"), part("c", "a", 4, "v1", "v1", "v1")}, nil, ""},
-		{"stream begins anew at another version", []record{part("a", "", 1, "v1", "v1"), part("b", "", 1, "v2", "v2", "v2", "v2", "v2", "v2")}, nil, ""},
-		{"two versions within one response", []record{part("a", "", 1, "v1", "v1", "v1", "v2", "v2", "v2")}, nil, "versions"},
-		{"stream is taken up at another version", []record{part("a", "", 1, "v1", "v1"), part("b", "a", 3, "v2", "v2", "v2", "v2")}, nil, "versions"},
-		{"second take-up is at another version", []record{part("a", "", 1, "v1", "v1"), part("b", "a", 3, "v1"), part("c", "a", 4, "v2", "v2", "v2")}, nil, "versions"},
-		{"gap where a stream is taken up", []record{modified(part("b", "a", 4, "v1", "v1", "v1"), func(r *record) { r.lastEvent = 2 })}, nil, "streams"},
-		{"event comes twice where a stream is taken up", []record{modified(part("b", "a", 2, "v1", "v1", "v1", "v1", "v1"), func(r *record) { r.lastEvent = 2 })}, nil, "streams"},
-		{"gap in a stream that breaks off", []record{modified(part("a", "", 1, "v1", "v1"), func(r *record) { r.answer = strings.Replace(r.answer, "id: 2", "id: 3", 1) })}, nil, "streams"},
-		{"sound", []record{validRecord("a", kindUnsafe), validRecord("b", kindNonResumable), validRecord("c", kindResumable), validRecord("d", kindSafe)}, map[string]int{"a": 1, "b": 1, "c": 2, "d": 2}, ""},
-		{"unsafe request runs twice", []record{validRecord("a", kindUnsafe)}, map[string]int{"a": 2}, "at most once"},
-		{"stream that must not resume runs twice", []record{validRecord("a", kindNonResumable)}, map[string]int{"a": 2}, "at most once"},
-		{"refused request runs", []record{{id: "a", kind: kindUnsafe, status: 503}}, map[string]int{"a": 1}, "truth of a refusal"},
-		{"answer to another request", []record{modified(validRecord("a", kindSafe), func(r *record) { r.stamp = "stamp-i-1-b" })}, nil, "own answer"},
-		{"wrong body", []record{modified(validRecord("a", kindSafe), func(r *record) { r.answer = "y" })}, nil, "whole answer"},
-		{"stream lacks its last event", []record{modified(validRecord("a", kindNonResumable), func(r *record) { r.answer = r.answer[:len(r.answer)-25] })}, nil, "streams"},
-		{"stream with a wrong event id", []record{modified(validRecord("a", kindResumable), func(r *record) { r.answer = strings.Replace(r.answer, "id: 2", "id: 3", 1) })}, nil, "streams"},
-		{"route answers 404", []record{{id: "a", kind: kindSafe, status: 404}}, nil, "routes"},
-		{"return to an older configuration", []record{probe(5, 0, 10*time.Millisecond), probe(4, 300*time.Millisecond, 310*time.Millisecond)}, nil, "configuration"},
-		{"two versions during a change", []record{probe(5, 0, 10*time.Millisecond), probe(4, 5*time.Millisecond, 400*time.Millisecond)}, nil, ""},
+		{"take-ups are refused", nil, nil, "take-ups", [4]Share{{5, 12}, {100, 100}, {}, {}}},
+		{"half of the take-ups go on", nil, nil, "", [4]Share{{6, 12}, {100, 100}, {}, {}}},
+		{"few streams begin", nil, nil, "", [4]Share{{3, 12}, {50, 100}, {}, {}}},
+		{"few take-ups", nil, nil, "", [4]Share{{0, 11}, {100, 100}, {}, {}}},
+		{"nodes that are cut off serve too few", nil, nil, "cuts", [4]Share{{}, {}, {65, 100}, {100, 100}}},
+		{"nodes that are cut off serve two thirds", nil, nil, "", [4]Share{{}, {}, {67, 100}, {100, 100}}},
+		{"few tries fail at nodes that are cut off", nil, nil, "", [4]Share{{}, {}, {0, 14}, {200, 200}}},
+		{"stream is taken up at its version", []record{part("a", "", 1, "v1", "v1"), part("b", "a", 3, "v1"), part("c", "a", 4, "v1", "v1", "v1")}, nil, "", none},
+		{"stream begins anew at another version", []record{part("a", "", 1, "v1", "v1"), part("b", "", 1, "v2", "v2", "v2", "v2", "v2", "v2")}, nil, "", none},
+		{"two versions within one response", []record{part("a", "", 1, "v1", "v1", "v1", "v2", "v2", "v2")}, nil, "versions", none},
+		{"stream is taken up at another version", []record{part("a", "", 1, "v1", "v1"), part("b", "a", 3, "v2", "v2", "v2", "v2")}, nil, "versions", none},
+		{"second take-up is at another version", []record{part("a", "", 1, "v1", "v1"), part("b", "a", 3, "v1"), part("c", "a", 4, "v2", "v2", "v2")}, nil, "versions", none},
+		{"gap where a stream is taken up", []record{modified(part("b", "a", 4, "v1", "v1", "v1"), func(r *record) { r.lastEvent = 2 })}, nil, "streams", none},
+		{"event comes twice where a stream is taken up", []record{modified(part("b", "a", 2, "v1", "v1", "v1", "v1", "v1"), func(r *record) { r.lastEvent = 2 })}, nil, "streams", none},
+		{"gap in a stream that breaks off", []record{modified(part("a", "", 1, "v1", "v1"), func(r *record) { r.answer = strings.Replace(r.answer, "id: 2", "id: 3", 1) })}, nil, "streams", none},
+		{"sound", []record{validRecord("a", kindUnsafe), validRecord("b", kindNonResumable), validRecord("c", kindResumable), validRecord("d", kindSafe)}, map[string]int{"a": 1, "b": 1, "c": 2, "d": 2}, "", none},
+		{"unsafe request runs twice", []record{validRecord("a", kindUnsafe)}, map[string]int{"a": 2}, "at most once", none},
+		{"stream that must not resume runs twice", []record{validRecord("a", kindNonResumable)}, map[string]int{"a": 2}, "at most once", none},
+		{"refused request runs", []record{{id: "a", kind: kindUnsafe, status: 503}}, map[string]int{"a": 1}, "truth of a refusal", none},
+		{"answer to another request", []record{modified(validRecord("a", kindSafe), func(r *record) { r.stamp = "stamp-i-1-b" })}, nil, "own answer", none},
+		{"wrong body", []record{modified(validRecord("a", kindSafe), func(r *record) { r.answer = "y" })}, nil, "whole answer", none},
+		{"stream lacks its last event", []record{modified(validRecord("a", kindNonResumable), func(r *record) { r.answer = r.answer[:len(r.answer)-25] })}, nil, "streams", none},
+		{"stream with a wrong event id", []record{modified(validRecord("a", kindResumable), func(r *record) { r.answer = strings.Replace(r.answer, "id: 2", "id: 3", 1) })}, nil, "streams", none},
+		{"route answers 404", []record{{id: "a", kind: kindSafe, status: 404}}, nil, "routes", none},
+		{"return to an older configuration", []record{probe(5, 0, 10*time.Millisecond), probe(4, 300*time.Millisecond, 310*time.Millisecond)}, nil, "configuration", none},
+		{"two versions during a change", []record{probe(5, 0, 10*time.Millisecond), probe(4, 5*time.Millisecond, 400*time.Millisecond)}, nil, "", none},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -77,6 +86,8 @@
 				runs[id] = make([]bystub.Run, n)
 			}
 			checkHistory(h, runs)
+			checkShares(h, tt.shares[0], tt.shares[1])
+			checkCutShares(h, "z1", tt.shares[2], tt.shares[3])
 			got := strings.Join(h.violations, "; ")
 			if (tt.want == "") != (got == "") || !strings.Contains(got, tt.want) {
 				t.Errorf("violations = %q, want one that contains %q, or none if that is empty", got, tt.want)
@@ -101,23 +112,3 @@
 		}
 	}
 }
-
-// TestTakeUpsGoOnAsOftenAsStreamsBegin guards against the failure that nodes keep streams
-// from being joined by refusing to take them up.
-func TestTakeUpsGoOnAsOftenAsStreamsBegin(t *testing.T) {
-	for _, tt := range []struct {
-		takenUp, begun Share
-		want           int
-	}{
-		{Share{0, 11}, Share{100, 100}, 0},
-		{Share{5, 12}, Share{100, 100}, 1},
-		{Share{6, 12}, Share{100, 100}, 0},
-		{Share{3, 12}, Share{50, 100}, 0},
-	} {
-		h := &history{}
-		checkShares(h, tt.takenUp, tt.begun)
-		if len(h.violations) != tt.want {
-			t.Errorf("%v taken up, %v begun: violations = %q, want %d", tt.takenUp, tt.begun, h.violations, tt.want)
-		}
-	}
-}
--- a/io/bysoak/soak_test.go
+++ b/io/bysoak/soak_test.go
@@ -17,17 +17,21 @@
 	7004, 7005, // responses without end bore no signature of their request: a fault of the stub
 }
 
-func TestSoakKeepsGuarantees(t *testing.T) { soak(t, bysoak.OneVersion, seeds...) }
+func TestSoakKeepsGuarantees(t *testing.T) { soak(t, bysoak.Faults, seeds...) }
 
 // TestSoakKeepsStreamVersions guards against streams that are joined of the events of two
 // versions of the runners' software, and against refusing all that callers take up.
 func TestSoakKeepsStreamVersions(t *testing.T) {
-	soak(t, bysoak.VersionsAlone, 1)
-	soak(t, bysoak.VersionsAmong, 2)
+	soak(t, bysoak.Versions, 1)
+	soak(t, bysoak.FaultsVersions, 2)
 }
 
+// TestSoakServesCallersOfCutOffNodes guards against nodes that are cut off from all runners
+// and serve nobody.
+func TestSoakServesCallersOfCutOffNodes(t *testing.T) { soak(t, bysoak.Cuts, 5, 8) }
+
 // soak runs the given seeds.
-func soak(t *testing.T, versions bysoak.VersionTrouble, seeds ...uint64) {
+func soak(t *testing.T, trouble bysoak.Trouble, seeds ...uint64) {
 	t.Helper()
 	program := filepath.Join(t.TempDir(), "burdock")
 	if out, err := exec.Command("go", "build", "-o", program, "burdockyard/cmd/burdock").CombinedOutput(); err != nil {
@@ -35,12 +39,12 @@
 	}
 	for _, seed := range seeds {
 		rep, err := bysoak.Run(context.Background(), bysoak.Config{
-			Program: program, Dir: t.TempDir(), Seed: seed, Nodes: 3, Callers: 6, FaultPeriod: 5 * time.Second, Versions: versions,
+			Program: program, Dir: t.TempDir(), Seed: seed, Nodes: 3, Callers: 6, FaultPeriod: 5 * time.Second, Trouble: trouble,
 		})
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Logf("seed %d: %v taken up, %v begun", seed, rep.TakenUp, rep.Begun)
+		t.Logf("seed %d: taken up %v, begun %v, served where cut off %v, elsewhere %v", seed, rep.TakenUp, rep.Begun, rep.CutOff, rep.Others)
 		for _, v := range rep.Violations {
 			t.Errorf("seed %d: %s", seed, v)
 		}
--- a/io/bysoak/takeup.go
+++ b/io/bysoak/takeup.go
@@ -200,7 +200,7 @@
 // that of new streams that begin.
 func checkShares(h *history, takenUp, begun Share) {
 	if takenUp.All >= minTakeUps && 2*takenUp.Part*begun.All < begun.Part*takenUp.All {
-		h.addViolation("take-ups: %d of %d streams go on when they are taken up, %d of %d new ones begin", takenUp.Part, takenUp.All, begun.Part, begun.All)
+		h.addViolation("take-ups: %v streams go on when they are taken up, %v new ones begin", takenUp, begun)
 	}
 }
 
--- a/io/bysoak/versions.go
+++ b/io/bysoak/versions.go
@@ -38,7 +38,9 @@
 }
 
 // hasVersions reports whether the run has runners of several versions.
-func (s *soak) hasVersions() bool { return s.cfg.Versions != "" && s.cfg.Versions != OneVersion }
+func (s *soak) hasVersions() bool {
+	return s.cfg.Trouble == Versions || s.cfg.Trouble == FaultsVersions
+}
 
 // stayingDecodeRunners returns the decode runners that are there to stay.
 func (s *soak) stayingDecodeRunners() []*runner {
