--- a/io/byentry/cluster_test.go
+++ b/io/byentry/cluster_test.go
@@ -44,6 +44,7 @@
 	memoryBytes    int64         // ReloadableSettings.MemoryBytes of each node
 	maxBodyBytes   int           // largest request body that the configuration allows, in bytes
 	maxConnections int           // largest number of connections to one endpoint that the configuration allows
+	firstStart     bool          // Settings.FirstSystemStart of each node
 	logs           syncBuffer    // log output of all nodes
 	logOutput      io.Writer     // where nodes write their logs; nil means logs
 }
@@ -164,7 +165,7 @@
 	store := platform.NewStore(storeAddr)
 	ip := nodeIP()
 	s := byentry.Settings{
-		Node: burdockyard.NodeID(name), Domain: domain, ReloadableSettings: byentry.ReloadableSettings{
+		Node: burdockyard.NodeID(name), Domain: domain, FirstSystemStart: c.firstStart, ReloadableSettings: byentry.ReloadableSettings{
 			Capacity: 0.4, MemoryBytes: c.memoryBytes, Grace: c.grace, DrainBound: 2 * time.Second, ConfigBound: 2 * time.Second,
 			RetryRatio: 0.2, RetrySlack: 50, AnswerTTL: time.Second,
 		},
