--- a/io/bysoak/callers.go
+++ b/io/bysoak/callers.go
@@ -133,7 +133,7 @@
 	}
 	r.status, r.stamp, r.retryAfter = resp.StatusCode, bystub.ResponseStamp(resp.Header), resp.Header.Get("Retry-After")
 	if r.breakOffAfter > 0 && r.status == http.StatusOK {
-		r.answer = readEvents(resp.Body, r.breakOffAfter)
+		r.answer, r.complete = readUntilBreak(conn, resp.Body, r.breakOffAfter)
 		return false
 	}
 	body, err := io.ReadAll(resp.Body)
--- a/io/bysoak/takeup.go
+++ b/io/bysoak/takeup.go
@@ -19,6 +19,9 @@
 	// breakOffShare is the share of the resumable streams whose callers lose their
 	// connection midway and take them up.
 	breakOffShare = 0.15
+	// arrivedTime is how long a caller whose connection breaks still reads what has arrived.
+	// It is much shorter than the time between two events.
+	arrivedTime = 5 * time.Millisecond
 	// maxTakeUps is how often a caller tries to take up a stream.
 	maxTakeUps = 4
 	// takeUpPause is the longest time until a caller tries again, unless a node names one.
@@ -34,17 +37,24 @@
 	versionMark = " at "
 )
 
-// readEvents reads n events of a stream, or those until its end.
-func readEvents(body io.Reader, n int) string {
-	var text strings.Builder
-	for br := bufio.NewReader(body); strings.Count(text.String(), "\n\n") < n; {
+// readUntilBreak reads n events of a stream and whatever has arrived with them, as a caller
+// does whose connection breaks in that moment. It reports whether that was the whole
+// response.
+func readUntilBreak(conn net.Conn, body io.Reader, n int) (text string, complete bool) {
+	var b strings.Builder
+	br := bufio.NewReader(body)
+	for strings.Count(b.String(), "\n\n") < n {
 		line, err := br.ReadString('\n')
-		text.WriteString(line)
+		b.WriteString(line)
 		if err != nil {
-			break
+			return b.String(), err == io.EOF
 		}
 	}
-	return text.String()
+	if err := conn.SetReadDeadline(time.Now().Add(arrivedTime)); err != nil {
+		return b.String(), false
+	}
+	rest, err := io.ReadAll(br)
+	return b.String() + string(rest), err == nil
 }
 
 // takeUp does what the caller of a resumable stream does when the stream has broken off:
@@ -54,7 +64,7 @@
 	r.deadline = r.sent.Add(callerDeadline)
 	first, stream := r.id, ""
 	for try := 1; try <= maxTakeUps && r.isUnfinished(); try++ {
-		if events, _ := r.events(); r.status == http.StatusOK && len(events) > 0 {
+		if events, _ := r.events(); r.hasBegun() {
 			if stream == "" {
 				stream = r.id
 			}
@@ -172,23 +182,35 @@
 func (s *soak) checkTakeUps() (takenUp, begun Share) {
 	versions := versionsByStream(s.history.records, nil)
 	byName := s.nodesByRequest()
+	type place struct {
+		stream    string
+		lastEvent int
+	}
+	goOn := map[place]bool{} // tries at one place of a stream are one take-up
 	for _, r := range s.history.records {
-		n := byName[r.id]
-		if r.kind != kindResumable || r.poisonedPart != "" || strings.HasPrefix(r.path, "/quick/"+repeatPrefix) || !s.isInTouch(n, r.sent) {
+		at := place{r.resumes, r.lastEvent}
+		if goesOn, isCounted := goOn[at]; isCounted {
+			if r.hasBegun() && !goesOn {
+				goOn[at] = true
+				takenUp.Part++
+			}
 			continue
 		}
-		share, wanted := &begun, s.servingVersions(r.sent, r.finished)
+		serving := s.servingVersions(r.sent, r.finished)
+		isSound := r.kind == kindResumable && r.poisonedPart == "" && !strings.HasPrefix(r.path, "/quick/"+repeatPrefix)
+		if !isSound || !s.isInTouch(byName[r.id], r.sent) || len(serving) == 0 {
+			continue
+		}
+		share := &begun
 		if r.resumes != "" {
-			share = &takenUp
-			if v := versions[r.resumes]; len(v) != 1 || !slices.Contains(wanted, v[0]) {
+			if v := versions[r.resumes]; len(v) != 1 || !slices.Contains(serving, v[0]) {
 				continue
 			}
-		}
-		if len(wanted) == 0 {
-			continue
+			share = &takenUp
+			goOn[at] = r.hasBegun()
 		}
 		share.All++
-		if events, _ := r.events(); r.status == http.StatusOK && len(events) > 0 {
+		if r.hasBegun() {
 			share.Part++
 		}
 	}
@@ -196,6 +218,12 @@
 	return takenUp, begun
 }
 
+// hasBegun reports whether the caller of a stream got an event.
+func (r record) hasBegun() bool {
+	events, _ := r.events()
+	return r.status == http.StatusOK && len(events) > 0
+}
+
 // checkShares compares the share of the streams that go on when they are taken up with
 // that of new streams that begin.
 func checkShares(h *history, takenUp, begun Share) {
--- a/io/bysoak/versions.go
+++ b/io/bysoak/versions.go
@@ -25,6 +25,8 @@
 	leaveDelay = time.Second
 	// releaseStep is the time between two runners of a release that goes one by one.
 	releaseStep = 400 * time.Millisecond
+	// releasePause is the shortest time between the starts of two releases.
+	releasePause = 8 * time.Second
 	// versionPause and longVersionPause are the longest times between two troubles, one of
 	// which a run keeps to.
 	versionPause     = 1500 * time.Millisecond
@@ -52,6 +54,7 @@
 // releases counts versions and decode runners.
 type releases struct {
 	version, runners int
+	next             time.Time      // when the next release may start
 	running          sync.WaitGroup // releases in progress
 }
 
@@ -124,8 +127,13 @@
 
 // release starts to replace half or all of the decode runners by runners of a new version,
 // which start beside the old ones. The old ones announce that they leave, drain and end,
-// one by one or together. It does not wait for the end.
+// one by one or together. It does nothing within releasePause of the last release, and does
+// not wait for the end.
 func (s *soak) release(ctx context.Context, rel *releases, rng *rand.Rand) {
+	if time.Now().Before(rel.next) {
+		return
+	}
+	rel.next = time.Now().Add(releasePause)
 	old := s.stayingDecodeRunners()
 	if rng.IntN(2) == 0 {
 		old = old[:(len(old)+1)/2]
