--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -23,6 +23,7 @@
 	"burdockyard/core/byfleet"
 	"burdockyard/core/bylimit"
 	"burdockyard/core/byquarantine"
+	"burdockyard/core/byreach"
 )
 
 const (
@@ -68,6 +69,7 @@
 	CachedParts       []CachedPart              // prompt parts that engines have prefilled since the previous heartbeat
 	Quarantine        byquarantine.News         // inputs that end endpoints
 	Limits            []bylimit.Statement       // limits that endpoints have named to this node
+	Reach             byreach.Peer              // services whose endpoints the node reaches, and those that it has lost
 	Ready             bool                      // whether the node accepts callers
 	Capacity          float64                   // share of a core that the node may use; weights the directory's answers
 	SplitEra          uint64                    // era of the newest byversion.Record that the node knows
@@ -212,10 +214,16 @@
 // the same order, and when a node leaves, only its own jobs move. Nodes of the
 // failure domain named domain come first.
 func (v *View) Rank(key, domain, ownDomain string) int {
+	return v.RankAmong(key, domain, ownDomain, func(Heartbeat) bool { return true })
+}
+
+// RankAmong is like Rank, but counts only those other nodes for which eligible returns
+// true.
+func (v *View) RankAmong(key, domain, ownDomain string, eligible func(Heartbeat) bool) int {
 	ownScore := score(key, v.self.Node)
 	rank := 0
 	for _, hb := range v.Alive() {
-		if hb.Leaving {
+		if hb.Leaving || !eligible(hb) {
 			continue
 		}
 		if ranksBefore(hb.Domain == domain, score(key, hb.Member.Node), ownDomain == domain, ownScore) {
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -63,12 +63,15 @@
 	c.sends++
 	c.tried[e.ID] = true
 	sentAt := n.clock.Now()
+	endWait := n.reach.BeginWait(e.Service)
 	resp, err := n.forwarder.Send(ctx, byforward.Target{Addr: e.Addr, MaxConns: n.endpointConnLimit(c.service)}, req)
+	endWait()
 	if err != nil {
 		c.warn("send failed", append(c.attemptFields(e, a), bylog.Str("addr", e.Addr), bylog.Err(err))...)
 		return nil, c.classifySendError(ctx, e, attemptAction(a), err), err
 	}
 	n.metrics.EndpointLatency(c.service.Name, attemptAction(a)).Update(n.clock.Now().Sub(sentAt).Seconds())
+	n.recordContact(e)
 	info := n.observeResponse(e, resp.Status, resp.Header)
 	n.loadTracker.RecordLoadReport(e.ID, info.Load)
 	if !info.WrongEndpoint {
@@ -79,14 +82,29 @@
 		n.reportResult(e, byfleet.WrongEndpoint, nil)
 	case info.NotRun:
 		n.reportResult(e, byfleet.Shed, nil)
-	case resp.Status >= http.StatusInternalServerError:
+	case resp.Status >= http.StatusInternalServerError || info.Unproven:
 		n.reportResult(e, byfleet.Failed, nil)
 	}
 	if info.NotRun {
-		c.log("endpoint refused", append(c.attemptFields(e, a), bylog.Int("status", resp.Status))...)
 		c.drainBody(resp)
+		isDoubtful := c.isDoubtful(resp)
+		resp.Close()
+		if isDoubtful {
+			n.reportResult(e, byfleet.Failed, nil)
+			c.warn("refusal not believed", append(c.attemptFields(e, a), bylog.Int("status", resp.Status))...)
+			return nil, outcomeUnknown, burdockyard.ErrRequestMismatch
+		}
+		c.endpointRefused = true
+		c.log("endpoint refused", append(c.attemptFields(e, a), bylog.Int("status", resp.Status))...)
 		return nil, outcomeNotRun, burdockyard.ErrNotStarted
 	}
+	if info.Unproven {
+		// Callers take the status for a promise that the request has not run.
+		c.drainBody(resp)
+		resp.Close()
+		c.warn("endpoint failed", bylog.Str("endpoint", string(e.ID)), bylog.Int("status", resp.Status))
+		return nil, outcomeUnknown, burdockyard.ErrInterrupted
+	}
 	return resp, outcomeAnswered, nil
 }
 
@@ -143,6 +161,10 @@
 		c.node.limits.Return(e.ID, e.BornMS)
 		if !errors.Is(err, byforward.ErrConnectionLimit) {
 			c.node.reportResult(e, byfleet.Unreachable, err)
+			if ctx.Err() == nil && c.timeLeft() > 0 {
+				c.linkFailures++
+				c.node.recordLinkFailure(e)
+			}
 		}
 		return outcomeNotRun
 	}
@@ -151,6 +173,10 @@
 		return outcomeAbandoned
 	}
 	c.node.reportResult(e, byfleet.Unreachable, err)
+	if isLinkFailure(err) {
+		c.linkFailures++
+		c.node.recordLinkFailure(e)
+	}
 	c.attemptBroke(ctx, e, action, 0, false, err)
 	return outcomeUnknown
 }
@@ -161,7 +187,24 @@
 	if _, err := resp.ReadAll(maxBufferedBody); err != nil {
 		c.node.log.calls.Debug("refusal body not read to its end", bylog.Str("request", string(c.info.ID)), bylog.Err(err))
 	}
-	resp.Close()
+}
+
+// isDoubtful reports whether a refusal may be a copy of an earlier one, although it carries
+// the ID of the request: the endpoint repeats refusals on its connection, or another
+// response to the request follows.
+func (c *call) isDoubtful(resp *byforward.Response) bool {
+	decode := c.node.platform.Protocol.DecodeResponse
+	for _, earlier := range resp.Copies() {
+		if decode(earlier.Status, earlier.Header).NotRun {
+			return true
+		}
+	}
+	next, found := resp.Next()
+	if !found {
+		return false
+	}
+	info := decode(next.Status, next.Header)
+	return !info.NotRun && (info.ID == c.info.ID || next.Header == nil)
 }
 
 // endpointConnLimit returns the maximum number of connections to one endpoint from
@@ -234,10 +277,13 @@
 			c.keepFailure(buffered)
 			last = outcomeUnknown
 		}
-		if !c.takeRetry(last) {
+		if c.lacksLink() || !c.takeRetry(last) {
 			break
 		}
 	}
+	if c.handOverInstead(ctx, last) {
+		return
+	}
 	c.sendFinalResponse(last, lastErr)
 }
 
@@ -265,6 +311,8 @@
 		c.refuse(reasonLimited, c.timeToLimit())
 	case last == outcomeNotRun && len(c.tried) == 0:
 		c.refuse(reasonNoEndpoint, c.retryAfterRest(noEndpointRetryAfter))
+	case last == outcomeNotRun && c.handedOver != nil && c.onlyLinksFailed():
+		c.refuse(reasonNoLink, noEndpointRetryAfter)
 	case last == outcomeNotRun:
 		c.refuse(reasonEndpointsFull, c.retryAfterRest(endpointsFullRetryAfter))
 	default:
@@ -345,7 +393,7 @@
 	}
 	if err != nil {
 		c.recordEnd(bylog.OutcomeInterrupted, bylog.Str("endpoint", string(buffered.endpoint)), bylog.Err(err))
-		panic(http.ErrAbortHandler) // closes the connection, so that the caller sees that the response is incomplete
+		c.abort()
 	}
 	c.recordEnd(bylog.OutcomeAnswered, bylog.Int("status", buffered.status), bylog.Str("endpoint", string(buffered.endpoint)))
 }
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -11,7 +11,8 @@
 // The loops in watch.go follow the configuration and the endpoint registry.
 // peers.go exchanges heartbeats with the other nodes. ingress.go accepts a request,
 // call.go or prompt.go sends it to endpoints, and relay.go streams events back to
-// the caller.
+// the caller. reach.go watches the links to the endpoints; while they are lost,
+// handover.go hands requests over to nodes that reach them.
 package byentry
 
 import (
@@ -33,6 +34,7 @@
 	"burdockyard/core/bymember"
 	"burdockyard/core/byplace"
 	"burdockyard/core/byquarantine"
+	"burdockyard/core/byreach"
 	"burdockyard/core/byroutes"
 	"burdockyard/io/byforward"
 	"burdockyard/io/bylog"
@@ -71,7 +73,7 @@
 	CallerAddr       string        // address that serves callers' requests
 	ReadyAddr        string        // address that serves readiness checks
 	DirectoryAddr    string        // address that tells callers which nodes to connect to
-	PeerAddr         string        // address for other nodes: UDP for heartbeats, TCP for relayed table readings
+	PeerAddr         string        // address for other nodes: UDP for heartbeats, TCP for relayed table readings and handed-over requests
 	MetricsAddr      string        // address that serves /metrics; empty disables it
 	FirstSystemStart bool          // whether the whole system starts for the first time; engines' caches are then not queried
 	ClaimTTL         time.Duration // how long a claim on an engine entitles this node to send it orders
@@ -130,6 +132,7 @@
 	relayClients       *bypeer.RelayClients
 	callerConns        *callerConns
 	endProbes          *endProbes
+	reach              *byreach.Tracker
 	quarantine         *byquarantine.Quarantine
 	records            *recordStore
 	limits             *bylimit.Limits
@@ -139,6 +142,8 @@
 	log                loggers
 	stopping           atomic.Bool
 	stop               *stopState
+	handoversTaken     atomic.Int64 // number of requests in progress that other nodes have handed over
+	losesCallers       atomic.Bool  // whether callers should use other nodes, as this one is cut off from a service
 	openRequests       atomic.Int64 // number of requests in progress
 	bodyBytes          atomic.Int64 // size of the bodies of requests in progress, as charged against the memory limit
 	heartbeatSeq       atomic.Uint64
@@ -189,6 +194,7 @@
 	n.peers = newPeers(n)
 	n.callerConns = newCallerConns(n.clock)
 	n.endProbes = newEndProbes()
+	n.reach = byreach.New(n.clock)
 	n.limits = bylimit.New(n.clock, s.Node)
 	n.quarantine = byquarantine.New(n.clock, s.Node)
 	n.records = newRecordStore(n)
@@ -240,12 +246,12 @@
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	group, serveCtx := errgroup.WithContext(serveCtx)
-	callerServer := &http.Server{Handler: n, ReadHeaderTimeout: readHeaderTimeout, ConnState: n.callerConns.track, ErrorLog: nil}
+	callerServer := &http.Server{Handler: n, ReadHeaderTimeout: readHeaderTimeout, ConnContext: withConn, ConnState: n.callerConns.track, ErrorLog: nil}
 	servers := []*http.Server{
 		callerServer,
 		{Handler: n.platform.NewReadiness(n.ready), ReadHeaderTimeout: readHeaderTimeout},
 		{Handler: n.platform.NewDirectory(n.directoryAddresses), ReadHeaderTimeout: readHeaderTimeout},
-		{Handler: bypeer.NewRelayHandler(n.applyRelayedReading), ReadHeaderTimeout: readHeaderTimeout},
+		{Handler: n.peerHandler(), ReadHeaderTimeout: readHeaderTimeout},
 	}
 	if n.settings.MetricsAddr != "" {
 		servers = append(servers, &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: readHeaderTimeout})
@@ -341,6 +347,7 @@
 	}
 	group.Go(func() error { return runEvery(ctx, roleCheckInterval, n.roles.reconcile) })
 	group.Go(func() error { return runEvery(ctx, splitCheckInterval, n.versions.reconcile) })
+	group.Go(func() error { return runEvery(ctx, reachCheckInterval, newReachMonitor(n).check) })
 }
 
 // runEvery calls f once per interval until ctx is done.
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"burdockyard"
 	"burdockyard/core/bydigest"
 	"burdockyard/core/bymember"
+	"burdockyard/core/byreach"
 	"burdockyard/io/bygossip"
 	"burdockyard/io/bylog"
 	"burdockyard/io/bypeer"
@@ -58,6 +62,8 @@
 	deregisterTimeout = 300 * time.Millisecond
 	// maxDirectoryAddresses limits the number of addresses in a directory response.
 	maxDirectoryAddresses = 64
+	// maxNodeRowBytes limits the size of a row in the node table.
+	maxNodeRowBytes = 4 << 10
 )
 
 // nodeRow is the JSON value of a row in the node table.
@@ -68,6 +74,21 @@
 	Capacity    float64                 `json:"capacity"` // as in bymember.Heartbeat
 }
 
+// decodeNodeRow decodes a row of the node table. Other writers have access to it.
+func decodeNodeRow(row burdockyard.Row) (nodeRow, error) {
+	var r nodeRow
+	if len(row.Value) > maxNodeRowBytes {
+		return r, fmt.Errorf("%d bytes; expected at most %d", len(row.Value), maxNodeRowBytes)
+	}
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return r, err
+	}
+	if addr, err := netip.ParseAddrPort(r.Addr); err != nil || addr.Port() == 0 {
+		return r, errors.New("addr is not an IP address and a port")
+	}
+	return r, nil
+}
+
 // peers exchanges heartbeats with the other nodes and tracks which of them are
 // known. mu is a leaf lock.
 type peers struct {
@@ -84,6 +105,8 @@
 	topology  topology                    // latest result of currentTopology
 
 	relay relayState
+
+	oddRows oddRows // used by registerLoop only
 }
 
 // peer is another node, known from its heartbeats or from the node table.
@@ -277,12 +300,14 @@
 	}
 	registered := false
 	for _, row := range snap.Rows {
-		var r nodeRow
-		if err := json.Unmarshal(row.Value, &r); err != nil {
-			p.node.log.members.Warn("row of a node has an invalid value", bylog.Str("row", row.Key), bylog.Err(err))
+		r, err := decodeNodeRow(row)
+		if err != nil {
+			if p.oddRows.isNew(row) {
+				p.node.log.members.Warn("row of a node has an invalid value", bylog.Str("row", row.Key), bylog.Err(err))
+			}
 			continue
 		}
-		id := burdockyard.NodeID(row.Key[len(nodeTable)+1:])
+		id := burdockyard.NodeID(strings.TrimPrefix(row.Key, nodeTable+"/"))
 		if id == p.node.self.Node {
 			registered = true
 			continue
@@ -468,6 +493,7 @@
 		LeavingEndpoints: n.fleet.Leaving(), Quarantine: n.quarantine.News(), Limits: n.limits.Statements(),
 	}
 	heartbeat.SplitEra, heartbeat.SplitSeq = n.versions.table.Number()
+	heartbeat.Reach = n.ownReach()
 	if t := n.routes.Current(); t != nil {
 		heartbeat.Generation = t.Version()
 	}
@@ -476,12 +502,14 @@
 
 // directoryAddresses returns the addresses to which callers may connect, and how long
 // callers may cache them. It considers this node and the peers that are reachable,
-// ready and not leaving.
+// ready and not leaving, and names nodes that have lost their links to endpoints only if
+// there are no others.
 func (n *Node) directoryAddresses(_, domain string) ([]string, time.Duration) {
 	var nodes []bymember.Heartbeat
 	if n.ready() {
 		nodes = append(nodes, bymember.Heartbeat{
 			Member: n.self, CallerAddr: n.settings.CallerAddr, Domain: n.settings.Domain, Capacity: n.reloadableSettings.Load().Capacity,
+			Reach: n.ownReach(),
 		})
 	}
 	for _, h := range n.view.ReceivedWithin(unreachableAfter) {
@@ -489,6 +517,7 @@
 			nodes = append(nodes, h)
 		}
 	}
+	nodes = byreach.Directed(nodes, func(h bymember.Heartbeat) byreach.Peer { return h.Reach })
 	var addrs []string
 	for _, h := range bymember.SelectNodes(nodes, domain, maxDirectoryAddresses) {
 		addrs = append(addrs, h.CallerAddr)
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -57,15 +57,18 @@
 		if last == outcomeAnswered {
 			return
 		}
-		if !c.takeRetry(last) {
+		if !relay.headerSent && c.lacksLink() || !c.takeRetry(last) {
 			break
 		}
 	}
+	if !relay.headerSent && c.handOverInstead(ctx, last) {
+		return
+	}
 	c.endStream(relay, last, lastErr)
 }
 
 // endStream ends a request that cannot continue on another endpoint. If the response
-// to the caller has begun, it panics with http.ErrAbortHandler.
+// to the caller has begun, it does not return.
 func (c *call) endStream(relay *eventRelay, last outcome, err error) {
 	if !relay.headerSent {
 		c.sendFinalResponse(last, err)
@@ -73,7 +76,7 @@
 	}
 	c.endpointFailure.close()
 	c.recordEnd(bylog.OutcomeInterrupted, bylog.Int("events", relay.eventCount), bylog.Err(err))
-	panic(http.ErrAbortHandler) // so that the caller detects the truncated response
+	c.abort()
 }
 
 // planPrompt selects the engines for the prompt, and returns false if there are none.
@@ -270,9 +273,12 @@
 		if last == outcomeAnswered {
 			return
 		}
-		if !c.takeRetry(last) {
+		if !relay.headerSent && c.lacksLink() || !c.takeRetry(last) {
 			break
 		}
 	}
+	if !relay.headerSent && c.handOverInstead(ctx, last) {
+		return
+	}
 	c.endStream(relay, last, lastErr)
 }
--- a/io/byentry/relay.go
+++ b/io/byentry/relay.go
@@ -43,6 +43,10 @@
 	runEventAt  time.Time     // when the first complete event of the present run arrived, zero before
 	answerBegun bool          // whether the answer of the present run counts as begun
 
+	mediaType    string       // type of the first response, whose header was sent
+	continuation continuation // checks the present run, if it is not the first
+
+	passesOn bool             // whether another node runs the stream and decides whether it is held
 	endpoint byfleet.Endpoint // endpoint of the present run
 	holding  bool             // whether the events are held until the stream is complete
 	held     []byte           // events held
@@ -59,8 +63,10 @@
 	r.pending = r.pending[:0]
 	r.endpoint = e
 	r.runEventAt, r.answerBegun = time.Time{}, false
-	if r.headerSent && resp.Status != http.StatusOK {
-		return burdockyard.ErrInterrupted
+	if r.headerSent {
+		if err := r.continuation.begin(resp, r.mediaType, r.lastEventID); err != nil {
+			return err
+		}
 	}
 	buf := make([]byte, relayReadBytes)
 	received := false
@@ -94,6 +100,9 @@
 	if !resp.IsSelfDelimited() && (len(r.pending) > 0 || r.runEventAt.IsZero()) {
 		return merry.Wrap(burdockyard.ErrInterrupted, merry.WithCause(io.ErrUnexpectedEOF))
 	}
+	if err := r.continuation.end(r.pending); err != nil {
+		return err
+	}
 	if resp.IsSelfDelimited() {
 		r.recordAnswer(resp)
 	}
@@ -107,7 +116,7 @@
 // begin decides, before the first event is sent, whether the stream is held. Otherwise it
 // may go on only at the version of its endpoint from now on.
 func (r *eventRelay) begin(resp *byforward.Response) {
-	if r.headerSent || r.holding || resp.Status != http.StatusOK {
+	if r.headerSent || r.holding || r.passesOn || resp.Status != http.StatusOK {
 		return
 	}
 	c := r.c
@@ -152,6 +161,12 @@
 		return nil
 	}
 	end += len("\n\n")
+	var brokenOff error
+	if r.continuation.active {
+		if end, brokenOff = r.continuation.accept(r.pending[:end]); end == 0 {
+			return brokenOff
+		}
+	}
 	events := r.pending[:end]
 	r.recordEvents(events)
 	now := r.c.node.clock.Now()
@@ -179,7 +194,7 @@
 	if err := http.NewResponseController(r.c.w).Flush(); err != nil {
 		return merry.Wrap(errCallerDisconnected, merry.WithCause(err))
 	}
-	return nil
+	return brokenOff
 }
 
 // recordEvents counts events and stores the id of the last one.
@@ -201,7 +216,7 @@
 	if r.headerSent {
 		return
 	}
-	r.headerSent = true
+	r.headerSent, r.mediaType = true, mediaTypeOf(resp.Header)
 	h := r.c.w.Header()
 	for key, values := range r.c.node.platform.Protocol.ResponseHeaders(resp.Header) {
 		h[key] = values
--- a/io/byforward/byforward.go
+++ b/io/byforward/byforward.go
@@ -25,6 +25,8 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +35,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"burdockyard"
 )
@@ -41,9 +44,15 @@
 	// dialTimeout limits how long connecting to an endpoint may take. Endpoints
 	// accept in about 1 ms, and TCP retransmits a lost SYN only after 1 s.
 	dialTimeout = 700 * time.Millisecond
-	// unackedTimeout is how long sent data may stay unacknowledged before the
-	// kernel closes the connection.
-	unackedTimeout = 1200 * time.Millisecond
+	// unackedTimeout is how long data that was sent again may stay unacknowledged, or
+	// the endpoint's receive window closed, before the kernel closes the connection. A
+	// sound endpoint may be silent for 1.5 s. The last time that the kernel sends data
+	// again before unackedTimeout must be later than that.
+	unackedTimeout = 2400 * time.Millisecond
+	// maxRetransmitInterval limits the time between two retransmissions. Without it they
+	// would come 1.4 s and 3 s after the data, so that an endpoint that was silent for 1.5 s
+	// would get none before unackedTimeout.
+	maxRetransmitInterval = time.Second
 	// defaultIdleTimeout is how long an idle connection is kept if the endpoint
 	// sends no usable Keep-Alive timeout.
 	defaultIdleTimeout = 3 * time.Second
@@ -59,17 +68,22 @@
 	// maxHeadBytes limits the size in bytes of all headers that are read before the
 	// body of a response. The bytes of an endpoint in trouble may never end.
 	maxHeadBytes = 64 << 10
-	// maxDuplicates is how many late copies of the former response on a connection are
+	// maxDuplicates is how many late copies of earlier responses on a connection are
 	// skipped before the response to a request, and maxDuplicateBytes the largest size of
 	// each.
 	maxDuplicates     = 2
 	maxDuplicateBytes = 256 << 10
+	// maxCarriedIDs is how many IDs of earlier requests are known of each connection. A
+	// request is sent again under its ID within seconds, if at all.
+	maxCarriedIDs = 32
+	// nextHeadTimeout is how long the rest of a head that has begun to come is waited for.
+	nextHeadTimeout = 5 * time.Millisecond
 	// maxResponseHeaders is how many response headers are read in search of a final
 	// one. Interim responses (1xx) are skipped.
 	maxResponseHeaders = 5
-	// optTCPUserTimeout is the socket option TCP_USER_TIMEOUT of Linux, which
-	// package syscall does not define.
-	optTCPUserTimeout = 0x12
+	// optTCPRTOMaxMS is the socket option TCP_RTO_MAX_MS of Linux 6.15 and later, which
+	// package unix does not define.
+	optTCPRTOMaxMS = 44
 )
 
 // Target is the endpoint that a request is sent to.
@@ -88,7 +102,7 @@
 	Body           []byte
 	Deadline       time.Time     // end of the time for the whole exchange, reading the body included
 	MaxIdle        time.Duration // reuse only connections idle for at most this long; 0 means no limit
-	AllowMissingID bool          // accept a response without a request ID
+	AllowMissingID bool          // accept a response without a request ID, on a connection of its own
 }
 
 // Forwarder sends requests to endpoints and pools the connections to them. It is
@@ -112,10 +126,10 @@
 	net.Conn
 	addr        string
 	in          *limitedReader
-	br          *bufio.Reader         // reads from in
-	lastID      burdockyard.RequestID // ID of the last request on it that had one
-	idleSince   time.Time             // when it was returned to the pool
-	idleTimeout time.Duration         // how long it may stay idle
+	br          *bufio.Reader           // reads from in
+	carriedIDs  []burdockyard.RequestID // IDs of the last requests on it that had one, at most maxCarriedIDs
+	idleSince   time.Time               // when it was returned to the pool
+	idleTimeout time.Duration           // how long it may stay idle
 }
 
 // New returns a Forwarder without connections. requestIDOf returns the request ID
@@ -123,17 +137,22 @@
 func New(clock burdockyard.Clock, requestIDOf func(http.Header) burdockyard.RequestID) *Forwarder {
 	return &Forwarder{
 		clock: clock, requestIDOf: requestIDOf, pools: map[string]*pool{},
-		dialer: net.Dialer{Timeout: dialTimeout, Control: setUserTimeout},
+		// With TCP_USER_TIMEOUT, a single lost keep-alive probe breaks the connection.
+		// Without probes, deadlines and idle timeouts bound the life of all connections.
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setTimeouts},
 	}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a socket, so that the kernel closes the
+// setTimeouts sets TCP_USER_TIMEOUT on a socket, so that the kernel closes the
 // connection when its peer no longer acknowledges data. Without it a dead peer
 // cannot be told from an endpoint that is slow to respond.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+func setTimeouts(_, _ string, c syscall.RawConn) error {
 	var err error
 	ctrl := c.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, optTCPUserTimeout, int(unackedTimeout.Milliseconds()))
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		// These only make the kernel send data again sooner after a silence.
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_THIN_LINEAR_TIMEOUTS, 1)
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, optTCPRTOMaxMS, int(maxRetransmitInterval.Milliseconds()))
 	})
 	return errors.Join(ctrl, err)
 }
@@ -176,10 +195,13 @@
 // acquire returns an idle connection that is fit for reuse, or dials a new one.
 func (f *Forwarder) acquire(ctx context.Context, t Target, r *Request) (*conn, error) {
 	for {
-		c, atLimit := f.takeIdleOrReserve(t, r)
+		c, replaced, atLimit := f.takeIdleOrReserve(t, r)
 		if atLimit {
 			return nil, notStarted(ErrConnectionLimit)
 		}
+		if replaced != nil {
+			replaced.Close() // it was idle, so no request is lost
+		}
 		if c == nil {
 			return f.dial(ctx, t, r)
 		}
@@ -190,11 +212,12 @@
 	}
 }
 
-// takeIdleOrReserve removes the most recently used connection from the pool and
-// returns it. If there is none that r accepts, it returns nil and counts one more
-// connection as open, which the caller must dial or give back with decrementOpen.
-// atLimit reports that the limit of t is reached.
-func (f *Forwarder) takeIdleOrReserve(t Target, r *Request) (c *conn, atLimit bool) {
+// takeIdleOrReserve removes the most recently used connection that r accepts from the
+// pool and returns it. If there is none, it returns nil and counts one more connection as
+// open, which the caller must dial or give back with decrementOpen. At the limit of t, the
+// new connection takes the place of an idle one, which the caller must close. atLimit
+// reports that there is none either.
+func (f *Forwarder) takeIdleOrReserve(t Target, r *Request) (c, replaced *conn, atLimit bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.pools[t.Addr]
@@ -203,19 +226,28 @@
 		f.pools[t.Addr] = p
 	}
 	now := f.clock.Now()
-	if n := len(p.idle); n > 0 {
-		c = p.idle[n-1]
-		if r.MaxIdle == 0 || now.Sub(c.idleSince) <= r.MaxIdle {
-			p.idle = p.idle[:n-1]
-			return c, false
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; r.accepts(c, now) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c, nil, false
 		}
-		c = nil
 	}
-	if p.open >= t.MaxConns {
-		return nil, true
+	if p.open < t.MaxConns {
+		p.open++
+		return nil, nil, false
+	}
+	if len(p.idle) == 0 {
+		return nil, nil, true
 	}
-	p.open++
-	return nil, false
+	replaced = p.idle[0]
+	p.idle = slices.Delete(p.idle, 0, 1)
+	return nil, replaced, false
+}
+
+// accepts reports whether r can be sent on an idle connection. A late copy of an earlier
+// response on it must be told from the response to r by its ID.
+func (r *Request) accepts(c *conn, now time.Time) bool {
+	return !r.AllowMissingID && !slices.Contains(c.carriedIDs, r.ID) && (r.MaxIdle == 0 || now.Sub(c.idleSince) <= r.MaxIdle)
 }
 
 func (f *Forwarder) dial(ctx context.Context, t Target, r *Request) (*conn, error) {
@@ -265,26 +297,51 @@
 	return false
 }
 
+// Probe opens a new connection to addr and closes it without sending anything. It takes at
+// most timeout.
+func (f *Forwarder) Probe(ctx context.Context, addr string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	nc, err := f.dialer.DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		return merry.Prepend(err, "probing "+addr)
+	}
+	return nc.Close()
+}
+
 // isReusable reports whether an idle connection is open and has no data to read.
 // Unread data belongs to no request in progress: it is a late or duplicate
 // response.
 func (c *conn) isReusable() bool {
+	_, err := c.peek()
+	return err == syscall.EAGAIN
+}
+
+// hasUnread reports whether there is data to read.
+func (c *conn) hasUnread() bool {
+	n, err := c.peek()
+	return err == nil && n > 0
+}
+
+// peek looks for a byte to read without waiting for one or reading it. The error is EAGAIN
+// if there is none yet; n is 0 if the connection has been closed.
+func (c *conn) peek() (n int, err error) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, syscall.EINVAL
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	wouldBlock := false
 	var buf [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, err := syscall.Read(int(fd), buf[:])
-		wouldBlock = err == syscall.EAGAIN
+	if rawErr := raw.Read(func(fd uintptr) bool {
+		n, _, err = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
-	})
-	return err == nil && wouldBlock
+	}); rawErr != nil {
+		return 0, rawErr
+	}
+	return n, err
 }
 
 // release returns a connection to the pool.
@@ -353,6 +410,12 @@
 	}
 }
 
+// Head is the first part of a response.
+type Head struct {
+	Status int
+	Header http.Header
+}
+
 // Response is a response whose header has been read and whose body has not. One
 // goroutine uses it at a time.
 type Response struct {
@@ -369,6 +432,7 @@
 	selfDelimited bool            // the body has a Content-Length or is chunked
 	reusable      bool            // the endpoint keeps c open and the body is self-delimited
 	complete      bool            // the body was read to its end
+	copies        []Head          // copies of earlier responses that came before
 	closed        bool            // c is closed or back in the pool
 }
 
@@ -397,17 +461,29 @@
 		return merry.Wrap(burdockyard.ErrRequestMismatch)
 	}
 	resp.c.idleTimeout = keepAliveTimeout(httpResp.Header.Get("Keep-Alive"))
-	if r.ID != "" {
-		resp.c.lastID = r.ID
+	if resp.f.requestIDOf(httpResp.Header) == "" {
+		resp.reusable = false // a late copy could not be told from the next response
 	}
 	return nil
 }
 
+// recordID records that c carries a request with the given ID.
+func (c *conn) recordID(id burdockyard.RequestID) {
+	if len(c.carriedIDs) == maxCarriedIDs {
+		c.carriedIDs = slices.Delete(c.carriedIDs, 0, 1)
+	}
+	c.carriedIDs = append(c.carriedIDs, id)
+}
+
 // readOwnResponse reads the header of the response to r. An endpoint may send a response
-// for a second time, so late that the next request is already on its way. Such a copy
-// is skipped: without it, the outcome of the next request would be unknown.
+// for a second time, so late that a later request is already on its way. Such a copy
+// is skipped: without it, the outcome of that request would be unknown.
 func (resp *Response) readOwnResponse(r *Request) (*http.Response, error) {
-	for duplicates := 0; ; duplicates++ {
+	earlierIDs := resp.c.carriedIDs
+	if r.ID != "" {
+		defer resp.c.recordID(r.ID)
+	}
+	for {
 		resp.c.in.left = maxHeadBytes
 		httpResp, err := readResponse(resp.c.br, r.Method)
 		resp.c.in.left = math.MaxInt64
@@ -415,15 +491,19 @@
 			return nil, err
 		}
 		id := resp.f.requestIDOf(httpResp.Header)
-		if id == "" || id == r.ID || id != resp.c.lastID || duplicates == maxDuplicates {
+		if id == "" || id == r.ID || !slices.Contains(earlierIDs, id) || len(resp.copies) == maxDuplicates {
 			return httpResp, nil
 		}
+		if httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0 {
+			return nil, errors.New("a second copy of an earlier response has no end")
+		}
+		resp.copies = append(resp.copies, Head{httpResp.StatusCode, httpResp.Header})
 		n, err := io.Copy(io.Discard, io.LimitReader(httpResp.Body, maxDuplicateBytes))
 		if err != nil {
 			return nil, err
 		}
 		if n == maxDuplicateBytes {
-			return nil, errors.New("a second copy of the former response is too long")
+			return nil, errors.New("a second copy of an earlier response is too long")
 		}
 	}
 }
@@ -448,11 +528,15 @@
 	return nil
 }
 
-// encodeHeader returns the request line and the header of r, with room for its
-// body.
+// encodeHeader returns the request line and the header of r, with room for a body that
+// is written together with them.
 func encodeHeader(r *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	room := 512
+	if len(r.Body) <= maxInlineBody {
+		room += len(r.Body)
+	}
+	b.Grow(room)
 	b.WriteString(r.Method + " " + r.Path + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for key, values := range r.Header {
 		for _, v := range values {
@@ -514,6 +598,35 @@
 // chunked encoding, rather than by the end of the connection.
 func (resp *Response) IsSelfDelimited() bool { return resp.selfDelimited }
 
+// Copies returns the heads of copies of earlier responses that came before the response.
+func (resp *Response) Copies() []Head { return resp.copies }
+
+// Next returns the head of a response that has already come after this one. It is called
+// once the body has been read to its end. If it returns true, the connection is not used
+// again. A head that is not complete yet is returned without a header.
+func (resp *Response) Next() (Head, bool) {
+	if !resp.complete || resp.c.br.Buffered() == 0 && !resp.c.hasUnread() {
+		return Head{}, false
+	}
+	resp.reusable = false
+	if err := resp.c.SetReadDeadline(resp.f.clock.Now().Add(nextHeadTimeout)); err != nil {
+		return Head{}, false
+	}
+	const firstBytes = "HTTP/"
+	if start, _ := resp.c.br.Peek(len(firstBytes)); !strings.HasPrefix(firstBytes, string(start)) {
+		return Head{}, false // the bytes belong to no request
+	}
+	resp.c.in.left = maxHeadBytes
+	next, err := readResponse(resp.c.br, http.MethodGet)
+	switch {
+	case err == nil:
+		return Head{next.StatusCode, next.Header}, true
+	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.ErrUnexpectedEOF):
+		return Head{}, true
+	}
+	return Head{}, false
+}
+
 // ReadAll reads the rest of the body. It fails if that is longer than limit bytes.
 func (resp *Response) ReadAll(limit int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(resp, limit+1))
--- a/io/byforward/byforward_test.go
+++ b/io/byforward/byforward_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -188,6 +189,52 @@
 	}
 }
 
+// TestConnectionIsNotReusedIfCopyCouldPass guards against a late copy of an earlier response
+// that is taken for the response to a request: one with the same ID, or one whose response
+// may lack an ID. A full pool must not keep such a request from being sent.
+func TestConnectionIsNotReusedIfCopyCouldPass(t *testing.T) {
+	withoutID := strings.ReplaceAll(withLength, "X-Request-Id: %s\r\n", "")
+	tests := []struct {
+		name     string
+		response string
+		ids      []string // of the requests, empty for a control call
+		conns    int
+	}{
+		{"other requests", withLength, []string{"r1", "r2", "r3"}, 1},
+		{"the same ID again", withLength, []string{"r1", "r1"}, 2},
+		{"the same ID later", withLength, []string{"r1", "r2", "r3", "r1"}, 2},
+		{"control calls", withoutID, []string{"", "", ""}, 3},
+		{"control call after a request", withLength, []string{"r1", ""}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEndpoint(t, cannedResponse{response: tt.response})
+			f := newForwarder()
+			for i, id := range tt.ids {
+				resp, err := f.Send(context.Background(), byforward.Target{Addr: e.addr, MaxConns: 1}, &byforward.Request{
+					ID: burdockyard.RequestID(id), Method: http.MethodPost, Path: "/", Host: "h", Header: http.Header{"X-Request-Id": {id}},
+					Deadline: time.Now().Add(2 * time.Second), AllowMissingID: id == "",
+				})
+				if err != nil {
+					t.Fatalf("request %d: %v", i, err)
+				}
+				if data, err := resp.ReadAll(100); err != nil || string(data) != "data" {
+					t.Errorf("request %d: response body is %q with error %v, want data", i, data, err)
+				}
+				resp.Close()
+				if n := f.OpenConns(); n > 1 {
+					t.Errorf("request %d: %d connections are open, want at most 1", i, n)
+				}
+			}
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if e.conns != tt.conns {
+				t.Errorf("endpoint accepted %d connections, want %d", e.conns, tt.conns)
+			}
+		})
+	}
+}
+
 // TestHeadWithoutEndIsCut checks that a header or first line that never ends is given up
 // long before the deadline.
 func TestHeadWithoutEndIsCut(t *testing.T) {
@@ -285,16 +332,16 @@
 	}
 }
 
-// TestResponseBeforeBodyIsRead checks that a response gets through although the
-// endpoint sends it before reading a long request body and then reads no more of
-// that body.
-func TestResponseBeforeBodyIsRead(t *testing.T) {
+// newEarlyEndpoint starts an endpoint that serves one connection. It sends its response
+// before reading a long request body, and then reads no more of that body.
+func newEarlyEndpoint(t *testing.T) (addr string) {
+	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	go func() { // serves one connection
+	t.Cleanup(func() { l.Close() })
+	go func() { // returns soon after the connection is served
 		c, err := l.Accept()
 		if err != nil {
 			return
@@ -307,8 +354,30 @@
 		_, _ = io.WriteString(c, strings.ReplaceAll(withLength, "%s", req.Header.Get("X-Request-Id")))
 		time.Sleep(time.Second)
 	}()
-	status, body, err := send(newForwarder(), l.Addr().String(), "r1", make([]byte, 32<<20))
+	return l.Addr().String()
+}
+
+// TestResponseBeforeBodyIsRead checks that a response gets through although the
+// endpoint sends it before reading a long request body and then reads no more of
+// that body.
+func TestResponseBeforeBodyIsRead(t *testing.T) {
+	status, body, err := send(newForwarder(), newEarlyEndpoint(t), "r1", make([]byte, 32<<20))
 	if err != nil || status != http.StatusOK || body != "data" {
 		t.Errorf("response is %d %q with error %v, want 200 and data without an error", status, body, err)
 	}
 }
+
+// TestLongBodyIsNotAllocatedAgain guards against the failure that sending a long body
+// allocates memory of its size, which takes time from the deadline.
+func TestLongBodyIsNotAllocatedAgain(t *testing.T) {
+	f, addr, body := newForwarder(), newEarlyEndpoint(t), make([]byte, 32<<20)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	if _, _, err := send(f, addr, "r1", body); err != nil {
+		t.Fatal(err)
+	}
+	runtime.ReadMemStats(&after)
+	if n := after.TotalAlloc - before.TotalAlloc; n >= uint64(len(body)) {
+		t.Errorf("sending a body of %d bytes allocates %d bytes, want less than the body", len(body), n)
+	}
+}
