--- a/io/bysoak/callers.go
+++ b/io/bysoak/callers.go
@@ -17,6 +17,9 @@
 const (
 	// callerDeadline is how long a caller waits for a response.
 	callerDeadline = 3 * time.Second
+	// reconnectShare is the share of the requests after which a caller connects anew while
+	// nodes are cut off. Otherwise callers would soon be with nodes that are whole.
+	reconnectShare = 0.5
 	// callerPause is the maximum pause between two requests of a caller.
 	callerPause = 40 * time.Millisecond
 )
@@ -72,7 +75,7 @@
 		reusable := sendRequest(conn, br, &r)
 		r.finished = time.Now()
 		s.history.add(r)
-		if !reusable {
+		if !reusable || s.cfg.Trouble == Cuts && rng.Float64() < reconnectShare {
 			conn.Close()
 			conn = nil
 		}
