--- a/core/byquarantine/byquarantine_test.go
+++ b/core/byquarantine/byquarantine_test.go
@@ -58,6 +58,10 @@
 			{gap, 3, keys(first, poison)}, {50 * time.Millisecond, 1, keys(first, poison)}, {60 * time.Millisecond, 1, keys(first)},
 			{560 * time.Millisecond, 4, keys(first, poison)},
 		}, nil},
+		{"endpoints crash again before their entries change", []step{
+			{gap, 1, keys(poison)}, {10 * time.Millisecond, 2, keys(poison)}, {10 * time.Millisecond, 3, keys(poison)},
+			{600 * time.Millisecond, 2, keys(poison)}, {120 * time.Millisecond, 3, keys(poison)},
+		}, keys(poison)},
 		{"an answer between the ends", []step{{gap, 1, keys(poison)}, {gap, 2, keys(poison)}, {gap, 0, keys(poison)}, {gap, 3, keys(poison)}}, nil},
 		{"bystanders of the poisoned requests", []step{
 			{gap, 1, keys(poison)}, {gap, 2, keys(poison)}, {gap, 3, keys(poison)},
@@ -173,6 +177,57 @@
 	})
 }
 
+// TestBystanderThatEndsFirstIsNotBlamedAlone guards against the failure that a key which sound
+// requests share with poisoned ones explains all ends and stays quarantined for minutes,
+// because a sound request was the first to notice the last one.
+func TestBystanderThatEndsFirstIsNotBlamedAlone(t *testing.T) {
+	const gap = 150 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		q := byquarantine.New(burdockyard.SystemClock{}, "n1")
+		play(q, []step{{gap, 1, keys(first, poison)}, {gap, 2, keys(first, poison)}, {gap, 3, keys(first)}, {time.Millisecond, 3, keys(first, poison)}})
+		time.Sleep(2100 * time.Millisecond)
+		if d := q.Admit(keys(first, poison)); d.Admitted {
+			t.Error("a poisoned request was admitted after 2 s")
+		}
+		if d := q.Admit(keys(first)); !d.Trial {
+			t.Errorf("decision %+v on a request with the first part only, want a trial", d)
+		}
+		q.RecordAnswer(keys(first))
+		if !q.Admit(keys(first)).Admitted || q.Admit(keys(first, poison)).Admitted {
+			t.Error("want the first part free and the other one quarantined")
+		}
+	})
+}
+
+// TestSoundBystanderGivesPoisonNoEarlyTrial guards against the failure that a key in progress
+// beside each poisoned request makes nodes try a request without that key too early.
+func TestSoundBystanderGivesPoisonNoEarlyTrial(t *testing.T) {
+	const gap = 150 * time.Millisecond
+	for _, answered := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			q := byquarantine.New(burdockyard.SystemClock{}, "n1")
+			if answered {
+				q.RecordAnswer(keys(other))
+			}
+			for i := range uint64(3) {
+				time.Sleep(gap)
+				q.RecordEnd(byquarantine.End{Request: 100 + i, Endpoint: i, Keys: keys(poison)})
+				q.RecordEnd(byquarantine.End{Request: 200 + i, Endpoint: i, Keys: keys(other)})
+			}
+			early := 0
+			for start := time.Now(); time.Since(start) < 4900*time.Millisecond; time.Sleep(50 * time.Millisecond) {
+				if q.Admit(keys(poison)).Admitted {
+					early++
+					q.RecordEnd(byquarantine.End{Request: 300 + uint64(early), Endpoint: 300 + uint64(early), Keys: keys(poison)})
+				}
+			}
+			if want := map[bool]int{true: 0, false: 1}[answered]; early > want {
+				t.Errorf("other key answered %v: %d poisoned requests are admitted within 5 s, want at most %d", answered, early, want)
+			}
+		})
+	}
+}
+
 // TestInnocentTrialBesideGuiltyRequest guards against the failure that a sound request, let
 // through as a trial, is blamed for the crash of a poisoned one at the same endpoint, so
 // that its key stays quarantined for minutes.
@@ -269,6 +324,52 @@
 	})
 }
 
+// TestTimeToTrialPassesAsNewsTravel guards against the failure that nodes take the time for
+// which news travel for a later end or trial, again and again, so that the next trial never
+// comes.
+func TestTimeToTrialPassesAsNewsTravel(t *testing.T) {
+	const travelTime, fleet = 5 * time.Millisecond, 20
+	synctest.Test(t, func(t *testing.T) {
+		nodes := []*byquarantine.Quarantine{poisoned(poison)}
+		for i := 2; i <= fleet; i++ {
+			nodes = append(nodes, byquarantine.New(burdockyard.SystemClock{}, burdockyard.NodeID(fmt.Sprint("n", i))))
+		}
+		// Each node tells the others of what has just arrived from the one before.
+		exchange := func(rounds int) {
+			for i := range rounds * fleet {
+				news := nodes[i%fleet].News()
+				time.Sleep(travelTime)
+				for j, to := range nodes {
+					if j != i%fleet {
+						to.Merge(news)
+					}
+				}
+			}
+		}
+		check := func(after string) {
+			t.Helper()
+			exchange(1)
+			var before []time.Duration
+			for _, n := range nodes {
+				before = append(before, n.TimeToTrial(keys(poison)))
+			}
+			exchange(20)
+			for i, n := range nodes {
+				if got, want := n.TimeToTrial(keys(poison)), before[i]-20*fleet*travelTime; got > want {
+					t.Errorf("node %d, after %s: the time to the next trial is %v, want at most %v", i, after, got, want)
+				}
+			}
+		}
+		check("the ends")
+		for !nodes[0].Admit(keys(poison)).Trial {
+			time.Sleep(100 * time.Millisecond)
+		}
+		check("a trial")
+		nodes[0].RecordEnd(byquarantine.End{Request: 100, Endpoint: 100, Keys: keys(poison)})
+		check("another end")
+	})
+}
+
 // TestMemoryIsBounded records far more ends, answers and keys than are kept.
 func TestMemoryIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/byversion/propose.go
+++ b/core/byversion/propose.go
@@ -15,20 +15,21 @@
 func (t *Table) Propose(capacity map[string]map[string]int, lifetimes map[string]time.Duration) (Record, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.confirmedAt.IsZero() {
+	isNewEra := t.known && t.record.Era != t.storeEra
+	if t.confirmedAt.IsZero() || !t.hasNewest() && !isNewEra {
 		return Record{}, false
 	}
 	r := t.record.clone()
 	r.Seq, r.Era = t.record.Seq+1, t.storeEra
-	changed := t.known && t.record.Era != t.storeEra
+	changed := isNewEra
 	for service, endpoints := range capacity {
 		s, ok := r.Services[service]
 		wanted := SplitByCapacity(endpoints)
 		next, serviceChanged := s, false
 		// After a restore of the store, records that nodes knew may be lost, and with them
-		// splits under which streams have begun. Where there was no record at all, nodes of
-		// an earlier release may have begun streams at any version.
-		hasUnknown := t.restored || !t.known && !t.firstStart && len(wanted.shares) > 1
+		// splits under which streams have begun. Where there was no record at all, streams
+		// may have begun at any version, also at one that has left since.
+		hasUnknown := t.restored || isNewEra && !t.hasNewest() || !t.known && !t.firstStart
 		switch {
 		case !ok && wanted.IsZero():
 			continue
@@ -72,6 +73,9 @@
 		if t.isKnownToAll(s.NextSince) {
 			s.Formers = append(s.Formers, Former{Split: s.Active, RetiredBy: seq})
 			s.Active, s.Next, s.NextSince, changed = s.Next, Split{}, 0, true
+		} else if !wanted.IsZero() && s.Next.lacks(wanted) {
+			// A version of the next split has left. No stream has begun under it yet.
+			s.Next, s.NextSince, changed = wanted, seq, true
 		}
 		return s, changed
 	}
--- a/io/byentry/version_test.go
+++ b/io/byentry/version_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"burdockyard/platform/bystub"
 )
 
@@ -226,6 +228,7 @@
 func TestTakenUpStreamIsLogged(t *testing.T) {
 	t.Parallel()
 	c := newTestCluster(t)
+	c.firstStart = true
 	c.publishConfig(3, nil)
 	c.addRunner(bystub.RunnerConfig{ID: "d-v7", Version: "v7", Service: "llm", Zone: "a", Stage: "decode", Slots: 24, EventsPerStream: 6, EventInterval: 10 * time.Millisecond})
 	n := c.startNode("n0")
@@ -241,3 +244,74 @@
 		c.waitUntil("the log has "+want, func() bool { return strings.Contains(c.logs.String(), want) })
 	}
 }
+
+// TestStreamIsNotTakenUpAtReplacedEndpoint guards against the failure that a stream goes on
+// at an endpoint that has started again under its ID, at another version, since the plan was made.
+func TestStreamIsNotTakenUpAtReplacedEndpoint(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t)
+	c.firstStart = true
+	c.publishConfig(3, nil)
+	cfg := bystub.RunnerConfig{ID: "d", Version: "v1", Service: "llm", Zone: "a", Stage: "decode", Slots: 24, EventsPerStream: 6, EventInterval: 10 * time.Millisecond}
+	replacedSoon := make(chan struct{})
+	c.addRunner(cfg).CrashOn(func(*http.Request) bool { <-replacedSoon; return false }, nil) // only delays the first event
+	n := c.startNode("n0")
+	c.waitReady(n)
+	c.waitUntil("the split is in force", func() bool { return strings.Contains(c.logs.String(), "split of versions") })
+	done := make(chan reply, 1)
+	var group errgroup.Group
+	group.Go(func() error {
+		done <- n.callWithID("second", "POST", "/quick/1", "x", ownPrompt(1), shortTokens, "Last-Event-Id: 2", "Resumes: first")
+		return nil
+	})
+	c.waitUntil("the take-up runs", func() bool { return len(c.runners["d"].Runs()) > 0 })
+	cfg.Version = "v2"
+	replaced := bystub.NewRunner(cfg)
+	replaced.Restart()
+	c.store.Set("servers", "d", replaced.StoreEntry(c.addrs["d"], "ready", 1))
+	time.Sleep(time.Second) // within which nodes read the entry
+	close(replacedSoon)
+	got := <-done
+	if got.status == 200 && strings.Contains(got.body, "id:") {
+		t.Errorf("the take-up got %q, want no event of an endpoint that was replaced", got.body)
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestHeldStreamBeginsAgain guards against the failure that the events of a held stream whose
+// engine broke off are joined with those of an engine of another version.
+func TestHeldStreamBeginsAgain(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t) // its first record leaves the versions of streams unknown for a while
+	c.publishConfig(3, nil)
+	for _, version := range []string{"v1", "v2"} {
+		c.addRunner(bystub.RunnerConfig{ID: "d-" + version, Version: version, Service: "llm", Zone: "a", Stage: "decode", Slots: 24, EventsPerStream: 6, EventInterval: 10 * time.Millisecond})
+	}
+	n := c.startNode("n0")
+	c.waitReady(n)
+	c.waitUntil("the first record is written", func() bool { return strings.Contains(c.logs.String(), `"unknown":true`) })
+	rejoined, whole := 0, 0
+	const streams = 8
+	for i := range streams {
+		c.runners["d-v1"].SetFaults(bystub.RunnerFaults{Cut: 1})
+		id := fmt.Sprint("held-", i)
+		if got := n.callWithID(id, "POST", "/quick/1", "x", ownPrompt(i), shortTokens); got.status == 200 && strings.Count(got.body, "id: ") == 6 {
+			whole++
+		}
+		for _, r := range c.runners {
+			for _, run := range r.Runs() {
+				if run.ID == id && run.LastEventID != "" {
+					rejoined++
+				}
+			}
+		}
+	}
+	if !strings.Contains(c.logs.String(), "stream held") {
+		t.Fatal("no stream was held")
+	}
+	if rejoined > 0 || whole != streams {
+		t.Errorf("%d of %d streams are whole, %d runs go on with events that were held; want all and none", whole, streams, rejoined)
+	}
+}
