--- a/cmd/burdock-soak/main.go
+++ b/cmd/burdock-soak/main.go
@@ -30,6 +30,7 @@
 	Nodes   int           `long:"nodes" default:"5" description:"entry nodes"`
 	Callers int           `long:"callers" default:"24" description:"callers at a time"`
 	Length  time.Duration `long:"length" default:"15s" description:"of the part with faults"`
+	Trouble string        `long:"trouble" default:"turns" choice:"turns" choice:"faults" choice:"versions" choice:"faults-versions" choice:"cuts" description:"what happens; in turns: another kind for each seed"`
 	Keep    bool          `long:"keep" description:"keep the logs, also of a seed that passed"`
 }
 
@@ -78,7 +79,7 @@
 	if err != nil {
 		return false, err
 	}
-	rep, err := bysoak.Run(ctx, bysoak.Config{Program: program, Dir: dir, Seed: seed, Nodes: o.Nodes, Callers: o.Callers, FaultPeriod: o.Length})
+	rep, err := bysoak.Run(ctx, bysoak.Config{Program: program, Dir: dir, Seed: seed, Nodes: o.Nodes, Callers: o.Callers, FaultPeriod: o.Length, Trouble: o.trouble(seed)})
 	if err != nil {
 		return false, fmt.Errorf("seed %d, logs in %s: %w", seed, dir, err)
 	}
@@ -87,8 +88,9 @@
 	if !passed {
 		verdict = "RED"
 	}
-	fmt.Printf("seed %d: %s, %d faults, %d requests, %d answered, %d refused, %.3f served after recovery\n",
-		seed, verdict, len(rep.Plan)-1, rep.Requests, rep.Answered, rep.Refused, rep.RecoveredShare)
+	fmt.Printf("seed %d: %s, %s, %d faults, %d requests, %d answered, %d refused, %.3f served after recovery, streams taken up %v, begun %v, served where cut off %v, elsewhere %v, booked at silent runners %v\n",
+		seed, verdict, o.trouble(seed), len(rep.Plan)-1, rep.Requests, rep.Answered, rep.Refused, rep.RecoveredShare,
+		rep.TakenUp, rep.Begun, rep.CutOff, rep.Others, rep.Silenced)
 	if !passed {
 		for _, line := range append(rep.Plan, rep.Violations...) {
 			fmt.Println("  ", line)
@@ -100,3 +102,12 @@
 	}
 	return true, os.RemoveAll(dir)
 }
+
+// trouble returns the kind of trouble that a seed gets.
+func (o options) trouble(seed uint64) bysoak.Trouble {
+	if o.Trouble != "turns" {
+		return bysoak.Trouble(o.Trouble)
+	}
+	all := bysoak.Troubles()
+	return all[seed%uint64(len(all))]
+}
--- a/io/bysoak/bysoak.go
+++ b/io/bysoak/bysoak.go
@@ -54,8 +54,23 @@
 	Nodes       int           // number of entry nodes
 	Callers     int           // number of concurrent callers; values below 1 count as 1
 	FaultPeriod time.Duration // how long faults are injected
+	Trouble     Trouble
 }
 
+// Trouble says what happens during a run.
+type Trouble string
+
+// The kinds of trouble.
+const (
+	Faults         Trouble = "faults"          // faults of nodes, runners and the store
+	Versions       Trouble = "versions"        // releases of new versions of the runners, and what breaks streams
+	FaultsVersions Trouble = "faults-versions" // both
+	Cuts           Trouble = "cuts"            // nodes are cut off from all runners
+)
+
+// Troubles returns all kinds of trouble.
+func Troubles() []Trouble { return []Trouble{Faults, FaultsVersions, Versions, Cuts} }
+
 // Report is the result of a soak run.
 type Report struct {
 	Plan           []string // injected faults and the end of all faults, each with its time
@@ -63,29 +78,45 @@
 	Answered       int      // requests with status 200 and a complete body
 	Refused        int      // requests with a refusal status
 	RecoveredShare float64  // share of the requests after the recovery time that were answered
+	TakenUp        Share    // streams that went on of those that callers took up, at calm nodes with two runners of the version
+	Begun          Share    // streams that began of the new ones, at calm nodes with two runners of one version
+	Silenced       Share    // bookings that were answered of those in progress at runners that fell silent
+	CutOff, Others Share    // first tries that were served at nodes that were cut off from all runners, and at the others meanwhile
 	Violations     []string // guarantees that were broken
 }
 
+// Share is a part of a number of things.
+type Share struct{ Part, All int }
+
+// String implements fmt.Stringer.
+func (s Share) String() string { return fmt.Sprintf("%d of %d", s.Part, s.All) }
+
 // soak is the state of one run.
 type soak struct {
 	cfg       Config
 	rng       *rand.Rand
 	store     *bystub.Store
-	runners   []*runner
 	nodes     []*node
+	domains   []*domain // failure domains that can be cut off, if the trouble is Cuts
 	history   history
 	startedAt time.Time
 	plan      []string
 
 	// mu guards the fields below and plan.
 	mu            sync.Mutex
-	configVersion int // version of the last published configuration
+	runners       []*runner // also those that have ended
+	configVersion int       // version of the last published configuration
 	poisons       []*poison
 	limits        []*limitSpan
 	poison        *poison // the one that callers send, nil if none
 	repeats       []*poison
 	repeat        record    // request that callers repeat; without a path if none
 	restoredAt    time.Time // when the store was last restored from an older copy
+
+	silences    []silence
+	failedDials []failedDial
+
+	storeDisturbances disturbances // times in which the store failed for all nodes or was restored
 }
 
 // runner is a stub runner and the proxy through which nodes reach it.
@@ -94,20 +125,26 @@
 	proxy *proxy
 	id    string
 
+	disturbances disturbances // times in which the runner did not serve as it should
+
 	// soak.mu guards the fields below.
-	seq   int    // sequence number of the last published entry
-	state string // state in that entry
+	seq     int    // sequence number of the last published entry
+	state   string // state in that entry
+	leaving bool   // whether the runner has left or is going to, for good
+	ended   bool   // whether its process has ended for good
+	lives   []life // when it was ready
 }
 
 // node is an entry node that runs as a process.
 type node struct {
-	name                                 string
+	name, domain                         string
 	callerAddr, readyAddr, directoryAddr string
 	storeProxy                           *proxy
 	settingsFile                         string
 
 	disturbances disturbances
-	restart      sync.Mutex // held while the process is replaced; locked before mu
+	storeCuts    disturbances // times without a sound path to the store
+	restart      sync.Mutex   // held while the process is replaced; locked before mu
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -134,10 +171,18 @@
 		group.Go(func() error { s.runCaller(callersCtx, i, rng); return nil })
 	}
 	var trouble errgroup.Group
-	trouble.Go(func() error { s.runPoison(ctx); return nil })
-	trouble.Go(func() error { s.runLimits(ctx); return nil })
-	trouble.Go(func() error { s.runRepeats(ctx); return nil })
-	s.injectFaults(ctx)
+	if s.hasVersions() {
+		trouble.Go(func() error { s.runVersions(ctx); return nil })
+	}
+	if cfg.Trouble == Cuts {
+		trouble.Go(func() error { s.runCuts(ctx); return nil })
+	}
+	if cfg.Trouble == Faults || cfg.Trouble == FaultsVersions {
+		trouble.Go(func() error { s.runPoison(ctx); return nil })
+		trouble.Go(func() error { s.runLimits(ctx); return nil })
+		trouble.Go(func() error { s.runRepeats(ctx); return nil })
+		s.injectFaults(ctx)
+	}
 	_ = trouble.Wait() // the functions return no error
 	s.endAllFaults()
 	faultsEndedAt := time.Now()
@@ -164,35 +209,35 @@
 	if err != nil {
 		return err
 	}
-	for _, c := range []bystub.RunnerConfig{
+	configs := []bystub.RunnerConfig{
 		{ID: "app-1", Service: "app", ServiceTime: 5 * time.Millisecond}, {ID: "app-2", Service: "app", ServiceTime: 5 * time.Millisecond},
 		{ID: "app-3", Service: "app", ServiceTime: 5 * time.Millisecond},
 		{ID: "p-1", Service: "llm", Stage: "prefill", ServiceTime: 10 * time.Millisecond}, {ID: "p-2", Service: "llm", Stage: "prefill", ServiceTime: 10 * time.Millisecond},
-		{ID: "d-1", Service: "llm", Stage: "decode", EventsPerStream: eventsPerStream, EventInterval: 10 * time.Millisecond},
-		{ID: "d-2", Service: "llm", Stage: "decode", EventsPerStream: eventsPerStream, EventInterval: 10 * time.Millisecond},
-		{ID: "d-3", Service: "llm", Stage: "decode", EventsPerStream: eventsPerStream, EventInterval: 10 * time.Millisecond},
-	} {
-		c.Zone, c.Slots = "a", 16
-		stub := bystub.NewRunner(c)
-		addr, err := serveHTTP(ctx, stub)
-		if err != nil {
-			return err
+		s.decodeRunner(1, "v1"), s.decodeRunner(2, "v1"), s.decodeRunner(3, "v1"),
+	}
+	if s.hasVersions() {
+		for number := 4; number <= versionedDecodeRunners; number++ {
+			configs = append(configs, s.decodeRunner(number, "v1"))
 		}
-		p, err := startProxy(ctx, addr)
-		if err != nil {
+	}
+	for _, c := range configs {
+		if _, err := s.startRunner(ctx, c); err != nil {
 			return err
 		}
-		r := &runner{stub: stub, proxy: p, id: c.ID}
-		s.runners = append(s.runners, r)
-		s.publishEntry(r, "ready")
 	}
 	s.publishConfig()
 	for i := range s.cfg.Nodes {
-		p, err := startProxy(ctx, storeAddr)
+		domain, addr := "a", storeAddr
+		if s.cfg.Trouble == Cuts {
+			if domain, addr, err = s.cuttableDomain(ctx, i); err != nil {
+				return err
+			}
+		}
+		p, err := startProxy(ctx, addr)
 		if err != nil {
 			return err
 		}
-		n := &node{name: fmt.Sprintf("n%d", i+1), storeProxy: p}
+		n := &node{name: fmt.Sprintf("n%d", i+1), domain: domain, storeProxy: p}
 		if err := n.writeSettings(s.cfg.Dir, nodeIP(i)); err != nil {
 			return err
 		}
@@ -213,11 +258,62 @@
 	return nil
 }
 
+// decodeRunner returns the configuration of a decode runner.
+func (s *soak) decodeRunner(number int, version string) bystub.RunnerConfig {
+	c := bystub.RunnerConfig{ID: fmt.Sprint("d-", number), Service: "llm", Stage: "decode", EventsPerStream: eventsPerStream, EventInterval: 10 * time.Millisecond}
+	if s.hasVersions() {
+		c.Version, c.TellsVersion, c.EventInterval = version, true, versionedEventInterval
+	}
+	return c
+}
+
+// startRunner starts a runner and its proxy and publishes its entry.
+func (s *soak) startRunner(ctx context.Context, c bystub.RunnerConfig) (*runner, error) {
+	c.Zone, c.Slots = "a", 16
+	stub := bystub.NewRunner(c)
+	addr, err := serveHTTP(ctx, stub)
+	if err != nil {
+		return nil, err
+	}
+	p, err := startProxy(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	r := &runner{stub: stub, proxy: p, id: c.ID}
+	s.mu.Lock()
+	s.runners = append(s.runners, r)
+	s.mu.Unlock()
+	s.publishEntry(r, "ready")
+	return r, nil
+}
+
+// liveRunners returns the runners that have not ended.
+func (s *soak) liveRunners() []*runner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var live []*runner
+	for _, r := range s.runners {
+		if !r.ended {
+			live = append(live, r)
+		}
+	}
+	return live
+}
+
 // publishEntry writes the runner's entry in the given state to the store, with
-// the next sequence number.
+// the next sequence number. A runner that is leaving never becomes ready again.
 func (s *soak) publishEntry(r *runner, state string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if r.ended {
+		r.recordState("")
+		s.store.Remove("servers", r.id)
+		return
+	}
+	if r.leaving && r.state == "draining" {
+		state = "draining"
+	}
+	r.recordState(state)
 	r.seq++
 	r.state = state
 	s.store.Set("servers", r.id, r.stub.StoreEntry(r.proxy.addr(), state, r.seq))
@@ -229,7 +325,7 @@
 	addr := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	n.callerAddr, n.readyAddr, n.directoryAddr = addr(callerPort), addr(readyPort), addr(directoryPort)
 	settings := bystub.NodeSettings{
-		Name: n.name, IP: ip, Domain: "a", CallerAddr: n.callerAddr, Ready: n.readyAddr, Directory: n.directoryAddr,
+		Name: n.name, IP: ip, Domain: n.domain, CallerAddr: n.callerAddr, Ready: n.readyAddr, Directory: n.directoryAddr,
 		PeerPort: peerPort, Store: n.storeProxy.addr(), Grace: stopGrace,
 	}
 	n.settingsFile = filepath.Join(dir, n.name+".conf")
@@ -292,6 +388,9 @@
 			<-n.exited()
 		}
 	}
+	for _, d := range s.domains {
+		d.paths.Close()
+	}
 }
 
 // logEvent adds a line to the plan, with the time since the start of the run.
