--- a/io/byentry/handover.go
+++ b/io/byentry/handover.go
@@ -294,7 +294,7 @@
 // another node may serve it.
 func (r reason) isOfNode() bool {
 	switch r {
-	case reasonPeerFull, reasonNoLink, reasonMemory, reasonStopping, reasonNoConfiguration, reasonRejected:
+	case reasonPeerFull, reasonNoLink, reasonNoEndpoint, reasonMemory, reasonStopping, reasonNoConfiguration, reasonRejected:
 		return true
 	}
 	return false
--- a/io/byentry/handover_peer_test.go
+++ b/io/byentry/handover_peer_test.go
@@ -119,6 +119,7 @@
 		{"safe, response lost", "/read/1?a=%2F", abort, 502, 2, false},
 		{"unsafe, both nodes are full", "/book/1?a=%2F", notRun("peer_full"), 503, 2, true},
 		{"unsafe, both nodes take it for invalid", "/book/1?a=%2F", notRun("rejected"), 503, 2, true},
+		{"unsafe, both nodes know no endpoint", "/book/1?a=%2F", notRun("no_endpoint"), 503, 2, true},
 		{"unsafe, endpoints are full", "/book/1?a=%2F", notRun("endpoints_full"), 503, 1, true},
 		{"unsafe, an endpoint names the refusal", "/book/1?a=%2F", forged, 500, 1, false},
 	} {
