--- a/io/byentry/broken_test.go
+++ b/io/byentry/broken_test.go
@@ -165,6 +165,7 @@
 		{"another answer after the head", httpAnswer("200 OK", sse, wholeHead+testEvents(3)), "", false},
 	}
 	c := newTestCluster(t)
+	c.firstStart = true
 	var services []string
 	for i, next := range nexts {
 		for j, first := range firsts {
@@ -178,6 +179,7 @@
 	c.publishServices(services...)
 	n := c.startNode("n1")
 	c.waitReady(n)
+	c.waitSplit()
 	for i, next := range nexts {
 		for j, first := range firsts {
 			t.Run(next.name+"/"+first.name, func(t *testing.T) {
--- a/io/byentry/handover_peer_test.go
+++ b/io/byentry/handover_peer_test.go
@@ -163,6 +163,7 @@
 func TestHandoverStopsWithItsCaller(t *testing.T) {
 	t.Parallel()
 	c := newTestCluster(t)
+	c.firstStart = true // otherwise streams are held until the first record of versions has lasted
 	c.publishConfig(3, nil)
 	engine := c.addRunner(bystub.RunnerConfig{ID: "llm-1", Service: "llm", Zone: "a", Stage: "decode", EventsPerStream: 40, EventInterval: 100 * time.Millisecond})
 	whole, cut := c.startNodeWithPaths("whole"), c.startNodeWithPaths("cut")
@@ -174,6 +175,7 @@
 		conn, _ := startStream(t, whole)
 		return conn.Close() == nil
 	})
+	c.waitSplit()
 	time.Sleep(500 * time.Millisecond) // in which the other node hears of it
 	if err := cut.paths.Cut(bystub.CutReset); err != nil {
 		t.Fatal(err)
--- a/io/byentry/version_test.go
+++ b/io/byentry/version_test.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// waitSplit waits until a record of versions is in force, so that streams are not held. The
+// nodes must have started as those of a new system.
+func (c *testCluster) waitSplit() {
+	c.t.Helper()
+	c.waitUntil("a record of versions is in force", func() bool { return strings.Contains(c.logs.String(), "split of versions") })
+}
+
 // waitStreaming waits until each node passes on the events of a stream while it is running.
 func (c *testCluster) waitStreaming(nodes ...*testNode) {
 	c.t.Helper()
@@ -257,7 +264,7 @@
 	c.addRunner(cfg).CrashOn(func(*http.Request) bool { <-replacedSoon; return false }, nil) // only delays the first event
 	n := c.startNode("n0")
 	c.waitReady(n)
-	c.waitUntil("the split is in force", func() bool { return strings.Contains(c.logs.String(), "split of versions") })
+	c.waitSplit()
 	done := make(chan reply, 1)
 	var group errgroup.Group
 	group.Go(func() error {
