--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -42,6 +42,9 @@
 	// engine with a full batch frees a slot in about this time.
 	minShedBackoff = 50 * time.Millisecond
 	maxShedBackoff = 800 * time.Millisecond
+	// hangMemory is how long after the last connection that could not be opened in time an
+	// endpoint is probed. One that is dead leaves the registry sooner.
+	hangMemory = 10 * time.Second
 	// maxRest limits how long an endpoint gets no calls because it asked for that.
 	maxRest = 5 * time.Minute
 	// departureNewsTime is how long after a restore of the store nodes tell each other of
@@ -108,6 +111,7 @@
 	backoffUntil        time.Time
 	hanging             bool      // whether no connection could be opened in time, and none since
 	failRateBefore      float64   // failRate when the endpoint began to hang
+	hangAt              time.Time // when no connection could be opened for the last time
 	wrongEndpointUntil  time.Time // no work until then, as another endpoint uses the address
 	heldUntil           time.Time // no work until then, as its role is about to change
 	leaving             bool      // the endpoint itself has told a node that it is about to end
@@ -574,15 +578,16 @@
 	return Suspended
 }
 
-// Hanging returns up to n endpoints that are in backoff because no connection to them could
-// be opened in time. shuffle is like rand.Shuffle.
+// Hanging returns up to n endpoints to which no connection could be opened in time lately,
+// and none since. They need not be in backoff: their failure rate alone may keep all
+// requests from them. shuffle is like rand.Shuffle.
 func (f *Fleet) Hanging(n int, shuffle func(n int, swap func(i, j int))) []Endpoint {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	now := f.clock.Now()
 	var hanging []Endpoint
 	for _, e := range f.entries {
-		if e.hanging && now.Before(e.backoffUntil) && e.acceptsWork(now) {
+		if e.hanging && now.Sub(e.hangAt) < hangMemory && e.acceptsWork(now) {
 			hanging = append(hanging, Endpoint{Instance: e.instance, FailRate: e.failRate})
 		}
 	}
@@ -601,8 +606,12 @@
 	if e == nil || !e.hanging {
 		return Unchanged
 	}
+	wasSuspended := e.suspended
 	e.hanging, e.suspended = false, false
 	e.consecutiveFailures, e.failRate, e.backoffUntil = 0, e.failRateBefore, time.Time{}
+	if !wasSuspended {
+		return Unchanged
+	}
 	return Restored
 }
 
@@ -631,8 +640,11 @@
 		e.wrongEndpointUntil, e.suspended = now.Add(wrongEndpointSuspension), true
 		return Suspended
 	}
-	if r == NoConnection && !e.hanging {
-		e.hanging, e.failRateBefore = true, e.failRate
+	if r == NoConnection {
+		if !e.hanging {
+			e.hanging, e.failRateBefore = true, e.failRate
+		}
+		e.hangAt = now
 	}
 	e.consecutiveFailures++
 	e.failRate += failRateSampleWeight * (1 - e.failRate)
--- a/core/byfleet/byfleet_test.go
+++ b/core/byfleet/byfleet_test.go
@@ -367,6 +367,11 @@
 		if got := f.Hanging(2, keepOrder); len(got) != 1 || got[0].ID != "a" {
 			t.Errorf("Hanging returned %v, want a only", got)
 		}
+		time.Sleep(3 * time.Second)
+		if got := f.Hanging(2, keepOrder); len(got) != 1 || got[0].ID != "a" {
+			t.Errorf("Hanging returned %v after the backoff, want a only: its failure rate keeps requests away", got)
+		}
+		f.Report("b", byfleet.Unreachable)
 		if s := f.RecordConnection("b"); s != byfleet.Unchanged {
 			t.Errorf("RecordConnection returned %v for an endpoint that breaks connections, want no change", s)
 		}
--- a/io/byentry/hanging.go
+++ b/io/byentry/hanging.go
@@ -21,9 +21,8 @@
 	maxHangingProbes = 8
 )
 
-// probeHanging opens connections to endpoints that are set aside because no connection to
-// them could be opened in time, and returns to service those that accept one. A sound
-// endpoint may be silent for a moment.
+// probeHanging opens connections to endpoints to which none could be opened in time lately, and
+// returns to service those that accept one. A sound endpoint may be silent for a moment.
 func (n *Node) probeHanging(ctx context.Context) {
 	var group errgroup.Group
 	for _, e := range n.fleet.Hanging(maxHangingProbes, rand.Shuffle) {
