--- a/io/bysoak/soak_test.go
+++ b/io/bysoak/soak_test.go
@@ -22,6 +22,10 @@
 
 func TestSoakKeepsGuarantees(t *testing.T) { report(t, soak(t, bysoak.Faults, seeds...)) }
 
+// TestSoakKeepsGuaranteesAfterKillOfAll guards against poisoned prompts that end engines again
+// when all nodes have been killed after the prompts were quarantined.
+func TestSoakKeepsGuaranteesAfterKillOfAll(t *testing.T) { report(t, soak(t, bysoak.Faults, 7005)) }
+
 // TestSoakKeepsStreamVersions guards against streams that are joined of the events of two
 // versions of the runners' software.
 func TestSoakKeepsStreamVersions(t *testing.T) {
