--- a/core/byreach/byreach.go
+++ b/core/byreach/byreach.go
@@ -46,10 +46,13 @@
 	quietAfter = 400 * time.Millisecond
 	// minWaiting is the number of requests that must wait for that.
 	minWaiting = 2
+	// doubtAfter is how long ago the last contact must have been for a peer's loss to put it
+	// in doubt. It is longer than a node with little traffic waits for its next request.
+	doubtAfter = 5 * time.Second
 	// probeInterval is the shortest time between two rounds of probes of one service.
 	probeInterval = 250 * time.Millisecond
-	// suspectProbes is the number of endpoints that are probed on suspicion, and after a
-	// probe has succeeded while the links count as lost.
+	// suspectProbes is the number of endpoints that are probed after a first probe on
+	// suspicion has failed, and after one has succeeded while the links count as lost.
 	suspectProbes = 3
 )
 
@@ -69,6 +72,8 @@
 	waitingSince time.Time // when waiting last rose from 0
 	probedAt     time.Time
 	confirm      bool      // whether a probe has succeeded since the links were lost, so that others follow at once
+	connectedAt  time.Time // when the last probe has succeeded
+	doubted      bool      // whether a peer has lost the endpoints since the last contact
 	lostAt       time.Time // when the links were lost; zero while they are not
 }
 
@@ -114,7 +119,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(name)
-	s.lastContact = t.clock.Now()
+	s.lastContact, s.doubted = t.clock.Now(), false
 	r := s.results[id]
 	r.contactAt = s.lastContact
 	s.results[id] = r
@@ -148,16 +153,42 @@
 	t.RecordContact(name, id)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.service(name)
+	s, now := t.service(name), t.clock.Now()
+	before := s.connectedAt
+	s.connectedAt = now
 	if s.lostAt.IsZero() {
 		return
 	}
 	s.confirm = true
-	if tried, failed, _ := s.count(t.clock.Now()); failed*lostDenominator <= tried*lostNumerator {
+	// However many endpoints have ended, two new connections in a row show that the links
+	// are there.
+	if endpoints == 1 || before.After(s.lostAt) && now.Sub(before) <= window {
 		s.lostAt = time.Time{}
 	}
 }
 
+// Doubt records that a peer has lost the endpoints of a service. A node whose own last
+// contact is not recent does not state that it reaches them until a probe has shown it:
+// they may have ended for all.
+func (t *Tracker) Doubt(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.services[name]; s != nil && t.clock.Now().Sub(s.lastContact) >= doubtAfter {
+		s.doubted = true
+	}
+}
+
+// Keep forgets all services but the given ones.
+func (t *Tracker) Keep(names []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name := range t.services {
+		if !slices.Contains(names, name) {
+			delete(t.services, name)
+		}
+	}
+}
+
 // count returns the number of endpoints that were tried lately, of those at which the
 // latest attempt failed, and of those at which any attempt failed. It removes results that
 // no longer count.
@@ -244,7 +275,7 @@
 		switch {
 		case !s.lostAt.IsZero():
 			lost = append(lost, name)
-		case !s.lastContact.IsZero() && !s.isDoubtful(t.clock.Now()):
+		case !s.lastContact.IsZero() && !s.doubted && !s.isDoubtful(t.clock.Now()):
 			reached = append(reached, name)
 		}
 	}
@@ -255,11 +286,16 @@
 
 // ProbesDue returns how many endpoints of the service to probe now, and counts these
 // probes as made. Links are probed while they are lost, and if requests wait without a
-// byte from any endpoint. An endpoint count of 0 makes no probe due.
+// byte from any endpoint, or a peer has lost the endpoints. What is known of a service
+// without endpoints is forgotten.
 func (t *Tracker) ProbesDue(name string, endpoints int) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, now := t.services[name], t.clock.Now()
+	if s != nil && endpoints == 0 {
+		s.lostAt, s.lastContact, s.doubted = time.Time{}, time.Time{}, false
+		clear(s.results)
+	}
 	if s == nil || endpoints == 0 {
 		return 0
 	}
@@ -272,7 +308,10 @@
 		return 0
 	case !s.lostAt.IsZero():
 	case s.waiting >= minWaiting && isQuiet:
-		probes = suspectProbes
+		if _, failed, _ := s.count(now); failed > 0 {
+			probes = suspectProbes
+		}
+	case s.doubted:
 	default:
 		return 0
 	}
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -165,6 +165,9 @@
 			n.log.fleet.Info("endpoint leaves", bylog.Str("endpoint", string(e.ID)), bylog.Str("told_by", string(h.Member.Node)))
 		}
 	}
+	for _, service := range h.Reach.Lost {
+		n.reach.Doubt(service)
+	}
 	n.versions.table.Hear(h.SplitEra, h.SplitSeq)
 	n.versions.table.Merge(h.StreamStarts)
 	n.mergeLimits(h.Limits)
--- a/io/byentry/reach.go
+++ b/io/byentry/reach.go
@@ -30,7 +30,7 @@
 func (n *Node) recordContact(e byfleet.Endpoint) {
 	if n.reach.IsLost(e.Service) && !n.isCutOff(e.Service) {
 		// A request that was sent although the links count as lost is as good as a probe.
-		n.reach.RecordProbe(e.Service, e.ID, true, len(n.fleet.Usable(e.Service)))
+		n.reach.RecordProbe(e.Service, e.ID, true, n.fleet.Count(e.Service))
 		return
 	}
 	n.reach.RecordContact(e.Service, e.ID)
@@ -38,7 +38,7 @@
 
 // recordLinkFailure records that an attempt at endpoint e has failed for want of a link.
 func (n *Node) recordLinkFailure(e byfleet.Endpoint) {
-	n.reach.RecordFailure(e.Service, e.ID, len(n.fleet.Usable(e.Service)))
+	n.reach.RecordFailure(e.Service, e.ID, n.fleet.Count(e.Service))
 }
 
 // ownReach returns what this node states in its heartbeats.
@@ -112,20 +112,26 @@
 	if t == nil {
 		return
 	}
+	services := t.Services()
+	names := make([]string, len(services))
+	for i, s := range services {
+		names[i] = s.Name
+	}
+	m.node.reach.Keep(names)
 	var probes errgroup.Group
-	for _, s := range t.Services() {
+	for _, s := range services {
 		due := m.node.reach.ProbesDue(s.Name, m.node.fleet.Count(s.Name))
 		if due == 0 {
 			continue
 		}
 		endpoints := m.node.fleet.Usable(s.Name)
 		for _, i := range rand.Perm(len(endpoints))[:min(due, len(endpoints))] {
-			probes.Go(func() error { m.probe(ctx, endpoints[i], len(endpoints)); return nil })
+			probes.Go(func() error { m.probe(ctx, endpoints[i], m.node.fleet.Count(s.Name)); return nil })
 		}
 	}
 	_ = probes.Wait() // probes return no error
 	cutOff := false
-	for _, s := range t.Services() {
+	for _, s := range services {
 		m.report(s.Name, m.node.fleet.Count(s.Name))
 		if m.node.isCutOff(s.Name) {
 			cutOff = true
