--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -166,8 +166,8 @@
 		c.sends-- // no byte of the request was sent
 		c.node.limits.Return(e.ID, e.BornMS)
 		if !errors.Is(err, byforward.ErrConnectionLimit) {
-			c.node.reportResult(e, dialResult(err), err)
-			if ctx.Err() == nil && c.timeLeft() > 0 {
+			if ctx.Err() == nil && c.timeLeft() > 0 { // otherwise the request has ended, and the endpoint may be sound
+				c.node.reportResult(e, dialResult(err), err)
 				c.linkFailures++
 				c.node.recordLinkFailure(e)
 			}
--- a/io/byentry/handover.go
+++ b/io/byentry/handover.go
@@ -206,8 +206,8 @@
 	peers := c.node.peersReaching(c.service.Name)
 	weights := make([]float64, len(peers))
 	for i, h := range peers {
-		if tried[h.Member.Node] {
-			continue
+		if tried[h.Member.Node] || h.Generation < c.configVersion {
+			continue // it must not go by an older configuration than this node
 		}
 		if weights[i] = max(h.Capacity, 0.01); h.Domain == c.node.settings.Domain {
 			weights[i] *= sameDomainPreference
--- a/io/byentry/relay.go
+++ b/io/byentry/relay.go
@@ -18,6 +18,9 @@
 const (
 	// relayReadBytes is the size of the buffer for reading a stream, in bytes.
 	relayReadBytes = 4 << 10
+	// contactInterval is the shortest time between two events that count as contact with
+	// their endpoint.
+	contactInterval = 100 * time.Millisecond
 	// maxEventBytes is the maximum size of one event, and of the events of a stream that
 	// is held, in bytes.
 	maxEventBytes = 1 << 20
@@ -176,6 +179,9 @@
 	events := r.pending[:end]
 	r.recordEvents(events)
 	now := r.c.node.clock.Now()
+	if now.Sub(r.lastEventAt) >= contactInterval && !r.passesOn {
+		r.c.node.recordContact(r.endpoint)
+	}
 	if !r.lastEventAt.IsZero() {
 		r.maxGap = max(r.maxGap, now.Sub(r.lastEventAt))
 	}
