--- a/core/byversion/byversion.go
+++ b/core/byversion/byversion.go
@@ -24,10 +24,10 @@
 // begins no stream, with one exception: if all streams are of one version and no peer has
 // named a newer record, it goes on, since an outage of the store would otherwise keep
 // streams from all callers. Such a node is wrong only if it reaches neither the store nor
-// any node that does while the split changes. So any other node that takes up a stream always knows all splits under which
-// it may have begun: the active one, the next one, and former ones for as long as such a
-// stream may last. If they disagree on an ID, the version is known only to the node that
-// began the stream, and to those that it could tell.
+// any node that does while the split changes. So any other node that takes up a stream
+// always knows all splits under which it may have begun: the active one, the next one, and
+// former ones for as long as such a stream may last. If they disagree on an ID, the version
+// is known only to the node that began the stream, and to those that it could tell.
 //
 // Records outlive all nodes, but a store that is restored from an older copy may lose some.
 // Then, and before the first record, UnknownSince of a state says that streams may have
--- a/core/byversion/split.go
+++ b/core/byversion/split.go
@@ -14,6 +14,10 @@
 // hash for each request.
 const maxWeight = 64
 
+// maxShareErrorDivisor is the reciprocal of the difference between the shares of a version
+// in the split and in the endpoints that is tolerated.
+const maxShareErrorDivisor = 6
+
 // Split divides the IDs of requests among the software versions of a service, in
 // proportion to integer weights. It is immutable. The zero value divides nothing.
 type Split struct {
@@ -116,7 +120,7 @@
 
 // differsFrom reports whether the shares of s and other differ so much that it is worth
 // moving IDs: a version is in only one of them, or the share of one differs by more than
-// maxShareError.
+// 1/maxShareErrorDivisor.
 func (s Split) differsFrom(other Split) bool {
 	if len(s.shares) != len(other.shares) {
 		return true
@@ -131,7 +135,3 @@
 	}
 	return false
 }
-
-// maxShareErrorDivisor is the reciprocal of the difference between the shares of a version
-// in the split and in the endpoints that is tolerated.
-const maxShareErrorDivisor = 6
