--- a/core/byreach/byreach.go
+++ b/core/byreach/byreach.go
@@ -164,6 +164,8 @@
 	// are there.
 	if endpoints == 1 || before.After(s.lostAt) && now.Sub(before) <= window {
 		s.lostAt = time.Time{}
+		clear(s.results) // failures of lost links say nothing about the endpoints
+		s.results[id] = result{contactAt: now}
 	}
 }
 
--- a/core/byreach/byreach_test.go
+++ b/core/byreach/byreach_test.go
@@ -284,3 +284,20 @@
 		}
 	}
 }
+
+// TestReturningNodeIsWitnessAtOnce guards against nodes whose links are back and that get no
+// requests from those that are still cut off, because of failures from before.
+func TestReturningNodeIsWitnessAtOnce(t *testing.T) {
+	clock := &testClock{time.Unix(1000, 0)}
+	r := byreach.New(clock)
+	for i := range 3 {
+		r.RecordFailure("app", endpoint(i), 3)
+	}
+	for i := range 2 {
+		clock.now = clock.now.Add(100 * time.Millisecond)
+		r.RecordProbe("app", endpoint(i), true, 3)
+	}
+	if reached, lost := r.Statements(); len(reached) != 1 || len(lost) != 0 {
+		t.Errorf("the node states that it reaches %v and has lost %v, want app and nothing", reached, lost)
+	}
+}
