--- a/io/byentry/handover.go
+++ b/io/byentry/handover.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -204,10 +205,21 @@
 // at random in proportion to capacity. It prefers nodes of this failure domain.
 func (c *call) pickPeer(tried map[burdockyard.NodeID]bool) (bymember.Heartbeat, bool) {
 	peers := c.node.peersReaching(c.service.Name)
+	// Nodes that know the configuration which this node went by come first. The others
+	// are about to learn it.
+	upToDate := slices.DeleteFunc(slices.Clone(peers), func(h bymember.Heartbeat) bool { return h.Generation < c.configVersion })
+	if peer, ok := c.pickAmong(upToDate, tried); ok {
+		return peer, true
+	}
+	return c.pickAmong(peers, tried)
+}
+
+// pickAmong implements pickPeer for the given nodes.
+func (c *call) pickAmong(peers []bymember.Heartbeat, tried map[burdockyard.NodeID]bool) (bymember.Heartbeat, bool) {
 	weights := make([]float64, len(peers))
 	for i, h := range peers {
-		if tried[h.Member.Node] || h.Generation < c.configVersion {
-			continue // it must not go by an older configuration than this node
+		if tried[h.Member.Node] {
+			continue
 		}
 		if weights[i] = max(h.Capacity, 0.01); h.Domain == c.node.settings.Domain {
 			weights[i] *= sameDomainPreference
