--- a/io/byentry/ends.go
+++ b/io/byentry/ends.go
@@ -225,7 +225,7 @@
 // begun whether its answer counts as begun.
 func (c *call) attemptBroke(ctx context.Context, e byfleet.Endpoint, action string, events int, begun bool, err error) {
 	var proof endProof
-	if isConnectionLoss(err) && !c.node.reach.IsLost(e.Service) {
+	if isConnectionLoss(err) {
 		proof = c.node.proveEnd(ctx, e)
 		c.lastProof = proof
 	}
