--- a/review/drive/deploy.go
+++ b/review/drive/deploy.go
@@ -35,13 +35,14 @@
 
 // deployment is a store, runners and nodes on loopback addresses.
 type deployment struct {
-	dir     string // temporary folder for settings and logs
-	program string // path of the node's program
-	store   *bystub.Store
-	rec     *recorder
-	nodes   []*node
-	runners []*runner
-	servers []*http.Server
+	dir       string // temporary folder for settings and logs
+	program   string // path of the node's program
+	store     *bystub.Store
+	rec       *recorder
+	nodes     []*node
+	runners   []*runner
+	servers   []*http.Server
+	processes []*bystub.Process
 }
 
 // node is a process of the system.
@@ -216,6 +217,9 @@
 	for _, r := range d.runners {
 		r.stop()
 	}
+	for _, p := range d.processes {
+		p.Close()
+	}
 	for _, s := range d.servers {
 		s.Close()
 	}
@@ -299,3 +303,11 @@
 	defer r.mu.Unlock()
 	r.cut = cut
 }
+
+// restart begins the entries of a new process.
+func (r *runner) restart() {
+	r.mu.Lock()
+	r.cut, r.sequence = false, 0
+	r.mu.Unlock()
+	r.beat()
+}
--- a/review/drive/version.go
+++ b/review/drive/version.go
@@ -19,7 +19,10 @@
 	"burdockyard/platform/bystub"
 )
 
-func init() { cases["version"] = playVersion }
+func init() {
+	cases["version"] = playVersion
+	cases["restart"] = playRestart
+}
 
 const (
 	streamEvents   = 24
@@ -32,6 +35,12 @@
 	// from the beginning of the freeze.
 	releaseAfter = 1300 * time.Millisecond
 	killAfter    = freezeTime + 700*time.Millisecond
+	// restartTime is how long a runner that has crashed is away, and secondCrash the time
+	// between the crashes.
+	restartTime   = 1900 * time.Millisecond
+	secondCrash   = 2100 * time.Millisecond
+	restartRounds = 8
+	restartPause  = 5730 * time.Millisecond
 )
 
 // stream is what a client got of one stream, over all its tries.
@@ -46,47 +55,19 @@
 // meanwhile, and another one is killed after that.
 func playVersion(d *deployment, trouble bool) (verdict, error) {
 	d.store.Set("op", "config", versionConfig())
-	startRunner := func(id, version string) (*runner, error) {
-		stub := bystub.NewRunner(bystub.RunnerConfig{
-			ID: id, Service: "llm", Zone: "a", Version: version, Stage: "decode", Slots: 400, EventsPerStream: streamEvents,
-			EventInterval: eventInterval, TellsVersion: true,
-		})
-		addr, err := d.serve(stub)
-		if err != nil {
-			return nil, err
-		}
-		return d.addRunner(id, func(state string, seq int) []byte { return stub.StoreEntry(addr, state, seq) }), nil
-	}
-	var old []*runner
+	var old []*engine
 	for i := range 8 {
-		r, err := startRunner(fmt.Sprint("old-", i), "v1")
+		e, err := d.startEngine(fmt.Sprint("old-", i), "v1")
 		if err != nil {
 			return verdict{}, err
 		}
-		old = append(old, r)
+		old = append(old, e)
 	}
-	for _, n := range []struct {
-		name, zone string
-		share      float64
-	}{{"n-a1", "a", 0.8}, {"n-a2", "a", 0.4}, {"n-b1", "b", 0.4}} {
-		if err := d.addNode(n.name, n.zone, n.share); err != nil {
-			return verdict{}, err
-		}
-	}
-	if err := d.waitReady(); err != nil {
+	clients, err := d.startVersionClients()
+	if err != nil {
 		return verdict{}, err
 	}
 	frozen, killed := d.nodes[1], d.nodes[2]
-	clients := &versionClientele{d: d, stop: make(chan struct{})}
-	var group sync.WaitGroup
-	for i := range versionClients {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			clients.run(i)
-		}()
-	}
-	time.Sleep(14 * time.Second) // until streams may be taken up at their version
 	start := time.Now()
 	at := func(after time.Duration) { time.Sleep(time.Until(start.Add(after))) }
 	if trouble {
@@ -97,12 +78,12 @@
 	at(releaseAfter)
 	d.rec.add("release: four new runners start, four old ones drain")
 	for i := range 4 {
-		if _, err := startRunner(fmt.Sprint("new-", i), "v2"); err != nil {
+		if _, err := d.startEngine(fmt.Sprint("new-", i), "v2"); err != nil {
 			return verdict{}, err
 		}
 	}
-	for _, r := range old[:4] {
-		r.drain()
+	for _, e := range old[:4] {
+		e.registered.drain()
 	}
 	at(freezeTime)
 	if trouble {
@@ -123,18 +104,118 @@
 	at(9 * time.Second)
 	frozen.turnedAway.Store(false)
 	at(killAfter + 5*time.Second)
-	close(clients.stop)
-	group.Wait()
-	clients.mu.Lock()
-	defer clients.mu.Unlock()
-	for _, s := range clients.mixed {
-		d.rec.add("stream of two versions: %s; tries: %s", describe(s.versions), strings.Join(s.tries, ", "))
+	return clients.verdict("version"), nil
+}
+
+// playRestart runs two versions side by side. In the disruption, runners crash and are back
+// after some seconds, under the ids that they had, one of them with the other version.
+func playRestart(d *deployment, trouble bool) (verdict, error) {
+	d.store.Set("op", "config", versionConfig())
+	var engines []*engine
+	for i := range 8 {
+		e, err := d.startEngine(fmt.Sprint("e-", i), []string{"v1", "v2"}[i%2])
+		if err != nil {
+			return verdict{}, err
+		}
+		engines = append(engines, e)
 	}
-	return verdict{
-		broken: len(clients.mixed) > 2,
-		summary: fmt.Sprintf("version: %d streams, %d taken up after a break, %d of these got events; streams that hold events of two versions: %d (allowed: 2)",
-			clients.streams, clients.takenUp, clients.wentOn, len(clients.mixed)),
-	}, nil
+	clients, err := d.startVersionClients()
+	if err != nil {
+		return verdict{}, err
+	}
+	start := time.Now()
+	at := func(after time.Duration) { time.Sleep(time.Until(start.Add(after))) }
+	for i := range restartRounds {
+		// The first of two runners of one version is back as the other version.
+		version, other := "v1", "v2"
+		if i%2 == 1 {
+			version, other = other, version
+		}
+		var same []*engine
+		for _, e := range engines {
+			if e.next == version {
+				same = append(same, e)
+			}
+		}
+		begin := time.Duration(i) * restartPause
+		at(begin)
+		if trouble {
+			d.rec.add("%s crashes", same[0].registered.id)
+			same[0].crash(restartTime, other)
+		}
+		at(begin + secondCrash)
+		if trouble {
+			d.rec.add("%s crashes", same[1].registered.id)
+			same[1].crash(restartTime, version)
+		}
+	}
+	at(restartRounds*restartPause + time.Second)
+	return clients.verdict("restart"), nil
+}
+
+// startVersionClients starts three nodes and the clients, and waits until streams may be taken
+// up at their version.
+func (d *deployment) startVersionClients() (*versionClientele, error) {
+	for _, n := range []struct {
+		name, zone string
+		share      float64
+	}{{"n-a1", "a", 0.8}, {"n-a2", "a", 0.4}, {"n-b1", "b", 0.4}} {
+		if err := d.addNode(n.name, n.zone, n.share); err != nil {
+			return nil, err
+		}
+	}
+	if err := d.waitReady(); err != nil {
+		return nil, err
+	}
+	clients := &versionClientele{d: d, stop: make(chan struct{})}
+	for i := range versionClients {
+		clients.group.Add(1)
+		go func() {
+			defer clients.group.Done()
+			clients.run(i)
+		}()
+	}
+	time.Sleep(14 * time.Second)
+	return clients, nil
+}
+
+// engine is a stand-in of a model runner.
+type engine struct {
+	d          *deployment
+	stub       *bystub.Runner
+	process    *bystub.Process
+	registered *runner
+	next       string // version of the next process
+}
+
+// startEngine starts a model runner and registers it.
+func (d *deployment) startEngine(id, version string) (*engine, error) {
+	e := &engine{d: d, next: version, stub: bystub.NewRunner(bystub.RunnerConfig{
+		ID: id, Service: "llm", Zone: "a", Version: version, Stage: "decode", Slots: 400, EventsPerStream: streamEvents,
+		EventInterval: eventInterval, TellsVersion: true,
+	})}
+	var err error
+	if e.process, err = bystub.StartProcess(e.stub, e.restarted); err != nil {
+		return nil, err
+	}
+	d.processes = append(d.processes, e.process)
+	addr := e.process.Addr()
+	e.registered = d.addRunner(id, func(state string, seq int) []byte { return e.stub.StoreEntry(addr, state, seq) })
+	return e, nil
+}
+
+// crash ends the process of a runner. A new one is back after downTime.
+func (e *engine) crash(downTime time.Duration, version string) {
+	e.next = version
+	e.registered.setCut(true) // a runner that has crashed sends nothing
+	e.process.Crash(downTime)
+}
+
+// restarted is called when the new process serves. It writes its entry at once.
+func (e *engine) restarted() {
+	e.stub.RestartAs(e.next)
+	e.registered.restart()
+	e.d.rec.add("%s is back as %s", e.registered.id, e.next)
 }
 
 // drain makes a runner leave.
@@ -161,14 +242,31 @@
 
 // versionClientele are clients that read resumable streams.
 type versionClientele struct {
-	d    *deployment
-	stop chan struct{}
+	d     *deployment
+	stop  chan struct{}
+	group sync.WaitGroup
 
 	mu                       sync.Mutex
 	streams, takenUp, wentOn int
 	mixed                    []stream
 }
 
+// verdict stops the clients and judges what they got.
+func (c *versionClientele) verdict(name string) verdict {
+	close(c.stop)
+	c.group.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.mixed {
+		c.d.rec.add("stream of two versions: %s; tries: %s", describe(s.versions), strings.Join(s.tries, ", "))
+	}
+	return verdict{
+		broken: len(c.mixed) > 2,
+		summary: fmt.Sprintf("%s: %d streams, %d taken up after a break, %d of these got events; streams that hold events of two versions: %d (allowed: 2)",
+			name, c.streams, c.takenUp, c.wentOn, len(c.mixed)),
+	}
+}
+
 // run reads one stream after the other until stop is closed.
 func (c *versionClientele) run(number int) {
 	dir := &directory{nodes: c.d.nodes, zone: []string{"a", "b"}[number%2], patient: number%10 == 0}
