--- a/review/drive/deadly.go
+++ b/review/drive/deadly.go
@@ -74,11 +74,9 @@
 	stop := make(chan struct{})
 	var group sync.WaitGroup
 	for i := range 12 {
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		group.Go(func() {
 			callLoop(d.nodes[0], i, stop)
-		}()
+		})
 	}
 	time.Sleep(3 * time.Second)
 	if trouble {
--- a/review/drive/deploy.go
+++ b/review/drive/deploy.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"burdockyard/platform/bystub"
 )
 
@@ -43,6 +45,7 @@
 	runners   []*runner
 	servers   []*http.Server
 	processes []*bystub.Process
+	group     errgroup.Group // goroutines that end with the servers, runners and nodes
 }
 
 // node is a process of the system.
@@ -76,7 +79,7 @@
 	}
 	srv := &http.Server{Handler: h}
 	d.servers = append(d.servers, srv)
-	go srv.Serve(l)
+	d.group.Go(func() error { return srv.Serve(l) })
 	return l.Addr().String(), nil
 }
 
@@ -138,10 +141,10 @@
 	n.mu.Lock()
 	n.cmd, n.done = cmd, done
 	n.mu.Unlock()
-	go func() {
+	d.group.Go(func() error {
 		defer close(done)
-		_ = cmd.Wait() // the log tells why it exited
-	}()
+		return cmd.Wait() // the log tells why it exited
+	})
 	return nil
 }
 
@@ -223,6 +226,7 @@
 	for _, s := range d.servers {
 		s.Close()
 	}
+	_ = d.group.Wait() // its goroutines end with an error when what they serve is closed
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(d.dir)
 	}
@@ -252,18 +256,18 @@
 	r := &runner{id: id, entry: entry, store: d.store, state: "ready", stopped: make(chan struct{})}
 	d.runners = append(d.runners, r)
 	r.beat()
-	go func() {
+	d.group.Go(func() error {
 		t := time.NewTicker(100 * time.Millisecond)
 		defer t.Stop()
 		for {
 			select {
 			case <-r.stopped:
-				return
+				return nil
 			case <-t.C:
 				r.tick()
 			}
 		}
-	}()
+	})
 	return r
 }
 
--- a/review/drive/lapse.go
+++ b/review/drive/lapse.go
@@ -130,11 +130,9 @@
 	}
 	group := &sync.WaitGroup{}
 	for i := range clients {
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		group.Go(func() {
 			callLoop(d.nodes[i%len(d.nodes)], i, stop)
-		}()
+		})
 	}
 	return stub, registered, group, nil
 }
--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -57,10 +57,16 @@
 	defer d.close()
 	ended := make(chan os.Signal, 1)
 	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-ended
-		d.killNodes()
-		os.Exit(2)
+	d.group.Go(func() error {
+		if _, isSignal := <-ended; isSignal {
+			d.killNodes()
+			os.Exit(2)
+		}
+		return nil
+	})
+	defer func() {
+		signal.Stop(ended)
+		close(ended)
 	}()
 	v, err := play(d, os.Getenv("TROUBLE") != "0")
 	if err != nil {
--- a/review/drive/memory.go
+++ b/review/drive/memory.go
@@ -65,20 +65,16 @@
 	var watchers sync.WaitGroup
 	for i, n := range d.nodes {
 		states[i] = &memoryNode{}
-		watchers.Add(1)
-		go func() {
-			defer watchers.Done()
+		watchers.Go(func() {
 			d.watchMemory(n, states[i], stop)
-		}()
+		})
 	}
 	var answered, refused, lost atomic.Int64
 	bookings := &bookingLog{unanswered: map[string]bool{}}
 	for _, n := range d.nodes {
-		watchers.Add(1)
-		go func() {
-			defer watchers.Done()
+		watchers.Go(func() {
 			d.book(n, bookings, stop)
-		}()
+		})
 	}
 	for round := range 1 + memoryBursts {
 		users := usualUploads
@@ -93,9 +89,7 @@
 		var group sync.WaitGroup
 		for i, n := range d.nodes {
 			for u := range users {
-				group.Add(1)
-				go func() {
-					defer group.Done()
+				group.Go(func() {
 					id := fmt.Sprintf("m%d-%d-%d", round, i, u)
 					status, err := upload(n.addr(callerPort), id)
 					switch {
@@ -109,7 +103,7 @@
 						refused.Add(1)
 						d.rec.add("%s at %s: %d", id, n.name, status)
 					}
-				}()
+				})
 			}
 		}
 		group.Wait()
@@ -147,9 +141,7 @@
 			return
 		case <-time.After(100 * time.Millisecond):
 		}
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		group.Go(func() {
 			id := fmt.Sprintf("b-%s-%d", n.name, i)
 			conn, err := net.DialTimeout("tcp4", n.addr(callerPort), time.Second)
 			if err != nil {
@@ -172,7 +164,7 @@
 			if err != nil {
 				log.unanswered[id] = true
 			}
-		}()
+		})
 	}
 }
 
--- a/review/drive/poison.go
+++ b/review/drive/poison.go
@@ -59,9 +59,7 @@
 	stop := make(chan struct{})
 	var group sync.WaitGroup
 	for i := range soundClients {
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		group.Go(func() {
 			for j := 0; ; j++ {
 				select {
 				case <-stop:
@@ -70,7 +68,7 @@
 				}
 				_, _ = sendPrompt(d.nodes[rand.IntN(len(d.nodes))], fmt.Sprintf("sound-%d-%d", i, j), "", 290) // only to have work in progress
 			}
-		}()
+		})
 	}
 	time.Sleep(12 * time.Second) // until streams are no longer held
 	sent := 0
--- a/review/drive/version.go
+++ b/review/drive/version.go
@@ -169,11 +169,9 @@
 	}
 	clients := &versionClientele{d: d, stop: make(chan struct{})}
 	for i := range versionClients {
-		clients.group.Add(1)
-		go func() {
-			defer clients.group.Done()
+		clients.group.Go(func() {
 			clients.run(i)
-		}()
+		})
 	}
 	time.Sleep(14 * time.Second)
 	return clients, nil
