--- a/review/drive/lapse.go
+++ b/review/drive/lapse.go
@@ -43,7 +43,7 @@
 	workTime time.Duration
 	limit    string // Server-Limit; empty for none
 	born     int64
-	rest     time.Duration // Retry-After of the answers that turn requests away
+	rest     time.Duration // Retry-After of the answers that turn requests away; 0 for none
 	turnAway atomic.Bool
 
 	mu       sync.Mutex
@@ -81,7 +81,9 @@
 	}
 	if r.turnAway.Load() {
 		w.Header().Set("X-Not-Executed", "1")
-		w.Header().Set("Retry-After", fmt.Sprint(r.rest.Seconds()))
+		if r.rest > 0 {
+			w.Header().Set("Retry-After", fmt.Sprint(r.rest.Seconds()))
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/review/drive/memory.go
+++ b/review/drive/memory.go
@@ -25,7 +25,7 @@
 	chunkBytes   = 64 << 10
 	uploadTime   = 2400 * time.Millisecond // in which a client sends its body
 	memoryBursts = 3
-	usualUploads = 20 // in progress at a node without a burst
+	usualUploads = 24 // in progress at a node without a burst
 	bookingTime  = 300 * time.Millisecond
 )
 
