Log what the version of a stream that is taken up rests on

The log named the version, but not the reading of the store and the record behind it, so it could not tell a reading that is taken for newer than it is from the exception for services of one version, nor from a stream whose start was told by a peer.

The line "stream taken up" now has the number of the record, the newest number that a peer has named, and the age of the reading.

--- a/core/byversion/byversion.go
+++ b/core/byversion/byversion.go
@@ -176,6 +176,20 @@
 	return t.record.Era, t.record.Seq
 }
 
+// Basis is what the answers of a Table rest on, for the log.
+type Basis struct {
+	Seq        uint64        // number of the record
+	HeardSeq   uint64        // number of the newest record that a peer has named
+	ReadingAge time.Duration // age of the latest reading
+}
+
+// Basis returns what the answers of t rest on at the moment.
+func (t *Table) Basis() Basis {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Basis{Seq: t.record.Seq, HeardSeq: t.heardSeq, ReadingAge: t.clock.Now().Sub(t.confirmedAt)}
+}
+
 // IsKnown reports whether this node has read the store.
 func (t *Table) IsKnown() bool {
 	t.mu.Lock()
--- a/io/byentry/versions.go
+++ b/io/byentry/versions.go
@@ -234,7 +234,9 @@
 		return true
 	}
 	version, known := c.versionTakenUp()
-	c.log("stream taken up", bylog.Str("began", string(c.info.Resumes)), bylog.Str("last_event", c.info.LastEventID), bylog.Str("version", version), bylog.Bool("known", known))
+	basis := v.table.Basis()
+	c.log("stream taken up", bylog.Int("splits_seq", int(basis.Seq)), bylog.Int("heard_seq", int(basis.HeardSeq)), bylog.Millis("splits_age_ms", basis.ReadingAge),
+		bylog.Str("began", string(c.info.Resumes)), bylog.Str("last_event", c.info.LastEventID), bylog.Str("version", version), bylog.Bool("known", known))
 	c.node.metrics.StreamsTakenUp(service, known).Inc()
 	if !known || c.node.fleet.StreamVersions(service)[version] == 0 {
 		c.refuse(reasonVersion, minRetryAfter)
