Date what peers tell from before a pause of the process

Cause: a confirmation of a peer carries its age at the sender, and the receiver dated it from the moment at which it read the socket. What had lain there through the freeze counted as new, so a record of the splits from before the freeze counted as some ms old for maxAge.

Change: core/byarrival bounds how long a message may have waited. A datagram has arrived after its socket was last found empty, which the receive loop now records; that holds for freezes, suspensions and a choked VM alike and needs no threshold for a pause. A connection offers no such proof, so relayed readings that are read within a second of a pause of 0.25 s or more count as from before it. The statements themselves are still applied, only their age is corrected. Nothing on the wire changes, so a new node is protected beside old ones as well. Relays age the starts of streams that they pass on, too.

--- a/cmd/burdock-soak/main.go
+++ b/cmd/burdock-soak/main.go
@@ -30,7 +30,7 @@
 	Nodes   int           `long:"nodes" default:"5" description:"entry nodes"`
 	Callers int           `long:"callers" default:"24" description:"callers at a time"`
 	Length  time.Duration `long:"length" default:"15s" description:"of the part with faults"`
-	Trouble string        `long:"trouble" default:"turns" choice:"turns" choice:"faults" choice:"versions" choice:"faults-versions" choice:"cuts" description:"what happens; in turns: another kind for each seed"`
+	Trouble string        `long:"trouble" default:"turns" choice:"turns" choice:"faults" choice:"versions" choice:"faults-versions" choice:"cuts" choice:"wakes" description:"what happens; in turns: another kind for each seed"`
 	Keep    bool          `long:"keep" description:"keep the logs, also of a seed that passed"`
 }
 
--- a/core/bydigest/bydigest.go
+++ b/core/bydigest/bydigest.go
@@ -94,7 +94,8 @@
 type nodeState struct {
 	source
 	heartbeat   bymember.Heartbeat
-	hash        uint64 // bymember.Hash of the member
+	recordedAt  time.Time // when the ages in the heartbeat were right
+	hash        uint64    // bymember.Hash of the member
 	forwardedAt time.Time
 	reportedAt  time.Time // when it was last reported as alive or its heartbeat passed on
 	pending     bool      // whether the heartbeat is to be passed on
@@ -129,7 +130,7 @@
 		a.store(&n.source, hb.Loads, true)
 		a.partsHere = append(a.partsHere, hb.CachedParts...)
 	}
-	n.receivedAt = now
+	n.receivedAt, n.recordedAt = now.Add(-hb.Waited), now
 	if now.Sub(n.forwardedAt) >= forwardInterval || flagsChanged(n.heartbeat, hb) {
 		n.pending = true
 	}
@@ -140,12 +141,13 @@
 
 // RecordAlive records that a relay of another failure domain reports one of its nodes
 // as alive. Reports on nodes of this domain have no effect: if two relays of a domain
-// believed each other, a lost node would stay alive.
-func (a *Aggregator) RecordAlive(id burdockyard.NodeID) {
+// believed each other, a lost node would stay alive. waited is how long the report may have
+// waited before it was read.
+func (a *Aggregator) RecordAlive(id burdockyard.NodeID, waited time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if n := a.nodes[id]; n != nil && n.heartbeat.Domain != a.domain {
-		n.receivedAt, n.alive = a.clock.Now(), true
+		n.receivedAt, n.alive = a.clock.Now().Add(-waited), true
 	}
 }
 
@@ -260,8 +262,7 @@
 		switch {
 		case n.pending || refresh:
 			n.pending, n.alive, n.forwardedAt, n.reportedAt = false, false, now, now
-			hb := n.heartbeat
-			hb.Quarantine, hb.Limits = hb.Quarantine.Aged(now.Sub(n.receivedAt)), bylimit.Aged(hb.Limits, now.Sub(n.receivedAt))
+			hb := n.heartbeat.Aged(now.Sub(n.recordedAt))
 			sameDomain.Heartbeats = append(sameDomain.Heartbeats, hb)
 			if here {
 				otherDomains.Heartbeats = append(otherDomains.Heartbeats, hb)
--- a/core/bydigest/bydigest_test.go
+++ b/core/bydigest/bydigest_test.go
@@ -154,9 +154,9 @@
 		a.RecordHeartbeat(far)
 		a.Take(false)
 		time.Sleep(time.Second)
-		a.RecordAlive("n1")
-		a.RecordAlive("n9")
-		a.RecordAlive("unknown")
+		a.RecordAlive("n1", 0)
+		a.RecordAlive("n9", 0)
+		a.RecordAlive("unknown", 0)
 		same, others := a.Take(false)
 		if want := []uint64{bymember.Hash(far.Member)}; !slices.Equal(same.Alive, want) || len(others.Alive) != 0 {
 			t.Errorf("reported as alive: %v, to other domains %v; want %v and none", same.Alive, others.Alive, want)
--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -76,6 +76,21 @@
 	SplitEra          uint64                    // era of the newest byversion.Record that the node knows
 	SplitSeq          uint64                    // number of that record
 	StreamStarts      []byversion.Start         // streams that the node has begun, as byversion.Table.News returns them
+
+	// Waited is how long the heartbeat may have waited in a socket of the receiver. It is
+	// not sent.
+	Waited time.Duration
+}
+
+// Aged returns a copy of hb that has waited for d longer: all ages that it tells are of a
+// time d later.
+func (hb Heartbeat) Aged(d time.Duration) Heartbeat {
+	if d == 0 {
+		return hb
+	}
+	hb.Waited += d
+	hb.Quarantine, hb.Limits, hb.StreamStarts = hb.Quarantine.Aged(d), bylimit.Aged(hb.Limits, d), byversion.Aged(hb.StreamStarts, d)
+	return hb
 }
 
 // Hash returns a hash of a member's node and incarnation. Relays use it to tell which
@@ -119,25 +134,36 @@
 	if p != nil && p.heartbeat.Member.Incarnation == hb.Member.Incarnation && hb.Seq <= p.heartbeat.Seq {
 		return false
 	}
+	receivedAt := v.clock.Now().Add(-hb.Waited)
 	if p != nil {
 		delete(v.byHash, p.hash)
+		receivedAt = latest(receivedAt, p.receivedAt)
 	}
-	p = &peer{heartbeat: hb, hash: Hash(hb.Member), receivedAt: v.clock.Now()}
+	p = &peer{heartbeat: hb, hash: Hash(hb.Member), receivedAt: receivedAt}
 	v.peers[hb.Member.Node], v.byHash[p.hash] = p, p
 	return true
 }
 
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // RecordAlive records that a relay has lately heard a member, given by its Hash. The
-// member's latest heartbeat then counts as received now. It returns false if the view
-// has no heartbeat of the member.
-func (v *View) RecordAlive(hash uint64) (burdockyard.NodeID, bool) {
+// member's latest heartbeat then counts as received now, or before the time for which the
+// message of the relay may have waited. It returns false if the view has no heartbeat of
+// the member.
+func (v *View) RecordAlive(hash uint64, waited time.Duration) (burdockyard.NodeID, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	p := v.byHash[hash]
 	if p == nil {
 		return "", false
 	}
-	p.receivedAt = v.clock.Now()
+	p.receivedAt = latest(v.clock.Now().Add(-waited), p.receivedAt)
 	return p.heartbeat.Member.Node, true
 }
 
--- a/core/byversion/starts.go
+++ b/core/byversion/starts.go
@@ -30,6 +30,15 @@
 	Age     time.Duration
 }
 
+// Aged returns a copy of starts as of a time d later.
+func Aged(starts []Start, d time.Duration) []Start {
+	out := slices.Clone(starts)
+	for i := range out {
+		out[i].Age += d
+	}
+	return out
+}
+
 // start is a stream that began at this node or another.
 type start struct {
 	version string
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -29,6 +29,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"burdockyard"
+	"burdockyard/core/byarrival"
 	"burdockyard/core/byfleet"
 	"burdockyard/core/bylimit"
 	"burdockyard/core/bymember"
@@ -119,6 +120,7 @@
 	reloadableSettings atomic.Pointer[ReloadableSettings]
 	platform           Platform
 	clock              burdockyard.Clock
+	guard              *byarrival.Guard
 	self               burdockyard.Member
 	selfHash           uint64 // bymember.Hash of self
 	routes             byroutes.ActiveTable
@@ -189,6 +191,7 @@
 		opt(n)
 	}
 	n.createdAt = n.clock.Now()
+	n.guard = byarrival.New(n.clock)
 	n.selfHash = bymember.Hash(n.self)
 	n.fleet = byfleet.New(n.clock)
 	n.loadTracker = byplace.NewLoadTracker(n.clock)
@@ -378,6 +381,15 @@
 	}
 }
 
+// observePauses notices when the process has stood still. It must be called before messages
+// of peers are handled.
+func (n *Node) observePauses() {
+	if pause := n.guard.Observe(); pause > 0 {
+		n.metrics.Pauses().Inc()
+		n.log.node.Info("process stood still", bylog.Millis("pause_ms", pause))
+	}
+}
+
 func (n *Node) runMaintenance(context.Context) {
 	n.forwarder.CloseExpired()
 	n.loadTracker.RemoveUnknown(n.fleet.Contains)
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"burdockyard"
+	"burdockyard/core/byarrival"
 	"burdockyard/core/bydigest"
 	"burdockyard/core/bymember"
 	"burdockyard/core/byreach"
@@ -129,7 +130,10 @@
 // listen opens the socket for heartbeats.
 func (p *peers) listen() error {
 	onError := func(err error) { p.node.log.members.Debug("could not send or decode a heartbeat", bylog.Err(err)) }
-	g, err := bygossip.Listen(p.node.settings.PeerAddr, p.handleDatagram, bygossip.WithErrorHandler(onError))
+	onDatagram := func(d bypeer.Datagram, emptyAt time.Time) {
+		p.handleDatagram(d.Aged(byarrival.DatagramWait(p.node.clock.Now(), emptyAt)))
+	}
+	g, err := bygossip.Listen(p.node.settings.PeerAddr, p.node.clock, onDatagram, bygossip.WithErrorHandler(onError), bygossip.WithReadHandler(p.node.observePauses))
 	p.gossip, p.send = g, g.Send
 	return err
 }
@@ -155,10 +159,15 @@
 	if h.Ready {
 		n.records.known.Store(true) // its heartbeats name the quarantined requests
 	}
-	p.recordNode(h.Member.Node, peer{domain: h.Domain, capacity: h.Capacity, leaving: h.Leaving}, h.Member.Addr, true)
-	n.loadTracker.RecordPeerLoad(h.Member.Node, h.Loads, h.CachedParts)
-	for _, id := range h.HeldEngines {
-		n.fleet.Hold(id, holdRenewalTTL)
+	info := peer{domain: h.Domain, capacity: h.Capacity, leaving: h.Leaving, lastSeen: n.clock.Now().Add(-h.Waited)}
+	p.recordNode(h.Member.Node, info, h.Member.Addr, true)
+	if h.Waited < unreachableAfter {
+		n.loadTracker.RecordPeerLoad(h.Member.Node, h.Loads, h.CachedParts)
+	}
+	if h.Waited < holdRenewalTTL {
+		for _, id := range h.HeldEngines {
+			n.fleet.Hold(id, holdRenewalTTL-h.Waited)
+		}
 	}
 	for _, e := range h.LeavingEndpoints {
 		if n.fleet.MarkLeaving(e.ID, e.BornMS) {
@@ -187,9 +196,12 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !fromHeartbeat {
+		info.lastSeen = p.node.clock.Now()
+	}
 	known := p.known[id]
 	if known == nil || known.addr != addrPort {
-		known = &peer{addr: addrPort, lastSeen: p.node.clock.Now()}
+		known = &peer{addr: addrPort, lastSeen: info.lastSeen}
 		p.known[id] = known
 		p.topology = topology{}
 		p.node.log.members.Debug("node found", bylog.Str("peer", string(id)), bylog.Str("addr", addr))
@@ -198,8 +210,8 @@
 	}
 	known.domain, known.capacity, known.leaving = info.domain, info.capacity, info.leaving
 	known.inOtherDomain = info.domain != p.node.settings.Domain
-	if fromHeartbeat {
-		known.lastSeen = p.node.clock.Now()
+	if fromHeartbeat && info.lastSeen.After(known.lastSeen) {
+		known.lastSeen = info.lastSeen
 	}
 }
 
--- a/io/byentry/relays.go
+++ b/io/byentry/relays.go
@@ -126,17 +126,17 @@
 	n := p.node
 	for _, h := range d.Relayed {
 		if h.Member == n.self {
-			p.recordEcho(d.Heartbeat.Member.Node)
+			p.recordEcho(d.Heartbeat)
 			continue
 		}
 		p.handleHeartbeat(h)
 	}
 	for _, hash := range d.Alive {
 		if hash == n.selfHash {
-			p.recordEcho(d.Heartbeat.Member.Node)
+			p.recordEcho(d.Heartbeat)
 			continue
 		}
-		p.handleAlive(hash, d.Heartbeat.Domain)
+		p.handleAlive(hash, d.Heartbeat)
 	}
 	isRelay := p.relay.active.Load()
 	for _, digest := range d.Digests {
@@ -150,27 +150,28 @@
 	}
 }
 
-// handleAlive records that a relay of the given failure domain has heard a member.
-func (p *peers) handleAlive(hash uint64, relayDomain string) {
-	id, ok := p.node.view.RecordAlive(hash)
+// handleAlive records that a relay, whose heartbeat is given, has heard a member.
+func (p *peers) handleAlive(hash uint64, relay bymember.Heartbeat) {
+	id, ok := p.node.view.RecordAlive(hash, relay.Waited)
 	if !ok {
 		return // the relay will repeat the member's heartbeat
 	}
 	p.mu.Lock()
-	if known := p.known[id]; known != nil {
-		known.lastSeen = p.node.clock.Now()
+	if known, at := p.known[id], p.node.clock.Now().Add(-relay.Waited); known != nil && at.After(known.lastSeen) {
+		known.lastSeen = at
 	}
 	p.mu.Unlock()
-	if p.relay.active.Load() && relayDomain != p.node.settings.Domain {
-		p.relay.aggregator.RecordAlive(id)
+	if p.relay.active.Load() && relay.Domain != p.node.settings.Domain {
+		p.relay.aggregator.RecordAlive(id, relay.Waited)
 	}
 }
 
-// recordEcho records that a relay has passed on a heartbeat of this node.
-func (p *peers) recordEcho(relay burdockyard.NodeID) {
+// recordEcho records that a relay, whose heartbeat is given, has passed on a heartbeat of
+// this node.
+func (p *peers) recordEcho(relay bymember.Heartbeat) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.relay.echoes[relay] = p.node.clock.Now()
+	p.relay.echoes[relay.Member.Node] = p.node.clock.Now().Add(-relay.Waited)
 }
 
 // isHeardBy reports whether a relay has lately passed on a heartbeat of this node. If
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -344,7 +344,7 @@
 		if w.table != r.Table {
 			continue
 		}
-		if w.applyReading(r, n.clock.Now().Add(-r.Age)) {
+		if w.applyReading(r, n.clock.Now().Add(-r.Age-n.guard.ConnWait())) {
 			w.recordRelayed(r.Version)
 		}
 		return w.mirror.Version()
@@ -352,7 +352,8 @@
 	return burdockyard.StoreVersion{}
 }
 
-// applyConfirmation applies a confirmation that another node has sent.
+// applyConfirmation applies a confirmation that another node has sent. Its age includes the
+// time for which it may have waited in the socket of this node.
 func (n *Node) applyConfirmation(c bypeer.Confirmation) {
 	for _, w := range n.watchers {
 		if w.table == c.Table {
--- a/io/bygossip/bygossip.go
+++ b/io/bygossip/bygossip.go
@@ -7,9 +7,12 @@
 //
 // # Usage
 //
-//	g, err := bygossip.Listen("10.0.0.7:7660", onDatagram)
+//	g, err := bygossip.Listen("10.0.0.7:7660", clock, onDatagram)
 //	group.Go(func() error { return g.Run(ctx) })
 //	g.Send(bypeer.Datagram{Heartbeat: heartbeat}, addrs)
+//
+// With each datagram, onDatagram gets the time at which the socket was last found empty.
+// The datagram has arrived after that.
 package bygossip
 
 import (
@@ -17,9 +20,14 @@
 	"errors"
 	"net"
 	"net/netip"
+	"os"
+	"syscall"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
+	"burdockyard"
+	"burdockyard/core/byarrival"
 	"burdockyard/io/bypeer"
 )
 
@@ -30,8 +38,12 @@
 // Gossip sends and receives heartbeats on one UDP socket.
 type Gossip struct {
 	conn       *net.UDPConn
-	onDatagram func(bypeer.Datagram)
+	raw        syscall.RawConn
+	clock      burdockyard.Clock
+	onDatagram func(d bypeer.Datagram, emptyAt time.Time)
 	onError    func(error)
+	onRead     func()
+	emptyAt    time.Time // when the socket was last found empty; only Run uses it
 	done       chan struct{}
 }
 
@@ -43,9 +55,13 @@
 // errors are discarded.
 func WithErrorHandler(f func(error)) Option { return func(g *Gossip) { g.onError = f } }
 
-// Listen opens a UDP socket at addr, an IPv4 address and port. Run calls
-// onDatagram for every datagram received.
-func Listen(addr string, onDatagram func(bypeer.Datagram), opts ...Option) (*Gossip, error) {
+// WithReadHandler sets a function that Run calls at least every byarrival.MaxGap, and
+// before it reads the clock for a datagram.
+func WithReadHandler(f func()) Option { return func(g *Gossip) { g.onRead = f } }
+
+// Listen opens a UDP socket at addr, an IPv4 address and port. Run calls onDatagram for
+// every datagram received, with the time by clock at which the socket was last empty.
+func Listen(addr string, clock burdockyard.Clock, onDatagram func(d bypeer.Datagram, emptyAt time.Time), opts ...Option) (*Gossip, error) {
 	addrPort, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return nil, merry.Prepend(err, "parse gossip address")
@@ -54,7 +70,12 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "open gossip socket")
 	}
-	g := &Gossip{conn: conn, onDatagram: onDatagram, onError: func(error) {}, done: make(chan struct{})}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		conn.Close()
+		return nil, merry.Prepend(err, "open gossip socket")
+	}
+	g := &Gossip{conn: conn, raw: raw, clock: clock, onDatagram: onDatagram, onError: func(error) {}, onRead: func() {}, done: make(chan struct{})}
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -71,11 +92,16 @@
 	stop := context.AfterFunc(ctx, func() { g.conn.Close() })
 	defer stop()
 	buf := make([]byte, maxDatagram)
+	g.emptyAt = g.clock.Now()
 	for {
-		n, _, err := g.conn.ReadFromUDPAddrPort(buf)
+		n, err := g.read(buf)
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		g.onRead()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
 		if err != nil {
 			g.onError(err)
 			continue
@@ -85,8 +111,35 @@
 			g.onError(err)
 			continue
 		}
-		g.onDatagram(d)
+		g.onDatagram(d, g.emptyAt)
+	}
+}
+
+// read reads one datagram into buf. It returns os.ErrDeadlineExceeded if none comes for
+// byarrival.MaxGap.
+func (g *Gossip) read(buf []byte) (n int, err error) {
+	if err := g.conn.SetReadDeadline(time.Now().Add(byarrival.MaxGap)); err != nil {
+		return 0, err
+	}
+	rawErr := g.raw.Read(func(fd uintptr) bool {
+		// The clock is read first: a datagram may arrive right after the call.
+		now := g.clock.Now()
+		for {
+			n, err = syscall.Read(int(fd), buf)
+			if err != syscall.EINTR {
+				break
+			}
+		}
+		if err == syscall.EAGAIN {
+			g.emptyAt = now
+			return false // wait until the socket is readable
+		}
+		return true
+	})
+	if rawErr != nil {
+		return 0, rawErr
 	}
+	return n, err
 }
 
 // Send sends a datagram to each address. One that cannot be sent is reported to the
--- a/io/bygossip/bygossip_test.go
+++ b/io/bygossip/bygossip_test.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"burdockyard"
+	"burdockyard/core/byarrival"
 	"burdockyard/core/bydigest"
 	"burdockyard/core/byfleet"
 	"burdockyard/core/bymember"
@@ -19,6 +20,11 @@
 )
 
 func listen(t *testing.T, onDatagram func(bypeer.Datagram), onError func(error)) (*bygossip.Gossip, netip.AddrPort) {
+	t.Helper()
+	return listenWith(t, func(d bypeer.Datagram, _ time.Time) { onDatagram(d) }, bygossip.WithErrorHandler(onError))
+}
+
+func listenWith(t *testing.T, onDatagram func(bypeer.Datagram, time.Time), opts ...bygossip.Option) (*bygossip.Gossip, netip.AddrPort) {
 	t.Helper()
 	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	if err != nil {
@@ -26,7 +32,7 @@
 	}
 	addr := c.LocalAddr().String()
 	c.Close()
-	g, err := bygossip.Listen(addr, onDatagram, bygossip.WithErrorHandler(onError))
+	g, err := bygossip.Listen(addr, burdockyard.SystemClock{}, onDatagram, opts...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -81,3 +87,40 @@
 		t.Errorf("received datagram\n%+v, want\n%+v", got, want)
 	}
 }
+
+// TestDatagramFromBeforeAPause guards against datagrams that count as new although they have
+// waited in the socket while the process stood still.
+func TestDatagramFromBeforeAPause(t *testing.T) {
+	const pause = 400 * time.Millisecond
+	type arrival struct {
+		wait time.Duration
+		seq  uint64
+	}
+	received := make(chan arrival, 3)
+	resume := make(chan struct{})
+	g, addr := listenWith(t, func(d bypeer.Datagram, emptyAt time.Time) {
+		received <- arrival{time.Since(emptyAt), d.Heartbeat.Seq}
+		<-resume // the process stands still here the first time
+	})
+	send := func(seq uint64) {
+		g.Send(bypeer.Datagram{Heartbeat: bymember.Heartbeat{Member: burdockyard.Member{Node: "n1"}, Seq: seq}}, []netip.AddrPort{addr})
+	}
+	send(1)
+	if got := <-received; got.wait >= pause {
+		t.Errorf("the first datagram may have waited for %v, want less than %v", got.wait, pause)
+	}
+	send(2)
+	send(3)
+	time.Sleep(pause)
+	close(resume)
+	for want := uint64(2); want <= 3; want++ {
+		if got := <-received; got.seq != want || got.wait < pause {
+			t.Errorf("datagram %d may have waited for %v, want datagram %d and at least %v", got.seq, got.wait, want, pause)
+		}
+	}
+	time.Sleep(2 * byarrival.MaxGap) // the socket is found empty meanwhile
+	send(4)
+	if got := <-received; got.seq != 4 || got.wait >= pause {
+		t.Errorf("datagram %d may have waited for %v, want datagram 4 and less than %v", got.seq, got.wait, pause)
+	}
+}
--- a/io/bymetrics/bymetrics.go
+++ b/io/bymetrics/bymetrics.go
@@ -116,6 +116,12 @@
 	return m.set.GetOrCreateHistogram(fmt.Sprintf(`burdock_hop_seconds{service=%q,asked_to=%q}`, service, action))
 }
 
+// Pauses returns the counter of times at which the process stood still for a quarter of a
+// second or more.
+func (m *Metrics) Pauses() *metrics.Counter {
+	return m.set.GetOrCreateCounter("burdock_pauses_total")
+}
+
 // LinkProbes returns the counter of connections that were opened to endpoints of a service
 // only to find out whether this node reaches them.
 func (m *Metrics) LinkProbes(service string) *metrics.Counter {
--- a/io/bypeer/server.go
+++ b/io/bypeer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -200,6 +201,23 @@
 	Confirmations []Confirmation
 }
 
+// Aged returns a copy of d that has waited for the given time: all ages in it are of a time
+// that much later.
+func (d Datagram) Aged(waited time.Duration) Datagram {
+	if waited == 0 {
+		return d
+	}
+	d.Heartbeat = d.Heartbeat.Aged(waited)
+	d.Relayed, d.Confirmations = slices.Clone(d.Relayed), slices.Clone(d.Confirmations)
+	for i := range d.Relayed {
+		d.Relayed[i] = d.Relayed[i].Aged(waited)
+	}
+	for i := range d.Confirmations {
+		d.Confirmations[i].Age += waited
+	}
+	return d
+}
+
 // Confirmation tells that one node has read a table and found no change that matters.
 type Confirmation struct {
 	Table        string
--- a/io/bysoak/bysoak.go
+++ b/io/bysoak/bysoak.go
@@ -66,10 +66,11 @@
 	Versions       Trouble = "versions"        // releases of new versions of the runners, and what breaks streams
 	FaultsVersions Trouble = "faults-versions" // both
 	Cuts           Trouble = "cuts"            // nodes are cut off from all runners
+	Wakes          Trouble = "wakes"           // nodes are frozen while versions are released, and the store turns them away
 )
 
 // Troubles returns all kinds of trouble.
-func Troubles() []Trouble { return []Trouble{Faults, FaultsVersions, Versions, Cuts} }
+func Troubles() []Trouble { return []Trouble{Faults, FaultsVersions, Versions, Cuts, Wakes} }
 
 // Report is the result of a soak run.
 type Report struct {
@@ -171,7 +172,10 @@
 		group.Go(func() error { s.runCaller(callersCtx, i, rng); return nil })
 	}
 	var trouble errgroup.Group
-	if s.hasVersions() {
+	switch {
+	case cfg.Trouble == Wakes:
+		trouble.Go(func() error { s.runWakes(ctx); return nil })
+	case s.hasVersions():
 		trouble.Go(func() error { s.runVersions(ctx); return nil })
 	}
 	if cfg.Trouble == Cuts {
@@ -228,6 +232,9 @@
 	s.publishConfig()
 	for i := range s.cfg.Nodes {
 		domain, addr := "a", storeAddr
+		if s.cfg.Trouble == Wakes && i%3 == 2 {
+			domain = "b" // where another node writes the splits while one is frozen
+		}
 		if s.cfg.Trouble == Cuts {
 			if domain, addr, err = s.cuttableDomain(ctx, i); err != nil {
 				return err
--- a/io/bysoak/callers.go
+++ b/io/bysoak/callers.go
@@ -68,7 +68,7 @@
 		} else if r.ownTokens > 0 {
 			r.poisonedPart = s.poisonedPart(poisonRNG)
 		}
-		if s.hasVersions() && r.kind == kindResumable && takeUpRNG.Float64() < breakOffShare {
+		if s.hasVersions() && r.kind == kindResumable && takeUpRNG.Float64() < s.breakOffShare() {
 			r.breakOffAfter = 1 + takeUpRNG.IntN(eventsPerStream-1)
 		}
 		r.node, r.nodeStart, r.sent = target.name, nodeStart, time.Now()
@@ -93,7 +93,11 @@
 	s.mu.Lock()
 	version := s.configVersion
 	s.mu.Unlock()
-	switch rng.IntN(10) {
+	kind := rng.IntN(10)
+	if s.cfg.Trouble == Wakes && kind < 6 {
+		kind = 6 // only streams are taken up
+	}
+	switch kind {
 	case 0, 1, 2:
 		return record{id: id, kind: kindSafe, method: "GET", path: "/read/" + id}
 	case 3, 4, 5:
--- a/io/bysoak/soak_test.go
+++ b/io/bysoak/soak_test.go
@@ -42,6 +42,10 @@
 // and serve nobody.
 func TestSoakServesCallersOfCutOffNodes(t *testing.T) { report(t, soak(t, bysoak.Cuts, 5, 8)) }
 
+// TestSoakKeepsVersionsWhereNodesWake guards against streams that go on at another version at
+// a node that was frozen: what had waited in its sockets counted as new.
+func TestSoakKeepsVersionsWhereNodesWake(t *testing.T) { report(t, soak(t, bysoak.Wakes, 1)) }
+
 // isAboutTakeUps reports whether a violation is one of the share of the streams that go on.
 func isAboutTakeUps(violation string) bool { return strings.Contains(violation, ": take-ups: ") }
 
@@ -66,6 +70,15 @@
 	}
 }
 
+// callers returns the number of callers at a time. Where nodes wake, the take-ups of one
+// moment count.
+func callers(trouble bysoak.Trouble) int {
+	if trouble == bysoak.Wakes {
+		return 60
+	}
+	return 6
+}
+
 // soak runs the given seeds and returns the violations.
 func soak(t *testing.T, trouble bysoak.Trouble, seeds ...uint64) []string {
 	t.Helper()
@@ -76,7 +89,7 @@
 	var violations []string
 	for _, seed := range seeds {
 		rep, err := bysoak.Run(context.Background(), bysoak.Config{
-			Program: program, Dir: t.TempDir(), Seed: seed, Nodes: 3, Callers: 6, FaultPeriod: 5 * time.Second, Trouble: trouble,
+			Program: program, Dir: t.TempDir(), Seed: seed, Nodes: 3, Callers: callers(trouble), FaultPeriod: 5 * time.Second, Trouble: trouble,
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/io/bysoak/takeup.go
+++ b/io/bysoak/takeup.go
@@ -37,6 +37,14 @@
 	versionMark = " at "
 )
 
+// breakOffShare returns the share of the resumable streams that callers break off.
+func (s *soak) breakOffShare() float64 {
+	if s.cfg.Trouble == Wakes {
+		return wakingBreakOffShare
+	}
+	return breakOffShare
+}
+
 // readUntilBreak reads n events of a stream and whatever has arrived with them, as a caller
 // does whose connection breaks in that moment. It reports whether that was the whole
 // response.
--- a/io/bysoak/versions.go
+++ b/io/bysoak/versions.go
@@ -41,7 +41,7 @@
 
 // hasVersions reports whether the run has runners of several versions.
 func (s *soak) hasVersions() bool {
-	return s.cfg.Trouble == Versions || s.cfg.Trouble == FaultsVersions
+	return s.cfg.Trouble == Versions || s.cfg.Trouble == FaultsVersions || s.cfg.Trouble == Wakes
 }
 
 // stayingDecodeRunners returns the decode runners that are there to stay.
