Take up no stream by old splits where no peer is heard

Cause: a service whose record names one version was relied on for any time after the last reading of the store, as long as no peer had named a newer record. The absence of news counted as news that there is none, also at a node that hears nobody.

Change: beyond maxAge, the exception holds only while the node has heard most members within maxAge, by the time at which their heartbeats arrived. An outage of the store for all nodes leaves it in force, also with one node of four killed. The model has lost its exemption for such nodes, and plays nodes that lose the store and their peers together; the drill wires the same predicate.

Why it works: the next split is active only maxAge and a second after a node first saw it announced. A node that heard its peers without that news within maxAge can't be later than that; one that heard nobody now asks for a fresh reading. A part of the fleet with most nodes that loses both the store and the rest of the fleet still goes on by its record.

--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -187,6 +187,19 @@
 	return heartbeats
 }
 
+// CountWithin returns the number of peers from which a heartbeat was received less than d ago.
+func (v *View) CountWithin(d time.Duration) int {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	now, count := v.clock.Now(), 0
+	for _, p := range v.peers {
+		if now.Sub(p.receivedAt) < d {
+			count++
+		}
+	}
+	return count
+}
+
 // RemoveExpired removes the peers whose last heartbeat is older than RemoveAfter.
 func (v *View) RemoveExpired() {
 	v.mu.Lock()
--- a/core/byversion/byversion.go
+++ b/core/byversion/byversion.go
@@ -21,10 +21,11 @@
 // A change of the split has two steps. The first record announces the next split, the
 // second one makes it the active one, not before each reading of the store that lacks
 // the announcement is older than maxAge. A node whose last reading is older than that
-// begins no stream, with one exception: if all streams are of one version and no peer has
-// named a newer record, it goes on, since an outage of the store would otherwise keep
-// streams from all callers. Such a node is wrong only if it reaches neither the store nor
-// any node that does while the split changes. So any other node that takes up a stream
+// begins no stream, with one exception: if all streams are of one version, the node hears
+// most of its peers, and none has named a newer record, it goes on, since an outage of the
+// store would otherwise keep streams from all callers. Such a node is wrong only if most nodes
+// reach neither the store nor any node that does while the split changes. So any other node
+// that takes up a stream
 // always knows all splits under which it may have begun: the active one, the next one, and
 // former ones for as long as such a stream may last. If they disagree on an ID, the version
 // is known only to the node that began the stream, and to those that it could tell.
@@ -64,11 +65,12 @@
 	maxFormers = 16
 )
 
-// Table is one node's view of the record. It is safe for concurrent use; no other lock is
-// taken while mu is held.
+// Table is one node's view of the record. It is safe for concurrent use; no lock but those
+// of hearsPeers is taken while mu is held.
 type Table struct {
 	clock      burdockyard.Clock
 	maxAge     func() time.Duration
+	hearsPeers func() bool
 	firstStart bool // whether the whole system starts for the first time, so that no record can be lost
 
 	mu          sync.Mutex
@@ -92,10 +94,16 @@
 // store lacks has never existed.
 func WithFirstStart() Option { return func(t *Table) { t.firstStart = true } }
 
+// WithPeers sets a function that reports whether this node has heard most of its peers within
+// maxAge. Without it, the node counts as one that has no peers.
+func WithPeers(hearsPeers func() bool) Option {
+	return func(t *Table) { t.hearsPeers = hearsPeers }
+}
+
 // New returns a Table without a record. maxAge is the age of the last reading up to which
 // a node may begin streams; it must be the same on all nodes.
 func New(clock burdockyard.Clock, maxAge func() time.Duration, opts ...Option) *Table {
-	t := &Table{clock: clock, maxAge: maxAge, firstSeen: map[uint64]time.Time{}, differsFrom: map[string]time.Time{}, starts: map[uint64]start{}}
+	t := &Table{clock: clock, maxAge: maxAge, hearsPeers: func() bool { return true }, firstSeen: map[uint64]time.Time{}, differsFrom: map[string]time.Time{}, starts: map[uint64]start{}}
 	for _, opt := range opts {
 		opt(t)
 	}
@@ -210,15 +218,16 @@
 // state returns the state of a service, and whether it may be relied on. The caller must
 // hold mu.
 //
-// A service with a single version may be relied on beyond maxAge: otherwise an outage of
-// the store would keep streams from all callers. Only a node that for so long reaches
-// neither the store nor a peer that does can miss a second version.
+// A service with a single version may be relied on beyond maxAge while the node hears most
+// of its peers: otherwise an outage of the store would keep streams from all callers. A node
+// that hears neither the store nor its peers, because it is cut off or was frozen, may have
+// missed a second version.
 func (t *Table) state(service string) (State, bool) {
 	s, ok := t.record.Services[service]
 	if !ok || t.restored {
 		return State{}, false
 	}
-	return s, t.isFresh() || t.hasNewest() && s.isSettled()
+	return s, t.isFresh() || t.hasNewest() && s.isSettled() && t.hearsPeers()
 }
 
 // isFresh reports whether the last reading is young enough to begin streams by. While it
--- a/core/byversion/model_test.go
+++ b/core/byversion/model_test.go
@@ -46,6 +46,7 @@
 	table   *byversion.Table
 	cutOff  bool // whether it does not reach the store
 	deaf    bool // whether it does not hear its peers
+	heardAt time.Time
 	read    modelRow
 	starts  []modelStream // streams whose first event is still to come
 	pending []modelReading
@@ -65,11 +66,20 @@
 func newModel(t *rapid.T) *model {
 	m := &model{t: t, clock: &testClock{now: time.Unix(1_000_000, 0)}, capacity: map[string]int{"v0": 4}}
 	for range rapid.IntRange(1, 4).Draw(t, "nodes") {
-		m.nodes = append(m.nodes, &modelNode{table: newTable(m.clock)})
+		n := &modelNode{}
+		m.nodes = append(m.nodes, n)
+		m.start(n)
 	}
 	return m
 }
 
+// start gives a node a new process.
+func (m *model) start(n *modelNode) {
+	hearsPeers := func() bool { return len(m.nodes) == 1 || m.clock.now.Sub(n.heardAt) <= testMaxAge }
+	table := byversion.New(m.clock, func() time.Duration { return testMaxAge }, byversion.WithPeers(hearsPeers))
+	*n = modelNode{table: table, cutOff: n.cutOff, deaf: n.deaf}
+}
+
 func (m *model) chance(percent int, what string) bool {
 	return rapid.IntRange(0, 99).Draw(m.t, what) < percent
 }
@@ -92,6 +102,7 @@
 		n.table.ForgetStarts(testLifetime)
 		if !n.deaf && m.chance(50, "hears") {
 			n.table.Hear(era, seq)
+			n.heardAt = m.clock.now
 		}
 		if !m.storeAway && !n.cutOff && m.chance(40, "reads") {
 			requestedAt := m.clock.now.Add(-modelStep * time.Duration(rapid.IntRange(0, 3).Draw(m.t, "request")))
@@ -147,12 +158,6 @@
 	}
 }
 
-// isLost reports whether a node can learn of a new version neither from the store nor from
-// peers, and knows of one version only. Such a node is known to begin streams.
-func (m *model) isLost(n *modelNode) bool {
-	return (n.cutOff || m.storeAway) && n.deaf && n.table.IsSettled(service)
-}
-
 // runStreams begins a stream at a node, and sends first events.
 func (m *model) runStreams(n *modelNode) {
 	m.streams++
@@ -171,7 +176,7 @@
 		switch {
 		case s.at.After(m.clock.now):
 			kept = append(kept, s)
-		case !m.isLost(n) && n.table.MayBegin(service, s.id, s.version):
+		case n.table.MayBegin(service, s.id, s.version):
 			m.open = append(m.open, s)
 			m.begun++
 			n.table.RecordStart(service, s.id, s.version)
@@ -184,7 +189,7 @@
 func (m *model) takeUp(s modelStream) {
 	n := m.nodes[rapid.IntRange(0, len(m.nodes)-1).Draw(m.t, "node")]
 	version, err := n.table.VersionOf(service, s.id)
-	if err != nil || m.isLost(n) {
+	if err != nil {
 		return
 	}
 	m.resumed++
@@ -196,14 +201,14 @@
 // disturb changes one condition.
 func (m *model) disturb() {
 	n := m.nodes[rapid.IntRange(0, len(m.nodes)-1).Draw(m.t, "node")]
-	switch rapid.IntRange(0, 7).Draw(m.t, "disturbance") {
+	switch rapid.IntRange(0, 9).Draw(m.t, "disturbance") {
 	case 0, 1: // a release, a crash or a start of endpoints
 		m.capacity[fmt.Sprint("v", rapid.IntRange(0, modelVersions-1).Draw(m.t, "version"))] = rapid.IntRange(0, 9).Draw(m.t, "endpoints")
 	case 2: // a node is killed
-		*n = modelNode{table: newTable(m.clock)}
+		m.start(n)
 	case 3: // all nodes are killed
 		for _, n := range m.nodes {
-			*n = modelNode{table: newTable(m.clock), cutOff: n.cutOff, deaf: n.deaf}
+			m.start(n)
 		}
 	case 4:
 		m.storeAway = !m.storeAway
@@ -211,6 +216,9 @@
 		n.cutOff = !n.cutOff
 	case 7:
 		n.deaf = !n.deaf
+	case 8, 9: // a node is frozen or cut off from all others
+		n.cutOff = !n.cutOff
+		n.deaf = n.cutOff
 	case 6: // the store is restored from an older copy
 		if len(m.backups) > 0 {
 			row := m.backups[rapid.IntRange(0, len(m.backups)-1).Draw(m.t, "backup")]
--- a/io/bydrill/version.go
+++ b/io/bydrill/version.go
@@ -74,6 +74,7 @@
 	lives     int // rises with each kill
 	read      storeRow
 	readAt    time.Time // when its last reading was requested, as far as it knows
+	heardAt   time.Time // when it last heard its peers
 	endpoints []*versionEndpoint
 }
 
@@ -142,7 +143,8 @@
 
 // startNode gives a node a new process, which reads the store by itself.
 func (d *versionDrill) startNode(n *versionNode, opts ...byversion.Option) {
-	n.Table = byversion.New(d, func() time.Duration { return maxReadingAge }, opts...)
+	hearsPeers := func() bool { return d.now.Sub(n.heardAt) <= maxReadingAge }
+	n.Table = byversion.New(d, func() time.Duration { return maxReadingAge }, append(opts, byversion.WithPeers(hearsPeers))...)
 	n.lives++
 	n.read, n.readAt, n.endpoints = storeRow{}, time.Time{}, nil
 	n.excused = d.now.Add(stableWindow)
@@ -342,6 +344,7 @@
 		for _, n := range d.nodes {
 			if !n.deaf && d.rng.Float64() >= lossRate {
 				n.Hear(era, seq)
+				n.heardAt = d.now
 			}
 		}
 	})
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -235,6 +235,19 @@
 	return ids
 }
 
+// hearsMost reports whether this node has heard most members within d, counting itself.
+func (p *peers) hearsMost(d time.Duration) bool {
+	p.mu.Lock()
+	members := 1
+	for _, known := range p.known {
+		if p.isActive(known) && !known.leaving {
+			members++
+		}
+	}
+	p.mu.Unlock()
+	return 2*(1+p.node.view.CountWithin(d)) > members
+}
+
 // registerLoop writes this node's row, retrying until it succeeds, and then scans
 // the node table periodically until ctx is done.
 func (p *peers) registerLoop(ctx context.Context) error {
--- a/io/byentry/versions.go
+++ b/io/byentry/versions.go
@@ -115,7 +115,7 @@
 func newVersions(n *Node) *versions {
 	v := &versions{node: n}
 	maxAge := func() time.Duration { return n.reloadableSettings.Load().ConfigBound }
-	var opts []byversion.Option
+	opts := []byversion.Option{byversion.WithPeers(func() bool { return n.peers.hearsMost(maxAge()) })}
 	if n.settings.FirstSystemStart {
 		opts = append(opts, byversion.WithFirstStart())
 	}
