Store verdicts on parts and paths, so that they outlive all nodes

Cause: only ends under a request itself were stored. Verdicts on the keys that requests share, parts of prompts and paths, lived in the nodes' memory and in heartbeats.

Change: the record of any key with two ends or more is stored, with the time of its last trial, by the node that has seen the end and about two others. A node that starts takes verdicts, and ends of the last minute, which count with those after it. An answer removes the record; where the node that had the answer is lost, or a restored store brings the row back, any node that knows of the answer removes it. A wrong verdict gets its trial as before the kill.

TestVerdictOnSharedKeyOutlivesNodes covers ends before and after a kill, trials, answers, and ends long ago.

Why it works: what a node needs to refuse the part is in the store some ms after the end that proves it, and no node takes requests before it has read it.

--- a/core/byquarantine/byquarantine.go
+++ b/core/byquarantine/byquarantine.go
@@ -37,8 +37,10 @@
 //
 // # What outlives the nodes
 //
-// The ends and trials of a request that has ended several endpoints must outlive all
-// nodes. Unsaved returns what is to be stored, and Load takes what has been stored.
+// The ends and trials of a key under which several endpoints have ended must outlive all
+// nodes. Unsaved returns what is to be stored, and Load takes what has been stored. An answer
+// removes the record, and a stored verdict gets trials like any other: a wrong one ends
+// with the first request that is sound.
 package byquarantine
 
 import (
@@ -160,11 +162,11 @@
 	mu          sync.Mutex
 	nodes       int                // number of nodes of the fleet
 	ends        []end              // sorted by time
-	formerEnds  map[Key]formerEnds // of requests, before those in ends
+	formerEnds  map[Key]formerEnds // before those in ends: of requests, and of other keys as stored
 	answers     answerLog          // to requests with a key that others may share
 	repeated    answerLog          // to requests themselves
 	quarantined map[Key]*verdict
-	unsaved     map[Key]bool // requests whose stored record is to be written or removed
+	unsaved     map[Key]bool // keys whose stored record is to be written or removed
 	endsTold    int          // number of ends that news have begun with
 	own         struct {     // what this node has found out itself
 		answers map[Key]time.Time // when the announcement of an answer begins or has begun, by this node or by a faster one
@@ -179,7 +181,7 @@
 	own bool // whether this node has seen it
 }
 
-// formerEnds are the ends under a request that are no longer remembered one by one.
+// formerEnds are ends under requests with a key that are not remembered one by one.
 type formerEnds struct {
 	ends int
 	last time.Time
@@ -283,8 +285,11 @@
 		if key.IsRequest() {
 			v.ends++ // whether or not its result gets known
 			d.Claim = key
+		} else {
+			q.unsaved[key] = true // the claim of a request saves it
 		}
 	}
+	d.Change.Unsaved = len(q.unsaved) > 0
 	return d
 }
 
@@ -390,13 +395,14 @@
 		q.expire()
 	}
 	for _, key := range keys {
-		if key.IsRequest() && len(q.ends)+len(q.formerEnds)+len(q.quarantined) > 0 && q.record(key).Ends >= minSuspectEnds {
+		suspect := q.isSuspect(key)
+		if (suspect || q.quarantined[key] != nil) && q.record(key).Ends >= minSuspectEnds {
 			q.unsaved[key] = true
 		}
 		if q.addAnswer(key, now, &c) {
 			c.News = true // it was quarantined
 			q.own.answers[key] = now
-		} else if q.isSuspect(key) {
+		} else if suspect {
 			q.announce(key, now)
 		}
 	}
@@ -470,15 +476,19 @@
 	}
 	q.judge(e.Keys, c)
 	for _, key := range e.Keys {
-		// Several nodes learn of the end. It is enough if the one that has seen it and few
-		// others store it.
-		if key.IsRequest() && (e.own || q.lot(key)*float64(q.nodes) < savingNodes) && q.record(key).Ends >= minSuspectEnds {
+		if q.saves(key, e.own) && (q.isSuspect(key) || q.quarantined[key] != nil) && q.record(key).Ends >= minSuspectEnds {
 			q.unsaved[key] = true
 		}
 	}
 	return true
 }
 
+// saves reports whether this node stores the record of a key that has changed. It is enough
+// if the node that has seen the cause, and few others that learn of it, do so.
+func (q *Quarantine) saves(key Key, own bool) bool {
+	return own || q.lot(key)*float64(q.nodes) < savingNodes
+}
+
 // alignTimes returns the time at which the endpoint of e has ended: the earliest one at
 // which a request there is known to have broken. The others have noticed the end later,
 // and must not count as ends of other moments. If e is the earliest, the times of the
@@ -501,8 +511,8 @@
 	return e.at
 }
 
-// savingNodes is about the number of nodes that store the record of a request without
-// having seen an end under it.
+// savingNodes is about the number of nodes that store the record of a key without having
+// seen an end under it.
 const savingNodes = 2
 
 // judge quarantines those of the keys that are to blame for enough ends. All of them are
@@ -524,6 +534,10 @@
 	for _, g := range all {
 		q.quarantine(g.key, g.v)
 		c.Quarantined = append(c.Quarantined, g.key)
+		hasSeen := slices.ContainsFunc(q.ends, func(e end) bool { return e.own && slices.Contains(e.Keys, g.key) })
+		if q.saves(g.key, hasSeen) {
+			q.unsaved[g.key] = true
+		}
 	}
 }
 
@@ -544,7 +558,7 @@
 // must hold mu.
 func (q *Quarantine) countEnds(key Key, after time.Time) *verdict {
 	former := q.formerEnds[key]
-	if q.clock.Now().Sub(former.last) >= requestQuarantine {
+	if q.clock.Now().Sub(former.last) >= key.memory() || !former.last.After(after) {
 		former = formerEnds{}
 	}
 	v := &verdict{ends: former.ends, lastEnd: former.last}
@@ -568,6 +582,9 @@
 		if again && e.at.Sub(before) < sameProcess {
 			continue
 		}
+		if !key.IsRequest() && former.ends > 0 && e.at.Sub(former.last) < sameMoment {
+			continue // it is one of the former ends
+		}
 		inSameMoment := v.ends > 0 && e.at.Sub(v.lastEnd) < sameMoment
 		switch {
 		case key.IsRequest() && inSameMoment && (q.clock.Now().Sub(e.at) < settleTime || countInMoment(e.at, ownTimes) <= 2*countInMoment(e.at, otherTimes)),
@@ -742,7 +759,7 @@
 		}
 	}
 	for key, f := range q.formerEnds {
-		if now.Sub(f.last) >= requestQuarantine {
+		if now.Sub(f.last) >= key.memory() {
 			delete(q.formerEnds, key)
 		}
 	}
@@ -781,6 +798,14 @@
 	delete(q.formerEnds, oldest)
 }
 
+// memory returns how long ends under requests with the key count before it is quarantined.
+func (k Key) memory() time.Duration {
+	if k.IsRequest() {
+		return requestQuarantine
+	}
+	return endMemory
+}
+
 // hasLapsed reports whether a key is free again without an answer.
 func (v *verdict) hasLapsed(key Key, now time.Time) bool {
 	quarantine := maxQuarantine
--- a/core/byquarantine/byquarantine_test.go
+++ b/core/byquarantine/byquarantine_test.go
@@ -505,3 +505,120 @@
 		}
 	})
 }
+
+// TestVerdictOnSharedKeyOutlivesNodes guards against the failure that a part of prompts ends
+// endpoints anew after a kill of all nodes, and against stored verdicts on sound keys that
+// stay.
+func TestVerdictOnSharedKeyOutlivesNodes(t *testing.T) {
+	endpoint := uint64(0)
+	end := func(q *byquarantine.Quarantine, k ...byquarantine.Key) {
+		endpoint++
+		q.RecordEnd(byquarantine.End{Request: endpoint, Endpoint: endpoint, Keys: k})
+		time.Sleep(200 * time.Millisecond)
+	}
+	// restart returns a Quarantine that knows only what was stored.
+	restart := func(q *byquarantine.Quarantine, stored map[byquarantine.Key]byquarantine.Record) *byquarantine.Quarantine {
+		unsaved := q.Unsaved()
+		for _, r := range unsaved {
+			if stored[r.Key] = r; r.Ends == 0 {
+				delete(stored, r.Key)
+			}
+		}
+		q.MarkSaved(unsaved)
+		if left := q.Unsaved(); len(left) > 0 {
+			t.Errorf("records %+v remain unsaved", left)
+		}
+		next := byquarantine.New(burdockyard.SystemClock{}, "n1")
+		var records []byquarantine.Record
+		for _, r := range stored {
+			records = append(records, r)
+		}
+		next.Load(records)
+		return next
+	}
+	for _, kind := range []struct {
+		name string
+		key  byquarantine.Key
+	}{{"part", poison}, {"path", byquarantine.PathKey(0x77)}} {
+		t.Run(kind.name, func(t *testing.T) {
+			t.Run("ends before and after a kill count together", func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					stored := map[byquarantine.Key]byquarantine.Record{}
+					q := byquarantine.New(burdockyard.SystemClock{}, "n1")
+					end(q, kind.key)
+					end(q, kind.key)
+					q = restart(restart(q, stored), stored)
+					if !q.Admit(keys(kind.key)).Admitted {
+						t.Fatal("the key is quarantined after two ends, want it free")
+					}
+					end(q, kind.key)
+					if q = restart(q, stored); q.Admit(keys(kind.key)).Admitted {
+						t.Error("the key is free after three ends, two of them before a kill, want it quarantined")
+					}
+				})
+			})
+			t.Run("trials", func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					stored := map[byquarantine.Key]byquarantine.Record{}
+					q := byquarantine.New(burdockyard.SystemClock{}, "n1")
+					for range 3 {
+						end(q, kind.key)
+					}
+					sent := 0
+					for start := time.Now(); time.Since(start) < 2*time.Minute; time.Sleep(time.Second) {
+						q = restart(q, stored)
+						if q.Admit(keys(kind.key)).Admitted {
+							sent++
+							q = restart(q, stored) // the result of the trial gets lost
+						}
+					}
+					// A trial without a result is repeated after 5 to 10 s.
+					if sent < 2 || sent > 24 {
+						t.Errorf("%d requests are admitted in 2 minutes, want one every 5 to 10 s", sent)
+					}
+				})
+			})
+			t.Run("an answer ends it", func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					stored := map[byquarantine.Key]byquarantine.Record{}
+					q := byquarantine.New(burdockyard.SystemClock{}, "n1")
+					for range 3 {
+						end(q, kind.key)
+					}
+					q = restart(q, stored)
+					time.Sleep(11 * time.Second)
+					if d := q.Admit(keys(kind.key)); !d.Trial {
+						t.Fatalf("decision %+v after 11 s, want a trial", d)
+					}
+					if c := q.RecordAnswer(keys(kind.key)); !c.Unsaved {
+						t.Errorf("change %+v after an answer, want the record to be removed", c)
+					}
+					kept := restart(q, stored)
+					if len(stored) > 0 || !kept.Admit(keys(kind.key)).Admitted {
+						t.Errorf("records %v are stored after an answer, want none", stored)
+					}
+					// A store that is restored brings the record back.
+					q.Load([]byquarantine.Record{{Key: kind.key, Ends: 3, LastEnd: time.Now().Add(-time.Minute)}})
+					if unsaved := q.Unsaved(); len(unsaved) != 1 || unsaved[0].Ends != 0 {
+						t.Errorf("unsaved %+v, want the record removed again", unsaved)
+					}
+				})
+			})
+			t.Run("ends long ago", func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					stored := map[byquarantine.Key]byquarantine.Record{}
+					q := byquarantine.New(burdockyard.SystemClock{}, "n1")
+					end(q, kind.key)
+					end(q, kind.key)
+					restart(q, stored)
+					time.Sleep(time.Minute)
+					q = restart(byquarantine.New(burdockyard.SystemClock{}, "n1"), stored)
+					end(q, kind.key)
+					if !q.Admit(keys(kind.key)).Admitted {
+						t.Error("ends of more than a minute ago count, want them forgotten")
+					}
+				})
+			})
+		})
+	}
+}
--- a/core/byquarantine/news.go
+++ b/core/byquarantine/news.go
@@ -164,7 +164,9 @@
 	defer q.mu.Unlock()
 	now := q.clock.Now()
 	for _, a := range n.Answers {
-		q.addAnswer(a.Key, now.Add(-a.Age), &c)
+		if q.addAnswer(a.Key, now.Add(-a.Age), &c) && q.saves(a.Key, false) {
+			q.unsaved[a.Key] = true
+		}
 		if from, ok := q.own.answers[a.Key]; !ok || now.Before(from) {
 			q.own.answers[a.Key] = now.Add(-newsTime) // the peer was faster
 		}
--- a/core/byquarantine/record.go
+++ b/core/byquarantine/record.go
@@ -2,29 +2,39 @@
 
 import "time"
 
-// Record is what must outlive all nodes of a request that has ended several endpoints.
+// Record is what must outlive all nodes of a key under which several endpoints have ended.
 type Record struct {
 	Key       Key
-	Ends      int // number of ends and trials; 0 if the request is sound
+	Ends      int // number of ends, and of trials of a request; 0 if the key is free
 	LastEnd   time.Time
 	LastTrial time.Time // zero if there was none
 }
 
-// MaxRecords is the largest number of records that may be stored.
-const MaxRecords = maxQuarantined
+// MaxRecords is the largest number of records that may be stored, and MaxSharedRecords of
+// those that are not of a request.
+const (
+	MaxRecords       = maxQuarantined
+	MaxSharedRecords = 64
+)
 
 // HasLapsed reports whether the record no longer matters.
 func (r Record) HasLapsed(now time.Time) bool {
+	if r.Ends < minEnds {
+		return now.Sub(r.LastEnd) >= r.Key.memory()
+	}
 	return (&verdict{lastEnd: r.LastEnd, lastTrial: r.LastTrial}).hasLapsed(r.Key, now)
 }
 
 // LastChange returns the time of the last end or trial.
 func (r Record) LastChange() time.Time { return later(r.LastEnd, r.LastTrial) }
 
-// Covers reports whether r has all that other has.
-func (r Record) Covers(other Record) bool { return r.Ends >= other.Ends }
+// Covers reports whether r has all that other has. Stored times are in milliseconds.
+func (r Record) Covers(other Record) bool {
+	hasTrial := r.Key.IsRequest() || other.LastTrial.Sub(r.LastTrial) < time.Millisecond
+	return r.Ends > other.Ends || r.Ends == other.Ends && hasTrial
+}
 
-// record returns what is known of a request. The caller must hold mu.
+// record returns what is known of a key. The caller must hold mu.
 func (q *Quarantine) record(key Key) Record {
 	if v := q.quarantined[key]; v != nil {
 		return Record{key, v.ends, v.lastEnd, v.lastTrial}
@@ -59,7 +69,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, r := range records {
-		if current := q.record(r.Key); current.Ends == r.Ends || r.Ends == 0 && current.Ends < minSuspectEnds {
+		current := q.record(r.Key)
+		if current.Ends == r.Ends && current.LastTrial.Equal(r.LastTrial) || r.Ends == 0 && current.Ends < minSuspectEnds {
 			delete(q.unsaved, r.Key)
 		}
 	}
@@ -71,9 +82,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for key := range q.quarantined {
-		if key.IsRequest() {
-			q.unsaved[key] = true
-		}
+		q.unsaved[key] = true
 	}
 	for key, f := range q.formerEnds {
 		if f.ends >= minSuspectEnds {
@@ -82,7 +91,7 @@
 	}
 }
 
-// Record returns what is known of the request with the given key.
+// Record returns what is known of a key.
 func (q *Quarantine) Record(key Key) Record {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -96,9 +105,21 @@
 	var c Change
 	now := q.clock.Now()
 	for _, r := range records {
-		if !r.Key.IsRequest() || r.HasLapsed(now) {
+		if r.HasLapsed(now) {
 			continue
 		}
+		if !r.Key.IsRequest() {
+			if a := q.lastAnswer(r.Key); a != nil && a.at.After(r.LastEnd) {
+				q.unsaved[r.Key] = true // the node that had the answer did not remove the record
+				continue
+			}
+			if r.Ends < minEnds {
+				if known := q.record(r.Key); known.Ends < r.Ends {
+					q.addFormer(r.Key, formerEnds{r.Ends, r.LastEnd})
+				}
+				continue
+			}
+		}
 		if r.Ends < minEnds {
 			// Of the same ends, those that are remembered one by one count already.
 			if known := q.record(r.Key); known.Ends < r.Ends && q.lastAnswer(r.Key) == nil && q.quarantined[r.Key] == nil {
@@ -107,11 +128,12 @@
 			}
 			continue
 		}
-		told := Verdict{Key: r.Key, Ends: r.Ends, Age: now.Sub(r.LastEnd), TrialAge: -1}
+		told := Verdict{Key: r.Key, Ends: r.Ends, Age: max(now.Sub(r.LastEnd), 0), TrialAge: -1}
 		if !r.LastTrial.IsZero() {
 			told.TrialAge = max(now.Sub(r.LastTrial), 0)
 		}
 		q.mergeVerdict(told, now, &c)
 	}
+	c.Unsaved = len(q.unsaved) > 0
 	return c
 }
--- a/io/byentry/poison_test.go
+++ b/io/byentry/poison_test.go
@@ -225,6 +225,64 @@
 	}
 }
 
+// TestPromptPartStaysStoppedAfterRestartOfAll guards against the failure that a part of prompts
+// ends engines anew once all nodes have restarted.
+func TestPromptPartStaysStoppedAfterRestartOfAll(t *testing.T) {
+	t.Parallel()
+	c := newPoisonedCluster(t, 3, 6, false)
+	send := func(i int, poisoned bool) reply {
+		return c.nodes[len(c.nodes)-3+i%3].call("POST", "/quick/1", "x", prompt(poisoned)...)
+	}
+	for i := range 6 {
+		send(i, false)
+	}
+	for i := 0; len(c.crashes()) < 5; i++ {
+		send(i, true)
+		time.Sleep(2 * engineDownTime)
+	}
+	c.waitUntil("the part is quarantined", func() bool { return strings.Contains(c.logs.String(), "input quarantined") })
+	time.Sleep(stableWindow) // the fleet may take as long to act on the fifth crash
+	for _, n := range c.nodes {
+		n.stop()
+	}
+	for _, n := range c.nodes { // no node starts before the last one has ended
+		if err := n.group.Wait(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	restartedAt := time.Now()
+	for i := range 3 {
+		c.startNode(fmt.Sprint("m", i))
+	}
+	for _, n := range c.nodes[3:] {
+		c.waitReady(n)
+	}
+	served := 0
+	const rounds = 10
+	for i := range rounds {
+		send(i, true)
+		if send(i, false).status == http.StatusOK {
+			served++
+		}
+		time.Sleep(engineDownTime)
+	}
+	late := 0
+	for _, r := range c.runners {
+		for _, a := range r.ReceivedRequests() {
+			if a.HasPart(poisonPart) && a.At.After(restartedAt) {
+				late++
+			}
+		}
+	}
+	t.Logf("%d crashes, %d poisoned requests reached engines after the restart, %d of %d sound ones begin", len(c.crashes()), late, served, rounds)
+	if late > 3 {
+		t.Errorf("%d requests with the part reach engines after a restart of all nodes, want at most 3", late)
+	}
+	if 2*served < rounds {
+		t.Errorf("%d of %d sound requests with the same first part begin, want at least half", served, rounds)
+	}
+}
+
 // TestEndOfEngineIsLogged checks that the log names the engine that has ended under a
 // request, what the request's prompt shares with others, and whether the request is the
 // same as one before.
--- a/io/byentry/records.go
+++ b/io/byentry/records.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	// quarantineTable is the store table with one row for each request under which several
+	// quarantineTable is the store table with one row for each key under which several
 	// endpoints have ended. A node that starts reads it before it accepts requests, since
-	// all nodes may have been killed at once.
+	// all nodes may have been killed at once. Releases up to efd7c1a ignore the rows of keys that
+	// are not of a request.
 	quarantineTable = "quarantine"
 	// maxRecordWrites is the largest number of rows written in one transaction.
 	maxRecordWrites = 40
@@ -32,6 +33,8 @@
 	maxRecordBytes = 1 << 10
 	maxRecordEnds  = 1_000_000
 	maxRecordMS    = 253_402_300_799_999
+	// saveInterval is the shortest time between two saves of a node.
+	saveInterval = 100 * time.Millisecond
 	// recordRetryDelay is the longest delay after a failed read or write of records.
 	recordRetryDelay = time.Second
 )
@@ -141,6 +144,7 @@
 		select {
 		case <-s.wake:
 			s.retry(ctx, s.save)
+			sleep(ctx, saveInterval)
 		case <-ctx.Done():
 		}
 	}
@@ -248,7 +252,25 @@
 	for _, r := range stored {
 		byKey[r.Key] = r
 	}
+	shared := 0 // rows of keys that are not of a request
+	for key := range rows {
+		if !key.IsRequest() {
+			shared++
+		}
+	}
 	for _, r := range unsaved {
+		if _, exists := rows[r.Key]; !exists && !r.Key.IsRequest() && r.Ends > 0 {
+			if shared >= byquarantine.MaxSharedRecords {
+				oldest := oldestShared(byKey)
+				if oldest == 0 {
+					continue
+				}
+				add(oldest, burdockyard.Write{Key: recordKey(oldest), Delete: true})
+				delete(byKey, oldest)
+				shared--
+			}
+			shared++
+		}
 		known, ok := byKey[r.Key]
 		switch {
 		case r.Ends == 0 && ok:
@@ -270,6 +292,18 @@
 	return txn, nil
 }
 
+// oldestShared returns the key of the record that has changed the longest ago of those that
+// are not of a request, or 0 if there is none.
+func oldestShared(records map[byquarantine.Key]byquarantine.Record) byquarantine.Key {
+	var oldest byquarantine.Key
+	for key, r := range records {
+		if !key.IsRequest() && (oldest == 0 || r.LastChange().Before(records[oldest].LastChange())) {
+			oldest = key
+		}
+	}
+	return oldest
+}
+
 // errTrialTaken means that another node has made a trial of a request.
 var errTrialTaken = errors.New("another node has made the trial")
 
