Show that a head that is cut is never taken for a response

It can't happen here: io/byforward reads heads by net/http, which returns an error unless the empty line at the end has come. TestCutHeadIsNoResponse cuts heads after each byte, with a length, chunks and neither, after an interim head, on new and on kept connections, and after a refusal: all are ErrInterrupted. TestCutHeadIsToldAsFailure does the same through a node for each kind of route, and for a node to which the request is handed over: no caller gets a 2xx. Both pass without a change of the code.

--- a/io/byentry/broken_test.go
+++ b/io/byentry/broken_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"golang.org/x/sync/errgroup"
@@ -225,3 +226,65 @@
 		})
 	}
 }
+
+// TestCutHeadIsToldAsFailure guards against the failure that a caller gets status 200 with an
+// empty or short body because an endpoint, or a node that serves the request instead, has
+// stopped in the middle of a head and closed the connection.
+func TestCutHeadIsToldAsFailure(t *testing.T) {
+	t.Parallel()
+	heads := map[string]string{
+		"length": httpAnswer("200 OK", "Content-Type: text/event-stream\r\nContent-Length: 30\r\n", ""),
+		"chunks": httpAnswer("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", ""),
+		"close":  httpAnswer("200 OK", "Content-Type: text/event-stream\r\n", ""),
+	}
+	isFailure := func(got reply) bool { return got.status != 0 && got.status/100 != 2 && got.err == nil }
+	t.Run("endpoint", func(t *testing.T) {
+		t.Parallel()
+		c := newTestCluster(t)
+		var services []string
+		cuts := map[string]string{}
+		for frame, head := range heads {
+			for n := 0; n < len(head); n += 3 {
+				service := fmt.Sprintf("%s-%d", frame, n)
+				services, cuts[service] = append(services, service), head[:n]
+				c.addBreakingEngine("e-"+service, service, head[:n], head[:n])
+			}
+		}
+		c.publishServices(services...)
+		n := c.startNode("n1")
+		c.waitReady(n)
+		for service, cut := range cuts {
+			for kind, method := range map[string]string{"safe": "GET", "unsafe": "POST", "resumable": "POST", "streaming": "POST"} {
+				if got := n.call(method, "/"+service+"/"+kind+"/1", "", shortPrompt, shortTokens); !isFailure(got) {
+					t.Errorf("%s with a head cut after %q got %+v, want the status of a failure", kind, cut, got)
+				}
+			}
+		}
+	})
+	t.Run("another node", func(t *testing.T) {
+		t.Parallel()
+		c, n := newCutNode(t)
+		var cut atomic.Pointer[string]
+		c.addFakePeer(n, "p1", func(w http.ResponseWriter, r *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, strings.ReplaceAll(*cut.Load(), "%s", r.Header.Get("X-Request-Id")))
+		})
+		c.waitUntil("the node knows the other", func() bool { return len(n.directoryAddrs()) >= 1 })
+		for _, head := range heads {
+			for i := 0; i < len(head); i += 5 {
+				text := head[:i]
+				cut.Store(&text)
+				for _, path := range []string{"/read/1", "/book/1"} {
+					if got := n.call("POST", path, "x"); !isFailure(got) {
+						t.Errorf("%s with a head cut after %q got %+v, want the status of a failure", path, text, got)
+					}
+				}
+			}
+		}
+	})
+}
--- a/io/byforward/byforward_test.go
+++ b/io/byforward/byforward_test.go
@@ -381,3 +381,44 @@
 		t.Errorf("sending a body of %d bytes allocates %d bytes, want less than the body", len(body), n)
 	}
 }
+
+// TestCutHeadIsNoResponse guards against the failure that an endpoint which stops in the middle
+// of a head and closes the connection is taken for one that has responded, with an empty or a
+// short body.
+func TestCutHeadIsNoResponse(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: %s\r\nContent-Length: 4\r\n\r\nfull"
+	for _, tt := range []struct {
+		name  string
+		first *cannedResponse // on the same connection before; nil if there is none
+	}{
+		{"new connection", nil},
+		{"kept connection", &cannedResponse{response: withLength}},
+		{"kept connection, after a refusal", &cannedResponse{response: refusal}},
+	} {
+		for frame, whole := range map[string]string{"length": withLength, "chunks": chunked, "close": untilClose, "interim response": "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + withLength, "refusal": refusal} {
+			t.Run(tt.name+"/"+frame, func(t *testing.T) {
+				t.Parallel()
+				whole = strings.ReplaceAll(whole, "%s", "r2")
+				final := strings.LastIndex(whole, "HTTP/1.1") // of the head that is not interim
+				for n := range final + strings.Index(whole[final:], "\r\n\r\n") + len("\r\n\r\n") {
+					cut := cannedResponse{response: whole[:n], close: true}
+					f := newForwarder()
+					responses := []cannedResponse{cut}
+					if tt.first != nil {
+						responses = []cannedResponse{*tt.first, cut}
+					}
+					e := newEndpoint(t, responses...)
+					if tt.first != nil {
+						if _, _, err := send(f, e.addr, "r1", nil); err != nil {
+							t.Fatalf("first response: %v", err)
+						}
+					}
+					status, body, err := send(f, e.addr, "r2", []byte("x"))
+					if status != 0 || !errors.Is(err, burdockyard.ErrInterrupted) {
+						t.Errorf("a head cut after %q gives status %d, body %q and error %v, want ErrInterrupted", whole[:n], status, body, err)
+					}
+				}
+			})
+		}
+	}
+}
