Answer requests that outlast the grace period of a stop

Cause: after its last wait the node closed the connections of whatever was in progress. Requests that come in the grace period are taken only if they can end in it, but those from before the stop, and in its first quarter those of a route that usually takes short, may last longer. The last wait was also shorter than the time for which requests were taken when the loop before it ended early.

Evidence: TestLateRequestOfStopGetsResponse, longer than the grace period, fails on (unexpected EOF for a call, an unsafe call and a body that does not arrive).

Change: 0.2 s before the end, the contexts of the requests in progress end. What was sent gets 502 or 504, what was not is refused, a body that has not arrived gets 408, a stream in the middle breaks off as before. Requests are accepted against that earlier time. The last wait always lasts until the same moment.

Result: the test passes; the callers get 502, 502 and 408.

Why it works: each request in progress ends by its own handler before the connections are closed.

--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -370,7 +370,7 @@
 	if err != nil {
 		resp.Close()
 		c.node.reportResult(e, byfleet.Failed, err)
-		if c.callerGone() || c.timeLeft() <= 0 {
+		if c.callerGone() || ctx.Err() != nil || c.timeLeft() <= 0 {
 			return nil, outcomeAbandoned, err
 		}
 		c.attemptBroke(ctx, e, actionRun, 0, false, err)
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -56,6 +56,9 @@
 	// serverShutdownTimeout bounds the final wait for requests in progress, for all
 	// servers together.
 	serverShutdownTimeout = 800 * time.Millisecond
+	// finalResponseTime is the last part of that time. When it begins, requests that are
+	// still in progress end, and their callers get a final response.
+	finalResponseTime = 200 * time.Millisecond
 	// shutdownServeTime is the minimum time for which a stopping node keeps serving,
 	// if the grace period allows it. Callers use the node's address until the
 	// directory response that contains it expires, some for longer.
@@ -148,6 +151,8 @@
 	log                loggers
 	stopping           atomic.Bool
 	stop               *stopState
+	serving            context.Context // done when the requests in progress at a stop must end
+	endRequests        context.CancelFunc
 	handoversTaken     atomic.Int64 // number of requests in progress that other nodes have handed over
 	losesCallers       atomic.Bool  // whether callers should use other nodes, as this one is cut off from a service
 	openRequests       atomic.Int64 // number of requests in progress
@@ -207,6 +212,7 @@
 	n.quarantine = byquarantine.New(n.clock, s.Node)
 	n.records = newRecordStore(n)
 	n.stop = newStopState()
+	n.serving, n.endRequests = context.WithCancel(context.Background())
 	n.roles = newRoleController(n)
 	n.relayClients = bypeer.NewRelayClients()
 	n.configWatcher = newTableWatcher(n, p.ConfigTable, func() time.Duration { return n.reloadableSettings.Load().ConfigBound }, configMaxAgeShare, n.log.config, n.applyConfig)
@@ -423,8 +429,8 @@
 
 // shutDown keeps serving for a while, since callers still use this node's address,
 // and asks them to close their connections. Requests that would take too long are
-// refused meanwhile. It returns once no request is in
-// progress or the time for it is up.
+// refused meanwhile. It returns once no request is in progress or the time for it is up;
+// what is still in progress then has got a final response before.
 func (n *Node) shutDown(servers []*http.Server) {
 	n.stopping.Store(true)
 	n.stop.begin(n.clock.Now())
@@ -433,7 +439,10 @@
 	startedAt := n.clock.Now()
 	n.peers.sendHeartbeat(true, true)
 	n.peers.deregister()
-	limit := n.reloadableSettings.Load().Grace - shutdownReserve
+	grace := n.reloadableSettings.Load().Grace
+	limit := grace - shutdownReserve
+	timer := time.AfterFunc(serveTime(grace), n.endRequests)
+	defer timer.Stop()
 	for {
 		time.Sleep(shutdownPollInterval)
 		elapsed := n.clock.Now().Sub(startedAt)
@@ -441,7 +450,9 @@
 			break
 		}
 	}
-	shutdownCtx, cancel := context.WithTimeout(context.Background(), serverShutdownTimeout)
+	// Also after an early end of the loop, requests that came on connections from before
+	// have the time that they were accepted for.
+	shutdownCtx, cancel := context.WithTimeout(context.Background(), limit+serverShutdownTimeout-n.clock.Now().Sub(startedAt))
 	defer cancel()
 	for _, s := range servers {
 		if err := s.Shutdown(shutdownCtx); err != nil {
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -122,6 +122,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeLeft())
 	defer cancel()
+	defer context.AfterFunc(n.serving, cancel)()
 	if h != nil {
 		done, ok := c.takeOver()
 		defer done()
@@ -214,6 +215,8 @@
 	if err := controller.SetReadDeadline(time.Now().Add(c.timeLeft())); err != nil {
 		return http.StatusInternalServerError, "the connection has no deadline"
 	}
+	stop := context.AfterFunc(c.node.serving, func() { _ = controller.SetReadDeadline(time.Now()) }) // fails only if the connection is gone
+	defer stop()
 	var err error
 	if c.r.ContentLength > 0 {
 		c.body = make([]byte, c.r.ContentLength)
--- a/io/byentry/stop.go
+++ b/io/byentry/stop.go
@@ -20,6 +20,11 @@
 	responseTimeDecay = 0.99
 )
 
+// serveTime returns the time from the stop signal until requests in progress end.
+func serveTime(grace time.Duration) time.Duration {
+	return grace - shutdownReserve + serverShutdownTimeout - finalResponseTime
+}
+
 // stopState is what a node knows of its own stop, and of how long requests take. mu is a
 // leaf lock.
 type stopState struct {
@@ -75,7 +80,7 @@
 		return true
 	}
 	elapsed := now.Sub(s.stoppedAt)
-	serveLeft := grace - shutdownReserve + serverShutdownTimeout - elapsed
+	serveLeft := serveTime(grace) - elapsed
 	if timeLeft <= serveLeft {
 		return true
 	}
--- a/io/byentry/stop_test.go
+++ b/io/byentry/stop_test.go
@@ -1,7 +1,11 @@
 package byentry_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -100,3 +104,95 @@
 		})
 	}
 }
+
+// TestLateRequestOfStopGetsResponse guards against the failure that requests which come late
+// in the grace period of a stop, on connections from before, are taken and cut without a
+// response, and against requests that are cut since they last longer than the period.
+func TestLateRequestOfStopGetsResponse(t *testing.T) {
+	t.Parallel()
+	const grace = 8 * time.Second
+	newNode := func(t *testing.T, serviceTime time.Duration) (*testCluster, *testNode) {
+		c := newTestCluster(t)
+		c.grace = grace
+		c.publishConfig(3, func(routes []map[string]any) {
+			for _, r := range routes {
+				r["timeoutMs"] = 15_000
+			}
+		})
+		c.addRunner(bystub.RunnerConfig{ID: "app-1", Service: "app", Zone: "a", ServiceTime: serviceTime})
+		n := c.startNode("n1")
+		c.waitReady(n)
+		return c, n
+	}
+	// check checks the response that a caller gets to a request that it has sent whole.
+	check := func(t *testing.T, c *testCluster, id string, resp *http.Response, err error) {
+		t.Helper()
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+		}
+		if err != nil {
+			t.Errorf("request %s got no complete response: %v", id, err)
+			return
+		}
+		runs := c.runners["app-1"].Runs()
+		if hasRun := slices.ContainsFunc(runs, func(r bystub.Run) bool { return r.ID == id }); hasRun && resp.StatusCode == http.StatusServiceUnavailable {
+			t.Errorf("request %s was refused and has run", id)
+		}
+		t.Logf("request %s: status %d", id, resp.StatusCode)
+	}
+	t.Run("late", func(t *testing.T) {
+		t.Parallel()
+		c, n := newNode(t, 700*time.Millisecond)
+		stoppedAt := time.Now()
+		n.stop()
+		time.Sleep(time.Until(stoppedAt.Add(5500 * time.Millisecond))) // connections younger than 5 s stay open
+		var callers sync.WaitGroup
+		for i := range 14 {
+			conn, err := net.Dial("tcp4", n.settings.CallerAddr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			callers.Go(func() {
+				defer conn.Close()
+				// The last ones come when the node is about to close.
+				time.Sleep(time.Until(stoppedAt.Add(5700*time.Millisecond + time.Duration(i)*70*time.Millisecond)))
+				id := fmt.Sprint("late-", i)
+				if _, err := fmt.Fprintf(conn, "POST /book/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 780\r\nContent-Length: 1\r\n\r\nx", id); err != nil {
+					return // the connection was closed before
+				}
+				resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: "POST"})
+				received := c.runners["app-1"].ReceivedRequests()
+				if err != nil && !slices.ContainsFunc(received, func(a bystub.Arrival) bool { return a.ID == id }) {
+					return // the request has crossed the end of the connection
+				}
+				check(t, c, id, resp, err)
+			})
+		}
+		callers.Wait()
+	})
+	t.Run("longer than the grace period", func(t *testing.T) {
+		t.Parallel()
+		c, n := newNode(t, 20*time.Second)
+		var callers sync.WaitGroup
+		for _, path := range []string{"/book/1", "/read/1", "/book/body"} {
+			callers.Go(func() {
+				id := "long" + path
+				conn, err := net.Dial("tcp4", n.settings.CallerAddr)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close()
+				_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 15000\r\nContent-Length: 10\r\n\r\n", path, id)
+				if path != "/book/body" { // the body of that one does not arrive
+					_, _ = io.WriteString(conn, "ten bytes.")
+				}
+				resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: "POST"})
+				check(t, c, id, resp, err)
+			})
+		}
+		time.Sleep(200 * time.Millisecond)
+		n.stop()
+		callers.Wait()
+	})
+}
