Cut no failure domain in the soak when all of them are cut off

Cause: with no domain left, one domain was still taken to be cut off. TestNoDomainIsLeftToCut panics before. The program of the nodes is not touched.

--- a/io/bysoak/check_test.go
+++ b/io/bysoak/check_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -112,3 +114,19 @@
 		}
 	}
 }
+
+// TestNoDomainIsLeftToCut guards against the failure that a soak ends in a panic, and leaves its
+// nodes behind, when all failure domains are cut off already.
+func TestNoDomainIsLeftToCut(t *testing.T) {
+	s := &soak{domains: []*domain{{name: "z1", cuts: []span{{from: time.Now()}}}, {name: "z2", cuts: []span{{from: time.Now()}}}}}
+	var pending sync.WaitGroup
+	for seed := range uint64(20) {
+		s.cutDomains(t.Context(), &pending, rand.New(rand.NewPCG(seed, 6)))
+	}
+	pending.Wait()
+	for _, d := range s.domains {
+		if len(d.cuts) != 1 {
+			t.Errorf("%s was cut off %d times, want once", d.name, len(d.cuts))
+		}
+	}
+}
--- a/io/bysoak/cuts.go
+++ b/io/bysoak/cuts.go
@@ -140,7 +140,7 @@
 	count := []int{1, 1, len(whole) - 1, len(whole) - 1, len(whole)}[rng.IntN(5)]
 	how := []bystub.Cut{bystub.CutHang, bystub.CutReset, bystub.CutRefuse}[rng.IntN(3)]
 	duration := minCutTime + time.Duration(rng.Int64N(int64(maxCutTime-minCutTime)))
-	if count < 1 || count == 1 && len(whole) == 1 {
+	if count < 1 || len(whole) < 2 {
 		return
 	}
 	for _, d := range whole[:count] {
