Arm runners of the soak before the first request can reach them

Cause: its entry was published before it was made to crash, and a request was added to those that new runners crash on only after the present ones had been. Both orders are turned around. The program of the nodes is not touched.

--- a/io/bysoak/bysoak.go
+++ b/io/bysoak/bysoak.go
@@ -129,11 +129,12 @@
 	disturbances disturbances // times in which the runner did not serve as it should
 
 	// soak.mu guards the fields below.
-	seq     int    // sequence number of the last published entry
-	state   string // state in that entry
-	leaving bool   // whether the runner has left or is going to, for good
-	ended   bool   // whether its process has ended for good
-	lives   []life // when it was ready
+	seq     int              // sequence number of the last published entry
+	state   string           // state in that entry
+	leaving bool             // whether the runner has left or is going to, for good
+	ended   bool             // whether its process has ended for good
+	lives   []life           // when it was ready
+	armed   map[*poison]bool // whole requests that it crashes on
 }
 
 // node is an entry node that runs as a process.
@@ -225,7 +226,7 @@
 		}
 	}
 	for _, c := range configs {
-		if _, err := s.startRunner(ctx, c); err != nil {
+		if _, err := s.startRunner(ctx, c, 0); err != nil {
 			return err
 		}
 	}
@@ -274,8 +275,9 @@
 	return c
 }
 
-// startRunner starts a runner and its proxy and publishes its entry.
-func (s *soak) startRunner(ctx context.Context, c bystub.RunnerConfig) (*runner, error) {
+// startRunner starts a runner and its proxy and publishes its entry. The runner crashes on
+// what the others crash on, for downTime.
+func (s *soak) startRunner(ctx context.Context, c bystub.RunnerConfig, downTime time.Duration) (*runner, error) {
 	c.Zone, c.Slots = "a", 16
 	stub := bystub.NewRunner(c)
 	addr, err := serveHTTP(ctx, stub)
@@ -286,10 +288,11 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{stub: stub, proxy: p, id: c.ID}
+	r := &runner{stub: stub, proxy: p, id: c.ID, armed: map[*poison]bool{}}
 	s.mu.Lock()
 	s.runners = append(s.runners, r)
 	s.mu.Unlock()
+	s.armRunner(ctx, r, downTime) // before the first request can come
 	s.publishEntry(r, "ready")
 	return r, nil
 }
--- a/io/bysoak/repeat.go
+++ b/io/bysoak/repeat.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"syscall"
 	"time"
 )
@@ -57,14 +56,19 @@
 	}[rng.IntN(4)]
 	repeat.path += fmt.Sprint(repeatPrefix, i)
 	p := &poison{path: repeat.path}
+	s.mu.Lock()
+	s.repeats = append(s.repeats, p) // a runner that starts from now on crashes on it
+	s.mu.Unlock()
 	for _, r := range s.liveRunners() {
 		downTime := time.Duration(300+rng.IntN(1200)) * time.Millisecond
-		r.stub.CrashAlsoOn(func(req *http.Request) bool { return req.URL.Path == p.path }, func() { s.crashRunner(ctx, r, p, downTime) })
+		s.mu.Lock()
+		s.armOnRequest(ctx, r, p, downTime)
+		s.mu.Unlock()
 	}
 	s.logEvent("%v is repeated", p)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.repeats, s.repeat = append(s.repeats, p), repeat
+	s.repeat = repeat
 	return p
 }
 
--- a/io/bysoak/versions.go
+++ b/io/bysoak/versions.go
@@ -154,12 +154,10 @@
 		downTime := time.Duration(300+rng.IntN(1200)) * time.Millisecond
 		rel.running.Go(func() {
 			sleep(ctx, time.Duration(i)*step)
-			started, err := s.startRunner(ctx, c)
-			if err != nil {
+			if _, err := s.startRunner(ctx, c, downTime); err != nil {
 				s.history.addViolation("runner %s does not start: %v", c.ID, err)
 				return
 			}
-			s.armRunner(ctx, started, downTime)
 			sleep(ctx, leaveDelay)
 			s.logEvent("runner %s leaves", r.id)
 			s.publishEntry(r, "draining")
@@ -177,6 +175,15 @@
 		r.stub.CrashOn(bystub.HasPromptPart(p.hash), func() { s.crashRunner(ctx, r, p, downTime) })
 	}
 	for _, p := range s.repeats {
+		s.armOnRequest(ctx, r, p, downTime)
+	}
+}
+
+// armOnRequest makes a runner crash on a whole request, unless it does already. The caller
+// must hold mu.
+func (s *soak) armOnRequest(ctx context.Context, r *runner, p *poison, downTime time.Duration) {
+	if !r.armed[p] {
+		r.armed[p] = true
 		r.stub.CrashAlsoOn(func(req *http.Request) bool { return req.URL.Path == p.path }, func() { s.crashRunner(ctx, r, p, downTime) })
 	}
 }
--- a/io/bysoak/wakes.go
+++ b/io/bysoak/wakes.go
@@ -40,7 +40,7 @@
 	for range old {
 		rel.runners++
 		c := s.decodeRunner(rel.runners, fmt.Sprint("v", rel.version))
-		if _, err := s.startRunner(ctx, c); err != nil {
+		if _, err := s.startRunner(ctx, c, 0); err != nil {
 			s.history.addViolation("runner %s does not start: %v", c.ID, err)
 		}
 	}
