--- a/cmd/burdock-soak/main.go
+++ b/cmd/burdock-soak/main.go
@@ -5,6 +5,7 @@
 //
 //	burdock-soak --bin bin/burdock --seed 1 --seeds 50 --length 15s
 //	burdock-soak --bin bin/burdock --seed 17 --keep  # repeats one seed, keeps its logs
+//	burdock-soak --bin bin/burdock --previous HEAD~9 # in a checkout: with nodes of an older build
 package main
 
 import (
@@ -24,14 +25,15 @@
 
 // options are the command-line flags.
 type options struct {
-	Bin     string        `long:"bin" default:"bin/burdock" description:"the burdock program"`
-	Seed    uint64        `long:"seed" default:"1" description:"the first seed"`
-	Seeds   int           `long:"seeds" default:"1" description:"how many seeds to run, one after another"`
-	Nodes   int           `long:"nodes" default:"5" description:"entry nodes"`
-	Callers int           `long:"callers" default:"24" description:"callers at a time"`
-	Length  time.Duration `long:"length" default:"15s" description:"of the part with faults"`
-	Trouble string        `long:"trouble" default:"turns" choice:"turns" choice:"faults" choice:"versions" choice:"faults-versions" choice:"cuts" choice:"wakes" description:"what happens; in turns: another kind for each seed"`
-	Keep    bool          `long:"keep" description:"keep the logs, also of a seed that passed"`
+	Bin      string        `long:"bin" default:"bin/burdock" description:"the burdock program"`
+	Previous string        `long:"previous" description:"a commit whose program nodes run by turns with the other one: each restart is an upgrade or a step back"`
+	Seed     uint64        `long:"seed" default:"1" description:"the first seed"`
+	Seeds    int           `long:"seeds" default:"1" description:"how many seeds to run, one after another"`
+	Nodes    int           `long:"nodes" default:"5" description:"entry nodes"`
+	Callers  int           `long:"callers" default:"24" description:"callers at a time"`
+	Length   time.Duration `long:"length" default:"15s" description:"of the part with faults"`
+	Trouble  string        `long:"trouble" default:"turns" choice:"turns" choice:"faults" choice:"versions" choice:"faults-versions" choice:"cuts" choice:"wakes" description:"what happens; in turns: another kind for each seed"`
+	Keep     bool          `long:"keep" description:"keep the logs, also of a seed that passed"`
 }
 
 func main() {
@@ -55,9 +57,14 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	previous, remove, err := o.buildPrevious(ctx)
+	if err != nil {
+		return err
+	}
+	defer remove()
 	failed := 0
 	for i := range o.Seeds {
-		ok, err := o.runSeed(ctx, program, o.Seed+uint64(i))
+		ok, err := o.runSeed(ctx, program, previous, o.Seed+uint64(i))
 		if err != nil {
 			return err
 		}
@@ -72,14 +79,37 @@
 	return nil
 }
 
+// buildPrevious builds the program of the commit o.Previous in a temporary directory, which
+// remove deletes. The program is empty if no commit is given.
+func (o options) buildPrevious(ctx context.Context) (program string, remove func(), err error) {
+	remove = func() {}
+	if o.Previous == "" {
+		return "", remove, nil
+	}
+	dir, err := os.MkdirTemp("", "burdock-previous-")
+	if err != nil {
+		return "", remove, err
+	}
+	remove = func() {
+		if err := os.RemoveAll(dir); err != nil {
+			fmt.Fprintln(os.Stderr, "burdock-soak:", err)
+		}
+	}
+	program, err = bysoak.BuildCommit(ctx, o.Previous, dir)
+	if err != nil {
+		remove()
+	}
+	return program, remove, err
+}
+
 // runSeed runs one seed, prints its verdict and reports whether it passed. The
 // logs are kept if it failed or if o.Keep is set.
-func (o options) runSeed(ctx context.Context, program string, seed uint64) (bool, error) {
+func (o options) runSeed(ctx context.Context, program, previous string, seed uint64) (bool, error) {
 	dir, err := os.MkdirTemp("", fmt.Sprintf("burdock-soak-%d-", seed))
 	if err != nil {
 		return false, err
 	}
-	rep, err := bysoak.Run(ctx, bysoak.Config{Program: program, Dir: dir, Seed: seed, Nodes: o.Nodes, Callers: o.Callers, FaultPeriod: o.Length, Trouble: o.trouble(seed)})
+	rep, err := bysoak.Run(ctx, bysoak.Config{Program: program, Previous: previous, Dir: dir, Seed: seed, Nodes: o.Nodes, Callers: o.Callers, FaultPeriod: o.Length, Trouble: o.trouble(seed)})
 	if err != nil {
 		return false, fmt.Errorf("seed %d, logs in %s: %w", seed, dir, err)
 	}
--- a/io/bysoak/bysoak.go
+++ b/io/bysoak/bysoak.go
@@ -26,6 +26,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -49,6 +50,7 @@
 // Config configures a soak run.
 type Config struct {
 	Program     string        // path of the burdock program
+	Previous    string        // path of an older build, which nodes run by turns with Program; empty if there is none
 	Dir         string        // directory for the nodes' settings and logs
 	Seed        uint64        // seed of the fault plan and the requests
 	Nodes       int           // number of entry nodes
@@ -342,6 +344,17 @@
 	return os.WriteFile(n.settingsFile, []byte(settings.Encode()), 0o600)
 }
 
+// programOf returns the program of the node's next process. If there is an older build, every
+// other node begins with it, and each restart is an upgrade or a step back.
+func (s *soak) programOf(n *node) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if s.cfg.Previous == "" || (slices.Index(s.nodes, n)+n.starts)%2 == 0 {
+		return s.cfg.Program
+	}
+	return s.cfg.Previous
+}
+
 // startNode starts a process for the node and appends its output to the node's
 // log file.
 func (s *soak) startNode(n *node) error {
@@ -350,7 +363,8 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(s.cfg.Program, "node", "--metrics-port", "0")
+	program := s.programOf(n)
+	cmd := exec.Command(program, "node", "--metrics-port", "0")
 	cmd.Env = append(os.Environ(), settingsEnvVar+"="+n.settingsFile)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
--- a/io/bysoak/soak_test.go
+++ b/io/bysoak/soak_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -70,6 +72,25 @@
 	}
 }
 
+// TestSoakBesideProduction guards against nodes that do not understand what those of the version
+// in production tell and store, or the reverse: nodes of both run side by side, and each restart is
+// an upgrade or a step back.
+func TestSoakBesideProduction(t *testing.T) {
+	settings, err := os.ReadFile("../../deploy/system.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	production := regexp.MustCompile(`(?m)^production = "([0-9a-f]{40})"$`).FindSubmatch(settings)
+	if production == nil {
+		t.Fatal("deploy/system.toml names no production commit")
+	}
+	previous, err := bysoak.BuildCommit(t.Context(), string(production[1]), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	report(t, soakBeside(t, previous, bysoak.Faults, 41))
+}
+
 // callers returns the number of callers at a time. Where nodes wake, the take-ups of one
 // moment count.
 func callers(trouble bysoak.Trouble) int {
@@ -81,6 +102,12 @@
 
 // soak runs the given seeds and returns the violations.
 func soak(t *testing.T, trouble bysoak.Trouble, seeds ...uint64) []string {
+	t.Helper()
+	return soakBeside(t, "", trouble, seeds...)
+}
+
+// soakBeside is like soak, with nodes of the given older build by turns if it is not empty.
+func soakBeside(t *testing.T, previous string, trouble bysoak.Trouble, seeds ...uint64) []string {
 	t.Helper()
 	program := filepath.Join(t.TempDir(), "burdock")
 	if out, err := exec.Command("go", "build", "-o", program, "burdockyard/cmd/burdock").CombinedOutput(); err != nil {
@@ -89,7 +116,7 @@
 	var violations []string
 	for _, seed := range seeds {
 		rep, err := bysoak.Run(context.Background(), bysoak.Config{
-			Program: program, Dir: t.TempDir(), Seed: seed, Nodes: 3, Callers: callers(trouble), FaultPeriod: 5 * time.Second, Trouble: trouble,
+			Program: program, Previous: previous, Dir: t.TempDir(), Seed: seed, Nodes: 3, Callers: callers(trouble), FaultPeriod: 5 * time.Second, Trouble: trouble,
 		})
 		if err != nil {
 			t.Fatal(err)
