Add the types and messages of workspaces, duties and scaling

Cause: two customers need keys, revocation, reports of usage and orders of endpoints on the platform's path; nothing there knows them. Change: types in the root package, fields of the configuration, the settings and the entries of endpoints, and fields of datagrams. Nothing uses them yet.

--- a/cmd/burdock/node.go
+++ b/cmd/burdock/node.go
@@ -98,6 +98,16 @@
 	return byentry.ReloadableSettings{
 		Capacity: capacity(s), MemoryBytes: s.MemoryBytes, Grace: s.Bounds.Grace, DrainBound: s.Bounds.Drain, ConfigBound: s.Bounds.Config,
 		RetryRatio: s.Bounds.RetryRatio, RetrySlack: float64(s.Bounds.RetrySlack), RetryWindow: s.Bounds.RetryWindow, AnswerTTL: min(directoryTTL, s.Bounds.MaxAnswer),
+		RevokeBound: s.Bounds.Revoke, Duties: dutySettings(s),
+	}
+}
+
+// dutySettings returns the settings of the duties towards the platform.
+func dutySettings(s platform.Settings) byentry.DutySettings {
+	return byentry.DutySettings{
+		Reports: s.ReportsUsage && s.Bounds.UsageWindow > 0, Scales: s.ScalesServices,
+		CallsPerS: s.DutyCallsPerS, ChecksFences: s.Bounds.Fencing, Lease: s.Bounds.Lease,
+		UsageWindow: s.Bounds.UsageWindow, UsageDeadline: s.Bounds.UsageLate,
 	}
 }
 
--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -76,12 +76,22 @@
 	SplitEra          uint64                    // era of the newest byversion.Record that the node knows
 	SplitSeq          uint64                    // number of that record
 	StreamStarts      []byversion.Start         // streams that the node has begun, as byversion.Table.News returns them
+	UnixMS            int64                     // the node's estimate of true time, in Unix milliseconds; 0 if it does not tell
+	HeldDuties        []HeldDuty                // duties towards the platform that the node holds
+	ChecksKeys        bool                      // whether the node checks the keys of workspaces
+	Stale             bool                      // whether the node cannot prove that its configuration is recent
 
 	// Waited is how long the heartbeat may have waited in a socket of the receiver. It is
 	// not sent.
 	Waited time.Duration
 }
 
+// HeldDuty is a duty towards the platform, and the fencing number under which a node holds it.
+type HeldDuty struct {
+	Duty  burdockyard.Duty
+	Fence uint64
+}
+
 // Aged returns a copy of hb that has waited for d longer: all ages that it tells are of a
 // time d later.
 func (hb Heartbeat) Aged(d time.Duration) Heartbeat {
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -97,6 +97,21 @@
 	RetrySlack  float64       // retries allowed in addition to RetryRatio, over all nodes
 	RetryWindow time.Duration // time over which requests and retries count; 0 means the default
 	AnswerTTL   time.Duration // how long callers may cache a response of the directory
+	// RevokeBound is the maximum time from the acceptance of a configuration that takes a
+	// key away until no request with the key runs on any node; 0 if there is none.
+	RevokeBound time.Duration
+	Duties      DutySettings
+}
+
+// DutySettings are the settings of the duties towards the platform.
+type DutySettings struct {
+	Reports       bool          // whether usage is to be reported
+	Scales        bool          // whether endpoints are to be ordered
+	CallsPerS     float64       // calls of all nodes together that the platform accepts per second
+	ChecksFences  bool          // whether the platform checks fencing numbers
+	Lease         time.Duration // time within which two holders of a duty must not alternate
+	UsageWindow   time.Duration // length of a window of usage
+	UsageDeadline time.Duration // time from the end of a window until its usage is due
 }
 
 // Platform holds the services and codecs of the platform that a node runs on.
@@ -108,6 +123,7 @@
 	ConfigTable    string
 	ConfigKey      string
 	InstanceTable  string
+	API            burdockyard.PlatformAPI // called by the holders of duties; nil if there is none
 	DecodeConfig   func([]byte) (*burdockyard.RouteConfig, error)
 	DecodeInstance func(burdockyard.Row) (burdockyard.Instance, error)
 	// NewDirectory returns the handler that tells callers which nodes to connect to.
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -430,7 +430,7 @@
 	if errOld != nil || errNew != nil || in.Sequence < old.Sequence {
 		return false
 	}
-	old.Sequence = in.Sequence
+	old.Sequence, old.LeavesIn = in.Sequence, in.LeavesIn
 	return old == in
 }
 
--- a/io/bypeer/server.go
+++ b/io/bypeer/server.go
@@ -18,6 +18,7 @@
 	"burdockyard/core/bymanifest"
 	"burdockyard/core/bymember"
 	"burdockyard/core/byreach"
+	"burdockyard/core/byusage"
 	"burdockyard/core/byversion"
 	"burdockyard/io/bypeer/bypeerpb"
 )
@@ -109,6 +110,7 @@
 		Ready: h.Ready, Capacity: h.Capacity, SplitEra: h.SplitEra, SplitSeq: h.SplitSeq,
 		Loads: loadsToProto(h.Loads), Reads: cachedPartsToProto(h.CachedParts),
 		ReachedServices: h.Reach.Reached, LostServices: h.Reach.Lost,
+		UnixMs: h.UnixMS, Duties: heldDutiesToProto(h.HeldDuties), ChecksKeys: h.ChecksKeys, Stale: h.Stale,
 	}
 	if !h.Quarantine.IsEmpty() {
 		out.Quarantine = quarantineToProto(h.Quarantine)
@@ -136,6 +138,7 @@
 		Loads: loadsFromProto(msg.GetLoads()), CachedParts: cachedPartsFromProto(msg.GetReads()),
 		Quarantine: quarantineFromProto(msg.GetQuarantine()),
 		Reach:      byreach.Peer{Reached: msg.GetReachedServices(), Lost: msg.GetLostServices()},
+		UnixMS:     msg.GetUnixMs(), HeldDuties: heldDutiesFromProto(msg.GetDuties()), ChecksKeys: msg.GetChecksKeys(), Stale: msg.GetStale(),
 	}
 	for _, s := range msg.GetLimits() {
 		out.Limits = append(out.Limits, bylimit.Statement{Endpoint: burdockyard.EndpointID(s.GetEndpoint()), BornMS: s.GetBornMs(), Named: s.GetNamed(), PerSecond: s.GetPerSecond(), Age: millis(s.GetAgeMs()), Since: millis(s.GetSinceMs())})
@@ -199,6 +202,11 @@
 	Digests   []bydigest.Digest
 
 	Confirmations []Confirmation
+
+	DutyReport DutyReport    // for the holder of a duty
+	UsageAcks  []byusage.Ack // from the holder of the duty of usage
+	AgeQuery   uint64        // nonce of a query for the age of the receiver's copy of the configuration; 0 if there is none
+	AgeReply   AgeReply
 }
 
 // Aged returns a copy of d that has waited for the given time: all ages in it are of a time
@@ -244,6 +252,7 @@
 			Table: c.Table, Era: c.Version.Era, After: c.ChangedSince.Number, Version: c.Version.Number, AgeUs: c.Age.Microseconds(),
 		})
 	}
+	addDutiesToProto(msg, d)
 	return proto.Marshal(msg)
 }
 
@@ -269,6 +278,7 @@
 			Version:      burdockyard.StoreVersion{Era: c.GetEra(), Number: c.GetVersion()},
 		})
 	}
+	addDutiesFromProto(&d, &msg)
 	return d, nil
 }
 
--- a/protocol.go
+++ b/protocol.go
@@ -12,6 +12,8 @@
 	Deadline    time.Duration // time left from now; zero if the caller set none
 	Prompt      *Prompt       // description of the prompt; nil if there is none
 	LastEventID string        // ID of the last event that the caller has received; empty if none
+	Key         KeyHash       // hash of the caller's key
+	HasKey      bool          // whether the caller has sent a key
 	Resumes     RequestID     // ID of the request that brought the first event of the stream that the caller takes up; empty if it names none
 }
 
@@ -25,6 +27,8 @@
 	PrefixSource     string        // address of an engine that has a prefix of the prompt in its KV cache; empty if none
 	Priority         int           // 0 is the most urgent; a negative value leaves the engine's default
 	LastEventID      string        // ID of the event after which to continue; empty to begin at the start
+	ChecksKeys       bool          // whether the system checks keys: the caller's key and workspace are then not passed on
+	Workspace        string        // workspace that the caller belongs to; only used if ChecksKeys is set, empty on public routes
 }
 
 // LoadReport is the load that an endpoint reports along with a response.
--- a/routing.go
+++ b/routing.go
@@ -31,6 +31,7 @@
 	Priority       int           // 0 is the most urgent
 	HasPrompt      bool          // whether requests describe their prompt in headers
 	Resumable      bool          // whether a stream may be continued by another endpoint
+	Public         bool          // whether requests need no key
 	Shares         []Share
 }
 
@@ -56,6 +57,25 @@
 	HealthPath string
 	MaxConns   int // limit for connections to one endpoint, summed over all nodes
 	Model      *ModelSpec
+	Scaling    *ScalingSpec // nil if the number of endpoints is not the system's to choose
+}
+
+// ScalingSpec bounds how many endpoints of a service may be ordered, and states what they
+// cost. Endpoints are lasting or spot; spot endpoints are cheaper, and all of a failure
+// domain may be reclaimed at once.
+type ScalingSpec struct {
+	Min, Max     int                // endpoints in each failure domain, both kinds together
+	BootTime     time.Duration      // from the order of an endpoint until it serves
+	SpotPrice    float64            // price of a spot endpoint relative to a lasting one; 0 if there are none
+	DomainPrices map[string]float64 // price of a lasting endpoint per second, by failure domain
+}
+
+// Workspace is a customer's account. Callers prove with a key that they belong to it.
+type Workspace struct {
+	Name        string
+	Keys        []KeyHash
+	Priority    int // takes precedence over the route's if HasPriority is set
+	HasPriority bool
 }
 
 // Limits bounds the size of callers' requests and how long a caller may take.
@@ -68,10 +88,12 @@
 
 // RouteConfig is one version of the routing configuration. It is immutable.
 type RouteConfig struct {
-	Version  uint64
-	Routes   []*Route
-	Services map[string]*ServiceSpec
-	Limits   Limits
+	Version    uint64
+	Routes     []*Route
+	Services   map[string]*ServiceSpec
+	Limits     Limits
+	ChecksKeys bool // whether requests on routes that are not public need a key
+	Workspaces []Workspace
 }
 
 // Instance is the registry's entry for one endpoint.
@@ -87,6 +109,8 @@
 	Role       Role          // empty if the service serves no model
 	Sequence   uint64        // sequence number of the entry, which the endpoint counts up from its start
 	BornMS     int64         // start of the endpoint's process, as a Unix time in milliseconds; 0 if it does not tell
+	Spot       bool          // whether the platform may reclaim the endpoint
+	LeavesIn   time.Duration // time until a draining endpoint ends; 0 if it does not tell
 }
 
 // PromptPart is one part of a prompt. Requests that have a part of the same ID can
