Remember the rest and the limit of an endpoint whose entry lapses

Cause: an endpoint that cannot reach the store for some seconds loses its entry. core/byfleet and core/bylimit forgot with the entry that it had asked for a rest or named a limit, and nodes sent to it as before once the entry was back. Change: a departure keeps the time of the rest for the same process, and a limit is kept for 30 s without an entry. The new tests fail without the change.

--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -120,10 +120,11 @@
 
 // departure is what is known of an endpoint whose entry was removed.
 type departure struct {
-	bornMS   int64
-	sequence uint64
-	leaving  bool
-	restored bool // whether sequence is that of the entry in a restored store
+	bornMS    int64
+	sequence  uint64
+	leaving   bool
+	restored  bool      // whether sequence is that of the entry in a restored store
+	restUntil time.Time // no calls at all until then if the same process has an entry again
 }
 
 // LeavingEndpoint is an endpoint that has told a node that it is about to end.
@@ -276,10 +277,17 @@
 // a restored store, may have undone the removal. The caller must hold mu.
 func (f *Fleet) newEntry(instance burdockyard.Instance) *entry {
 	d, ok := f.departed[instance.ID]
-	if !ok || d.bornMS == 0 && !f.wasJustRestored() {
+	if !ok {
 		return &entry{}
 	}
 	relation := f.compareAge(instance, d.bornMS, d.sequence)
+	e := &entry{}
+	if relation == newerEntry {
+		e.restUntil = d.restUntil
+	}
+	if d.bornMS == 0 && !f.wasJustRestored() {
+		return e
+	}
 	if f.wasRestoredWithin(departureNewsTime) && relation != nextProcess {
 		// An endpoint that lives shows it by a higher number than the first one that is
 		// seen after the restore.
@@ -295,7 +303,8 @@
 	if relation == olderEntry {
 		return nil
 	}
-	return &entry{leaving: d.leaving && relation == newerEntry}
+	e.leaving = d.leaving && relation == newerEntry
+	return e
 }
 
 // drop deletes an entry and remembers its endpoint. The caller must hold mu.
@@ -303,7 +312,7 @@
 	if len(f.departed) >= maxDepartures {
 		clear(f.departed)
 	}
-	f.departed[id] = departure{bornMS: e.instance.BornMS, sequence: e.instance.Sequence, leaving: e.leaving || e.instance.Draining}
+	f.departed[id] = departure{bornMS: e.instance.BornMS, sequence: e.instance.Sequence, leaving: e.leaving || e.instance.Draining, restUntil: e.restUntil}
 	delete(f.entries, id)
 	f.byService = nil
 }
@@ -432,8 +441,11 @@
 func (f *Fleet) AcceptsCalls(id burdockyard.EndpointID) bool {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	e := f.entries[id]
-	return e == nil || !f.clock.Now().Before(e.restUntil)
+	restUntil := f.departed[id].restUntil
+	if e := f.entries[id]; e != nil {
+		restUntil = e.restUntil
+	}
+	return !f.clock.Now().Before(restUntil)
 }
 
 // Rest keeps all calls from an endpoint for the duration d, at most maxRest, as the
@@ -441,13 +453,14 @@
 func (f *Fleet) Rest(id burdockyard.EndpointID, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := f.entries[id]
-	if e == nil {
-		return
-	}
-	if until := f.clock.Now().Add(min(d, maxRest)); until.After(e.restUntil) {
+	until := f.clock.Now().Add(min(d, maxRest))
+	if e := f.entries[id]; e != nil && until.After(e.restUntil) {
 		e.restUntil = until
 	}
+	if d, ok := f.departed[id]; ok && until.After(d.restUntil) {
+		d.restUntil = until // its entry has lapsed while the request was on its way
+		f.departed[id] = d
+	}
 }
 
 // RestLeft returns the time until the first endpoint of a service that rests accepts
--- a/core/byfleet/byfleet_test.go
+++ b/core/byfleet/byfleet_test.go
@@ -404,3 +404,42 @@
 		}
 	})
 }
+
+// TestRestOutlivesEntry guards against requests to an endpoint that has asked for a rest and
+// whose entry lapses meanwhile, as it does when the endpoint cannot reach the store.
+func TestRestOutlivesEntry(t *testing.T) {
+	for _, tt := range []struct {
+		name           string
+		bornMS         int64 // 0 if the endpoint does not tell
+		returnedBornMS int64
+		sequence       uint64
+		wantsRest      bool
+	}{
+		{"same process", 70, 70, 6, true},
+		{"same process without a start", 0, 0, 6, true},
+		{"started again", 70, 90, 1, false},
+		{"started again without a start", 0, 0, 1, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleetWith("b")
+				a := instance("a")
+				a.BornMS = tt.bornMS
+				f.Apply([]burdockyard.Instance{a}, nil, time.Now())
+				f.Rest("a", 10*time.Second)
+				f.Apply(nil, []burdockyard.EndpointID{"a"}, time.Now())
+				time.Sleep(time.Second)
+				if f.AcceptsCalls("a") {
+					t.Error("want no calls while the entry is missing")
+				}
+				a.BornMS, a.Sequence = tt.returnedBornMS, tt.sequence
+				f.Apply([]burdockyard.Instance{a}, nil, time.Now())
+				if f.AcceptsWork("a") == tt.wantsRest {
+					t.Errorf("AcceptsWork returned %t when the entry was back, want %t", tt.wantsRest, !tt.wantsRest)
+				}
+				time.Sleep(10 * time.Second)
+				expectUsable(t, f, "the rest is over", "a", "b")
+			})
+		})
+	}
+}
--- a/core/bylimit/bylimit.go
+++ b/core/bylimit/bylimit.go
@@ -47,6 +47,9 @@
 	// bucketTime is the time in which an empty bucket gets full, if it then holds more
 	// than one request.
 	bucketTime = time.Second
+	// unknownTTL is how long the limit of an endpoint without an entry is remembered. An
+	// endpoint that cannot reach the store lacks its entry for seconds, and still serves.
+	unknownTTL = 30 * time.Second
 	// endNewsTime is how long a node tells that an endpoint names no limit any more.
 	endNewsTime = 10 * time.Second
 	// newsChange is the relative change of a limit of which peers must learn at once, and
@@ -85,6 +88,7 @@
 	saidAt    time.Time // when it said so
 	heardHere bool      // whether it said so to this node
 	changedAt time.Time // when the limit was last notably another one
+	knownAt   time.Time // when the endpoint was last known to have an entry
 
 	share    float64 // requests per second of this node
 	tokens   float64 // as of filledAt; negative if more was taken
@@ -141,7 +145,7 @@
 	e := l.endpoints[id]
 	isNew := e == nil || !e.named
 	if e == nil {
-		e = &endpoint{}
+		e = &endpoint{knownAt: l.clock.Now()}
 		l.endpoints[id] = e
 	}
 	if changed = isNew || e.bornMS != s.BornMS || !s.Named || differs(s.PerSecond, e.perSecond); changed {
@@ -270,18 +274,24 @@
 	return n
 }
 
-// RemoveUnknown removes the limits of the endpoints for which known returns false, and
-// those that have ended.
+// RemoveUnknown removes the limits of the endpoints for which known has returned false for
+// unknownTTL, and those that have ended.
 func (l *Limits) RemoveUnknown(known func(burdockyard.EndpointID) bool) {
 	l.mu.Lock()
 	ids := slices.Collect(maps.Keys(l.endpoints))
 	l.mu.Unlock()
-	ids = slices.DeleteFunc(ids, known)
+	unknown := map[burdockyard.EndpointID]bool{}
+	for _, id := range ids {
+		unknown[id] = !known(id)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
 	for id, e := range l.endpoints {
-		if slices.Contains(ids, id) || !e.named && now.Sub(e.saidAt) >= endNewsTime {
+		if !unknown[id] {
+			e.knownAt = now
+		}
+		if now.Sub(e.knownAt) >= unknownTTL || !e.named && now.Sub(e.saidAt) >= endNewsTime {
 			delete(l.endpoints, id)
 		}
 	}
--- a/core/bylimit/bylimit_test.go
+++ b/core/bylimit/bylimit_test.go
@@ -140,3 +140,31 @@
 		}
 	})
 }
+
+// TestLimitOutlivesEntry guards against requests beyond the limit of an endpoint whose entry
+// lapses for some seconds.
+func TestLimitOutlivesEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := bylimit.New(burdockyard.SystemClock{}, "n1")
+		l.Observe(engine, 7, named(1), time.Now())
+		isKnown := false
+		known := func(burdockyard.EndpointID) bool { return isKnown }
+		for range 10 {
+			time.Sleep(time.Second)
+			l.RemoveUnknown(known)
+		}
+		isKnown = true
+		l.RemoveUnknown(known)
+		if n := taken(l, 7, 4*time.Second); n > 5 {
+			t.Errorf("%d requests in 4 s after the entry was back, want 5 at most", n)
+		}
+		if n := taken(l, 8, time.Second); n != 100 {
+			t.Errorf("%d requests to the next process, want all 100", n)
+		}
+		isKnown = false
+		time.Sleep(time.Minute)
+		if l.RemoveUnknown(known); l.Len() != 0 {
+			t.Errorf("%d limits are known a minute after the endpoint has left, want 0", l.Len())
+		}
+	})
+}
