Decide how many endpoints of each kind are ordered

Nothing ordered endpoints, so that a service kept all that it started with, whatever the load, and never used spot endpoints.

core/byscale derives the load from the counts that nodes report, takes its largest value of the last boot times, and divides the endpoints among failure domains and kinds so that enough remain when all spot endpoints of one domain are reclaimed. io/byentry counts prompts where they are planned, and orders while it holds the duty. The holding of duties is a stub here.

Measured: tests of core/byscale, core/byplace, core/byfleet (with -race) and io/byentry pass.

--- /dev/null
+++ b/core/byscale/planner.go
@@ -0,0 +1,307 @@
+package byscale
+
+import (
+	"errors"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"burdockyard"
+)
+
+const (
+	// targetUse is the share of an engine's time that predicted work may take at the peak.
+	// Queues grow without bound as it nears 1.
+	targetUse = 0.6
+	// minPrefillEngines and minDecodeEngines are kept of each role.
+	minPrefillEngines = 2
+	minDecodeEngines  = 2
+	// registryLag is how long it takes at most until the registry shows that an endpoint
+	// drains or has started.
+	registryLag = 3 * time.Second
+	// excessShare is the part of a pool's excess that one order removes.
+	excessShare = 0.5
+	// maxRefusalBoots bounds the time, in boot times, until a refused order is tried again.
+	maxRefusalBoots = 4
+	// lastingShare is the part of the mean load that lasting endpoints carry by themselves.
+	lastingShare = 0.5
+	// unknownLastingShare is the share of the endpoints that are lasting as long as the load is
+	// not known.
+	unknownLastingShare = 0.25
+	// stableBoots is the time, in boot times, for which the need must have been smaller before
+	// counts are lowered.
+	stableBoots = 2
+	// shareWeight is the weight of the newest observation in the moving average of the share
+	// of prefill engines.
+	shareWeight = 0.1
+	// unsettledTime is how long after an order without an answer the same one is repeated.
+	unsettledTime = 500 * time.Millisecond
+)
+
+// Decision is an order and the figures that led to it.
+type Decision struct {
+	Order   burdockyard.ScaleOrder
+	Reason  string
+	Need    int // endpoints that the load needs
+	Reserve int // endpoints beyond them that are kept for a loss
+	Present int // endpoints of the pool that do not drain
+	Work    Work
+}
+
+// pool is what a Planner remembers of one pool.
+type pool struct {
+	ordered     int // count that was last ordered, if known
+	known       bool
+	orderedAt   time.Time
+	raisedAt    time.Time // when the count was last raised
+	unsettled   bool      // whether the last order had no answer
+	refusedTill time.Time
+	refusals    int
+}
+
+// Planner decides on the orders for one service. It is not safe for concurrent use.
+type Planner struct {
+	clock   burdockyard.Clock
+	service string
+	since   time.Time // when this process began to decide
+	pools   map[Pool]*pool
+	wanted  map[Pool]int
+	needs   []need // of the last stableBoots boot times
+
+	started      bool
+	startNeed    int     // endpoints at the start, after the worst loss
+	startLasting int     // lasting ones among them
+	prefillShare float64 // moving average of the share of prefill engines
+}
+
+// need is how many endpoints the load needs at one moment.
+type need struct {
+	at           time.Time
+	all, lasting int
+}
+
+// New returns a Planner that has ordered nothing yet.
+func New(clock burdockyard.Clock, service string) *Planner {
+	return &Planner{clock: clock, service: service, since: clock.Now(), pools: map[Pool]*pool{}, wanted: map[Pool]int{}}
+}
+
+// Wanted returns the counts that the last decision aimed at.
+func (p *Planner) Wanted() map[Pool]int { return p.wanted }
+
+func (p *Planner) pool(key Pool) *pool {
+	q := p.pools[key]
+	if q == nil {
+		q = &pool{}
+		p.pools[key] = q
+	}
+	return q
+}
+
+// census is the endpoints of a service, counted.
+type census struct {
+	present, usable, leaving map[Pool]int
+	prefillShare             float64 // share of prefill engines; 0 if there are no roles
+}
+
+func count(endpoints []Endpoint) census {
+	c := census{present: map[Pool]int{}, usable: map[Pool]int{}, leaving: map[Pool]int{}}
+	prefill, all := 0, 0
+	for _, e := range endpoints {
+		if e.Leaving {
+			c.leaving[e.Pool]++
+			continue
+		}
+		c.present[e.Pool]++
+		if e.Usable {
+			c.usable[e.Pool]++
+		}
+		all++
+		if e.Role == burdockyard.RolePrefill {
+			prefill++
+		}
+	}
+	if all > 0 {
+		c.prefillShare = float64(prefill) / float64(all)
+	}
+	return c
+}
+
+// engines returns how many endpoints the work needs if it may take the given share of
+// their time. Each role needs enough engines; their proportion is the present one, since
+// the platform chooses the roles of new engines.
+func engines(w Work, use, prefillShare float64) int {
+	if prefillShare <= 0 || prefillShare >= 1 {
+		return int(math.Ceil((w.Prefill + w.Decode) / use))
+	}
+	return int(math.Ceil(max(w.Prefill/prefillShare, w.Decode/(1-prefillShare)) / use))
+}
+
+// minEngines returns the smallest number of endpoints with enough engines of each role.
+func minEngines(prefillShare float64) int {
+	if prefillShare <= 0 || prefillShare >= 1 {
+		return 1
+	}
+	return int(math.Ceil(max(minPrefillEngines/prefillShare, minDecodeEngines/(1-prefillShare))))
+}
+
+// Decide returns the orders that are due, the urgent ones first. Check must have accepted
+// the state.
+func (p *Planner) Decide(s State) []Decision {
+	now := p.clock.Now()
+	c := count(s.Endpoints)
+	a := p.allocation(s, c, now)
+	target := allocate(a)
+	p.wanted = target
+	var raise, lower []Decision
+	left := maps.Clone(c.usable) // after the orders so far
+	for _, key := range p.poolsOf(s.Spec) {
+		d := Decision{Need: a.need, Reserve: total(target) - a.need, Present: c.present[key], Work: s.Forecast.Peak}
+		d.Order = burdockyard.ScaleOrder{Service: p.service, Domain: key.Domain, Spot: key.Spot}
+		var isRaise, due bool
+		if d.Order.Count, d.Reason, isRaise, due = p.next(key, s.Spec, target[key], c, now); !due {
+			continue
+		}
+		if isRaise {
+			raise = append(raise, d)
+			continue
+		}
+		// An endpoint goes only once those that replace it serve.
+		before := left[key]
+		left[key] = min(before, d.Order.Count)
+		if remaining(left) < a.need && before > left[key] && !a.hasExcess(left) {
+			left[key] = before
+			continue
+		}
+		lower = append(lower, d)
+	}
+	return append(raise, lower...)
+}
+
+// hasExcess reports whether the endpoints suffice as long as no loss happens, when a
+// reserve cannot be had anyway.
+func (a allocation) hasExcess(left map[Pool]int) bool {
+	return len(a.spotCap) == len(a.spec.DomainPrices) && total(left) >= a.need
+}
+
+// allocation derives what is to be allocated from the state.
+func (p *Planner) allocation(s State, c census, now time.Time) allocation {
+	a := allocation{spec: s.Spec, spotCap: map[string]int{}}
+	for _, domain := range domains(s.Spec) {
+		key := Pool{domain, true}
+		if q := p.pools[key]; q != nil && now.Before(q.refusedTill) {
+			a.spotCap[domain] = c.present[key]
+		}
+	}
+	if !p.started {
+		p.started, p.startNeed, p.prefillShare = true, remaining(c.present), c.prefillShare
+		p.startLasting = min(total(c.present)-spotCount(c.present), int(math.Ceil(unknownLastingShare*float64(p.startNeed))))
+	}
+	p.prefillShare += shareWeight * (c.prefillShare - p.prefillShare)
+	current := need{now, max(engines(s.Forecast.Peak, targetUse, p.prefillShare), minEngines(p.prefillShare)), int(math.Ceil(lastingShare * float64(engines(s.Forecast.Mean, 1, p.prefillShare))))}
+	if !s.Forecast.Known {
+		current.all, current.lasting = max(current.all, p.startNeed), max(current.lasting, p.startLasting)
+	}
+	current.all = max(current.all, int(math.Ceil(s.InFlight/targetUse)))
+	current = p.stable(current, s.Spec)
+	a.need = min(current.all+p.missing(s.Spec, c, now), s.Spec.Max*len(s.Spec.DomainPrices))
+	a.lasting = min(max(current.lasting, 1), a.need)
+	return a
+}
+
+// stable returns the largest need of the last few boot times.
+func (p *Planner) stable(current need, spec *burdockyard.ScalingSpec) need {
+	p.needs = slices.DeleteFunc(p.needs, func(n need) bool { return current.at.Sub(n.at) > stableBoots*spec.BootTime })
+	p.needs = append(p.needs, current)
+	for _, n := range p.needs {
+		current.all, current.lasting = max(current.all, n.all), max(current.lasting, n.lasting)
+	}
+	return current
+}
+
+// spotCount returns the number of spot endpoints.
+func spotCount(counts map[Pool]int) int {
+	sum := 0
+	for key, n := range counts {
+		if key.Spot {
+			sum += n
+		}
+	}
+	return sum
+}
+
+// missing returns how many endpoints were ordered long ago and do not serve. The platform
+// may count one that has crashed.
+func (p *Planner) missing(spec *burdockyard.ScalingSpec, c census, now time.Time) int {
+	sum := 0
+	for key, q := range p.pools {
+		if q.known && now.Sub(q.orderedAt) > spec.BootTime+registryLag && now.After(q.refusedTill) {
+			sum += max(q.ordered-c.usable[key], 0)
+		}
+	}
+	return sum
+}
+
+// poolsOf returns the pools of a service in a fixed order.
+func (p *Planner) poolsOf(spec *burdockyard.ScalingSpec) []Pool {
+	var keys []Pool
+	for _, domain := range domains(spec) {
+		keys = append(keys, Pool{domain, false}, Pool{domain, true})
+	}
+	slices.SortFunc(keys, comparePools)
+	return keys
+}
+
+// next returns the count to order for a pool, and whether an order is due. isRaise states
+// that the order adds endpoints or repeats an earlier one.
+func (p *Planner) next(key Pool, spec *burdockyard.ScalingSpec, target int, c census, now time.Time) (n int, reason string, isRaise, due bool) {
+	q := p.pool(key)
+	present := c.present[key]
+	current := present
+	if q.known {
+		current = q.ordered
+	}
+	switch {
+	case now.Before(q.refusedTill):
+		return 0, "", false, false
+	case q.unsettled && target <= q.ordered:
+		return q.ordered, "no answer to the last order", true, now.Sub(q.orderedAt) >= unsettledTime
+	case target > current:
+		return target, "load or reserve", true, true
+	case q.known && present < current && c.leaving[key] > 0 && now.Sub(q.orderedAt) >= registryLag:
+		return current, "endpoints leave that were not ordered away", true, true
+	case q.known && present != current && now.Sub(q.orderedAt) >= spec.BootTime+registryLag:
+		return current, "another count runs than was ordered", true, true
+	case target == current || now.Sub(p.since) < spec.BootTime+registryLag:
+		return 0, "", false, false // endpoints that a former holder has ordered may still boot
+	case now.Sub(q.raisedAt) < spec.BootTime+registryLag || q.known && now.Sub(q.orderedAt) < spec.BootTime:
+		return 0, "", false, false
+	}
+	return current - int(math.Ceil(float64(current-target)*excessShare)), "more than the load needs", false, true
+}
+
+// RecordOutcome records the outcome of the order of d.
+func (p *Planner) RecordOutcome(d Decision, bootTime time.Duration, err error) {
+	o, now := d.Order, p.clock.Now()
+	q := p.pool(Pool{o.Domain, o.Spot})
+	switch {
+	case errors.Is(err, burdockyard.ErrUnavailable):
+		return // the call has had no effect
+	case errors.Is(err, burdockyard.ErrCallRefused):
+		q.refusals++
+		q.refusedTill = now.Add(min(bootTime<<min(q.refusals-1, 8), maxRefusalBoots*bootTime))
+		q.known, q.unsettled = false, false
+		return
+	}
+	if err == nil {
+		q.refusals = 0
+	}
+	before := d.Present
+	if q.known {
+		before = q.ordered
+	}
+	if o.Count > before {
+		q.raisedAt = now
+	}
+	q.ordered, q.known, q.orderedAt, q.unsettled = o.Count, true, now, err != nil
+}
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -269,7 +269,7 @@
 		if !ok {
 			break
 		}
-		inFlight := c.node.loadTracker.Begin(e.ID, byplace.Work{Streams: 1})
+		inFlight, sentAt := c.node.loadTracker.Begin(e.ID, byplace.Work{Streams: 1}), c.node.clock.Now()
 		resp, o, err := c.send(ctx, e, burdockyard.Attempt{Priority: -1})
 		if o != outcomeNotRun {
 			c.possibleRuns++
@@ -281,6 +281,7 @@
 			}
 		}
 		inFlight.Done()
+		c.node.scaling.countCall(c.service, e, c.node.clock.Now().Sub(sentAt))
 		last, lastErr = o, err
 		if o == outcomeAnswered && buffered.status < http.StatusInternalServerError {
 			c.endpointFailure.close()
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -163,6 +163,8 @@
 	limits             *bylimit.Limits
 	versions           *versions
 	roles              *roleController
+	duties             *duties
+	scaling            *scaling
 	metrics            *bymetrics.Metrics
 	log                loggers
 	stopping           atomic.Bool
@@ -230,6 +232,8 @@
 	n.stop = newStopState()
 	n.serving, n.endRequests = context.WithCancel(context.Background())
 	n.roles = newRoleController(n)
+	n.duties = &duties{}
+	n.scaling = newScaling(n)
 	n.relayClients = bypeer.NewRelayClients()
 	n.configWatcher = newTableWatcher(n, p.ConfigTable, func() time.Duration { return n.reloadableSettings.Load().ConfigBound }, configMaxAgeShare, n.log.config, n.applyConfig)
 	instanceWatcher := newTableWatcher(n, p.InstanceTable, func() time.Duration { return n.reloadableSettings.Load().DrainBound }, drainMaxAgeShare, n.log.fleet, n.applyInstances)
@@ -384,6 +388,7 @@
 		group.Go(func() error { return n.queryCaches(ctx) })
 	}
 	group.Go(func() error { return runEvery(ctx, roleCheckInterval, n.roles.reconcile) })
+	group.Go(func() error { return runEvery(ctx, scaleCheckInterval, n.scaling.reconcile) })
 	group.Go(func() error { return runEvery(ctx, splitCheckInterval, n.versions.reconcile) })
 	group.Go(func() error { return runEvery(ctx, reachCheckInterval, newReachMonitor(n).check) })
 	group.Go(func() error { return runEvery(ctx, hangingProbeInterval, n.probeHanging) })
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -33,8 +33,11 @@
 	}
 	relay := newEventRelay(c)
 	last, lastErr := outcomeNotRun, error(nil)
-	for range maxPlanAttempts {
+	for attempt := range maxPlanAttempts {
 		plan, ok := c.planPrompt(relay.resumeID() != "")
+		if attempt == 0 && c.handedOver == nil {
+			c.node.scaling.countPrompt(c.service, c.info.Prompt, plan, ok)
+		}
 		if !ok {
 			break
 		}
--- a/io/bymetrics/bymetrics.go
+++ b/io/bymetrics/bymetrics.go
@@ -175,3 +175,24 @@
 // RegisterGauge registers a gauge whose value is read by calling read each time the
 // metrics are written.
 func (m *Metrics) RegisterGauge(name string, read func() float64) { m.set.GetOrCreateGauge(name, read) }
+
+// EndpointsWanted returns the gauge of the endpoints of a service that the load asks for,
+// by failure domain and kind, as the holder of the duty sees it.
+func (m *Metrics) EndpointsWanted(service, domain, kind string) *metrics.Gauge {
+	return m.endpoints("burdock_endpoints_wanted", service, domain, kind)
+}
+
+// EndpointsPresent returns the gauge of the endpoints of a service that do not drain.
+func (m *Metrics) EndpointsPresent(service, domain, kind string) *metrics.Gauge {
+	return m.endpoints("burdock_endpoints_present", service, domain, kind)
+}
+
+func (m *Metrics) endpoints(name, service, domain, kind string) *metrics.Gauge {
+	return m.set.GetOrCreateGauge(fmt.Sprintf(`%s{service=%q,domain=%q,kind=%q}`, name, service, domain, kind), nil)
+}
+
+// ScaleOrders returns the counter of orders of endpoints of a service, by outcome: "done",
+// "refused", "not_sent" or "unknown".
+func (m *Metrics) ScaleOrders(service, outcome string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_scale_orders_total{service=%q,outcome=%q}`, service, outcome))
+}
