Let one node at a time hold the duties towards the platform

Cause: nothing on the platform's path calls the platform's API, and nothing says which node may. Nothing runs where the settings name no API.

--- a/cmd/burdock/node.go
+++ b/cmd/burdock/node.go
@@ -57,7 +57,11 @@
 	rootLog := bylog.New(logWriter, c.LogLevel, string(s.Node))
 	log := bylog.ForComponent(rootLog, bylog.Node)
 	log.Info("starting", bylog.Str("version", version), bylog.Str("settings", fmt.Sprintf("%+v", s)))
-	node := byentry.New(c.entrySettings(s), entryPlatform(store), byentry.WithLog(rootLog), byentry.WithClock(byclock.New()))
+	services := entryPlatform(store)
+	if s.APIAddr != "" {
+		services.API = platform.NewAPI(s.APIAddr)
+	}
+	node := byentry.New(c.entrySettings(s), services, byentry.WithLog(rootLog), byentry.WithClock(byclock.New()))
 	ctx, stop := untilSignal()
 	defer stop()
 	hup := make(chan os.Signal, 1)
--- a/core/bydigest/bydigest.go
+++ b/core/bydigest/bydigest.go
@@ -157,7 +157,7 @@
 	return a.Member != b.Member || a.Leaving != b.Leaving || a.Ready != b.Ready || a.Generation != b.Generation || a.Capacity != b.Capacity ||
 		a.SplitEra != b.SplitEra || a.SplitSeq != b.SplitSeq || len(b.StreamStarts) > 0 ||
 		!slices.Equal(a.LeavingEndpoints, b.LeavingEndpoints) || b.Quarantine.IsNewsAfter(a.Quarantine) || bylimit.IsNewsAfter(b.Limits, a.Limits) ||
-		!slices.Equal(a.Reach.Lost, b.Reach.Lost) || // a node in doubt may leave and enter Reach.Reached often
+		!slices.Equal(a.HeldDuties, b.HeldDuties) || !slices.Equal(a.Reach.Lost, b.Reach.Lost) || // a node in doubt may leave and enter Reach.Reached often
 		len(b.HeldEngines) > 0 // peers forget holds that are not repeated
 }
 
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -163,6 +163,8 @@
 	limits             *bylimit.Limits
 	versions           *versions
 	roles              *roleController
+	duties             *duties
+	scaling            *scaling
 	metrics            *bymetrics.Metrics
 	log                loggers
 	stopping           atomic.Bool
@@ -180,7 +182,7 @@
 
 // loggers holds one logger for each component of a node.
 type loggers struct {
-	node, calls, members, config, fleet, orders bylog.Logger
+	node, calls, members, config, fleet, orders, duties bylog.Logger
 }
 
 // Option sets an optional part of a Node.
@@ -192,7 +194,7 @@
 		z = z.With().Str("incarnation", string(n.self.Incarnation)).Logger()
 		n.log = loggers{
 			node: bylog.ForComponent(z, bylog.Node), calls: bylog.ForComponent(z, bylog.Calls), members: bylog.ForComponent(z, bylog.Members),
-			config: bylog.ForComponent(z, bylog.Config), fleet: bylog.ForComponent(z, bylog.Fleet), orders: bylog.ForComponent(z, bylog.Orders),
+			config: bylog.ForComponent(z, bylog.Config), fleet: bylog.ForComponent(z, bylog.Fleet), orders: bylog.ForComponent(z, bylog.Orders), duties: bylog.ForComponent(z, bylog.Duties),
 		}
 	}
 }
@@ -230,6 +232,7 @@
 	n.stop = newStopState()
 	n.serving, n.endRequests = context.WithCancel(context.Background())
 	n.roles = newRoleController(n)
+	n.duties, n.scaling = newDuties(n), &scaling{}
 	n.relayClients = bypeer.NewRelayClients()
 	n.configWatcher = newTableWatcher(n, p.ConfigTable, func() time.Duration { return n.reloadableSettings.Load().ConfigBound }, configMaxAgeShare, n.log.config, n.applyConfig)
 	instanceWatcher := newTableWatcher(n, p.InstanceTable, func() time.Duration { return n.reloadableSettings.Load().DrainBound }, drainMaxAgeShare, n.log.fleet, n.applyInstances)
@@ -251,6 +254,7 @@
 func (n *Node) UpdateSettings(s ReloadableSettings) {
 	n.reloadableSettings.Store(&s)
 	n.retryBudgets.setLimits(s.RetryRatio, s.RetrySlack, s.RetryWindow)
+	n.duties.setRate(s.Duties.CallsPerS)
 }
 
 // Done returns a channel that is closed once Run has returned.
@@ -328,6 +332,14 @@
 	n.metrics.RegisterGauge("burdock_quarantined_inputs", func() float64 { return float64(n.quarantine.Len()) })
 	n.metrics.RegisterGauge("burdock_held_engines", func() float64 { return float64(n.roles.holdCount()) })
 	n.metrics.RegisterGauge("burdock_memory_bytes", memoryBytes)
+	for _, duty := range n.duties.enabled() {
+		n.metrics.RegisterGauge(bymetrics.DutyHolder(string(duty)), func() float64 {
+			if _, ok := n.duties.authority(duty); ok {
+				return 1
+			}
+			return 0
+		})
+	}
 	n.metrics.RegisterGauge("burdock_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
 	n.metrics.RegisterGauge("burdock_config_version", func() float64 {
 		if t := n.routes.Current(); t != nil {
@@ -387,6 +399,10 @@
 	group.Go(func() error { return runEvery(ctx, splitCheckInterval, n.versions.reconcile) })
 	group.Go(func() error { return runEvery(ctx, reachCheckInterval, newReachMonitor(n).check) })
 	group.Go(func() error { return runEvery(ctx, hangingProbeInterval, n.probeHanging) })
+	if n.platform.API != nil {
+		group.Go(func() error { return n.duties.run(ctx) })
+		group.Go(func() error { return runEvery(ctx, dutyReportInterval, n.duties.report) })
+	}
 }
 
 // runEvery calls f once per interval until ctx is done.
--- a/io/bylog/bylog.go
+++ b/io/bylog/bylog.go
@@ -24,6 +24,7 @@
 	Orders   = "orders"
 	Manifest = "manifest"
 	Members  = "members"
+	Duties   = "duties"
 	Config   = "config"
 	Fleet    = "fleet"
 )
--- a/io/bymetrics/bymetrics.go
+++ b/io/bymetrics/bymetrics.go
@@ -172,6 +172,21 @@
 	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_store_calls_total{table=%q,outcome=%q}`, table, outcome))
 }
 
+// DutyHolder returns the name of the gauge of whether this node holds a duty towards the
+// platform.
+func DutyHolder(duty string) string { return fmt.Sprintf(`burdock_duty_holder{duty=%q}`, duty) }
+
+// DutyCalls returns the counter of calls to the platform's API by duty and outcome.
+func (m *Metrics) DutyCalls(duty, outcome string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_duty_calls_total{duty=%q,outcome=%q}`, duty, outcome))
+}
+
+// UsageWindows returns the counter of windows of usage by what became of their report:
+// "reported", "late" or "left_out".
+func (m *Metrics) UsageWindows(result string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_usage_windows_total{result=%q}`, result))
+}
+
 // RegisterGauge registers a gauge whose value is read by calling read each time the
 // metrics are written.
 func (m *Metrics) RegisterGauge(name string, read func() float64) { m.set.GetOrCreateGauge(name, read) }
