--- a/io/byentry/scaling.go
+++ b/io/byentry/scaling.go
@@ -9,18 +9,15 @@
 	"time"
 
 	"burdockyard"
+	"burdockyard/core/byduty"
 	"burdockyard/core/byfleet"
 	"burdockyard/core/byplace"
 	"burdockyard/core/byscale"
 	"burdockyard/io/bylog"
 )
 
-const (
-	// scaleCheckInterval is the interval at which the number of endpoints is checked.
-	scaleCheckInterval = 500 * time.Millisecond
-	// scaleCallTimeout limits one call that orders endpoints.
-	scaleCallTimeout = time.Second
-)
+// scaleCheckInterval is the interval at which the number of endpoints is checked.
+const scaleCheckInterval = 500 * time.Millisecond
 
 // scaling counts the work that callers ask of this node and, while this node holds the
 // duty, orders endpoints for the work that all nodes have counted. Only the goroutine that
@@ -139,10 +136,11 @@
 		return
 	}
 	if _, held := n.duties.authority(burdockyard.DutyScale); !held {
-		s.forget()
+		if !n.duties.keeper.IsHolder() {
+			s.forget()
+		}
 		return
 	}
-	s.record(n.self, s.demand())
 	for _, spec := range t.Services() {
 		if spec.Scaling != nil {
 			s.reconcileService(ctx, spec)
@@ -175,11 +173,7 @@
 	decisions := p.Decide(state)
 	s.showCounts(spec.Name, p, state)
 	for _, d := range decisions {
-		a, held := n.duties.authority(burdockyard.DutyScale)
-		if !held || !n.duties.allowCall() {
-			return
-		}
-		s.order(ctx, a, spec, p, d)
+		s.order(ctx, spec, p, d)
 	}
 }
 
@@ -219,26 +213,22 @@
 }
 
 // order sends one order.
-func (s *scaling) order(ctx context.Context, a burdockyard.Authority, spec *burdockyard.ServiceSpec, p *byscale.Planner, d byscale.Decision) {
+func (s *scaling) order(ctx context.Context, spec *burdockyard.ServiceSpec, p *byscale.Planner, d byscale.Decision) {
 	n := s.node
-	ctx, cancel := context.WithTimeout(ctx, scaleCallTimeout)
-	defer cancel()
-	err := n.platform.API.Scale(ctx, a, d.Order)
-	p.RecordOutcome(d, spec.Scaling.BootTime, err)
-	outcome := "done"
-	switch {
-	case errors.Is(err, burdockyard.ErrCallRefused):
-		outcome = "refused"
-	case errors.Is(err, burdockyard.ErrUnavailable):
-		outcome = "not_sent"
-	case err != nil:
-		outcome = "unknown"
+	fence := uint64(0)
+	err := n.duties.call(ctx, burdockyard.DutyScale, func(ctx context.Context, a burdockyard.Authority) error {
+		fence = a.Fence
+		return n.platform.API.Scale(ctx, a, d.Order)
+	})
+	if errors.Is(err, byduty.ErrNotHeld) {
+		return
 	}
-	n.metrics.ScaleOrders(spec.Name, outcome).Inc()
+	p.RecordOutcome(d, spec.Scaling.BootTime, err)
+	n.metrics.ScaleOrders(spec.Name, callOutcome(err)).Inc()
 	n.log.orders.Info("endpoints ordered", bylog.Str("service", spec.Name), bylog.Str("domain", d.Order.Domain), bylog.Bool("spot", d.Order.Spot),
 		bylog.Int("count", d.Order.Count), bylog.Int("present", d.Present), bylog.Str("reason", d.Reason), bylog.Int("need", d.Need), bylog.Int("reserve", d.Reserve),
 		bylog.Int("prefill_ms_per_s", int(1000*d.Work.Prefill)), bylog.Int("decode_ms_per_s", int(1000*d.Work.Decode)),
-		bylog.Int("fence", int(a.Fence)), bylog.Str("outcome", outcome), bylog.Err(err))
+		bylog.Int("fence", int(fence)), bylog.Str("outcome", callOutcome(err)))
 }
 
 // showCounts sets the metrics of a service's endpoints.
