--- a/io/byentry/duties.go
+++ b/io/byentry/duties.go
@@ -24,6 +24,10 @@
 	dutyCheckInterval = 100 * time.Millisecond
 	// dutyReportInterval is the interval at which a node reports to the holder.
 	dutyReportInterval = 500 * time.Millisecond
+	// dutyStagger is how much later each further node in rank begins to watch the rows of the
+	// duties once no holder is heard of. The first one that has seen them unchanged for long
+	// enough takes the duties over, and the others then see them change.
+	dutyStagger = 500 * time.Millisecond
 	// dutyRetryDelay is the delay after a failed call to the store.
 	dutyRetryDelay = 500 * time.Millisecond
 	// dutyCallShare is the share of the calls per second that the holder uses. A holder
@@ -200,11 +204,11 @@
 	d.noteChange()
 }
 
-// isNext reports whether it is this node's turn to acquire the duties. Each node before it
-// has had the time to do so.
+// isNext reports whether this node should try to acquire the duties. Nodes do not wait for
+// the ones before them to fail: the first in rank may be ready and cut off from the store.
 func (d *duties) isNext(now time.Time) bool {
 	n := d.node
-	return n.ready() && now.Sub(d.lastHolder) >= time.Duration(d.rank())*2*n.settings.dutyLease()
+	return n.ready() && now.Sub(d.lastHolder) >= time.Duration(d.rank())*dutyStagger
 }
 
 // renew renews the lease if that is due.
