Decide requests by the key of their workspace

Cause: on the platform's path nothing knew a workspace's key. Change: core/byworkspace finds the workspace of a key in constant time from a hash that is computed where the key enters the process; the row of the configuration is redacted as it is read or relayed. Keyed routes answer 401 without a known key, and 503 while the configuration may lack a new one. The decision is made again at each send, so that retries, continuations and the run after a prefill are refused once the key is gone. Endpoints get the workspace's name and never the key. A request that is handed over carries the hash, and goes only to nodes that check keys. Nothing changes where the configuration has no workspaces.

--- a/cmd/burdock/node.go
+++ b/cmd/burdock/node.go
@@ -122,7 +122,7 @@
 	return byentry.Platform{
 		Registry: store, Table: store, Protocol: platform.Protocol{}, Engines: platform.EngineProtocol{},
 		ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, InstanceTable: platform.InstanceTable,
-		DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance,
+		DecodeConfig: platform.DecodeConfig, RedactRow: platform.RedactConfigRow, DecodeInstance: platform.DecodeInstance,
 		NewDirectory: func(lookup func(host, domain string) ([]string, time.Duration)) http.Handler {
 			return platform.NewDirectoryHandler(func(q platform.DirectoryQuery) ([]string, time.Duration) { return lookup(q.Host, q.Domain) })
 		},
--- a/core/byroutes/byroutes.go
+++ b/core/byroutes/byroutes.go
@@ -19,17 +19,19 @@
 	"time"
 
 	"burdockyard"
+	"burdockyard/core/byworkspace"
 )
 
 // Table is one routing configuration, indexed for lookups. It is immutable.
 type Table struct {
-	config *burdockyard.RouteConfig
-	byHost map[string][]*burdockyard.Route // routes of each host, longest prefix first
+	config     *burdockyard.RouteConfig
+	byHost     map[string][]*burdockyard.Route // routes of each host, longest prefix first
+	workspaces *byworkspace.Directory
 }
 
 // NewTable returns a Table for a configuration, which must not change afterwards.
 func NewTable(c *burdockyard.RouteConfig) *Table {
-	t := &Table{config: c, byHost: map[string][]*burdockyard.Route{}}
+	t := &Table{config: c, byHost: map[string][]*burdockyard.Route{}, workspaces: byworkspace.NewDirectory(c)}
 	for _, r := range c.Routes {
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
@@ -47,6 +49,9 @@
 // Limits returns the size and time limits for requests of callers.
 func (t *Table) Limits() burdockyard.Limits { return t.config.Limits }
 
+// Workspaces returns the directory of the workspaces.
+func (t *Table) Workspaces() *byworkspace.Directory { return t.workspaces }
+
 // Service returns the service with the given name, or nil if there is none.
 func (t *Table) Service(name string) *burdockyard.ServiceSpec { return t.config.Services[name] }
 
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -48,12 +48,15 @@
 // send sends the request to an endpoint and classifies the result.
 func (c *call) send(ctx context.Context, e byfleet.Endpoint, a burdockyard.Attempt) (*byforward.Response, outcome, error) {
 	n := c.node
-	if !n.fleet.AcceptsWork(e.ID) || c.isQuarantined() || !c.takeReservation(e) {
+	// The key may have been taken away since the request came.
+	c.authorize()
+	if c.denial != "" || !n.fleet.AcceptsWork(e.ID) || c.isQuarantined() || !c.takeReservation(e) {
 		c.dropReservation()
 		c.tried[e.ID] = true
 		return nil, outcomeNotRun, burdockyard.ErrNotStarted
 	}
 	a.ExpectedEndpoint, a.Deadline = e.ID, c.timeLeft()
+	a.ChecksKeys, a.Workspace = c.checksKeys, c.workspaceName()
 	req := &byforward.Request{
 		ID: c.info.ID, Method: c.r.Method, Path: c.path, Host: c.r.Host, Body: c.body, Deadline: c.deadline,
 		Header: n.platform.Protocol.EncodeRequest(c.r.Header, a),
@@ -248,7 +251,7 @@
 // given outcome. If so, it takes the retry from the service's budget.
 func (c *call) takeRetry(o outcome) bool {
 	switch {
-	case c.isQuarantined() || c.onlySend:
+	case c.denial != "" || c.isQuarantined() || c.onlySend:
 		return false
 	case o == outcomeAbandoned || c.callerGone() || c.timeLeft() <= 0 || c.sends >= maxSends:
 		return false
@@ -317,6 +320,8 @@
 		c.recordEnd(bylog.OutcomeCallerDisconnected)
 	case c.endpointFailure != nil:
 		c.writeResponse(c.endpointFailure)
+	case c.denial != "" && c.possibleRuns == 0:
+		c.refuseUnauthorized()
 	case c.quarantined && c.possibleRuns == 0:
 		c.refuseFor(reasonQuarantined, c.node.quarantine.TimeToTrial(c.keys))
 	case last == outcomeNotRun && c.possibleRuns > 0:
--- a/io/byentry/cluster_test.go
+++ b/io/byentry/cluster_test.go
@@ -45,6 +45,8 @@
 	maxBodyBytes   int           // largest request body that the configuration allows, in bytes
 	maxConnections int           // largest number of connections to one endpoint that the configuration allows
 	firstStart     bool          // Settings.FirstSystemStart of each node
+	tenants        []tenant      // workspaces of the configuration; nil if it checks no keys
+	revokeBound    time.Duration // ReloadableSettings.RevokeBound of each node
 	logs           syncBuffer    // log output of all nodes
 	logOutput      io.Writer     // where nodes write their logs; nil means logs
 }
@@ -122,7 +124,7 @@
 	if change != nil {
 		change(routes)
 	}
-	data, err := json.Marshal(map[string]any{
+	config := map[string]any{
 		"version": version, "routes": routes,
 		"services": []map[string]any{
 			{"name": "app", "healthPath": "/health", "maxConnections": c.maxConnections},
@@ -130,7 +132,11 @@
 				"slots": 12, "kvCapacityTokens": 360000, "kvTokenBytes": 131072, "linkMbps": 740000.0, "handleTtlS": 5.0, "stageSwitchS": 3.0, "backups": true}},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": c.maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	}
+	if c.tenants != nil {
+		config["tenants"] = c.tenants
+	}
+	data, err := json.Marshal(config)
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -167,7 +173,7 @@
 	s := byentry.Settings{
 		Node: burdockyard.NodeID(name), Domain: domain, FirstSystemStart: c.firstStart, ReloadableSettings: byentry.ReloadableSettings{
 			Capacity: 0.4, MemoryBytes: c.memoryBytes, Grace: c.grace, DrainBound: 2 * time.Second, ConfigBound: 2 * time.Second,
-			RetryRatio: 0.2, RetrySlack: 50, AnswerTTL: time.Second,
+			RetryRatio: 0.2, RetrySlack: 50, AnswerTTL: time.Second, RevokeBound: c.revokeBound,
 		},
 		CallerAddr: ip + ":20001", ReadyAddr: ip + ":20002", DirectoryAddr: ip + ":20003", PeerAddr: ip + ":20004", MetricsAddr: ip + ":20005",
 	}
@@ -180,7 +186,7 @@
 	node := byentry.New(s, byentry.Platform{
 		Registry: store, Table: store, Protocol: platform.Protocol{}, Engines: platform.EngineProtocol{},
 		ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, InstanceTable: platform.InstanceTable,
-		DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance,
+		DecodeConfig: platform.DecodeConfig, RedactRow: platform.RedactConfigRow, DecodeInstance: platform.DecodeInstance,
 		NewDirectory: func(lookup func(host, domain string) ([]string, time.Duration)) http.Handler {
 			return platform.NewDirectoryHandler(func(q platform.DirectoryQuery) ([]string, time.Duration) { return lookup(q.Host, q.Domain) })
 		},
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -116,15 +116,18 @@
 
 // Platform holds the services and codecs of the platform that a node runs on.
 type Platform struct {
-	Registry       burdockyard.Registry
-	Table          burdockyard.Table
-	Protocol       burdockyard.Protocol
-	Engines        burdockyard.EngineProtocol
-	ConfigTable    string
-	ConfigKey      string
-	InstanceTable  string
-	API            burdockyard.PlatformAPI // called by the holders of duties; nil if there is none
-	DecodeConfig   func([]byte) (*burdockyard.RouteConfig, error)
+	Registry      burdockyard.Registry
+	Table         burdockyard.Table
+	Protocol      burdockyard.Protocol
+	Engines       burdockyard.EngineProtocol
+	ConfigTable   string
+	ConfigKey     string
+	InstanceTable string
+	API           burdockyard.PlatformAPI // called by the holders of duties; nil if there is none
+	DecodeConfig  func([]byte) (*burdockyard.RouteConfig, error)
+	// RedactRow returns a row of ConfigTable without keys of workspaces, which DecodeConfig
+	// then finds as hashes.
+	RedactRow      func(burdockyard.Row) burdockyard.Row
 	DecodeInstance func(burdockyard.Row) (burdockyard.Instance, error)
 	// NewDirectory returns the handler that tells callers which nodes to connect to.
 	// lookup returns the addresses and how long callers may cache them.
@@ -163,6 +166,7 @@
 	limits             *bylimit.Limits
 	versions           *versions
 	roles              *roleController
+	keyWarnings        keyWarnings
 	metrics            *bymetrics.Metrics
 	log                loggers
 	stopping           atomic.Bool
@@ -232,6 +236,7 @@
 	n.roles = newRoleController(n)
 	n.relayClients = bypeer.NewRelayClients()
 	n.configWatcher = newTableWatcher(n, p.ConfigTable, func() time.Duration { return n.reloadableSettings.Load().ConfigBound }, configMaxAgeShare, n.log.config, n.applyConfig)
+	n.configWatcher.redact = p.RedactRow
 	instanceWatcher := newTableWatcher(n, p.InstanceTable, func() time.Duration { return n.reloadableSettings.Load().DrainBound }, drainMaxAgeShare, n.log.fleet, n.applyInstances)
 	instanceWatcher.isRoutine = n.isRoutineUpdate
 	n.versions = newVersions(n)
@@ -322,6 +327,7 @@
 	n.metrics.RegisterGauge("burdock_registry_age_seconds", func() float64 { return n.fleet.RegistryAge().Seconds() })
 	n.metrics.RegisterGauge("burdock_alive_peers", func() float64 { return float64(len(n.view.Alive())) })
 	n.metrics.RegisterGauge("burdock_config_age_seconds", func() float64 { return n.configWatcher.age().Seconds() })
+	n.metrics.RegisterGauge("burdock_known_keys", n.knownKeys)
 	n.metrics.RegisterGauge("burdock_endpoint_connections", func() float64 { return float64(n.forwarder.OpenConns()) })
 	n.metrics.RegisterGauge("burdock_retries_left", n.retryBudgets.minLeft)
 	n.metrics.RegisterGauge("burdock_limited_endpoints", func() float64 { return float64(n.limits.Len()) })
--- a/io/byentry/handover.go
+++ b/io/byentry/handover.go
@@ -15,6 +15,7 @@
 	"burdockyard/core/byfleet"
 	"burdockyard/core/bymember"
 	"burdockyard/core/byreach"
+	"burdockyard/core/byworkspace"
 	"burdockyard/io/byforward"
 	"burdockyard/io/bylog"
 )
@@ -33,6 +34,8 @@
 	// over to it. Its value is the token of the handover, which endpoints do not know, and
 	// the reason.
 	headerNotRun = "Burdock-Not-Run"
+	// headerKeyHash holds the hash of the caller's key, which is not sent itself.
+	headerKeyHash = "Burdock-Key"
 	// maxHandovers is the number of nodes to which a request is handed, one after the
 	// other, while it has not run.
 	maxHandovers = 2
@@ -54,6 +57,8 @@
 	token        string
 	waited       time.Duration // since the request arrived
 	possibleRuns int
+	key          burdockyard.KeyHash // hash of the caller's key
+	hasKey       bool                // whether key is set
 }
 
 // String returns the value of headerHandover.
@@ -90,8 +95,13 @@
 			calls.ServeHTTP(w, r)
 			return
 		}
+		h := parseHandover(text)
+		if key, err := burdockyard.ParseKeyHash(r.Header.Get(headerKeyHash)); err == nil {
+			h.key, h.hasKey = key, true
+		}
 		r.Header.Del(headerHandover)
-		n.serveRequest(w, r, parseHandover(text))
+		r.Header.Del(headerKeyHash)
+		n.serveRequest(w, r, h)
 	})
 }
 
@@ -140,16 +150,18 @@
 	if c.handedOver != nil || !n.reach.IsLost(service) && (c.linkFailures == 0 || !n.reach.IsQuiet(service)) {
 		return false
 	}
-	return len(n.peersReaching(service)) > 0
+	return len(c.peers()) > 0
 }
 
 // handOverInstead hands the request over to a peer if this node could not serve it for
-// want of a link, and reports whether it did. last is the outcome of the last attempt.
+// want of a link or of a recent configuration, and reports whether it did. last is the outcome of the last attempt.
 func (c *call) handOverInstead(ctx context.Context, last outcome) bool {
 	switch {
 	case c.handedOver != nil || c.trial || c.onlySend || c.callerGone() || c.timeLeft() <= 0 || c.isQuarantined():
 		return false
-	case !c.onlyLinksFailed() && !c.lacksLink() || len(c.node.peersReaching(c.service.Name)) == 0:
+	case c.denial != "" && !c.mayHandOverStale():
+		return false
+	case c.denial == "" && !c.onlyLinksFailed() && !c.lacksLink() || len(c.peers()) == 0:
 		return false
 	case (last != outcomeNotRun || c.possibleRuns > 0) && (!c.route.Idempotent() || !c.takeRetry(last)):
 		return false
@@ -199,13 +211,17 @@
 		c.endStream(relay, last, lastErr)
 		return
 	}
+	if c.denial != "" {
+		c.refuseUnauthorized()
+		return
+	}
 	c.refuse(reasonNoLink, noEndpointRetryAfter)
 }
 
 // pickPeer picks a node that reaches the endpoints of the service and has not been tried,
 // at random in proportion to capacity. It prefers nodes of this failure domain.
 func (c *call) pickPeer(tried map[burdockyard.NodeID]bool) (bymember.Heartbeat, bool) {
-	peers := c.node.peersReaching(c.service.Name)
+	peers := c.peers()
 	// Nodes that know the configuration which this node went by come first. The others
 	// are about to learn it.
 	upToDate := slices.DeleteFunc(slices.Clone(peers), func(h bymember.Heartbeat) bool { return h.Generation < c.configVersion })
@@ -236,9 +252,13 @@
 // sendToPeer hands the request over to one node and passes its response on.
 func (c *call) sendToPeer(ctx context.Context, peer bymember.Heartbeat, relay *eventRelay) (outcome, error) {
 	n := c.node
-	header := n.platform.Protocol.EncodeRequest(c.r.Header, burdockyard.Attempt{Deadline: c.timeLeft(), Priority: -1, LastEventID: c.info.LastEventID})
-	h := handover{strconv.FormatUint(rand.Uint64(), 36), n.clock.Now().Sub(c.startedAt), c.possibleRuns}
+	header := n.platform.Protocol.EncodeRequest(c.r.Header, burdockyard.Attempt{Deadline: c.timeLeft(), Priority: -1, LastEventID: c.info.LastEventID, ChecksKeys: c.checksKeys})
+	h := handover{token: strconv.FormatUint(rand.Uint64(), 36), waited: n.clock.Now().Sub(c.startedAt), possibleRuns: c.possibleRuns}
 	header.Set(headerHandover, h.String())
+	header.Del(headerKeyHash)
+	if c.checksKeys && c.info.HasKey {
+		header.Set(headerKeyHash, c.info.Key.String())
+	}
 	req := &byforward.Request{
 		ID: c.info.ID, Method: c.r.Method, Path: c.path, Host: c.r.Host, Header: header, Body: c.body, Deadline: c.deadline,
 		AllowMissingID: true, // responses of the node itself carry none
@@ -260,6 +280,11 @@
 		if cause.isOfNode() || c.possibleRuns > 0 {
 			return outcomeNotRun, burdockyard.ErrNotStarted
 		}
+		if cause == reasonDenied {
+			c.denial = byworkspace.CauseUnknownKey
+			c.refuseUnauthorized()
+			return outcomeAnswered, nil
+		}
 		seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64) // 0 if it states none
 		c.refuseFor(cause, time.Duration(seconds*float64(time.Second)))
 		return outcomeAnswered, nil
@@ -308,7 +333,7 @@
 // another node may serve it.
 func (r reason) isOfNode() bool {
 	switch r {
-	case reasonPeerFull, reasonNoLink, reasonNoEndpoint, reasonMemory, reasonStopping, reasonNoConfiguration, reasonRejected:
+	case reasonPeerFull, reasonNoLink, reasonNoEndpoint, reasonMemory, reasonStopping, reasonNoConfiguration, reasonRejected, reasonStale:
 		return true
 	}
 	return false
--- a/io/byentry/identity.go
+++ b/io/byentry/identity.go
@@ -10,11 +10,14 @@
 )
 
 // credentialHeaders are the headers by which callers identify themselves to endpoints.
-var credentialHeaders = []string{"Authorization", "Cookie", "X-Api-Key"}
+var credentialHeaders = []string{"Authorization", "Cookie", headerKey}
+
+// headerKey holds a caller's key. Endpoints do not get it where this system checks keys.
+const headerKey = "X-Api-Key"
 
 // requestHash returns a hash of what an endpoint gets in each attempt of the same request
-// by the same caller: method, host, path with query, credentials, prompt and body. It does
-// not cover headers that differ between attempts. A caller cannot construct a request with
+// by the same caller: method, host, path with query, credentials or workspace, prompt and
+// body. It does not cover headers that differ between attempts. A caller cannot construct a request with
 // the hash of another one.
 func requestHash(c *call) uint64 {
 	h := sha256.New()
@@ -27,7 +30,11 @@
 	write(c.r.Host)
 	write(c.path)
 	for _, name := range credentialHeaders {
-		write(strings.Join(c.r.Header[name], "\n"))
+		value := strings.Join(c.r.Header[name], "\n")
+		if name == headerKey && c.checksKeys {
+			value = c.workspaceName()
+		}
+		write(value)
 	}
 	if p := c.info.Prompt; p != nil {
 		write("prompt")
--- a/io/byentry/identity_test.go
+++ b/io/byentry/identity_test.go
@@ -33,6 +33,12 @@
 		{"another host", false, func(c *call) { c.r.Host = "g.example" }},
 		{"another query", false, func(c *call) { c.path = "/quick/1?q=3" }},
 		{"another caller", false, func(c *call) { c.r.Header.Set("Authorization", "Bearer b") }},
+		{"another key", false, func(c *call) { c.r.Header.Set("X-Api-Key", "k1") }},
+		{"another workspace", false, func(c *call) { c.checksKeys, c.workspace = true, &burdockyard.Workspace{Name: "north"} }},
+		{"another key, which endpoints do not get", true, func(c *call) {
+			c.r.Header.Set("X-Api-Key", "k1")
+			c.checksKeys = true
+		}},
 		{"another body", false, func(c *call) { c.body = []byte("ac") }},
 		{"a part of the body in the path", false, func(c *call) { c.path, c.body = c.path+"a", []byte("b") }},
 		{"another last part", false, func(c *call) { c.info.Prompt.Parts[1].ID = 3 }},
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -16,6 +16,7 @@
 	"burdockyard/core/byplace"
 	"burdockyard/core/byquarantine"
 	"burdockyard/core/byroutes"
+	"burdockyard/core/byworkspace"
 	"burdockyard/io/bylog"
 )
 
@@ -75,6 +76,9 @@
 	handedOver      *handover                       // set if another node has handed the request over
 	linkFailures    int                             // number of attempts that failed for want of a link
 	endpointRefused bool                            // whether an endpoint has refused the request
+	checksKeys      bool                            // whether the system checks keys, so that endpoints do not get them
+	workspace       *burdockyard.Workspace          // workspace that the caller belongs to; nil if the request needs no key
+	denial          byworkspace.Cause               // why the request must not run here, as of the last call of authorize; empty if it may
 }
 
 // ServeHTTP implements http.Handler.
@@ -99,6 +103,10 @@
 		c.reject(status, cause)
 		return
 	}
+	if c.authorize(); c.denial != "" && !c.mayHandOverStale() {
+		c.refuseUnauthorized()
+		return
+	}
 	size := max(r.ContentLength, 0)
 	if r.ContentLength < 0 {
 		size = chunkedBodyReserve
@@ -129,7 +137,7 @@
 		if !ok {
 			return
 		}
-	} else if n.isCutOff(c.service.Name) {
+	} else if c.denial != "" || n.isCutOff(c.service.Name) && len(c.peers()) > 0 {
 		c.handOver(ctx)
 		return
 	}
@@ -168,6 +176,9 @@
 	if err != nil {
 		return http.StatusBadRequest, err.Error()
 	}
+	if h := c.handedOver; h != nil && h.hasKey {
+		info.Key, info.HasKey = h.key, true
+	}
 	c.info = info
 	name := byroutes.PickService(c.route, rand.Float64())
 	if c.service = table.Service(name); c.service == nil {
@@ -266,20 +277,22 @@
 type reason string
 
 const (
-	reasonNoConfiguration reason = "no_configuration" // the node has not yet learned a configuration, or which requests end endpoints
-	reasonMemory          reason = "memory"           // request bodies use all the memory allowed for them
-	reasonStopping        reason = "stopping"         // the node would stop before the response is complete
-	reasonOverload        reason = "overload"         // the stream would start after its caller has given up
-	reasonNoEndpoint      reason = "no_endpoint"      // the service has no endpoint that accepts new requests
-	reasonEndpointsFull   reason = "endpoints_full"   // every endpoint that was tried refused
-	reasonQuarantined     reason = "quarantined"      // endpoints end under requests with the same input
-	reasonVersion         reason = "version"          // the version that began the stream is not known, or no endpoint has it
-	reasonLimited         reason = "limited"          // the limits that all endpoints name are used up
-	reasonNoLink          reason = "no_link"          // this node could connect to no endpoint, and no other node has taken the request
-	reasonPeerFull        reason = "peer_full"        // the node has taken over as many requests from others as it can bear
-	reasonRejected        reason = "rejected"         // another node takes the request for invalid
-	reasonNoAnswer        reason = "no_answer"        // the request was sent and no complete response arrived
-	reasonEndpointFailed  reason = "endpoint_failed"  // one endpoint may have run the request, the others refused
+	reasonNoConfiguration reason = "no_configuration"    // the node has not yet learned a configuration, or which requests end endpoints
+	reasonMemory          reason = "memory"              // request bodies use all the memory allowed for them
+	reasonStopping        reason = "stopping"            // the node would stop before the response is complete
+	reasonOverload        reason = "overload"            // the stream would start after its caller has given up
+	reasonNoEndpoint      reason = "no_endpoint"         // the service has no endpoint that accepts new requests
+	reasonEndpointsFull   reason = "endpoints_full"      // every endpoint that was tried refused
+	reasonQuarantined     reason = "quarantined"         // endpoints end under requests with the same input
+	reasonVersion         reason = "version"             // the version that began the stream is not known, or no endpoint has it
+	reasonLimited         reason = "limited"             // the limits that all endpoints name are used up
+	reasonNoLink          reason = "no_link"             // this node could connect to no endpoint, and no other node has taken the request
+	reasonPeerFull        reason = "peer_full"           // the node has taken over as many requests from others as it can bear
+	reasonRejected        reason = "rejected"            // another node takes the request for invalid
+	reasonNoAnswer        reason = "no_answer"           // the request was sent and no complete response arrived
+	reasonEndpointFailed  reason = "endpoint_failed"     // one endpoint may have run the request, the others refused
+	reasonDenied          reason = "denied"              // no workspace holds the caller's key
+	reasonStale           reason = "stale_configuration" // the configuration is too old to believe in keys
 )
 
 // refuse responds to a request that has not run and will not run, and tells the
@@ -349,6 +362,9 @@
 	if c.route != nil {
 		fields = append(fields, bylog.Str("route", c.route.Name), bylog.Int("config", int(c.configVersion)))
 	}
+	if c.workspace != nil {
+		fields = append(fields, bylog.Str("workspace", c.workspace.Name), bylog.Int("priority", c.priority()))
+	}
 	return fields
 }
 
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -526,6 +526,7 @@
 	heartbeat.Reach = n.ownReach()
 	if t := n.routes.Current(); t != nil {
 		heartbeat.Generation = t.Version()
+		heartbeat.ChecksKeys = t.Workspaces().ChecksKeys()
 	}
 	return heartbeat
 }
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -65,6 +65,7 @@
 	mirror      *bymirror.Mirror
 	apply       func(d bymirror.Delta, requestedAt time.Time)
 	isRoutine   func(before, after burdockyard.Row) bool // whether peers need not be told of a change; nil if of none
+	redact      func(burdockyard.Row) burdockyard.Row    // removes what this process must not keep; nil if rows hold nothing such
 
 	mu           sync.Mutex
 	waitsSince   time.Time // since when this node waits for the first reading of a peer; zero if it does not wait
@@ -102,6 +103,14 @@
 	return w.node.clock.Now().Sub(w.requestedAt)
 }
 
+// readAt returns when the newest reading was requested, or the zero time if there has been
+// none.
+func (w *tableWatcher) readAt() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.requestedAt
+}
+
 // recordRequest records when a reading was requested, unless a newer one is known.
 func (w *tableWatcher) recordRequest(requestedAt time.Time) {
 	w.mu.Lock()
@@ -232,14 +241,24 @@
 	registry := w.node.platform.Registry
 	if from.Number > 0 {
 		snap, err := registry.Changes(ctx, w.table, from, 0)
-		return snap.Changes, snap.Version, err
+		return w.redacted(snap.Changes), snap.Version, err
 	}
 	snap, err := registry.Scan(ctx, w.table)
 	changes := make([]burdockyard.Change, 0, len(snap.Rows))
 	for _, row := range snap.Rows {
 		changes = append(changes, burdockyard.Change{Row: row})
 	}
-	return changes, snap.Version, err
+	return w.redacted(changes), snap.Version, err
+}
+
+// redacted removes from changes, in place, what this process must not keep.
+func (w *tableWatcher) redacted(changes []burdockyard.Change) []burdockyard.Change {
+	if w.redact != nil {
+		for i := range changes {
+			changes[i].Row = w.redact(changes[i].Row)
+		}
+	}
+	return changes
 }
 
 // applyReading applies a reading that was requested from the store at requestedAt. It
@@ -344,6 +363,7 @@
 		if w.table != r.Table {
 			continue
 		}
+		r.Changes = w.redacted(r.Changes) // nodes of earlier versions pass on what they have read
 		if w.applyReading(r, n.clock.Now().Add(-r.Age-n.guard.ConnWait())) {
 			w.recordRelayed(r.Version)
 		}
@@ -392,6 +412,7 @@
 		}
 		if n.routes.Update(config) {
 			n.log.config.Info("configuration in force", bylog.Int("version", int(config.Version)), bylog.Int("routes", len(config.Routes)))
+			n.warnOfSharedKeys()
 		}
 	}
 }
--- /dev/null
+++ b/io/byentry/workspaces_test.go
@@ -0,0 +1,202 @@
+package byentry_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"burdockyard/platform/bystub"
+)
+
+// tenant is a workspace of the configuration, as the operator writes it.
+type tenant struct {
+	Name string   `json:"name"`
+	Keys []string `json:"apiKeys"`
+}
+
+const (
+	keyNorth   = "X-Api-Key: secret-of-north"
+	keySouth   = "X-Api-Key: secret-of-south"
+	keyUnknown = "X-Api-Key: secret-of-nobody"
+)
+
+// newKeyedCluster returns a cluster with runners of both services and the workspaces north
+// and south. The route of unsafe requests is public.
+func newKeyedCluster(t *testing.T, options ...func(*bystub.RunnerConfig)) *testCluster {
+	c := newTestCluster(t)
+	c.tenants = []tenant{{"north", []string{"secret-of-north", "secret-of-both"}}, {"south", []string{"secret-of-south", "secret-of-both"}}}
+	c.publishConfig(3, publicBooking)
+	for _, cfg := range []bystub.RunnerConfig{
+		{ID: "app-1", Service: "app", Zone: "a", Slots: 50},
+		{ID: "app-2", Service: "app", Zone: "a", Slots: 50},
+		{ID: "p-1", Service: "llm", Zone: "a", Stage: "prefill", Slots: 12},
+		{ID: "d-1", Service: "llm", Zone: "a", Stage: "decode", Slots: 12, EventsPerStream: cutEvents},
+		{ID: "d-2", Service: "llm", Zone: "a", Stage: "decode", Slots: 12, EventsPerStream: cutEvents},
+	} {
+		for _, option := range options {
+			option(&cfg)
+		}
+		c.addRunner(cfg)
+	}
+	return c
+}
+
+func publicBooking(routes []map[string]any) { routes[1]["public"] = true }
+
+// checkArrivals checks that the runners have got the request want times or more, as one of
+// the given workspace and without a key.
+func (c *testCluster) checkArrivals(id, workspace string, want int) {
+	c.t.Helper()
+	got := 0
+	for name, r := range c.runners {
+		for _, a := range r.ReceivedRequests() {
+			if a.ID != id {
+				continue
+			}
+			if got++; a.Key != "" || a.Tenant != workspace {
+				c.t.Errorf("%s: runner %s got key %q and workspace %q, want no key and %q", id, name, a.Key, a.Tenant, workspace)
+			}
+		}
+	}
+	if got < want || want == 0 && got > 0 {
+		c.t.Errorf("%s: runners got %d requests, want %d", id, got, want)
+	}
+}
+
+// arrivals returns the number of requests with the given ID that the runners have got.
+func (c *testCluster) arrivals(id string) int {
+	got := 0
+	for _, r := range c.runners {
+		for _, a := range r.ReceivedRequests() {
+			if a.ID == id {
+				got++
+			}
+		}
+	}
+	return got
+}
+
+// checkNoKeysInLogs checks that no node has logged a key.
+func (c *testCluster) checkNoKeysInLogs() {
+	c.t.Helper()
+	if strings.Contains(c.logs.String(), "secret-of-") {
+		c.t.Error("the logs contain a key")
+	}
+}
+
+// TestRequestsRunForTheWorkspaceOfTheirKey checks what callers with each kind of key get,
+// and what runners are told, whatever the caller claims.
+func TestRequestsRunForTheWorkspaceOfTheirKey(t *testing.T) {
+	c := newKeyedCluster(t)
+	n := c.startNode("n1")
+	c.waitReady(n)
+	for _, tt := range []struct {
+		name, method, path string
+		header             []string
+		status             int
+		workspace          string
+		arrivals           int // fewest requests that runners get
+	}{
+		{"safe", "GET", "/read/1", []string{keyNorth}, 200, "north", 1},
+		{"forged", "GET", "/read/1", []string{keySouth, "x-tenant-id: north", "X-Tenant-Id: east"}, 200, "south", 1},
+		{"listed in Connection", "GET", "/read/1", []string{keySouth, "X-Tenant-Id: north", "Connection: x-api-key, x-tenant-id"}, 200, "south", 1},
+		{"same key twice", "GET", "/read/1", []string{keyNorth, keyNorth}, 200, "north", 1},
+		{"stream", "POST", "/quick/1", []string{keyNorth, shortPrompt, shortTokens}, 200, "north", 1},
+		{"long prompt, read by another engine", "POST", "/long/1", []string{keySouth, longPrompt, longTokens}, 200, "south", 2},
+		{"public without a key", "POST", "/book/1", nil, 200, "", 1},
+		{"public with a key", "POST", "/book/1", []string{keyNorth, "X-Tenant-Id: north"}, 200, "", 1},
+		{"no key", "GET", "/read/1", []string{"X-Tenant-Id: north"}, 401, "", 0},
+		{"empty key", "GET", "/read/1", []string{"X-Api-Key: "}, 401, "", 0},
+		{"unknown key", "GET", "/read/1", []string{keyUnknown}, 401, "", 0},
+		{"key of two workspaces", "GET", "/read/1", []string{"X-Api-Key: secret-of-both"}, 401, "", 0},
+		{"two keys", "GET", "/read/1", []string{keyNorth, keySouth}, 401, "", 0},
+		{"4 KiB", "GET", "/read/1", []string{keyUnknown + strings.Repeat("k", 4096)}, 401, "", 0},
+		{"the hash of a key", "GET", "/read/1", []string{"Burdock-Key: d3b07384d113edec49eaa6238ad5ff00"}, 401, "", 0},
+	} {
+		id := strings.ReplaceAll(tt.name, " ", "-")
+		got := n.callWithID(id, tt.method, tt.path, "x", tt.header...)
+		if got.status != tt.status || got.err != nil || got.status == 401 && !strings.Contains(got.body, "API key") {
+			t.Errorf("%s: got response %+v, want status %d", tt.name, got, tt.status)
+		}
+		c.checkArrivals(id, tt.workspace, tt.arrivals)
+	}
+	c.waitUntil("the shared key is logged", func() bool { return strings.Contains(c.logs.String(), "key of two workspaces") })
+	c.checkNoKeysInLogs()
+}
+
+// TestRetriesKeepTheWorkspace checks that each send of a request, also one that continues a
+// stream, names the workspace and no key.
+func TestRetriesKeepTheWorkspace(t *testing.T) {
+	c := newKeyedCluster(t)
+	n := c.startNode("n1")
+	c.waitReady(n)
+	c.setFaults(bystub.RunnerFaults{Error: 1})
+	n.callWithID("twice", "GET", "/read/1", "", keyNorth)
+	c.checkArrivals("twice", "north", 2)
+	c.setFaults(bystub.RunnerFaults{})
+	c.runners["d-1"].SetFaults(bystub.RunnerFaults{Cut: 1})
+	c.runners["d-2"].SetFaults(bystub.RunnerFaults{Cut: 1})
+	n.callWithID("cut", "POST", "/quick/1", "x", keyNorth, shortPrompt, shortTokens)
+	c.checkArrivals("cut", "north", 2)
+}
+
+// TestKeyIsTakenAwayWhileARequestRuns checks that a request whose key is taken away before
+// it is sent again gets no further send: neither its second attempt nor, after its prompt
+// was read, its run.
+func TestKeyIsTakenAwayWhileARequestRuns(t *testing.T) {
+	for _, tt := range []struct {
+		name, method, path string
+		header             []string
+		status             int
+	}{
+		{"retry", "GET", "/read/1", []string{keyNorth}, 502},
+		{"long prompt", "POST", "/long/1", []string{keyNorth, longPrompt, longTokens}, 401},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newKeyedCluster(t, func(cfg *bystub.RunnerConfig) { cfg.ServiceTime = 1200 * time.Millisecond })
+			n := c.startNode("n1")
+			c.waitReady(n)
+			for _, id := range []string{"app-1", "app-2"} {
+				c.runners[id].CrashOn(func(*http.Request) bool { return true }, func() {})
+			}
+			replies := make(chan reply, 1)
+			var group errgroup.Group
+			group.Go(func() error { replies <- n.callWithID("late", tt.method, tt.path, "x", tt.header...); return nil })
+			c.waitUntil("a runner has the request", func() bool { return c.arrivals("late") == 1 })
+			c.tenants = c.tenants[1:]
+			c.publishConfig(4, publicBooking)
+			if got := <-replies; got.status != tt.status {
+				t.Errorf("got response %+v, want status %d", got, tt.status)
+			}
+			c.checkArrivals("late", "north", 1)
+			if got := c.arrivals("late"); got != 1 {
+				t.Errorf("runners got %d requests, want 1", got)
+			}
+			if got := n.call("POST", "/quick/1", "x", keySouth, shortPrompt, shortTokens); got.status != 200 {
+				t.Errorf("got response %+v to another key, want status 200", got)
+			}
+			if err := group.Wait(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// TestNewKeyIsServedOnceItIsKnown checks that a new key and one that moves to another
+// workspace take effect.
+func TestNewKeyIsServedOnceItIsKnown(t *testing.T) {
+	c := newKeyedCluster(t)
+	n := c.startNode("n1")
+	c.waitReady(n)
+	c.tenants = []tenant{{"north", []string{"secret-of-south"}}, {"east", []string{"secret-of-nobody"}}}
+	c.publishConfig(4, publicBooking)
+	c.waitUntil("the new key is served", func() bool { return n.call("GET", "/read/1", "", keyUnknown).status == 200 })
+	n.callWithID("moved", "GET", "/read/1", "", keySouth)
+	c.checkArrivals("moved", "north", 1)
+	if got := n.call("GET", "/read/1", "", keyNorth); got.status != 401 {
+		t.Errorf("got response %+v to a key that was taken away, want 401", got)
+	}
+}
--- a/io/bymetrics/bymetrics.go
+++ b/io/bymetrics/bymetrics.go
@@ -166,6 +166,13 @@
 	return m.set.GetOrCreateHistogram("burdock_prompt_wait_seconds")
 }
 
+// KeyRefusals returns the counter of requests that were refused because of their key, by
+// cause. It counts each refusal of a node that decided, also for a request that another
+// node then serves.
+func (m *Metrics) KeyRefusals(cause string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_key_refusals_total{cause=%q}`, cause))
+}
+
 // StoreCalls returns the counter of calls to the platform's store, by table and
 // outcome.
 func (m *Metrics) StoreCalls(table, outcome string) *metrics.Counter {
--- a/protocol.go
+++ b/protocol.go
@@ -13,7 +13,7 @@
 	Prompt      *Prompt       // description of the prompt; nil if there is none
 	LastEventID string        // ID of the last event that the caller has received; empty if none
 	Key         KeyHash       // hash of the caller's key
-	HasKey      bool          // whether the caller has sent a key
+	HasKey      bool          // whether the caller has sent a key, and only one
 	Resumes     RequestID     // ID of the request that brought the first event of the stream that the caller takes up; empty if it names none
 }
 
