--- a/core/bybudget/window.go
+++ b/core/bybudget/window.go
@@ -20,11 +20,8 @@
 	ratio  float64       // retries that one request allows
 	slack  float64       // retries allowed regardless of the requests
 	window time.Duration // length of the window
-	// emptySince is when a process started whose predecessor may have spent the slack; zero
-	// if there was none.
-	emptySince time.Time
-	slots      [windowSlots + 1]windowSlot
-	newest     int // index of the slot for the current time
+	slots  [windowSlots + 1]windowSlot
+	newest int // index of the slot for the current time
 }
 
 // windowSlots is the number of slots that divide the window. One more is kept for
@@ -38,22 +35,9 @@
 	retries  int
 }
 
-// WindowOption sets an optional part of a WindowBudget.
-type WindowOption func(*WindowBudget)
-
-// WithEmptySlack makes the slack grow from zero at the given time to its full size one window
-// later. A process that starts needs it, because the process before it may have spent the
-// slack of the window in progress.
-func WithEmptySlack(since time.Time) WindowOption {
-	return func(b *WindowBudget) { b.emptySince = since }
-}
-
 // NewWindow returns a WindowBudget without requests.
-func NewWindow(clock burdockyard.Clock, ratio, slack float64, window time.Duration, opts ...WindowOption) *WindowBudget {
+func NewWindow(clock burdockyard.Clock, ratio, slack float64, window time.Duration) *WindowBudget {
 	b := &WindowBudget{clock: clock}
-	for _, opt := range opts {
-		opt(b)
-	}
 	b.SetLimits(ratio, slack, window)
 	return b
 }
@@ -124,9 +108,5 @@
 			retries += s.retries // the end of the slot is still part of the window
 		}
 	}
-	slack := b.slack
-	if age := now.Sub(b.emptySince); !b.emptySince.IsZero() && age < b.window {
-		slack *= float64(max(age, 0)) / float64(b.window)
-	}
-	return b.ratio*float64(requests) + slack - float64(retries)
+	return b.ratio*float64(requests) + b.slack - float64(retries)
 }
--- a/io/byentry/budgets.go
+++ b/io/byentry/budgets.go
@@ -17,9 +17,6 @@
 	// minSlack is the number of retries that every node may make in a window regardless
 	// of its requests, even if its share of the slack is smaller.
 	minSlack = 1.0
-	// soloDoubtTime is how long a node that has started again does not take itself for the
-	// only one because it has not heard of others yet.
-	soloDoubtTime = 2 * time.Second
 	// defaultRetryWindow is the window of the budgets if the settings name none.
 	defaultRetryWindow = 10 * time.Second
 )
@@ -32,21 +29,12 @@
 	ratio      float64       // maximum ratio of retries to requests
 	totalSlack float64       // retries allowed in addition to ratio, over all nodes
 	window     time.Duration // time over which requests and retries count
-	nodes      int           // number of nodes that share totalSlack; 0 if that is not known yet
-	startedAt  time.Time
+	nodes      int           // number of nodes that share totalSlack
 	byService  map[string]*bybudget.WindowBudget
-	opts       []bybudget.WindowOption
 }
 
-// newRetryBudgets returns the budgets of a node that has just started. Unless it is the first
-// start of the system, processes before it may have spent what the window in progress allows.
-func newRetryBudgets(clock burdockyard.Clock, firstSystemStart bool) *retryBudgets {
-	b := &retryBudgets{clock: clock, window: defaultRetryWindow, nodes: 1, startedAt: clock.Now(), byService: map[string]*bybudget.WindowBudget{}}
-	if !firstSystemStart {
-		b.nodes = 0
-		b.opts = append(b.opts, bybudget.WithEmptySlack(b.startedAt))
-	}
-	return b
+func newRetryBudgets(clock burdockyard.Clock) *retryBudgets {
+	return &retryBudgets{clock: clock, window: defaultRetryWindow, nodes: 1, byService: map[string]*bybudget.WindowBudget{}}
 }
 
 // forService returns the retry budget of a service.
@@ -55,7 +43,7 @@
 	defer b.mu.Unlock()
 	budget := b.byService[service]
 	if budget == nil {
-		budget = bybudget.NewWindow(b.clock, b.ratio*retryBudgetFraction, b.nodeSlack(), b.window, b.opts...)
+		budget = bybudget.NewWindow(b.clock, b.ratio*retryBudgetFraction, b.nodeSlack(), b.window)
 		b.byService[service] = budget
 	}
 	return budget
@@ -75,9 +63,6 @@
 // nodeSlack returns the number of retries of a service that this node may make in a
 // window regardless of its requests. mu must be held.
 func (b *retryBudgets) nodeSlack() float64 {
-	if b.nodes == 0 {
-		return minSlack
-	}
 	return max(b.totalSlack*retryBudgetFraction/float64(b.nodes), minSlack)
 }
 
@@ -85,9 +70,6 @@
 func (b *retryBudgets) setNodes(nodes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.nodes == 0 && nodes == 1 && b.clock.Now().Sub(b.startedAt) < soloDoubtTime {
-		return
-	}
 	if nodes != b.nodes {
 		b.nodes = nodes
 		b.applyLimits()
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -224,7 +224,7 @@
 	n.loadTracker = byplace.NewLoadTracker(n.clock)
 	n.forwarder = byforward.New(n.clock, func(h http.Header) burdockyard.RequestID { return p.Protocol.DecodeResponse(http.StatusOK, h).ID })
 	n.view = bymember.New(n.clock, n.self)
-	n.retryBudgets = newRetryBudgets(n.clock, s.FirstSystemStart)
+	n.retryBudgets = newRetryBudgets(n.clock)
 	n.peers = newPeers(n)
 	n.callerConns = newCallerConns(n.clock)
 	n.endProofs, n.testimonies = newEndProofs(maxProofs), newEndProofs(maxExaminations)
