Report how many requests of each workspace began in each window

Cause: the platform expects a report of usage for each window, and nothing counts or reports it. Change: each node counts by workspace and window of true time, which is the median of all nodes' wall clocks, and reports its counts to the holder of the duties until the holder says that they are stored. The holder merges them by process, saves them about once a second in the transaction that renews its lease, fixes the content of a window in the store before it reports it, and repeats a report without an answer with the same content. Windows whose content a restore of the store may have lost are left out.

--- a/core/byduty/byduty.go
+++ b/core/byduty/byduty.go
@@ -185,6 +185,21 @@
 	return k.held
 }
 
+// Era returns the era of the store that this node has seen last, and false if it has seen
+// none.
+func (k *Keeper) Era() (uint64, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.era, k.eraKnown
+}
+
+// HasSeenRestore reports whether this process has seen that the store was restored.
+func (k *Keeper) HasSeenRestore() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.notBefore.IsZero()
+}
+
 // Abandon gives up the duties without a write. Another node takes them over after the
 // usual wait.
 func (k *Keeper) Abandon() {
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -273,6 +273,7 @@
 		resp, o, err := c.send(ctx, e, burdockyard.Attempt{Priority: -1})
 		if o != outcomeNotRun {
 			c.possibleRuns++
+			c.countBegun()
 		}
 		var buffered *bufferedResponse
 		if o == outcomeAnswered {
--- a/io/byentry/duties.go
+++ b/io/byentry/duties.go
@@ -12,6 +12,7 @@
 	"burdockyard"
 	"burdockyard/core/byduty"
 	"burdockyard/core/bymember"
+	"burdockyard/core/byusage"
 	"burdockyard/io/bylog"
 	"burdockyard/io/bypeer"
 )
@@ -49,6 +50,7 @@
 	lastHolder   time.Time // when a holder was last heard of
 	nextAttempt  time.Time
 	wasAuthority bool
+	reportedTo   uint64 // fencing number of the holder that got the last report; used by report only
 }
 
 func newDuties(n *Node) *duties {
@@ -240,27 +242,59 @@
 		return
 	}
 	n := d.node
-	report := bypeer.DutyReport{Demand: n.scaling.demand()}
-	if _, _, ok := d.keeper.Authority(); ok {
-		d.take(n.self, report)
-		return
-	}
 	holder, fence := d.peerHolder()
-	addr, err := netip.ParseAddrPort(holder.Member.Addr)
-	if fence == 0 || err != nil || report.IsEmpty() {
+	if a, _, ok := d.keeper.Authority(); ok {
+		holder, fence = bymember.Heartbeat{Member: n.self}, a.Fence
+	}
+	if fence != d.reportedTo {
+		d.reportedTo = fence
+		n.usage.counter.Resend()
+	}
+	report := bypeer.DutyReport{Demand: n.scaling.demand(), Usage: n.usage.report()}
+	switch {
+	case fence == 0 || report.IsEmpty():
+	case holder.Member == n.self:
+		n.usage.applyAcks(d.take(n.self, report))
+	default:
+		d.sendTo(holder.Member, bypeer.Datagram{DutyReport: report})
+	}
+}
+
+// sendTo sends a datagram to one node.
+func (d *duties) sendTo(to burdockyard.Member, datagram bypeer.Datagram) {
+	n := d.node
+	addr, err := netip.ParseAddrPort(to.Addr)
+	if err != nil {
 		return
 	}
 	// A heartbeat with sequence number 0 only names the sender.
-	h := bymember.Heartbeat{Member: n.self, Domain: n.settings.Domain}
-	n.peers.send(bypeer.Datagram{Heartbeat: h, DutyReport: report}, []netip.AddrPort{addr})
+	datagram.Heartbeat = bymember.Heartbeat{Member: n.self, Domain: n.settings.Domain, UnixMS: n.usage.wallTime()}
+	n.peers.send(datagram, []netip.AddrPort{addr})
 }
 
-// take handles the report of a node, provided that this node holds the duties.
-func (d *duties) take(from burdockyard.Member, r bypeer.DutyReport) {
-	if !d.keeper.IsHolder() {
+// handleDatagram handles what another node tells of duties, and of its wall clock.
+func (d *duties) handleDatagram(datagram bypeer.Datagram) {
+	h := datagram.Heartbeat
+	if len(d.enabled()) == 0 || h.Member.Node == d.node.self.Node {
 		return
 	}
+	d.node.usage.trueTime.Observe(h.Member.Node, h.UnixMS, h.Waited)
+	d.node.usage.applyAcks(datagram.UsageAcks)
+	if !datagram.DutyReport.IsEmpty() {
+		if acks := d.take(h.Member, datagram.DutyReport); len(acks) > 0 {
+			d.sendTo(h.Member, bypeer.Datagram{UsageAcks: acks})
+		}
+	}
+}
+
+// take handles the report of a process, provided that this node holds the duties, and returns
+// what to tell the process.
+func (d *duties) take(from burdockyard.Member, r bypeer.DutyReport) []byusage.Ack {
+	if !d.keeper.IsHolder() {
+		return nil
+	}
 	if len(r.Demand) > 0 {
 		d.node.scaling.record(from, r.Demand)
 	}
+	return d.node.usage.take(from, r.Usage)
 }
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -165,6 +165,7 @@
 	roles              *roleController
 	duties             *duties
 	scaling            *scaling
+	usage              *usage
 	metrics            *bymetrics.Metrics
 	log                loggers
 	stopping           atomic.Bool
@@ -232,7 +233,7 @@
 	n.stop = newStopState()
 	n.serving, n.endRequests = context.WithCancel(context.Background())
 	n.roles = newRoleController(n)
-	n.duties, n.scaling = newDuties(n), &scaling{}
+	n.duties, n.scaling, n.usage = newDuties(n), &scaling{}, newUsage(n)
 	n.relayClients = bypeer.NewRelayClients()
 	n.configWatcher = newTableWatcher(n, p.ConfigTable, func() time.Duration { return n.reloadableSettings.Load().ConfigBound }, configMaxAgeShare, n.log.config, n.applyConfig)
 	instanceWatcher := newTableWatcher(n, p.InstanceTable, func() time.Duration { return n.reloadableSettings.Load().DrainBound }, drainMaxAgeShare, n.log.fleet, n.applyInstances)
@@ -401,6 +402,7 @@
 	group.Go(func() error { return runEvery(ctx, hangingProbeInterval, n.probeHanging) })
 	if n.platform.API != nil {
 		group.Go(func() error { return n.duties.run(ctx) })
+		group.Go(func() error { return n.usage.run(ctx) })
 		group.Go(func() error { return runEvery(ctx, dutyReportInterval, n.duties.report) })
 	}
 }
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -75,6 +75,7 @@
 	handedOver      *handover                       // set if another node has handed the request over
 	linkFailures    int                             // number of attempts that failed for want of a link
 	endpointRefused bool                            // whether an endpoint has refused the request
+	counted         bool                            // whether the request counts as begun, for the report of usage
 }
 
 // ServeHTTP implements http.Handler.
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -144,7 +144,7 @@
 		p.handleHeartbeat(d.Heartbeat)
 	}
 	p.handleRelayed(d)
-	p.node.duties.take(d.Heartbeat.Member, d.DutyReport)
+	p.node.duties.handleDatagram(d)
 	for _, c := range d.Confirmations {
 		p.node.applyConfirmation(c)
 	}
@@ -525,6 +525,7 @@
 	heartbeat.SplitEra, heartbeat.SplitSeq = n.versions.table.Number()
 	heartbeat.StreamStarts = n.versions.table.News()
 	heartbeat.Reach, heartbeat.HeldDuties = n.ownReach(), n.duties.held()
+	heartbeat.UnixMS = n.usage.wallTime()
 	if t := n.routes.Current(); t != nil {
 		heartbeat.Generation = t.Version()
 	}
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -153,6 +153,9 @@
 	}
 	sentAt, eventsBefore := n.clock.Now(), relay.eventCount
 	onFirstByte := func() {
+		if resp.Status == http.StatusOK {
+			c.countBegun()
+		}
 		took, tokens := time.Duration(0), 0
 		if p := c.info.Prompt; p != nil {
 			tokens = p.InputTokens
