--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -528,6 +528,7 @@
 	heartbeat.UnixMS = n.usage.wallTime()
 	if t := n.routes.Current(); t != nil {
 		heartbeat.Generation = t.Version()
+		heartbeat.ChecksKeys = t.Workspaces().ChecksKeys()
 	}
 	return heartbeat
 }
--- a/io/byentry/usage.go
+++ b/io/byentry/usage.go
@@ -99,9 +99,6 @@
 	}
 }
 
-// workspaceName returns the workspace that the caller belongs to, empty if there is none.
-func (c *call) workspaceName() string { return "" }
-
 // report returns what this node tells the holder.
 func (u *usage) report() []byusage.Window {
 	if u.length() == 0 {
