Test reports of usage against a platform that loses and delays calls

Cause: nothing tests duties with several nodes. Change: bystub.API stands in for the platform's API and notes each call that breaks a rule; a test of three nodes stops the holder.

--- a/io/byentry/cluster_test.go
+++ b/io/byentry/cluster_test.go
@@ -48,6 +48,8 @@
 	tenants        []tenant      // workspaces of the configuration; nil if it checks no keys
 	revokeBound    time.Duration // ReloadableSettings.RevokeBound of each node
 	logs           syncBuffer    // log output of all nodes
+	api            *bystub.API   // the platform's API; nil if there is none
+	apiAddr        string        // its address
 	logOutput      io.Writer     // where nodes write their logs; nil means logs
 }
 
@@ -183,8 +185,11 @@
 	if out == nil {
 		out = &c.logs
 	}
+	if c.api != nil {
+		s.Duties = testDuties
+	}
 	node := byentry.New(s, byentry.Platform{
-		Registry: store, Table: store, Protocol: platform.Protocol{}, Engines: platform.EngineProtocol{},
+		API: c.platformAPI(), Registry: store, Table: store, Protocol: platform.Protocol{}, Engines: platform.EngineProtocol{},
 		ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, InstanceTable: platform.InstanceTable,
 		DecodeConfig: platform.DecodeConfig, RedactRow: platform.RedactConfigRow, DecodeInstance: platform.DecodeInstance,
 		NewDirectory: func(lookup func(host, domain string) ([]string, time.Duration)) http.Handler {
--- /dev/null
+++ b/io/byentry/duties_test.go
@@ -0,0 +1,73 @@
+package byentry_test
+
+import (
+	"testing"
+	"time"
+
+	"burdockyard"
+	"burdockyard/io/byentry"
+	"burdockyard/platform"
+	"burdockyard/platform/bystub"
+)
+
+// testDuties are the duties of nodes in clusters with an API.
+var testDuties = byentry.DutySettings{Reports: true, CallsPerS: 50, Lease: 600 * time.Millisecond, UsageWindow: time.Second, UsageDeadline: 4 * time.Second}
+
+// platformAPI returns the client of the cluster's API.
+func (c *testCluster) platformAPI() burdockyard.PlatformAPI {
+	if c.api == nil {
+		return nil
+	}
+	return platform.NewAPI(c.apiAddr)
+}
+
+// TestUsageIsReportedOnce lets callers of a workspace use three nodes while the platform loses
+// answers and carries out calls late, and the holder of the duty stops: each request is
+// reported once, and each window with one content.
+func TestUsageIsReportedOnce(t *testing.T) {
+	c := newKeyedCluster(t)
+	c.api = bystub.NewAPI()
+	c.apiAddr = c.serveHandler(c.api)
+	c.api.SetFaults(bystub.APIFaults{Lose: 3, LateBy: time.Second})
+	var nodes []*testNode
+	for _, name := range []string{"n1", "n2", "n3"} {
+		nodes = append(nodes, c.startNode(name))
+	}
+	for _, n := range nodes {
+		c.waitReady(n)
+	}
+	want := int64(0)
+	send := func(nodes []*testNode, times int) {
+		for i := range times {
+			for _, n := range nodes {
+				path, header := "/read/1", []string{keyNorth}
+				if i%2 == 0 {
+					path, header = "/quick/1", append(header, shortPrompt, shortTokens)
+				}
+				if r := n.call("GET", path, "", header...); r.status != 200 {
+					t.Errorf("status %d, error %v", r.status, r.err)
+				}
+				want++
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	reported := func() (sum int64) {
+		for _, n := range c.api.Usage("north") {
+			sum += n
+		}
+		return sum
+	}
+	send(nodes, 20)
+	c.waitUntil("the usage is reported", func() bool { return reported() >= want })
+	nodes[0].stop() // by name the first of equal nodes, so it holds the duty
+	send(nodes[1:], 20)
+	c.waitUntil("another node reports the usage", func() bool { return reported() >= want })
+	time.Sleep(2 * testDuties.UsageWindow)
+	if got := reported(); got != want {
+		t.Errorf("%d requests are reported, want %d", got, want)
+	}
+	if v := c.api.Violations(); len(v) > 0 {
+		t.Errorf("broken rules: %v", v)
+	}
+}
