--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -76,6 +76,7 @@
 	handedOver      *handover                       // set if another node has handed the request over
 	linkFailures    int                             // number of attempts that failed for want of a link
 	endpointRefused bool                            // whether an endpoint has refused the request
+	counted         bool                            // whether the request counts as begun, for the report of usage
 	checksKeys      bool                            // whether the system checks keys, so that endpoints do not get them
 	workspace       *burdockyard.Workspace          // workspace that the caller belongs to; nil if the request needs no key
 	denial          byworkspace.Cause               // why the request must not run here, as of the last call of authorize; empty if it may
