--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -527,6 +527,7 @@
 	heartbeat.Reach, heartbeat.HeldDuties = n.ownReach(), n.duties.held()
 	if t := n.routes.Current(); t != nil {
 		heartbeat.Generation = t.Version()
+		heartbeat.ChecksKeys = t.Workspaces().ChecksKeys()
 	}
 	return heartbeat
 }
