Let decode engines count for prefill in the need of endpoints

A crest of long prompts asked for 118 endpoints though decode engines prefilled half of them, and a prefill at a decode engine counted for twice its time. After an order without an answer, the others of the round waited for one timeout each. Change: what prefill engines cannot take is counted at decode engines at twice the time; long prompts count for prefill wherever they run; lasting endpoints are replaced twice as fast; a round ends at the first call without an answer; endpoints count as missing after two boot times. Tests of core/byscale, core/byplace and TestOnlyHolderOrders pass.

--- a/core/byplace/enginetime.go
+++ b/core/byplace/enginetime.go
@@ -3,25 +3,33 @@
 import (
 	"time"
 
+	"burdockyard"
 	"burdockyard/core/byfleet"
 )
 
 // EngineTime is the predicted time for which a request takes up engines.
 type EngineTime struct {
-	Prefill time.Duration // at a prefill engine
-	Decode  time.Duration // at a decode engine, including a prefill there
+	Prefill time.Duration // of a prompt that is worth a prefill engine, wherever it runs
+	Decode  time.Duration // of streams, and of prompts that decode engines prefill anyway
 }
 
 // EngineTime returns the predicted engine time of a plan, at the measured speed of its
-// engines. A stream takes up the share of its engine that one slot is.
-func (t *LoadTracker) EngineTime(p Plan) EngineTime {
+// engines. A stream takes up the share of its engine that one slot is. A prefill at a decode
+// engine takes longer because streams run in between; that time is theirs.
+func (t *LoadTracker) EngineTime(p Plan, prompt *burdockyard.Prompt) EngineTime {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := EngineTime{Decode: t.meanStreamTime / time.Duration(max(p.DecodeEngine.Slots, 1))}
+	var prefill time.Duration
 	if p.PrefillEngine != nil {
-		e.Prefill = time.Duration(float64(p.PrefillTime) * t.record(p.PrefillEngine.ID).slowdown)
+		prefill = time.Duration(float64(p.PrefillTime) * t.record(p.PrefillEngine.ID).slowdown)
 	} else {
-		e.Decode += time.Duration(float64(p.PrefillTime) * t.record(p.DecodeEngine.ID).slowdown)
+		prefill = time.Duration(float64(p.PrefillTime) / decodePrefillFactor * t.record(p.DecodeEngine.ID).slowdown)
+	}
+	if IsLongPrompt(prompt) {
+		e.Prefill = prefill
+	} else {
+		e.Decode += prefill
 	}
 	return e
 }
@@ -38,6 +46,10 @@
 	return sum
 }
 
-// PrefillTime returns how long an engine of typical speed takes to prefill a prompt of
-// which nothing is cached.
-func PrefillTime(tokens int) time.Duration { return basePrefillTime(tokens, 0) }
+// UnplannedPrefill returns a plan for a prompt for which there is no engine: nothing of it
+// is cached.
+func UnplannedPrefill(prompt *burdockyard.Prompt, slots int) Plan {
+	p := Plan{PrefillTime: time.Duration(decodePrefillFactor * float64(basePrefillTime(promptTokens(prompt), 0)))}
+	p.DecodeEngine.Slots = slots
+	return p
+}
--- a/core/byscale/planner.go
+++ b/core/byscale/planner.go
@@ -14,6 +14,9 @@
 	// targetUse is the share of an engine's time that predicted work may take at the peak.
 	// Queues grow without bound as it nears 1.
 	targetUse = 0.6
+	// overflowCost is the engine time that a prefill takes at a decode engine, relative to the
+	// time at a prefill engine, since it stalls the streams there.
+	overflowCost = 2
 	// minPrefillEngines and minDecodeEngines are kept of each role.
 	minPrefillEngines = 2
 	minDecodeEngines  = 2
@@ -28,7 +31,7 @@
 	lastingShare = 0.5
 	// unknownLastingShare is the share of the endpoints that are lasting as long as the load is
 	// not known.
-	unknownLastingShare = 0.25
+	unknownLastingShare = 0.15
 	// stableBoots is the time, in boot times, for which the need must have been smaller before
 	// counts are lowered.
 	stableBoots = 2
@@ -128,13 +131,17 @@
 }
 
 // engines returns how many endpoints the work needs if it may take the given share of
-// their time. Each role needs enough engines; their proportion is the present one, since
-// the platform chooses the roles of new engines.
+// their time. Their proportion of roles is the present one, since the platform chooses the
+// roles of new engines. Decode engines prefill what the prefill engines cannot, at a
+// higher cost.
 func engines(w Work, use, prefillShare float64) int {
 	if prefillShare <= 0 || prefillShare >= 1 {
 		return int(math.Ceil((w.Prefill + w.Decode) / use))
 	}
-	return int(math.Ceil(max(w.Prefill/prefillShare, w.Decode/(1-prefillShare)) / use))
+	forDecode := w.Decode / (1 - prefillShare)
+	forPrefill := w.Prefill / prefillShare
+	forBoth := (w.Decode + overflowCost*w.Prefill) / (1 - prefillShare + overflowCost*prefillShare)
+	return int(math.Ceil(max(forDecode, min(forPrefill, forBoth)) / use))
 }
 
 // minEngines returns the smallest number of endpoints with enough engines of each role.
@@ -230,12 +237,12 @@
 	return sum
 }
 
-// missing returns how many endpoints were ordered long ago and do not serve. The platform
-// may count one that has crashed.
+// missing returns how many endpoints were ordered more than two boot times ago and do not
+// serve. The platform may count one that has crashed.
 func (p *Planner) missing(spec *burdockyard.ScalingSpec, c census, now time.Time) int {
 	sum := 0
 	for key, q := range p.pools {
-		if q.known && now.Sub(q.orderedAt) > spec.BootTime+registryLag && now.After(q.refusedTill) {
+		if q.known && now.Sub(q.orderedAt) > 2*spec.BootTime+registryLag && now.After(q.refusedTill) {
 			sum += max(q.ordered-c.usable[key], 0)
 		}
 	}
@@ -272,9 +279,9 @@
 		return current, "endpoints leave that were not ordered away", true, true
 	case q.known && present != current && now.Sub(q.orderedAt) >= spec.BootTime+registryLag:
 		return current, "another count runs than was ordered", true, true
-	case target == current || now.Sub(p.since) < spec.BootTime+registryLag:
+	case target == current || now.Sub(p.since) < spec.BootTime:
 		return 0, "", false, false // endpoints that a former holder has ordered may still boot
-	case now.Sub(q.raisedAt) < spec.BootTime+registryLag || q.known && now.Sub(q.orderedAt) < spec.BootTime:
+	case now.Sub(q.raisedAt) < spec.BootTime+registryLag || q.known && now.Sub(q.orderedAt) < spec.BootTime/2:
 		return 0, "", false, false
 	}
 	return current - int(math.Ceil(float64(current-target)*excessShare)), "more than the load needs", false, true
--- a/io/byentry/scaling.go
+++ b/io/byentry/scaling.go
@@ -52,10 +52,9 @@
 	}
 	tokens := byplace.PromptTokens(prompt)
 	if !planned {
-		plan = byplace.Plan{PrefillTime: byplace.PrefillTime(tokens)}
-		plan.DecodeEngine.Slots = service.Model.Slots
+		plan = byplace.UnplannedPrefill(prompt, service.Model.Slots)
 	}
-	t := s.node.loadTracker.EngineTime(plan)
+	t := s.node.loadTracker.EngineTime(plan, prompt)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	d := s.count(service.Name)
@@ -173,7 +172,9 @@
 	decisions := p.Decide(state)
 	s.showCounts(spec.Name, p, state)
 	for _, d := range decisions {
-		s.order(ctx, spec, p, d)
+		if err := s.order(ctx, spec, p, d); err != nil && !errors.Is(err, burdockyard.ErrCallRefused) {
+			return // the rest may be out of date by the time that the platform answers again
+		}
 	}
 }
 
@@ -213,7 +214,7 @@
 }
 
 // order sends one order.
-func (s *scaling) order(ctx context.Context, spec *burdockyard.ServiceSpec, p *byscale.Planner, d byscale.Decision) {
+func (s *scaling) order(ctx context.Context, spec *burdockyard.ServiceSpec, p *byscale.Planner, d byscale.Decision) error {
 	n := s.node
 	fence := uint64(0)
 	err := n.duties.call(ctx, burdockyard.DutyScale, func(ctx context.Context, a burdockyard.Authority) error {
@@ -221,7 +222,7 @@
 		return n.platform.API.Scale(ctx, a, d.Order)
 	})
 	if errors.Is(err, byduty.ErrNotHeld) {
-		return
+		return err
 	}
 	p.RecordOutcome(d, spec.Scaling.BootTime, err)
 	n.metrics.ScaleOrders(spec.Name, callOutcome(err)).Inc()
@@ -229,6 +230,7 @@
 		bylog.Int("count", d.Order.Count), bylog.Int("present", d.Present), bylog.Str("reason", d.Reason), bylog.Int("need", d.Need), bylog.Int("reserve", d.Reserve),
 		bylog.Int("prefill_ms_per_s", int(1000*d.Work.Prefill)), bylog.Int("decode_ms_per_s", int(1000*d.Work.Decode)),
 		bylog.Int("fence", int(fence)), bylog.Str("outcome", callOutcome(err)))
+	return err
 }
 
 // showCounts sets the metrics of a service's endpoints.
