Split the choice of the next order from its check

Cause: four results of one function, two of them flags, hid which orders lower a count. Change: a type for the next order, and one method that says whether the endpoints that remain suffice. No change in behaviour.

--- a/core/byscale/planner.go
+++ b/core/byscale/planner.go
@@ -161,34 +161,32 @@
 	target := allocate(a)
 	p.wanted = target
 	var raise, lower []Decision
-	left := maps.Clone(c.usable) // after the orders so far
+	left := c.usable // after the orders so far
 	for _, key := range p.poolsOf(s.Spec) {
-		d := Decision{Need: a.need, Reserve: total(target) - a.need, Present: c.present[key], Work: s.Forecast.Peak}
-		d.Order = burdockyard.ScaleOrder{Service: p.service, Domain: key.Domain, Spot: key.Spot}
-		var isRaise, due bool
-		if d.Order.Count, d.Reason, isRaise, due = p.next(key, s.Spec, target[key], c, now); !due {
+		next, due := p.next(key, s.Spec, target[key], c, now)
+		if !due {
 			continue
 		}
-		if isRaise {
+		d := Decision{Reason: next.reason, Need: a.need, Reserve: total(target) - a.need, Present: c.present[key], Work: s.Forecast.Peak}
+		d.Order = burdockyard.ScaleOrder{Service: p.service, Domain: key.Domain, Spot: key.Spot, Count: next.count}
+		if !next.isLower {
 			raise = append(raise, d)
 			continue
 		}
-		// An endpoint goes only once those that replace it serve.
-		before := left[key]
-		left[key] = min(before, d.Order.Count)
-		if remaining(left) < a.need && before > left[key] && !a.hasExcess(left) {
-			left[key] = before
-			continue
+		after := maps.Clone(left)
+		after[key] = min(left[key], next.count)
+		if after[key] < left[key] && !a.suffices(after) {
+			continue // endpoints go only once those that replace them serve
 		}
-		lower = append(lower, d)
+		left, lower = after, append(lower, d)
 	}
 	return append(raise, lower...)
 }
 
-// hasExcess reports whether the endpoints suffice as long as no loss happens, when a
-// reserve cannot be had anyway.
-func (a allocation) hasExcess(left map[Pool]int) bool {
-	return len(a.spotCap) == len(a.spec.DomainPrices) && total(left) >= a.need
+// suffices reports whether the endpoints suffice after the worst loss or, if no domain has
+// spot endpoints to replace them, as long as there is none.
+func (a allocation) suffices(counts map[Pool]int) bool {
+	return remaining(counts) >= a.need || len(a.spotCap) == len(a.spec.DomainPrices) && total(counts) >= a.need
 }
 
 // allocation derives what is to be allocated from the state.
@@ -205,11 +203,14 @@
 		p.startLasting = min(total(c.present)-spotCount(c.present), int(math.Ceil(unknownLastingShare*float64(p.startNeed))))
 	}
 	p.prefillShare += shareWeight * (c.prefillShare - p.prefillShare)
-	current := need{now, max(engines(s.Forecast.Peak, targetUse, p.prefillShare), minEngines(p.prefillShare)), int(math.Ceil(lastingShare * float64(engines(s.Forecast.Mean, 1, p.prefillShare))))}
+	current := need{
+		at:      now,
+		all:     max(engines(s.Forecast.Peak, targetUse, p.prefillShare), minEngines(p.prefillShare), int(math.Ceil(s.InFlight/targetUse))),
+		lasting: int(math.Ceil(lastingShare * float64(engines(s.Forecast.Mean, 1, p.prefillShare)))),
+	}
 	if !s.Forecast.Known {
 		current.all, current.lasting = max(current.all, p.startNeed), max(current.lasting, p.startLasting)
 	}
-	current.all = max(current.all, int(math.Ceil(s.InFlight/targetUse)))
 	current = p.stable(current, s.Spec)
 	a.need = min(current.all+p.missing(s.Spec, c, now), s.Spec.Max*len(s.Spec.DomainPrices))
 	a.lasting = min(max(current.lasting, 1), a.need)
@@ -259,32 +260,40 @@
 	return keys
 }
 
-// next returns the count to order for a pool, and whether an order is due. isRaise states
-// that the order adds endpoints or repeats an earlier one.
-func (p *Planner) next(key Pool, spec *burdockyard.ScalingSpec, target int, c census, now time.Time) (n int, reason string, isRaise, due bool) {
+// step is the next order for a pool.
+type step struct {
+	count   int
+	reason  string
+	isLower bool // whether endpoints go
+}
+
+// next returns the order that is due for a pool, and false if there is none.
+func (p *Planner) next(key Pool, spec *burdockyard.ScalingSpec, target int, c census, now time.Time) (step, bool) {
 	q := p.pool(key)
 	present := c.present[key]
 	current := present
 	if q.known {
 		current = q.ordered
 	}
+	sinceOrder := now.Sub(q.orderedAt)
+	bootedBy := spec.BootTime + registryLag
 	switch {
 	case now.Before(q.refusedTill):
-		return 0, "", false, false
+		return step{}, false
 	case q.unsettled && target <= q.ordered:
-		return q.ordered, "no answer to the last order", true, now.Sub(q.orderedAt) >= unsettledTime
+		return step{q.ordered, "no answer to the last order", false}, sinceOrder >= unsettledTime
 	case target > current:
-		return target, "load or reserve", true, true
-	case q.known && present < current && c.leaving[key] > 0 && now.Sub(q.orderedAt) >= registryLag:
-		return current, "endpoints leave that were not ordered away", true, true
-	case q.known && present != current && now.Sub(q.orderedAt) >= spec.BootTime+registryLag:
-		return current, "another count runs than was ordered", true, true
+		return step{target, "load or reserve", false}, true
+	case q.known && present < current && c.leaving[key] > 0 && sinceOrder >= registryLag:
+		return step{current, "endpoints leave that were not ordered away", false}, true
+	case q.known && present != current && sinceOrder >= bootedBy:
+		return step{current, "another count runs than was ordered", false}, true
 	case target == current || now.Sub(p.since) < spec.BootTime:
-		return 0, "", false, false // endpoints that a former holder has ordered may still boot
-	case now.Sub(q.raisedAt) < spec.BootTime+registryLag || q.known && now.Sub(q.orderedAt) < spec.BootTime/2:
-		return 0, "", false, false
+		return step{}, false // endpoints that a former holder has ordered may still boot
+	case now.Sub(q.raisedAt) < bootedBy || q.known && sinceOrder < spec.BootTime/2:
+		return step{}, false
 	}
-	return current - int(math.Ceil(float64(current-target)*excessShare)), "more than the load needs", false, true
+	return step{current - int(math.Ceil(float64(current-target)*excessShare)), "more than the load needs", true}, true
 }
 
 // RecordOutcome records the outcome of the order of d.
