Count and bound what a node holds, and cut slow callers before endpoints wait

Responses and connections were not charged at all, and an endpoint was left unread for as long as a caller did not read.

Change: core/bymemory charges bodies, buffered responses and connections before they are held, refuses large bodies before small ones, and decides who gives way. io/byentry reads a response ahead of a caller whose connection blocks, up to 256 KiB, and cuts the caller off after a second in which it took nothing. The rest of a refused body is discarded, so that the refusal arrives.

--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +10,7 @@
 
 	"burdockyard"
 	"burdockyard/core/byfleet"
+	"burdockyard/core/bymemory"
 	"burdockyard/core/byplace"
 	"burdockyard/io/byforward"
 	"burdockyard/io/bylog"
@@ -352,11 +352,16 @@
 	header   http.Header
 	body     []byte
 	unread   *byforward.Response // response with the rest of the body, nil if body is complete
+	held     *bymemory.Holding   // memory of body
 }
 
 // close closes a response that is not passed to the caller. It may be called on nil.
 func (b *bufferedResponse) close() {
-	if b != nil && b.unread != nil {
+	if b == nil {
+		return
+	}
+	b.held.Release()
+	if b.unread != nil {
 		b.unread.Close()
 	}
 }
@@ -365,10 +370,9 @@
 // is cut off, the request may be retried, since the caller has not got a byte of it.
 func (c *call) readResponse(ctx context.Context, e byfleet.Endpoint, resp *byforward.Response) (*bufferedResponse, outcome, error) {
 	buffered := &bufferedResponse{endpoint: e.ID, status: resp.Status, header: c.node.platform.Protocol.ResponseHeaders(resp.Header)}
-	var err error
-	buffered.body, err = io.ReadAll(io.LimitReader(resp, maxBufferedBody))
-	if err != nil {
+	if err := c.bufferBody(buffered, resp); err != nil {
 		resp.Close()
+		buffered.held.Release()
 		c.node.reportResult(e, byfleet.Failed, err)
 		if c.callerGone() || ctx.Err() != nil || c.timeLeft() <= 0 {
 			return nil, outcomeAbandoned, err
@@ -376,9 +380,7 @@
 		c.attemptBroke(ctx, e, actionRun, 0, false, err)
 		return nil, outcomeUnknown, err
 	}
-	if len(buffered.body) == maxBufferedBody {
-		buffered.unread = resp
-	} else {
+	if buffered.unread == nil {
 		resp.Close()
 	}
 	if resp.Status < http.StatusInternalServerError {
@@ -400,12 +402,8 @@
 	}
 	c.node.metrics.RouteTimeToFirstByte(c.route.Name).Update(c.node.clock.Now().Sub(c.startedAt).Seconds())
 	c.w.WriteHeader(buffered.status)
-	_, err := c.w.Write(buffered.body)
-	if err == nil && buffered.unread != nil {
-		defer buffered.unread.Close()
-		_, err = io.Copy(c.w, buffered.unread)
-	}
-	if err != nil {
+	defer buffered.close()
+	if err := c.passOn(buffered); err != nil {
 		c.recordEnd(bylog.OutcomeInterrupted, bylog.Str("endpoint", string(buffered.endpoint)), bylog.Err(err))
 		c.abort()
 	}
--- a/io/byentry/callers.go
+++ b/io/byentry/callers.go
@@ -8,14 +8,16 @@
 	"time"
 
 	"burdockyard"
+	"burdockyard/core/bymemory"
 )
 
 // callerConns tracks the connections of callers in order to close those that are
 // idle for too long. The idle timeout of net/http does not fit: it is fixed when a
 // connection becomes idle, and the configuration may change the limit after that.
-// mu is a leaf lock.
+// Under mu, only the lock of memory is taken.
 type callerConns struct {
-	clock burdockyard.Clock
+	clock  burdockyard.Clock
+	memory *bymemory.Budget
 
 	mu    sync.Mutex
 	conns map[net.Conn]callerConn
@@ -27,18 +29,25 @@
 	since time.Time
 }
 
-func newCallerConns(clock burdockyard.Clock) *callerConns {
-	return &callerConns{clock: clock, conns: map[net.Conn]callerConn{}}
+func newCallerConns(clock burdockyard.Clock, memory *bymemory.Budget) *callerConns {
+	return &callerConns{clock: clock, memory: memory, conns: map[net.Conn]callerConn{}}
 }
 
 // track is the http.Server.ConnState hook of the server for callers.
 func (c *callerConns) track(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	_, known := c.conns[conn]
 	if state == http.StateClosed || state == http.StateHijacked {
-		delete(c.conns, conn)
+		if known {
+			delete(c.conns, conn)
+			c.memory.AddOverhead(-connBytes)
+		}
 		return
 	}
+	if !known {
+		c.memory.AddOverhead(connBytes)
+	}
 	c.conns[conn] = callerConn{state, c.clock.Now()}
 }
 
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -33,6 +33,7 @@
 	"burdockyard/core/byfleet"
 	"burdockyard/core/bylimit"
 	"burdockyard/core/bymember"
+	"burdockyard/core/bymemory"
 	"burdockyard/core/byplace"
 	"burdockyard/core/byquarantine"
 	"burdockyard/core/byreach"
@@ -89,7 +90,7 @@
 // field names appear in the log.
 type ReloadableSettings struct {
 	Capacity    float64       // load that the VM can serve, in CPU cores
-	MemoryBytes int64         // memory of the VM, a fraction of which may hold request bodies
+	MemoryBytes int64         // memory of the VM, a fraction of which may hold requests and responses
 	Grace       time.Duration // maximum time from the stop signal to the end of the process
 	DrainBound  time.Duration // maximum time from an endpoint's report that it leaves to its last new request
 	ConfigBound time.Duration // maximum time from the acceptance of a configuration until it is in force on every node
@@ -172,7 +173,7 @@
 	handoversTaken     atomic.Int64 // number of requests in progress that other nodes have handed over
 	losesCallers       atomic.Bool  // whether callers should use other nodes, as this one is cut off from a service
 	openRequests       atomic.Int64 // number of requests in progress
-	bodyBytes          atomic.Int64 // size of the bodies of requests in progress, as charged against the memory limit
+	memory             *bymemory.Budget
 	heartbeatSeq       atomic.Uint64
 	createdAt          time.Time
 	done               chan struct{} // closed once Run has returned
@@ -220,7 +221,8 @@
 	n.view = bymember.New(n.clock, n.self)
 	n.retryBudgets = newRetryBudgets(n.clock)
 	n.peers = newPeers(n)
-	n.callerConns = newCallerConns(n.clock)
+	n.memory = bymemory.New(n.clock, bymemory.WithMemory(s.MemoryBytes))
+	n.callerConns = newCallerConns(n.clock, n.memory)
 	n.endProofs, n.testimonies = newEndProofs(maxProofs), newEndProofs(maxExaminations)
 	n.witnessClient = bypeer.NewWitnessClient()
 	n.reach = byreach.New(n.clock)
@@ -250,6 +252,7 @@
 // UpdateSettings applies changed settings. It may be called while the node runs.
 func (n *Node) UpdateSettings(s ReloadableSettings) {
 	n.reloadableSettings.Store(&s)
+	n.memory.SetMemory(s.MemoryBytes)
 	n.retryBudgets.setLimits(s.RetryRatio, s.RetrySlack, s.RetryWindow)
 }
 
@@ -317,7 +320,8 @@
 // Prometheus text format.
 func (n *Node) metricsHandler() http.Handler {
 	n.metrics.RegisterGauge("burdock_open_requests", func() float64 { return float64(n.openRequests.Load()) })
-	n.metrics.RegisterGauge("burdock_body_bytes", func() float64 { return float64(n.bodyBytes.Load()) })
+	n.metrics.RegisterGauge("burdock_held_bytes", func() float64 { return float64(n.memory.Held()) })
+	n.metrics.RegisterGauge("burdock_held_bytes_limit", func() float64 { return float64(n.memory.Limit()) })
 	n.metrics.RegisterGauge("burdock_known_endpoints", func() float64 { return float64(n.fleet.Len()) })
 	n.metrics.RegisterGauge("burdock_registry_age_seconds", func() float64 { return n.fleet.RegistryAge().Seconds() })
 	n.metrics.RegisterGauge("burdock_alive_peers", func() float64 { return float64(len(n.view.Alive())) })
@@ -352,7 +356,7 @@
 func listenAll(addrs ...string) ([]net.Listener, error) {
 	var listeners []net.Listener
 	for _, addr := range addrs {
-		l, err := net.Listen("tcp4", addr)
+		l, err := listen(addr)
 		if err != nil {
 			for _, opened := range listeners {
 				opened.Close()
--- a/io/byentry/handover.go
+++ b/io/byentry/handover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -293,13 +292,10 @@
 	buffered := &bufferedResponse{
 		endpoint: burdockyard.EndpointID("by " + peer.Member.Node), status: resp.Status, header: c.node.platform.Protocol.ResponseHeaders(resp.Header),
 	}
-	var err error
-	if buffered.body, err = io.ReadAll(io.LimitReader(resp, maxBufferedBody)); err != nil {
+	if err := c.bufferBody(buffered, resp); err != nil {
+		buffered.held.Release()
 		return c.handoverOutcome(ctx, err), err
 	}
-	if len(buffered.body) == maxBufferedBody {
-		buffered.unread = resp
-	}
 	c.writeResponse(buffered)
 	return outcomeAnswered, nil
 }
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -13,6 +13,7 @@
 
 	"burdockyard"
 	"burdockyard/core/byfleet"
+	"burdockyard/core/bymemory"
 	"burdockyard/core/byplace"
 	"burdockyard/core/byquarantine"
 	"burdockyard/core/byroutes"
@@ -20,12 +21,6 @@
 )
 
 const (
-	// bodyMemoryFraction is the fraction of the VM's memory that the bodies of
-	// requests in progress may use.
-	bodyMemoryFraction = 0.25
-	// chunkedBodyReserve is the size in bytes that a body of unknown length is
-	// charged with until it has been read.
-	chunkedBodyReserve = 64 << 10
 	// defaultDeadline is the time limit of a request without a deadline of its own.
 	defaultDeadline = 30 * time.Second
 	// startTimeoutObjectives, startTimeoutGaps and minStartTimeout determine when
@@ -55,6 +50,7 @@
 	configVersion   uint64 // version of the configuration that contains the route
 	path            string // path and query as the caller sent them
 	body            []byte
+	held            *bymemory.Holding // memory of the body
 	startedAt       time.Time
 	deadline        time.Time                       // earlier of the caller's deadline and the route's timeout
 	possibleRuns    int                             // number of sends after which the endpoint may have run the request
@@ -99,23 +95,18 @@
 		c.reject(status, cause)
 		return
 	}
-	size := max(r.ContentLength, 0)
-	if r.ContentLength < 0 {
-		size = chunkedBodyReserve
-	}
-	defer func() { n.bodyBytes.Add(-size) }()
-	if n.bodyBytes.Add(size) > int64(bodyMemoryFraction*float64(n.reloadableSettings.Load().MemoryBytes)) {
-		c.refuse(reasonMemory, notReadyRetryAfter)
+	if !c.holdBody() {
 		return
 	}
+	defer func() { c.held.Release() }()
 	if status, cause := c.readBody(int64(table.Limits().MaxBodyBytes)); status != 0 {
+		if status == http.StatusServiceUnavailable {
+			c.refuseUnread()
+			return
+		}
 		c.reject(status, cause)
 		return
 	}
-	if r.ContentLength < 0 {
-		n.bodyBytes.Add(int64(len(c.body)) - size)
-		size = int64(len(c.body))
-	}
 	if !n.stop.accepts(n.clock.Now(), c.route.Name, c.timeLeft(), n.reloadableSettings.Load().Grace) {
 		c.refuse(reasonStopping, minRetryAfter)
 		return
@@ -217,17 +208,21 @@
 	}
 	stop := context.AfterFunc(c.node.serving, func() { _ = controller.SetReadDeadline(time.Now()) }) // fails only if the connection is gone
 	defer stop()
+	defer c.watchCut(controller)()
 	var err error
 	if c.r.ContentLength > 0 {
 		c.body = make([]byte, c.r.ContentLength)
 		_, err = io.ReadFull(c.r.Body, c.body)
 	} else {
-		c.body, err = io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+		err = c.readChunks(limit)
 	}
+	c.held.SetArrived()
 	if err == nil {
 		err = controller.SetReadDeadline(time.Time{})
 	}
 	switch {
+	case errors.Is(err, bymemory.ErrFull) || c.held.IsCut():
+		return http.StatusServiceUnavailable, string(reasonMemory)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusRequestTimeout, "the body did not arrive in time"
 	case err != nil:
@@ -267,7 +262,7 @@
 
 const (
 	reasonNoConfiguration reason = "no_configuration" // the node has not yet learned a configuration, or which requests end endpoints
-	reasonMemory          reason = "memory"           // request bodies use all the memory allowed for them
+	reasonMemory          reason = "memory"           // what the node holds uses all the memory allowed for it
 	reasonStopping        reason = "stopping"         // the node would stop before the response is complete
 	reasonOverload        reason = "overload"         // the stream would start after its caller has given up
 	reasonNoEndpoint      reason = "no_endpoint"      // the service has no endpoint that accepts new requests
--- a/io/byentry/relay.go
+++ b/io/byentry/relay.go
@@ -53,6 +53,8 @@
 	endpoint byfleet.Endpoint // endpoint of the present run
 	holding  bool             // whether the events are held until the stream is complete
 	held     []byte           // events held
+	out      *outflow         // passes the present response on to the caller
+	charged  int              // bytes of pending and held that out has been charged with
 }
 
 func newEventRelay(c *call) *eventRelay { return &eventRelay{c: c, lastEventID: c.info.LastEventID} }
@@ -71,10 +73,12 @@
 			return err
 		}
 	}
+	r.out, r.charged = r.c.newOutflow(resp), 0
+	defer r.out.close()
 	buf := make([]byte, relayReadBytes)
 	received := false
 	for {
-		n, err := resp.Read(buf)
+		n, err := r.out.Read(buf)
 		if n > 0 && !received {
 			received = true
 			onFirstByte()
@@ -89,12 +93,26 @@
 		if err != nil {
 			return err
 		}
-		if len(r.pending) > maxEventBytes {
+		if len(r.pending) > maxEventBytes || !r.charge() {
 			return burdockyard.ErrInterrupted
 		}
 	}
 }
 
+// charge charges the bytes that wait for the end of their event or stream. It returns false
+// if there is no memory for them.
+func (r *eventRelay) charge() bool {
+	n := len(r.pending) + len(r.held)
+	if n <= freeBytes || n <= r.charged {
+		return true
+	}
+	if err := r.out.grow(n - r.charged); err != nil {
+		return false
+	}
+	r.charged = n
+	return true
+}
+
 // forwardRemainder forwards the data after the last complete event at the end of a
 // response. A response that is not self-delimited ends when its connection is closed, so
 // one that ends before its first event or inside an event has been cut off. If it ends
@@ -154,7 +172,7 @@
 var errCallerDisconnected = merry.Sentinel("the caller has left")
 
 func (r *eventRelay) write(events []byte) error {
-	if _, err := r.c.w.Write(events); err != nil {
+	if err := r.out.write(events, false); err != nil {
 		return merry.Wrap(errCallerDisconnected, merry.WithCause(err))
 	}
 	return nil
@@ -199,13 +217,10 @@
 		return nil
 	}
 	r.sendHeader(resp)
-	if err := r.write(events); err != nil {
-		return err
-	}
-	r.pending = append(r.pending[:0], r.pending[end:]...)
-	if err := http.NewResponseController(r.c.w).Flush(); err != nil {
+	if err := r.out.write(events, true); err != nil {
 		return merry.Wrap(errCallerDisconnected, merry.WithCause(err))
 	}
+	r.pending = append(r.pending[:0], r.pending[end:]...)
 	return brokenOff
 }
 
--- a/io/byforward/byforward.go
+++ b/io/byforward/byforward.go
@@ -638,6 +638,10 @@
 	resp.f.release(resp.c)
 }
 
+// Interrupt makes a Read in progress fail, and later ones. Unlike the other methods, it may
+// be called from any goroutine.
+func (resp *Response) Interrupt() { resp.c.Conn.Close() }
+
 // isRequestWritten reports whether the whole request has been written.
 func (resp *Response) isRequestWritten() bool {
 	if resp.bodyWrite == nil {
--- a/io/bymetrics/bymetrics.go
+++ b/io/bymetrics/bymetrics.go
@@ -175,3 +175,9 @@
 // RegisterGauge registers a gauge whose value is read by calling read each time the
 // metrics are written.
 func (m *Metrics) RegisterGauge(name string, read func() float64) { m.set.GetOrCreateGauge(name, read) }
+
+// SlowCallersCut returns the counter of callers that were cut off because they did not read
+// their responses, by cause: "memory", "endpoint" or "deadline".
+func (m *Metrics) SlowCallersCut(cause string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_slow_callers_cut_total{cause=%q}`, cause))
+}
