--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -168,6 +168,7 @@
 	roles              *roleController
 	duties             *duties
 	scaling            *scaling
+	usage              *usage
 	keyWarnings        keyWarnings
 	metrics            *bymetrics.Metrics
 	log                loggers
@@ -224,7 +225,7 @@
 	n.loadTracker = byplace.NewLoadTracker(n.clock)
 	n.forwarder = byforward.New(n.clock, func(h http.Header) burdockyard.RequestID { return p.Protocol.DecodeResponse(http.StatusOK, h).ID })
 	n.view = bymember.New(n.clock, n.self)
-	n.retryBudgets = newRetryBudgets(n.clock, s.FirstSystemStart)
+	n.retryBudgets = newRetryBudgets(n.clock)
 	n.peers = newPeers(n)
 	n.callerConns = newCallerConns(n.clock)
 	n.endProofs, n.testimonies = newEndProofs(maxProofs), newEndProofs(maxExaminations)
@@ -236,7 +237,7 @@
 	n.stop = newStopState()
 	n.serving, n.endRequests = context.WithCancel(context.Background())
 	n.roles = newRoleController(n)
-	n.duties, n.scaling = newDuties(n), newScaling(n)
+	n.duties, n.scaling, n.usage = newDuties(n), newScaling(n), newUsage(n)
 	n.relayClients = bypeer.NewRelayClients()
 	n.configWatcher = newTableWatcher(n, p.ConfigTable, func() time.Duration { return n.reloadableSettings.Load().ConfigBound }, configMaxAgeShare, n.log.config, n.applyConfig)
 	n.configWatcher.redact = p.RedactRow
@@ -408,6 +409,7 @@
 	group.Go(func() error { return runEvery(ctx, hangingProbeInterval, n.probeHanging) })
 	if n.platform.API != nil {
 		group.Go(func() error { return n.duties.run(ctx) })
+		group.Go(func() error { return n.usage.run(ctx) })
 		group.Go(func() error { return runEvery(ctx, dutyReportInterval, n.duties.report) })
 	}
 }
