--- a/io/byentry/fleet_test.go
+++ b/io/byentry/fleet_test.go
@@ -37,8 +37,9 @@
 const latency = time.Millisecond
 
 // newEmulatedFleet starts nodes in the given number of failure domains. Every
-// twentieth VM has four times the capacity of the others.
-func newEmulatedFleet(t *testing.T, nodes, domains int) *emulatedFleet {
+// twentieth VM has four times the capacity of the others. prepare is called with each node
+// before it starts.
+func newEmulatedFleet(t *testing.T, nodes, domains int, prepare ...func(*Node)) *emulatedFleet {
 	f := &emulatedFleet{
 		t: t, byAddr: map[netip.AddrPort]*Node{}, received: map[*Node]int{}, bytes: map[*Node]int{},
 		deaf: map[*Node]bool{}, mute: map[*Node]bool{},
@@ -57,6 +58,9 @@
 			ReloadableSettings: ReloadableSettings{Capacity: capacity},
 		}, Platform{})
 		n.peers.send = func(d bypeer.Datagram, addrs []netip.AddrPort) { f.deliver(n, d, addrs) }
+		for _, p := range prepare {
+			p(n)
+		}
 		f.nodes = append(f.nodes, n)
 		f.byAddr[addr] = n
 	}
