Lower no count while no reserve can be had

Change: a count is lowered only if the rest suffices after the worst loss, also while none can be replaced.

--- a/core/byscale/planner.go
+++ b/core/byscale/planner.go
@@ -175,7 +175,7 @@
 		}
 		after := maps.Clone(left)
 		after[key] = min(left[key], next.count)
-		if after[key] < left[key] && !a.suffices(after) {
+		if after[key] < left[key] && remaining(after) < a.need {
 			continue // endpoints go only once those that replace them serve
 		}
 		left, lower = after, append(lower, d)
@@ -183,12 +183,6 @@
 	return append(raise, lower...)
 }
 
-// suffices reports whether the endpoints suffice after the worst loss or, if no domain has
-// spot endpoints to replace them, as long as there is none.
-func (a allocation) suffices(counts map[Pool]int) bool {
-	return remaining(counts) >= a.need || len(a.spotCap) == len(a.spec.DomainPrices) && total(counts) >= a.need
-}
-
 // allocation derives what is to be allocated from the state.
 func (p *Planner) allocation(s State, c census, now time.Time) allocation {
 	a := allocation{spec: s.Spec, spotCap: map[string]int{}}
