Keep orders within the limit of a failure domain while kinds are replaced

Change: an order that adds endpoints leaves room for those of the other kind that are there; more follow once these are ordered away.

--- a/core/byscale/byscale_test.go
+++ b/core/byscale/byscale_test.go
@@ -29,6 +29,8 @@
 	noSpot   map[string]bool
 	orders   int
 	lowered  int
+	// beyondMax counts orders with which a domain would have more than Max endpoints.
+	beyondMax int
 }
 
 func newFakePlatform(spec *burdockyard.ScalingSpec, lasting int) *fakePlatform {
@@ -55,6 +57,9 @@
 	if o.Count < len(p.bootedAt[pool]) {
 		p.lowered++
 	}
+	if other := len(p.bootedAt[byscale.Pool{Domain: o.Domain, Spot: !o.Spot}]); o.Count+other > p.spec.Max && o.Count > len(p.bootedAt[pool]) {
+		p.beyondMax++
+	}
 	p.set(pool, o.Count, time.Now().Add(p.spec.BootTime))
 	return nil
 }
@@ -242,6 +247,9 @@
 		if n := r.platform.count(false); n > 40 {
 			t.Errorf("%d lasting endpoints, want most replaced by spot ones", n)
 		}
+		if r.platform.beyondMax > 0 {
+			t.Errorf("%d orders went beyond the limit of a domain", r.platform.beyondMax)
+		}
 		r.load = steady(4, 8)
 		r.play(time.Minute)
 		before := len(r.platform.endpoints())
--- a/core/byscale/planner.go
+++ b/core/byscale/planner.go
@@ -261,13 +261,23 @@
 	isLower bool // whether endpoints go
 }
 
+// current returns the count that was last ordered for a pool, or the endpoints there if that
+// is not known.
+func (p *Planner) current(key Pool, c census) int {
+	if q := p.pool(key); q.known {
+		return q.ordered
+	}
+	return c.present[key]
+}
+
 // next returns the order that is due for a pool, and false if there is none.
 func (p *Planner) next(key Pool, spec *burdockyard.ScalingSpec, target int, c census, now time.Time) (step, bool) {
 	q := p.pool(key)
-	present := c.present[key]
-	current := present
-	if q.known {
-		current = q.ordered
+	present, current := c.present[key], p.current(key, c)
+	if target > current {
+		// The limit holds for both kinds together, also while one replaces the other.
+		other := p.current(Pool{key.Domain, !key.Spot}, c)
+		target = max(current, min(target, spec.Max-other))
 	}
 	sinceOrder := now.Sub(q.orderedAt)
 	bootedBy := spec.BootTime + registryLag
