--- a/core/byscale/planner.go
+++ b/core/byscale/planner.go
@@ -175,7 +175,7 @@
 		}
 		after := maps.Clone(left)
 		after[key] = min(left[key], next.count)
-		if after[key] < left[key] && !a.suffices(after) {
+		if after[key] < left[key] && remaining(after) < a.need {
 			continue // endpoints go only once those that replace them serve
 		}
 		left, lower = after, append(lower, d)
@@ -183,12 +183,6 @@
 	return append(raise, lower...)
 }
 
-// suffices reports whether the endpoints suffice after the worst loss or, if no domain has
-// spot endpoints to replace them, as long as there is none.
-func (a allocation) suffices(counts map[Pool]int) bool {
-	return remaining(counts) >= a.need || len(a.spotCap) == len(a.spec.DomainPrices) && total(counts) >= a.need
-}
-
 // allocation derives what is to be allocated from the state.
 func (p *Planner) allocation(s State, c census, now time.Time) allocation {
 	a := allocation{spec: s.Spec, spotCap: map[string]int{}}
@@ -267,13 +261,23 @@
 	isLower bool // whether endpoints go
 }
 
+// current returns the count that was last ordered for a pool, or the endpoints there if that
+// is not known.
+func (p *Planner) current(key Pool, c census) int {
+	if q := p.pool(key); q.known {
+		return q.ordered
+	}
+	return c.present[key]
+}
+
 // next returns the order that is due for a pool, and false if there is none.
 func (p *Planner) next(key Pool, spec *burdockyard.ScalingSpec, target int, c census, now time.Time) (step, bool) {
 	q := p.pool(key)
-	present := c.present[key]
-	current := present
-	if q.known {
-		current = q.ordered
+	present, current := c.present[key], p.current(key, c)
+	if target > current {
+		// The limit holds for both kinds together, also while one replaces the other.
+		other := p.current(Pool{key.Domain, !key.Spot}, c)
+		target = max(current, min(target, spec.Max-other))
 	}
 	sinceOrder := now.Sub(q.orderedAt)
 	bootedBy := spec.BootTime + registryLag
