Refuse keys once the configuration may be too old

Change: byworkspace.Freshness proves how recent the copy of the configuration is, from the node's own readings and from answers to its own queries; what comes unasked proves nothing. Above 0.9 of the bound, keyed requests go to a peer that can decide, or get 503. The check is repeated at each send. An answer also brings a copy up to date that lacks no change. Directories name stale nodes last, and explain tells the cause of a 401 and of such a refusal.

--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -301,6 +301,16 @@
 	return rank
 }
 
+// FirstByCapacity returns the first eligible peers, at most limit, in the order of
+// RankByCapacity.
+func (v *View) FirstByCapacity(key string, limit int, eligible func(Heartbeat) bool) []Heartbeat {
+	peers := slices.DeleteFunc(v.Alive(), func(hb Heartbeat) bool { return hb.Leaving || !eligible(hb) })
+	slices.SortFunc(peers, func(a, b Heartbeat) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(score(key, b.Member.Node), score(key, a.Member.Node)))
+	})
+	return peers[:min(limit, len(peers))]
+}
+
 func ranksBefore(aPreferred bool, aScore uint64, bPreferred bool, bScore uint64) bool {
 	if aPreferred != bPreferred {
 		return aPreferred
--- a/core/bymirror/bymirror.go
+++ b/core/bymirror/bymirror.go
@@ -36,6 +36,7 @@
 	rows       map[string]burdockyard.Row
 	tombstones map[string]uint64 // version of the removal, by key of the removed row
 	version    burdockyard.StoreVersion
+	changedAt  burdockyard.StoreVersion
 }
 
 // maxTombstones is the largest number of tombstones kept; beyond it all are
@@ -55,6 +56,13 @@
 	return m.version
 }
 
+// ChangedAt returns a version since which the table has not changed up to Version.
+func (m *Mirror) ChangedAt() burdockyard.StoreVersion {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changedAt
+}
+
 // Rows returns all rows, in no particular order, and the store version at which
 // they were the whole table.
 func (m *Mirror) Rows() ([]burdockyard.Row, burdockyard.StoreVersion) {
@@ -104,6 +112,9 @@
 		}
 	}
 	m.version = version
+	if len(d.Changed)+len(d.Removed) > 0 || m.changedAt.Era != version.Era {
+		m.changedAt = version
+	}
 	return d, true
 }
 
@@ -127,6 +138,9 @@
 	if to.Compare(m.version) > 0 {
 		m.version = to
 	}
+	if len(d.Changed)+len(d.Removed) > 0 {
+		m.changedAt = m.version
+	}
 	return d, true
 }
 
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -37,6 +37,7 @@
 	"burdockyard/core/byquarantine"
 	"burdockyard/core/byreach"
 	"burdockyard/core/byroutes"
+	"burdockyard/core/byworkspace"
 	"burdockyard/io/byforward"
 	"burdockyard/io/bylog"
 	"burdockyard/io/bymetrics"
@@ -167,6 +168,7 @@
 	versions           *versions
 	roles              *roleController
 	keyWarnings        keyWarnings
+	freshness          *byworkspace.Freshness // of the configuration
 	metrics            *bymetrics.Metrics
 	log                loggers
 	stopping           atomic.Bool
@@ -235,8 +237,11 @@
 	n.serving, n.endRequests = context.WithCancel(context.Background())
 	n.roles = newRoleController(n)
 	n.relayClients = bypeer.NewRelayClients()
-	n.configWatcher = newTableWatcher(n, p.ConfigTable, func() time.Duration { return n.reloadableSettings.Load().ConfigBound }, configMaxAgeShare, n.log.config, n.applyConfig)
+	n.configWatcher = newTableWatcher(n, p.ConfigTable, n.configBound, configMaxAgeShare, n.log.config, n.applyConfig)
 	n.configWatcher.redact = p.RedactRow
+	n.freshness = byworkspace.NewFreshness(n.clock)
+	n.configWatcher.onCopy, n.configWatcher.onReading = n.freshness.RecordCopy, n.freshness.RecordReading
+	n.configWatcher.proofDue = n.proofDue
 	instanceWatcher := newTableWatcher(n, p.InstanceTable, func() time.Duration { return n.reloadableSettings.Load().DrainBound }, drainMaxAgeShare, n.log.fleet, n.applyInstances)
 	instanceWatcher.isRoutine = n.isRoutineUpdate
 	n.versions = newVersions(n)
@@ -328,6 +333,7 @@
 	n.metrics.RegisterGauge("burdock_alive_peers", func() float64 { return float64(len(n.view.Alive())) })
 	n.metrics.RegisterGauge("burdock_config_age_seconds", func() float64 { return n.configWatcher.age().Seconds() })
 	n.metrics.RegisterGauge("burdock_known_keys", n.knownKeys)
+	n.metrics.RegisterGauge("burdock_config_proven_age_seconds", func() float64 { return n.provenAge().Seconds() })
 	n.metrics.RegisterGauge("burdock_endpoint_connections", func() float64 { return float64(n.forwarder.OpenConns()) })
 	n.metrics.RegisterGauge("burdock_retries_left", n.retryBudgets.minLeft)
 	n.metrics.RegisterGauge("burdock_limited_endpoints", func() float64 { return float64(n.limits.Len()) })
@@ -391,6 +397,7 @@
 	}
 	group.Go(func() error { return runEvery(ctx, roleCheckInterval, n.roles.reconcile) })
 	group.Go(func() error { return runEvery(ctx, splitCheckInterval, n.versions.reconcile) })
+	group.Go(func() error { return runEvery(ctx, proofCheckInterval, (&prover{node: n}).check) })
 	group.Go(func() error { return runEvery(ctx, reachCheckInterval, newReachMonitor(n).check) })
 	group.Go(func() error { return runEvery(ctx, hangingProbeInterval, n.probeHanging) })
 }
--- a/io/byentry/handover.go
+++ b/io/byentry/handover.go
@@ -128,14 +128,14 @@
 
 // peersReaching returns the nodes that reach the endpoints of a service and take requests.
 func (n *Node) peersReaching(service string) []bymember.Heartbeat {
-	heartbeats := n.view.ReceivedWithin(unreachableAfter)
-	reaching := heartbeats[:0]
-	for _, h := range heartbeats {
-		if h.Ready && !h.Leaving && h.Reach.Reaches(service) {
-			reaching = append(reaching, h)
-		}
-	}
-	return reaching
+	return n.peersTaking(func(h bymember.Heartbeat) bool { return h.Reach.Reaches(service) })
+}
+
+// peersTaking returns the eligible nodes that take requests.
+func (n *Node) peersTaking(eligible func(bymember.Heartbeat) bool) []bymember.Heartbeat {
+	return slices.DeleteFunc(n.view.ReceivedWithin(unreachableAfter), func(h bymember.Heartbeat) bool {
+		return !h.Ready || h.Leaving || !eligible(h)
+	})
 }
 
 // isCutOff reports whether this node's own links to the endpoints of a service have failed.
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -89,7 +89,7 @@
 	n.syncClock()
 	n.openRequests.Add(1)
 	defer n.openRequests.Add(-1)
-	if n.stopping.Load() || h == nil && n.losesCallers.Load() {
+	if n.stopping.Load() || h == nil && (n.losesCallers.Load() || n.isStale()) {
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{node: n, r: r, w: w, startedAt: n.clock.Now(), tried: map[burdockyard.EndpointID]bool{}, handedOver: h}
@@ -304,7 +304,11 @@
 // refuseFor is like refuse, but does not limit the retry delay to the time that the
 // request has left.
 func (c *call) refuseFor(cause reason, retryAfter time.Duration) {
-	c.recordEnd(bylog.OutcomeRefused, bylog.Str("cause", string(cause)), bylog.Millis("back_ms", retryAfter))
+	fields := []bylog.Field{bylog.Str("cause", string(cause)), bylog.Millis("back_ms", retryAfter)}
+	if cause == reasonStale {
+		fields = append(fields, bylog.Millis("proven_ms", c.node.provenAge()))
+	}
+	c.recordEnd(bylog.OutcomeRefused, fields...)
 	if retryAfter > 0 {
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -147,6 +147,12 @@
 	for _, c := range d.Confirmations {
 		p.node.applyConfirmation(c)
 	}
+	if d.AgeQuery != 0 {
+		p.answerAgeQuery(d)
+	}
+	if r := d.AgeReply; r.Nonce != 0 && r.Table == p.node.configWatcher.table {
+		p.node.freshness.RecordReply(r.Nonce, r.Version, r.Age)
+	}
 }
 
 // handleHeartbeat applies a heartbeat of another node. One that is not newer than
@@ -527,20 +533,21 @@
 	if t := n.routes.Current(); t != nil {
 		heartbeat.Generation = t.Version()
 		heartbeat.ChecksKeys = t.Workspaces().ChecksKeys()
+		heartbeat.Stale = n.isStale()
 	}
 	return heartbeat
 }
 
 // directoryAddresses returns the addresses to which callers may connect, and how long
 // callers may cache them. It considers this node and the peers that are reachable,
-// ready and not leaving, and names nodes that have lost their links to endpoints only if
-// there are no others.
+// ready and not leaving, and names nodes that have lost their links to endpoints, or cannot
+// decide about keys, only if there are no others.
 func (n *Node) directoryAddresses(_, domain string) ([]string, time.Duration) {
 	var nodes []bymember.Heartbeat
 	if n.ready() {
 		nodes = append(nodes, bymember.Heartbeat{
 			Member: n.self, CallerAddr: n.settings.CallerAddr, Domain: n.settings.Domain, Capacity: n.reloadableSettings.Load().Capacity,
-			Reach: n.ownReach(),
+			Reach: n.ownReach(), Stale: n.isStale(),
 		})
 	}
 	for _, h := range n.view.ReceivedWithin(unreachableAfter) {
@@ -548,6 +555,9 @@
 			nodes = append(nodes, h)
 		}
 	}
+	if slices.ContainsFunc(nodes, func(h bymember.Heartbeat) bool { return !h.Stale }) {
+		nodes = slices.DeleteFunc(nodes, func(h bymember.Heartbeat) bool { return h.Stale })
+	}
 	nodes = byreach.Directed(nodes, func(h bymember.Heartbeat) byreach.Peer { return h.Reach })
 	var addrs []string
 	for _, h := range bymember.SelectNodes(nodes, domain, maxDirectoryAddresses) {
--- a/io/byentry/relays.go
+++ b/io/byentry/relays.go
@@ -285,9 +285,7 @@
 // sendConfirmation tells the nodes of this failure domain that their copy of a table is
 // still up to date.
 func (p *peers) sendConfirmation(c bypeer.Confirmation) {
-	// A heartbeat with sequence number 0 only names the sender.
-	h := bymember.Heartbeat{Member: p.node.self, Domain: p.node.settings.Domain}
-	p.send(bypeer.Datagram{Heartbeat: h, Confirmations: []bypeer.Confirmation{c}}, p.currentTopology().domainAddrs)
+	p.send(bypeer.Datagram{Heartbeat: p.sender(), Confirmations: []bypeer.Confirmation{c}}, p.currentTopology().domainAddrs)
 }
 
 // cut splits s after at most n elements.
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -64,8 +64,15 @@
 	log         bylog.Logger
 	mirror      *bymirror.Mirror
 	apply       func(d bymirror.Delta, requestedAt time.Time)
-	isRoutine   func(before, after burdockyard.Row) bool // whether peers need not be told of a change; nil if of none
-	redact      func(burdockyard.Row) burdockyard.Row    // removes what this process must not keep; nil if rows hold nothing such
+	isRoutine   func(before, after burdockyard.Row) bool  // whether peers need not be told of a change; nil if of none
+	onCopy      func(burdockyard.StoreVersion)            // called with the version whose rows apply has seen; nil if not needed
+	onReading   func(burdockyard.StoreVersion, time.Time) // called after a reading of this node was applied, with when it was requested
+	proofDue    func(rank int) time.Duration              // returns the time until this node must read the store to prove how recent its copy is; nil if it need not
+	redact      func(burdockyard.Row) burdockyard.Row     // removes what this process must not keep; nil if rows hold nothing such
+
+	// applying keeps the copy from being ahead of what apply has seen. It is held while
+	// rows are applied, and taken before all other locks.
+	applying sync.Mutex
 
 	mu           sync.Mutex
 	waitsSince   time.Time // since when this node waits for the first reading of a peer; zero if it does not wait
@@ -143,7 +150,11 @@
 func (w *tableWatcher) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		rank := w.rank()
-		if left := w.maxAge(rank) - w.age(); left > 0 {
+		left := w.maxAge(rank) - w.age()
+		if w.proofDue != nil {
+			left = min(left, w.proofDue(rank))
+		}
+		if left > 0 {
 			sleep(ctx, max(left, minAgeCheckInterval))
 			continue
 		}
@@ -176,6 +187,9 @@
 	if !w.applyReading(r, requestedAt) {
 		return nil // the copy has reached a newer era in the meantime
 	}
+	if w.onReading != nil {
+		w.onReading(version, requestedAt)
+	}
 	w.recordRelayed(version)
 	if isFirst && !w.isAwaited() {
 		// Peers that have no copy either are about to read the store themselves. If each
@@ -265,6 +279,8 @@
 // returns false, and changes nothing, if the copy lacks changes before the reading or
 // is of another era.
 func (w *tableWatcher) applyReading(r bypeer.TableReading, requestedAt time.Time) bool {
+	w.applying.Lock()
+	defer w.applying.Unlock()
 	var d bymirror.Delta
 	var ok bool
 	if r.ChangedSince.Number == 0 {
@@ -283,15 +299,26 @@
 		w.log.Warn("store was restored from an older copy", bylog.Str("table", w.table), bylog.Int("era", int(r.Version.Era)), bylog.Int("version", int(r.Version.Number)))
 	}
 	w.apply(d, requestedAt)
+	w.recordCopy()
 	w.recordRequest(requestedAt)
 	w.node.observeEra(r.Version.Era)
 	return true
 }
 
+// recordCopy tells how far apply has seen the table. The caller must hold applying.
+func (w *tableWatcher) recordCopy() {
+	if w.onCopy != nil {
+		w.onCopy(w.mirror.Version())
+	}
+}
+
 // applyConfirmation records that the copy is still up to date, unless it lacks changes.
 func (w *tableWatcher) applyConfirmation(c bypeer.Confirmation, requestedAt time.Time) {
+	w.applying.Lock()
+	defer w.applying.Unlock()
 	if d, ok := w.mirror.ApplyChanges(nil, c.ChangedSince, c.Version); ok {
 		w.apply(d, requestedAt)
+		w.recordCopy()
 		w.recordRequest(requestedAt)
 	}
 }
--- a/io/byentry/workspaces.go
+++ b/io/byentry/workspaces.go
@@ -28,6 +28,9 @@
 func (c *call) authorize() {
 	n := c.node
 	c.denial = ""
+	if n.reloadableSettings.Load().RevokeBound > 0 {
+		n.syncClock()
+	}
 	// What is known of the age is read before the configuration, and the clock after it, so
 	// that the configuration is no older than its age says.
 	provenAt := n.configProvenAt()
@@ -49,10 +52,6 @@
 	}
 }
 
-// configProvenAt returns a time such that the configuration contains all changes that the
-// store has accepted before it.
-func (n *Node) configProvenAt() time.Time { return n.configWatcher.readAt() }
-
 // keyBounds returns the limits of the age of the configuration.
 func (n *Node) keyBounds() byworkspace.Bounds {
 	s := n.reloadableSettings.Load()
@@ -79,13 +78,17 @@
 	return c.route.Priority
 }
 
-// peers returns the nodes to which the request may be handed over.
+// peers returns the nodes to which the request may be handed over: those that decide about
+// keys, if it needs one, and reach the endpoints of the service. If only the decision is
+// wanted, it suffices that they have not lost the endpoints.
 func (c *call) peers() []bymember.Heartbeat {
-	reaching := c.node.peersReaching(c.service.Name)
-	if !c.needsKey() {
-		return reaching
-	}
-	return slices.DeleteFunc(reaching, func(h bymember.Heartbeat) bool { return !h.ChecksKeys || h.Stale })
+	service := c.service.Name
+	return c.node.peersTaking(func(h bymember.Heartbeat) bool {
+		if c.needsKey() && (!h.ChecksKeys || h.Stale) {
+			return false
+		}
+		return h.Reach.Reaches(service) || c.denial == byworkspace.CauseStale && !slices.Contains(h.Reach.Lost, service)
+	})
 }
 
 // mayHandOverStale reports whether this node cannot decide about the caller's key, and a
--- a/io/byentry/workspaces_test.go
+++ b/io/byentry/workspaces_test.go
@@ -1,8 +1,10 @@
 package byentry_test
 
 import (
+	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -200,3 +202,134 @@
 		t.Errorf("got response %+v to a key that was taken away, want 401", got)
 	}
 }
+
+// storeLink is one node's way to the store, which the test may cut.
+type storeLink struct {
+	store       http.Handler
+	cut         atomic.Bool
+	configReads atomic.Int64
+}
+
+func (l *storeLink) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("table") == "op" {
+		l.configReads.Add(1)
+	}
+	if l.cut.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	l.store.ServeHTTP(w, r)
+}
+
+// startLinkedNode starts a node with a way of its own to the store.
+func (c *testCluster) startLinkedNode(name, domain string) (*testNode, *storeLink) {
+	link := &storeLink{store: c.store}
+	n := c.startNodeAt(name, domain, c.serveHandler(link))
+	c.waitReady(n)
+	return n, link
+}
+
+// newStrictCluster returns a cluster of newKeyedCluster in which keys must not outlive a bound.
+func newStrictCluster(t *testing.T) *testCluster {
+	c := newKeyedCluster(t)
+	c.revokeBound = 1500 * time.Millisecond
+	return c
+}
+
+// TestNodeWithoutProofRefusesKeyedRequests checks that nodes which all have lost the store
+// refuse keyed requests, and only these, and serve again once the store is back.
+func TestNodeWithoutProofRefusesKeyedRequests(t *testing.T) {
+	c := newStrictCluster(t)
+	n1, link1 := c.startLinkedNode("n1", "a")
+	n2, link2 := c.startLinkedNode("n2", "a")
+	for _, n := range []*testNode{n1, n2} {
+		c.waitUntil("the key is served", func() bool { return n.call("GET", "/read/1", "", keyNorth).status == 200 })
+	}
+	link1.cut.Store(true)
+	link2.cut.Store(true)
+	for _, n := range []*testNode{n1, n2} {
+		var got reply
+		c.waitUntil("the key is refused", func() bool { got = n.call("GET", "/read/1", "", keyNorth); return got.status != 200 })
+		if got.status != 503 || got.header.Get("Retry-After") == "" || !got.closesConnection || !strings.Contains(got.body, "stale_configuration") {
+			t.Errorf("got response %+v, want status 503 with Retry-After and a closed connection", got)
+		}
+		if got := n.call("GET", "/read/1", "", keyUnknown); got.status != 503 {
+			t.Errorf("got response %+v to an unknown key, want 503, since it may be a new one", got)
+		}
+		if got := n.call("POST", "/book/1", "x"); got.status != 200 {
+			t.Errorf("got response %+v on a public route, want 200", got)
+		}
+	}
+	link1.cut.Store(false)
+	for _, n := range []*testNode{n1, n2} {
+		c.waitUntil("the key is served again", func() bool { return n.call("GET", "/read/1", "", keyNorth).status == 200 })
+	}
+	c.waitUntil("the refusals are logged", func() bool {
+		return strings.Contains(c.logs.String(), "configuration too old, keys are refused") && strings.Contains(c.logs.String(), "keys are believed")
+	})
+}
+
+// TestPeersProveTheConfiguration checks that a node which has lost the store serves keyed
+// requests by the answers of a peer, in its own failure domain or in another one, and that
+// it does not make the peer read the store more often.
+func TestPeersProveTheConfiguration(t *testing.T) {
+	for _, domain := range []string{"a", "b"} {
+		c := newStrictCluster(t)
+		n1, link1 := c.startLinkedNode("n1", "a")
+		n2, link2 := c.startLinkedNode("n2", domain)
+		for _, n := range []*testNode{n1, n2} {
+			c.waitUntil("the key is served", func() bool { return n.call("GET", "/read/1", "", keyNorth).status == 200 })
+		}
+		link2.cut.Store(true)
+		before := link1.configReads.Load()
+		for end := time.Now().Add(2 * c.revokeBound); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			if got := n2.call("GET", "/read/1", "", keyNorth); got.status != 200 {
+				t.Errorf("in domain %s: got response %+v, want status 200", domain, got)
+			}
+		}
+		if got := link1.configReads.Load() - before; got > 7 {
+			t.Errorf("in domain %s: the node that reaches the store read the configuration %d times in %v, want at most 7: each third of the bound", domain, got, 2*c.revokeBound)
+		}
+	}
+}
+
+// TestStaleNodeHandsKeyedRequestsOver checks that a node which lacks a change of the
+// configuration, and knows that it may, lets a peer decide: a key that was taken away is
+// denied, others are served.
+func TestStaleNodeHandsKeyedRequestsOver(t *testing.T) {
+	c := newStrictCluster(t)
+	n1, _ := c.startLinkedNode("n1", "a")
+	n2, link2 := c.startLinkedNode("n2", "b")
+	for _, n := range []*testNode{n1, n2} {
+		c.waitUntil("the key is served", func() bool { return n.call("GET", "/read/1", "", keyNorth).status == 200 })
+	}
+	link2.cut.Store(true)
+	c.tenants = c.tenants[1:] // south
+	c.publishConfig(4, publicBooking)
+	revokedAt := time.Now()
+	c.waitUntil("the node hands requests over", func() bool {
+		sentAt := time.Now()
+		status := n2.call("GET", "/read/1", "", keyNorth).status
+		if status == 200 && sentAt.Sub(revokedAt) > c.revokeBound {
+			t.Fatalf("a key was served %v after it was taken away", sentAt.Sub(revokedAt))
+		}
+		return status == 401
+	})
+	if got := n2.callWithID("by-peer", "GET", "/read/1", "", keySouth); got.status != 200 {
+		t.Errorf("got response %+v to another key, want status 200", got)
+	}
+	c.checkArrivals("by-peer", "south", 1)
+	if got := n2.callWithID("stream-by-peer", "POST", "/quick/1", "x", keySouth, shortPrompt, shortTokens); got.status != 200 {
+		t.Errorf("got response %+v to a stream, want status 200", got)
+	}
+	c.checkArrivals("stream-by-peer", "south", 1)
+	c.waitUntil("the directory names only the other node", func() bool {
+		resp, err := http.Get("http://" + n1.settings.DirectoryAddr + "/-/resolve?name=h.example&zone=b")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		return err == nil && strings.Contains(string(body), n1.settings.CallerAddr) && !strings.Contains(string(body), n2.settings.CallerAddr)
+	})
+	c.checkNoKeysInLogs()
+}
--- a/io/bylog/explain.go
+++ b/io/bylog/explain.go
@@ -109,6 +109,12 @@
 	if c, ok := last["cause"]; ok {
 		text += ", " + fmt.Sprint(c)
 	}
+	if hash, ok := last["key_hash"]; ok {
+		text += fmt.Sprintf(" (hash %v): no workspace, or more than one, held it in configuration %v", hash, last["config"])
+	}
+	if age, ok := last["proven_ms"]; ok {
+		text += fmt.Sprintf(": what the node knew of the keys might have been %v ms old, and no peer could decide", age)
+	}
 	if failure := lastFailure(entries[:len(entries)-1]); failure != "" {
 		text += "; after " + failure
 	} else if reason, ok := last["error"]; ok {
--- a/io/bylog/explain_test.go
+++ b/io/bylog/explain_test.go
@@ -46,6 +46,22 @@
 	}
 }
 
+// TestExplainRefusalOfKey checks the causes for requests that were refused because of their
+// key.
+func TestExplainRefusalOfKey(t *testing.T) {
+	for _, tt := range []struct{ fields, want string }{
+		{`"status":401,"cause":"the API key is unknown","key_hash":"00ff","config":7,"message":"calls: rejected"`,
+			"calls: rejected with status 401, the API key is unknown (hash 00ff): no workspace, or more than one, held it in configuration 7"},
+		{`"cause":"stale_configuration","proven_ms":4600.5,"message":"calls: refused"`,
+			"calls: refused, stale_configuration: what the node knew of the keys might have been 4600.5 ms old, and no peer could decide"},
+	} {
+		e, err := bylog.Explain("r1", strings.NewReader(`{"node":"n1","request":"r1","time":"2026-01-01T00:00:00.010Z",`+tt.fields+"}"))
+		if err != nil || e.Cause != tt.want {
+			t.Errorf("cause is %q and error %v, want %q and no error", e.Cause, err, tt.want)
+		}
+	}
+}
+
 // TestExplainWithoutOutcomeLine checks the cause for a request without an outcome,
 // since a killed node logs none for its requests in progress. The cause must say so
 // and name the node and the last line.
