Test that a window has one content, with a fault at each call to the store

Cause: the fault matrix of the duties did not report anything. Change: holders in the matrix fix and report windows. Usage no longer divides by the length of a window when a changed settings file turns it off. Result: the matrix passes; without the second write of the holder's row it finds a window with two contents (fault 3 at call 11). Tests of core/byduty, core/byusage, core/bytruetime, core/bydigest and io/bypeer pass with -race, as do those of usage and of the holder in io/byentry.

--- a/core/byduty/byduty_test.go
+++ b/core/byduty/byduty_test.go
@@ -48,6 +48,8 @@
 	fault   fault
 	nodes   []*node
 	acts    []act
+	posted  map[int]string // content with which each window was reported
+	twice   []int          // windows that were reported with two contents
 }
 
 type lateCommit struct {
@@ -72,12 +74,16 @@
 	next   time.Time
 	cutOff bool
 	paused bool
+
+	fence   uint64 // under which the last window was read from the store
+	window  int    // last window whose content the store holds
+	content string // fixed content of the next window, empty if it is not fixed
 }
 
 func (w *world) Now() time.Time { return w.now }
 
 func newWorld(f fault, at int) *world {
-	w := &world{now: time.Unix(1000, 0), rows: map[string]burdockyard.Row{}, era: 1, fault: f, faultAt: at}
+	w := &world{now: time.Unix(1000, 0), rows: map[string]burdockyard.Row{}, era: 1, fault: f, faultAt: at, posted: map[int]string{}}
 	for _, name := range []burdockyard.NodeID{"a", "b", "c"} {
 		w.nodes = append(w.nodes, &node{w: w})
 		w.start(len(w.nodes)-1, name)
@@ -88,6 +94,7 @@
 func (w *world) start(i int, name burdockyard.NodeID) {
 	n := w.nodes[i]
 	n.self = burdockyard.Member{Node: name, Incarnation: burdockyard.Incarnation(fmt.Sprint(name, w.calls))}
+	n.fence, n.window, n.content = 0, 0, ""
 	n.keeper, n.next = byduty.New(n, w, "x", n.self, byduty.WithTTL(ttl)), w.now
 }
 
@@ -116,7 +123,7 @@
 	}
 	switch {
 	case n.keeper.IsRenewalDue():
-		n.keeper.Commit(context.Background()) // an error shows in the authority
+		n.reportNext()
 	case !n.keeper.IsHolder() && !w.now.Before(n.next):
 		wait, err := n.keeper.TryAcquire(context.Background())
 		if err != nil {
@@ -126,6 +133,44 @@
 	}
 }
 
+// reportNext fixes the content of a window in the row state, with the renewal, and reports it,
+// as the holder of the duty of usage does.
+func (n *node) reportNext() {
+	a, _, _ := n.keeper.Authority()
+	if n.fence != a.Fence {
+		rows, err := n.Get(context.Background(), "state")
+		if err != nil {
+			return
+		}
+		era, content := uint64(0), ""
+		fmt.Sscan(string(rows[0].Value), &era, &n.window, &content) // the row may not exist
+		if n.fence, n.content = a.Fence, ""; rows[0].Era != era {
+			n.window = int(n.w.now.UnixMilli()) // those that the store may have lost are left out
+		} else {
+			n.w.post(n.window, content)
+		}
+	}
+	era, _ := n.keeper.Era()
+	if n.content == "" {
+		n.content = fmt.Sprint(n.self.Incarnation, "-", n.w.calls)
+	}
+	value := fmt.Sprint(era, " ", n.window+1, " ", n.content)
+	if n.keeper.Commit(context.Background(), burdockyard.Write{Key: "state", Value: []byte(value)}) != nil {
+		return // the same content is written again, if the duties are not lost
+	}
+	n.window++
+	n.w.post(n.window, n.content)
+	n.content = ""
+}
+
+// post reports a window.
+func (w *world) post(window int, content string) {
+	if before, ok := w.posted[window]; ok && before != content {
+		w.twice = append(w.twice, window)
+	}
+	w.posted[window] = content
+}
+
 func copyRows(rows map[string]burdockyard.Row) map[string]burdockyard.Row {
 	c := map[string]burdockyard.Row{}
 	for k, v := range rows {
@@ -243,6 +288,9 @@
 			t.Errorf("%s acts again after %v, with another node in between", a.node, a.from.Sub(at))
 		}
 	}
+	if len(w.twice) > 0 {
+		t.Errorf("windows %v were reported with two contents", w.twice)
+	}
 	if !porcupine.CheckOperations(platformModel, history) {
 		t.Errorf("no order of the %d calls has rising fences", len(w.acts))
 	}
@@ -292,14 +340,14 @@
 	w.run(8 * time.Second)
 	n := w.holder()
 	w.fault, w.faultAt = executedLate, w.calls+1
-	if err := n.keeper.Commit(t.Context(), burdockyard.Write{Key: "state", Value: []byte("old")}); err == nil {
+	if err := n.keeper.Commit(t.Context(), burdockyard.Write{Key: "other", Value: []byte("old")}); err == nil {
 		t.Fatal("the write without an answer succeeded")
 	}
-	if err := n.keeper.Commit(t.Context(), burdockyard.Write{Key: "state", Value: []byte("new")}); err != nil {
+	if err := n.keeper.Commit(t.Context(), burdockyard.Write{Key: "other", Value: []byte("new")}); err != nil {
 		t.Fatal(err)
 	}
 	w.run(4 * time.Second)
-	if got := string(w.rows["state"].Value); got != "new" {
+	if got := string(w.rows["other"].Value); got != "new" {
 		t.Errorf("the row has the value %q", got)
 	}
 	if w.holder() != n {
--- a/io/byentry/usage.go
+++ b/io/byentry/usage.go
@@ -71,8 +71,13 @@
 	return s.UsageWindow
 }
 
-// current returns the present window.
-func (u *usage) current() int64 { return u.trueTime.Now().UnixNano() / int64(u.length()) }
+// current returns the present window, and 0 if usage is not to be reported.
+func (u *usage) current() int64 {
+	if l := u.length(); l > 0 {
+		return u.trueTime.Now().UnixNano() / int64(l)
+	}
+	return 0
+}
 
 // wallTime returns the time that this VM's wall clock shows, in Unix milliseconds, for the
 // estimates of peers; 0 if usage is not reported.
@@ -183,7 +188,8 @@
 		data.Write(row.Value)
 	}
 	current := u.current()
-	ledger := byusage.NewLedger(current - int64(u.node.clock.Now().Sub(u.node.createdAt)/u.length()))
+	// Without a state, no window that ended before this process began is owed.
+	ledger := byusage.NewLedger(current - int64(u.node.clock.Now().Sub(u.node.createdAt)/max(u.length(), time.Millisecond)))
 	if len(rows) > 0 {
 		stored, era, err := byusage.Decode(data.Bytes())
 		switch {
