Count no endpoints as missing that are being reclaimed

Change: pools with leaving endpoints are left out; they are ordered again anyway. Result: tests of core/byscale pass.

--- a/core/byscale/planner.go
+++ b/core/byscale/planner.go
@@ -237,7 +237,8 @@
 func (p *Planner) missing(spec *burdockyard.ScalingSpec, c census, now time.Time) int {
 	sum := 0
 	for key, q := range p.pools {
-		if q.known && now.Sub(q.orderedAt) > 2*spec.BootTime+registryLag && now.After(q.refusedTill) {
+		// A pool that loses endpoints is ordered again, and may be refused.
+		if q.known && now.Sub(q.orderedAt) > 2*spec.BootTime+registryLag && now.After(q.refusedTill) && c.leaving[key] == 0 {
 			sum += max(q.ordered-c.usable[key], 0)
 		}
 	}
