--- a/io/bymetrics/bymetrics.go
+++ b/io/bymetrics/bymetrics.go
@@ -218,3 +218,9 @@
 func (m *Metrics) ScaleOrders(service, outcome string) *metrics.Counter {
 	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_scale_orders_total{service=%q,outcome=%q}`, service, outcome))
 }
+
+// SlowCallersCut returns the counter of callers that were cut off because they did not read
+// their responses, by cause: "memory", "endpoint" or "deadline".
+func (m *Metrics) SlowCallersCut(cause string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_slow_callers_cut_total{cause=%q}`, cause))
+}
