Learn prefill rates per kind of engine, and wait for busy prefill engines

The trace shows why: 1,288 prefills were given up as "silent", 503 of them long and cold, at engines that were only slower or busier than predicted, and were then read again elsewhere in full. Lost or late news of cached parts were about 2 million tokens.

Change: - Tokens per ms and the attention term are learned for each kind of engine (service, role, software version), from long prefills that hardly waited. An engine's slowdown stays a multiple of its kind. The loads told to peers keep their meaning. Rates within a fifth of the typical ones are not adopted. - An engine that has ended a prefill of any node in the meantime is not silent.

--- a/core/byplace/byplace.go
+++ b/core/byplace/byplace.go
@@ -50,30 +50,56 @@
 type Plan struct {
 	PrefillEngine   *byfleet.Endpoint
 	DecodeEngine    byfleet.Endpoint
-	PrefillTime     time.Duration // prefill time if the engine that prefills has typical speed
+	PrefillTime     time.Duration // prefill time at the rates of the engine's kind
 	PrefillPriority int           // priority of the prefill in the prefill engine's queue, 0 is the most urgent
 	PredictedTTFT   time.Duration // predicted time to the first event
 	QueueTime       time.Duration // part of the predicted time that is spent queued behind other prompts
 	CachedTokens    int           // tokens that are probably cached at the engine or at PrefixSource
 	PrefixSource    string        // address of the engine from which cached tokens are fetched, empty for none
+	FetchedTokens   int           // part of CachedTokens that is fetched from there
 	cost            time.Duration
+	fetchTime       time.Duration // predicted time to fetch tokens from PrefixSource
 	fixedLatency    time.Duration // part of the predicted time that is independent of the work
 }
 
+// delayOfOthers returns the part of the plan's cost that it causes for other requests, and
+// the penalties of its engines.
+func (p Plan) delayOfOthers() time.Duration { return p.cost - (p.PredictedTTFT - p.fixedLatency) }
+
+// PrefillWork returns the load that the plan's prefill of the prompt puts on its engine.
+// prompt is nil if the request has none.
+func (p Plan) PrefillWork(prompt *burdockyard.Prompt) Work {
+	w := Work{PrefillTime: p.PrefillTime}
+	if prompt == nil {
+		return w
+	}
+	w.HasLongPrompt = IsLongPrompt(prompt)
+	w.Tokens, w.CachedTokens = promptTokens(prompt), p.CachedTokens
+	w.Wait = p.QueueTime + p.fetchTime
+	return w
+}
+
 // A prefill times out after its predicted time multiplied by prefillTimeoutFactor,
 // plus prefillTimeoutSlack. The factor allows for short prompts that other nodes send
 // in the meantime and that run first; the slack allows for a stalled engine.
 const (
 	prefillTimeoutFactor = 2
 	prefillTimeoutSlack  = 400 * time.Millisecond
+	// maxPrefillExtension is the multiple of that time after which a prefill times out even
+	// at an engine that responds to others: some leave single requests unanswered.
+	maxPrefillExtension = 3
 )
 
 // PrefillTimeout returns the time after which the prefill engine of the plan counts as
-// unresponsive.
+// unresponsive if it has ended no prefill in the meantime.
 func (p Plan) PrefillTimeout() time.Duration {
 	return prefillTimeoutFactor*(p.QueueTime+p.PrefillTime+p.fixedLatency) + prefillTimeoutSlack
 }
 
+// MaxPrefillTimeout returns the time after which the prefill counts as unanswered in any
+// case. A prefill that is given up is repeated elsewhere in full, behind other prompts.
+func (p Plan) MaxPrefillTimeout() time.Duration { return maxPrefillExtension * p.PrefillTimeout() }
+
 // PlanPrompt selects the engines for a prompt. It returns false if none of the
 // engines can decode.
 func (t *LoadTracker) PlanPrompt(req PlacementRequest, engines []byfleet.Endpoint) (Plan, bool) {
@@ -121,7 +147,7 @@
 	var prefillEngines, decodeEngines []endpointLoad
 	for _, e := range engines {
 		load := t.endpointLoad(e)
-		load.cache.evictBeyond(req.Model.KVCapacityTokens)
+		load.cache.evictBeyond(int(cachedShare * float64(req.Model.KVCapacityTokens)))
 		load.cachedTokens = load.cache.cachedTokens(req.Prompt)
 		if e.Role == burdockyard.RolePrefill {
 			prefillEngines = append(prefillEngines, load)
@@ -207,9 +233,9 @@
 	var best Plan
 	total := promptTokens(req.Prompt)
 	for _, d := range decodeEngines {
-		prefill := req.fastestPrefill(d, total, decodePrefillFactor)
+		prefill := req.fastestPrefill(d, total)
 		prefillTime := time.Duration(float64(prefill.prefillTime) * d.slowdown)
-		p := Plan{DecodeEngine: d.endpoint, PrefillTime: prefill.prefillTime, QueueTime: d.queueTime, CachedTokens: prefill.cachedTokens, PrefixSource: prefill.prefixSource}
+		p := Plan{DecodeEngine: d.endpoint, PrefillTime: prefill.prefillTime, QueueTime: d.queueTime, CachedTokens: prefill.cachedTokens, PrefixSource: prefill.prefixSource, FetchedTokens: prefill.cachedTokens - d.cachedTokens, fetchTime: prefill.fetchTime}
 		p.PredictedTTFT = req.fixedLatency + d.queueTime + prefill.fetchTime + prefillTime + req.streamStartDelay(d)
 		stalledStreams := float64(d.streams) + longStreamStallWeight*float64(d.longStreams)
 		stallCost := time.Duration(stalledStreams * stallWeight * float64(prefillTime))
@@ -230,7 +256,7 @@
 	decodeOptions := req.cheapestPerDomain(decodeEngines)
 	for i := range prefillEngines {
 		p := &prefillEngines[i]
-		prefill := req.fastestPrefill(*p, total, 1)
+		prefill := req.fastestPrefill(*p, total)
 		prefillTime := time.Duration(float64(prefill.prefillTime) * p.slowdown)
 		weight := extraPrefillWeight
 		if p.endpoint.ID == home {
@@ -246,9 +272,9 @@
 			}
 			best = Plan{
 				PrefillEngine: &p.endpoint, DecodeEngine: d.load.endpoint, PrefillTime: prefill.prefillTime,
-				PrefillPriority: prefillPriority(prefill.prefillTime), QueueTime: p.queueTime, CachedTokens: prefill.cachedTokens,
+				PrefillPriority: prefillPriority(basePrefillTime(total, prefill.cachedTokens)), QueueTime: p.queueTime, CachedTokens: prefill.cachedTokens,
 				PrefixSource: prefill.prefixSource, PredictedTTFT: req.fixedLatency + base + transferSetup + transfer + req.streamStartDelay(d.load),
-				cost: planCost,
+				FetchedTokens: prefill.cachedTokens - p.cachedTokens, fetchTime: prefill.fetchTime, cost: planCost,
 			}
 		}
 	}
--- a/core/byplace/cache.go
+++ b/core/byplace/cache.go
@@ -6,6 +6,9 @@
 	// minCachedPartTokens is the size, in tokens, below which a part is not tracked:
 	// recomputing it takes about as long as selecting an engine for it.
 	minCachedPartTokens = 256
+	// cachedShare is the share of an engine's memory that is left for tracked parts. The
+	// rest holds running requests, their output and parts that are not tracked.
+	cachedShare = 0.8
 	// maxCachedParts is the maximum number of parts tracked for one engine.
 	maxCachedParts = 512
 )
--- a/core/byplace/cost.go
+++ b/core/byplace/cost.go
@@ -9,7 +9,7 @@
 )
 
 // Typical engine performance, from the figures that the users specified. The speed
-// of each engine is learned as a multiple of it.
+// of each kind of engine is learned as a multiple of it; see prefillRates.
 const (
 	// typicalTokensPerMS is the number of prompt tokens prefilled per millisecond.
 	typicalTokensPerMS = 93.0
@@ -136,9 +136,10 @@
 
 // fastestPrefill decides whether an engine prefills all missing tokens of a prompt or
 // first fetches some of them from another engine. Fetching takes about a tenth of the
-// time of prefilling and loads only the links. factor scales the prefill time.
-func (req PlacementRequest) fastestPrefill(load endpointLoad, total int, factor float64) prefillPlan {
-	prefillTime := func(cached int) time.Duration { return time.Duration(factor * float64(basePrefillTime(total, cached))) }
+// time of prefilling and loads only the links; it counts twice, since other transfers
+// wait for it.
+func (req PlacementRequest) fastestPrefill(load endpointLoad, total int) prefillPlan {
+	prefillTime := func(cached int) time.Duration { return load.rates.prefillTime(total, cached) }
 	best := prefillPlan{prefillTime: prefillTime(load.cachedTokens), cachedTokens: load.cachedTokens}
 	for _, other := range req.prefixSources {
 		if other.cachedTokens < load.cachedTokens+minFetchTokens || other.endpoint.ID == load.endpoint.ID {
@@ -146,7 +147,8 @@
 		}
 		fetchTime := transferSetup + req.transferTimeBetween(other, load, other.cachedTokens-load.cachedTokens)
 		candidate := prefillPlan{prefillTime: prefillTime(other.cachedTokens), fetchTime: fetchTime, cachedTokens: other.cachedTokens, prefixSource: other.endpoint.Addr}
-		if candidate.prefillTime+candidate.fetchTime+sourceStreamPenalty*time.Duration(other.streams) < best.prefillTime+best.fetchTime {
+		saved := time.Duration(load.slowdown * float64(best.prefillTime-candidate.prefillTime))
+		if 2*(candidate.fetchTime-best.fetchTime)+sourceStreamPenalty*time.Duration(other.streams) < saved {
 			best = candidate
 		}
 	}
--- a/core/byplace/tracker.go
+++ b/core/byplace/tracker.go
@@ -34,9 +34,14 @@
 
 // Work is the load that one attempt puts on an endpoint.
 type Work struct {
-	PrefillTime   time.Duration // prefill time at an engine of typical speed, zero if the attempt has no prefill
+	PrefillTime   time.Duration // prefill time at the rates of the engine's kind, zero if the attempt has no prefill
 	Streams       int           // slots that the answer occupies in the batch
 	HasLongPrompt bool          // whether the prompt is long
+	// Tokens and CachedTokens are the size of the prefill, from which the rates are
+	// learned, and Wait is the predicted time until it begins. Tokens is zero if the size
+	// is not known.
+	Tokens, CachedTokens int
+	Wait                 time.Duration
 }
 
 // InFlightAttempt is one open attempt at an endpoint. Its methods may be called from
@@ -56,10 +61,12 @@
 type endpointRecord struct {
 	openAttempts          map[*InFlightAttempt]struct{}
 	lastPrefillEnd        time.Time // when the endpoint last ended a prefill
-	slowdown              float64   // moving average of the measured prefill time relative to the typical one
+	slowdown              float64   // moving average of the measured prefill time relative to the one at the rates of its kind
 	loadReport            burdockyard.LoadReport
 	loadReportedAt        time.Time // when loadReport was received
 	cache                 *cacheEstimate
+	prefilledAt           time.Time     // when this node last learned that the endpoint has ended a prefill
+	kind                  *kindRecord   // nil until the endpoint was a candidate in a plan
 	changedSinceReport    bool          // whether the open work changed since it was last reported to any peer
 	urgentChange          bool          // whether the open work changed in a way that peers must learn at once
 	changedSinceBroadcast bool          // whether the open work changed since it was last reported to all peers
@@ -80,6 +87,7 @@
 
 	mu          sync.Mutex
 	records     map[burdockyard.EndpointID]*endpointRecord
+	kinds       map[engineKind]*kindRecord
 	peerLoads   map[burdockyard.EndpointID]map[burdockyard.NodeID]peerLoad
 	newlyCached []bymember.CachedPart // parts prefilled since the last report to all peers
 	// fleetLoadAt is when a relay last sent the sums over all nodes. They are kept in
@@ -99,6 +107,7 @@
 	return &LoadTracker{
 		clock: clock, meanStreamTime: initialStreamTime, urgent: make(chan struct{}, 1),
 		records:   map[burdockyard.EndpointID]*endpointRecord{},
+		kinds:     map[engineKind]*kindRecord{},
 		peerLoads: map[burdockyard.EndpointID]map[burdockyard.NodeID]peerLoad{},
 	}
 }
@@ -114,6 +123,24 @@
 	return rec
 }
 
+// typicalTime returns how long an engine of typical performance takes for a prefill that
+// takes time d at the rates of the endpoint's kind.
+func (r *endpointRecord) typicalTime(d time.Duration) time.Duration {
+	if r.kind == nil {
+		return d
+	}
+	return time.Duration(float64(d) / r.kind.typicalTimeFactor)
+}
+
+// timeAtRates returns the prefill time at the rates of the endpoint's kind for a prefill that
+// takes time d at an engine of typical performance.
+func (r *endpointRecord) timeAtRates(d time.Duration) time.Duration {
+	if r.kind == nil {
+		return d
+	}
+	return time.Duration(float64(d) * r.kind.typicalTimeFactor)
+}
+
 // Begin records an attempt that is about to be sent. The caller must call Done on the
 // result when the attempt is over.
 func (t *LoadTracker) Begin(id burdockyard.EndpointID, w Work) *InFlightAttempt {
@@ -136,8 +163,14 @@
 		return
 	}
 	rec := a.tracker.record(a.id)
+	if measured > 0 {
+		rec.prefilledAt = a.tracker.clock.Now()
+		if a.exclusive || a.work.Streams == 0 { // the prefill of a stream runs between the tokens of the others
+			a.tracker.learnRates(rec.kind, a.work, measured)
+		}
+	}
 	if a.exclusive && measured > 0 {
-		a.tracker.recordPrefillTime(rec, a.work.PrefillTime, measured)
+		a.tracker.recordPrefillTime(rec, a.work, measured)
 	}
 	a.tracker.markChanged(rec, a.work.PrefillTime)
 	a.work.PrefillTime = 0
@@ -153,20 +186,42 @@
 // on the next prompt. Only the time beyond it measures the speed of the engine. With
 // the latency included, short prompts would make every engine look many times too
 // slow.
-func (t *LoadTracker) recordPrefillTime(rec *endpointRecord, predicted, measured time.Duration) {
-	overhead := max(measured-predicted, 0)
-	if t.fixedLatency == 0 || overhead < t.fixedLatency {
-		t.fixedLatency = overhead
-	} else {
-		t.fixedLatency += time.Duration(latencyRiseWeight * float64(min(overhead, 2*t.fixedLatency)-t.fixedLatency))
-	}
-	if predicted < minMeasuredPrefill {
+func (t *LoadTracker) recordPrefillTime(rec *endpointRecord, w Work, measured time.Duration) {
+	predicted := w.PrefillTime
+	isMeasurable := rec.typicalTime(predicted) >= minMeasuredPrefill
+	if !isMeasurable || rec.kind == nil || rec.kind.isTypical() {
+		// At learned rates the difference of a long prefill is as often below the latency
+		// as above it.
+		t.recordLatency(max(measured-predicted, 0))
+	}
+	if !isMeasurable {
 		return
 	}
+	if rec.kind != nil && w.Tokens > 0 {
+		predicted = rec.kind.rates.prefillTime(w.Tokens, w.CachedTokens) // the rates may be newer than the plan
+	}
 	slowdown := min(max(float64(measured-t.fixedLatency)/float64(predicted), minSlowdown), maxSlowdown)
 	rec.slowdown += averageWeight * (slowdown - rec.slowdown)
 }
 
+// recordLatency updates the fixed latency. The caller must hold mu.
+func (t *LoadTracker) recordLatency(latency time.Duration) {
+	if t.fixedLatency == 0 || latency < t.fixedLatency {
+		t.fixedLatency = latency
+		return
+	}
+	t.fixedLatency += time.Duration(latencyRiseWeight * float64(min(latency, 2*t.fixedLatency)-t.fixedLatency))
+}
+
+// HasPrefilledSince reports whether an endpoint has ended a prefill of any node since the
+// given time. If so it responds, and a prompt that is late there waits for its turn.
+func (t *LoadTracker) HasPrefilledSince(id burdockyard.EndpointID, since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rec := t.records[id]
+	return rec != nil && rec.prefilledAt.After(since)
+}
+
 // Done records that the attempt is over. Further calls have no effect.
 func (a *InFlightAttempt) Done() {
 	a.tracker.mu.Lock()
@@ -192,7 +247,7 @@
 // can wait for the next report. The caller must hold mu.
 func (t *LoadTracker) markChanged(rec *endpointRecord, prefillTime time.Duration) {
 	rec.changedSinceReport = true
-	if prefillTime < minMeasuredPrefill {
+	if rec.typicalTime(prefillTime) < minMeasuredPrefill {
 		return
 	}
 	rec.urgentChange = true
@@ -262,7 +317,9 @@
 		m[node] = peerLoad{load, now}
 	}
 	for _, part := range prefilled {
-		t.record(part.Engine).cache.touch(part.PartID, part.Tokens)
+		rec := t.record(part.Engine)
+		rec.cache.touch(part.PartID, part.Tokens)
+		rec.prefilledAt = now
 	}
 }
 
@@ -287,7 +344,7 @@
 			if attempt.work.HasLongPrompt {
 				load.LongPromptStreams += attempt.work.Streams
 			}
-			load.PrefillTokens += int(attempt.work.PrefillTime.Seconds() * 1e3 * typicalTokensPerMS)
+			load.PrefillTokens += int(rec.typicalTime(attempt.work.PrefillTime).Seconds() * 1e3 * typicalTokensPerMS)
 		}
 		if toAllPeers {
 			rec.reported = load
@@ -368,6 +425,7 @@
 			delete(t.peerLoads, id)
 		}
 	}
+	t.removeUnusedKinds()
 }
 
 // peerWork returns the open work of peers at an endpoint: prefill time, streams, and
@@ -428,6 +486,7 @@
 	streams      int
 	longStreams  int // streams that answer long prompts
 	slowdown     float64
+	rates        prefillRates
 	cache        *cacheEstimate
 	cachedTokens int // leading tokens of the prompt to place that are cached at the endpoint
 }
@@ -435,7 +494,13 @@
 // endpointLoad returns the current open work at an endpoint. The caller must hold mu.
 func (t *LoadTracker) endpointLoad(e byfleet.Endpoint) endpointLoad {
 	rec := t.record(e.ID)
+	if kind := kindOf(e); rec.kind == nil || rec.kind.kind != kind {
+		if e.Service != "" || rec.kind == nil {
+			rec.kind = t.kindRecordOf(kind)
+		}
+	}
 	prefillTime, streams, longStreams := t.peerWork(e.ID)
+	prefillTime = rec.timeAtRates(prefillTime)
 	now := t.clock.Now()
 	busySince := now
 	for attempt := range rec.openAttempts {
@@ -457,5 +522,5 @@
 	if prefillTime > 0 {
 		queueTime = max(queueTime, prefillTime/8)
 	}
-	return endpointLoad{endpoint: e, queueTime: max(queueTime, 0), streams: streams, longStreams: longStreams, slowdown: rec.slowdown, cache: rec.cache}
+	return endpointLoad{endpoint: e, queueTime: max(queueTime, 0), streams: streams, longStreams: longStreams, slowdown: rec.slowdown, rates: rec.kind.rates, cache: rec.cache}
 }
--- a/io/byentry/caches.go
+++ b/io/byentry/caches.go
@@ -93,3 +93,11 @@
 	}
 	n.log.fleet.Info("engine told what it keeps", bylog.Str("endpoint", string(e.ID)), bylog.Int("parts", n.loadTracker.RecordCachedParts(e.ID, parts)))
 }
+
+// logPrefillRates logs the prefill rates that have changed.
+func (n *Node) logPrefillRates() {
+	for _, r := range n.loadTracker.NewRates() {
+		n.log.fleet.Info("prefill rates learned", bylog.Str("service", r.Service), bylog.Str("role", string(r.Role)), bylog.Str("version", r.Version),
+			bylog.Float("tokens_per_ms", r.TokensPerMS), bylog.Float("ms_per_million_pairs", r.MSPerMillionPairs), bylog.Int("prefills", r.Prefills))
+	}
+}
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -424,6 +424,7 @@
 func (n *Node) runMaintenance(context.Context) {
 	n.forwarder.CloseExpired()
 	n.loadTracker.RemoveUnknown(n.fleet.Contains)
+	n.logPrefillRates()
 	n.peers.logReachability()
 	n.view.RemoveExpired()
 	nodes := 1 + len(n.view.Alive())
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"burdockyard"
@@ -95,12 +96,13 @@
 	n := c.node
 	c.lastPlan = plan
 	attempt := burdockyard.Attempt{Priority: -1, LastEventID: relay.resumeID()}
-	work := byplace.Work{PrefillTime: plan.PrefillTime, Streams: 1, HasLongPrompt: c.info.Prompt != nil && byplace.IsLongPrompt(c.info.Prompt)}
+	work := byplace.Work{Streams: 1, HasLongPrompt: c.info.Prompt != nil && byplace.IsLongPrompt(c.info.Prompt)}
 	var stored *storedPrompt
 	if plan.PrefillEngine == nil {
 		attempt.PrefixSource = plan.PrefixSource
+		work = plan.PrefillWork(c.info.Prompt)
+		work.Streams = 1
 	} else {
-		work.PrefillTime = 0
 		if !c.reserve(plan.DecodeEngine) {
 			c.tried[plan.DecodeEngine.ID] = true
 			return outcomeNotRun, burdockyard.ErrNotStarted
@@ -159,6 +161,7 @@
 			if plan.PrefillEngine == nil {
 				took = n.clock.Now().Sub(sentAt)
 				n.loadTracker.RecordPrefill(plan.DecodeEngine.ID, p)
+				c.countPromptTokens(plan)
 			}
 		}
 		inFlight.PrefillDone(took)
@@ -207,16 +210,18 @@
 func (c *call) prefillPrompt(ctx context.Context, plan byplace.Plan) (*storedPrompt, outcome, error) {
 	n := c.node
 	e := *plan.PrefillEngine
-	inFlight := n.loadTracker.Begin(e.ID, byplace.Work{PrefillTime: plan.PrefillTime})
+	inFlight := n.loadTracker.Begin(e.ID, plan.PrefillWork(c.info.Prompt))
 	defer inFlight.Done()
 	sentAt := n.clock.Now()
-	prefillCtx, cancel := context.WithTimeout(ctx, plan.PrefillTimeout())
+	prefillCtx, cancel := context.WithTimeout(ctx, plan.MaxPrefillTimeout())
 	defer cancel()
+	defer n.cancelIfSilent(cancel, e.ID, plan.PrefillTimeout())()
 	resp, o, err := c.send(prefillCtx, e, burdockyard.Attempt{PrefillOnly: true, PrefixSource: plan.PrefixSource, Priority: plan.PrefillPriority})
 	timedOut := o == outcomeAbandoned && prefillCtx.Err() != nil && ctx.Err() == nil && c.timeLeft() > 0
 	if timedOut {
+		n.metrics.PrefillTimeouts(c.service.Name).Inc()
 		n.reportResult(e, byfleet.Silent, err)
-		c.warn("reader is silent", bylog.Str("endpoint", string(e.ID)), bylog.Millis("limit_ms", plan.PrefillTimeout()), bylog.Millis("wait_ms", plan.QueueTime), bylog.Millis("read_ms", plan.PrefillTime))
+		c.warn("reader is silent", bylog.Str("endpoint", string(e.ID)), bylog.Millis("limit_ms", n.clock.Now().Sub(sentAt)), bylog.Millis("wait_ms", plan.QueueTime), bylog.Millis("read_ms", plan.PrefillTime))
 	}
 	if o == outcomeUnknown || timedOut {
 		o = outcomeNotRun // a prefill is not an execution, so another engine may get the request
@@ -240,12 +245,45 @@
 	n.metrics.PrefillWait().Update(max(took-plan.PrefillTime, 0).Seconds())
 	inFlight.PrefillDone(took)
 	n.loadTracker.RecordPrefill(e.ID, c.info.Prompt)
+	c.countPromptTokens(plan)
 	n.reportResult(e, byfleet.Succeeded, nil)
 	c.log("prompt read", bylog.Str("endpoint", string(e.ID)), bylog.Millis("took_ms", took), bylog.Millis("wait_ms", plan.QueueTime),
 		bylog.Millis("read_ms", plan.PrefillTime), bylog.Int("tokens", prefilled.Tokens), bylog.Int("cached", plan.CachedTokens), bylog.Str("source", plan.PrefixSource))
 	return &storedPrompt{endpoint: e, prefilled: prefilled}, outcomeAnswered, nil
 }
 
+// cancelIfSilent calls cancel once the engine has ended no prefill for the given time from now. It
+// returns a function that ends the watch.
+func (n *Node) cancelIfSilent(cancel context.CancelFunc, id burdockyard.EndpointID, timeout time.Duration) (stop func()) {
+	since := n.clock.Now()
+	var mu sync.Mutex // guards timer and since
+	var timer *time.Timer
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(timeout, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !n.loadTracker.HasPrefilledSince(id, since) {
+			cancel()
+			return
+		}
+		since = n.clock.Now()
+		timer.Reset(timeout)
+	})
+	return func() { timer.Stop() }
+}
+
+// countPromptTokens counts the tokens of a prompt that was prefilled by a plan.
+func (c *call) countPromptTokens(plan byplace.Plan) {
+	m, service := c.node.metrics, c.service.Name
+	m.PromptTokens(service, "cached").Add(plan.CachedTokens - plan.FetchedTokens)
+	m.PromptTokens(service, "fetched").Add(plan.FetchedTokens)
+	m.PromptTokens(service, "read").Add(max(byplace.PromptTokens(c.info.Prompt)-plan.CachedTokens, 0))
+	if plan.PrefixSource != "" {
+		m.PrefixFetches(service).Inc()
+	}
+}
+
 // release frees the stored KV cache unless an engine may have fetched it. It also
 // runs after the caller has disconnected, so it does not use the request's context.
 func (p *storedPrompt) release(n *Node) {
--- a/io/bylog/bylog.go
+++ b/io/bylog/bylog.go
@@ -10,6 +10,7 @@
 
 import (
 	"io"
+	"math"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -76,6 +77,11 @@
 	return func(e *zerolog.Event) { e.Bool(name, value) }
 }
 
+// Float returns a field with a floating-point value, to three decimal places.
+func Float(name string, value float64) Field {
+	return func(e *zerolog.Event) { e.Float64(name, math.Round(value*1e3)/1e3) }
+}
+
 // Millis returns a field with a duration in milliseconds, to the microsecond.
 func Millis(name string, d time.Duration) Field {
 	return func(e *zerolog.Event) { e.Float64(name, float64(d.Microseconds())/1e3) }
--- a/io/bymetrics/bymetrics.go
+++ b/io/bymetrics/bymetrics.go
@@ -103,6 +103,24 @@
 	return m.set.GetOrCreateHistogram("burdock_prompt_read_seconds")
 }
 
+// PromptTokens returns the counter of tokens of prefilled prompts of a service, by where
+// the plan found them: "cached" at the engine, "fetched" from another engine, or "read".
+func (m *Metrics) PromptTokens(service, from string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_prompt_tokens_total{service=%q,from=%q}`, service, from))
+}
+
+// PrefixFetches returns the counter of prefills before which an engine of a service
+// fetched tokens from another one.
+func (m *Metrics) PrefixFetches(service string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_prefix_fetches_total{service=%q}`, service))
+}
+
+// PrefillTimeouts returns the counter of prefills of a service that were given up because the engine
+// did not respond in time.
+func (m *Metrics) PrefillTimeouts(service string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_prefill_timeouts_total{service=%q}`, service))
+}
+
 // RouteResponseTime returns the histogram of the time from a request's arrival to the
 // end of its complete response, in seconds.
 func (m *Metrics) RouteResponseTime(route string) *metrics.Histogram {
