--- a/core/byworkspace/freshness_test.go
+++ b/core/byworkspace/freshness_test.go
@@ -88,7 +88,7 @@
 	believed := 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := &revokeWorld{version: 1, hasKey: true}
-		for i := range 3 {
+		for i := range rapid.IntRange(2, 3).Draw(t, "nodes") {
 			clock := &vmClock{truth: &w.truth, offset: time.Duration(i) * 777 * time.Hour}
 			n := &revokeNode{clock: clock, freshness: byworkspace.NewFreshness(clock)}
 			n.apply(w.version, w.hasKey)
@@ -110,10 +110,15 @@
 				requestedAt := n.clock.Now()
 				w.sleep(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms to the store")) * time.Millisecond)
 				version, hasKey := w.version, w.hasKey
-				w.send(n, func() {
+				answer := func() {
 					n.apply(version, hasKey)
 					n.freshness.RecordReading(burdockyard.StoreVersion{Number: version}, requestedAt)
-				})
+				}
+				if rapid.Bool().Draw(t, "arrives late") {
+					w.send(n, answer)
+				} else {
+					answer()
+				}
 			},
 			"relay": func(t *rapid.T) {
 				from, to := w.drawNode(t, "from"), w.drawNode(t, "to")
@@ -125,13 +130,19 @@
 				w.nonce++
 				nonce := w.nonce
 				from.freshness.BeginQuery(nonce)
+				isSlow := rapid.Bool().Draw(t, "answer is late")
 				answer := func() {
 					to.clock.Sync()
-					if version, age, ok := to.freshness.Statement(); ok {
-						w.send(from, func() { from.freshness.RecordReply(nonce, version, age) })
+					version, age, ok := to.freshness.Statement()
+					reply := func() { from.freshness.RecordReply(nonce, version, age) }
+					switch {
+					case ok && (isSlow || from.asleep):
+						w.send(from, reply)
+					case ok:
+						reply()
 					}
 				}
-				if answer(); rapid.Bool().Draw(t, "arrives later again") {
+				if answer(); rapid.Bool().Draw(t, "query arrives again") {
 					w.send(to, answer)
 				}
 			},
