--- a/io/byentry/memory.go
+++ b/io/byentry/memory.go
@@ -163,7 +163,7 @@
 	if limit > 0 {
 		size = min(size, limit+1)
 	}
-	if err := c.waitForRoom(c.held, size, maxRoomWait); err != nil {
+	if err := c.node.waitForRoom(c.held, size, maxRoomWait, c.r.Context().Done()); err != nil {
 		return err
 	}
 	c.body = append(make([]byte, 0, size), c.body...)
@@ -172,13 +172,13 @@
 }
 
 // waitForRoom charges n more bytes to a holding, and waits for up to limit until there is
-// room for them.
-func (c *call) waitForRoom(held *bymemory.Holding, n int64, limit time.Duration) error {
+// room for them or done is closed.
+func (n *Node) waitForRoom(held *bymemory.Holding, size int64, limit time.Duration, done <-chan struct{}) error {
 	timeout := time.NewTimer(limit)
 	defer timeout.Stop()
 	for {
-		freed := c.node.memory.Freed()
-		err := held.Grow(n)
+		freed := n.memory.Freed()
+		err := held.Grow(size)
 		if !errors.Is(err, bymemory.ErrFull) {
 			return err
 		}
@@ -187,7 +187,7 @@
 		case <-held.Cut():
 		case <-timeout.C:
 			return err
-		case <-c.r.Context().Done():
+		case <-done:
 			return err
 		}
 	}
@@ -282,6 +282,7 @@
 	unblocked chan struct{} // closed when the blocked write ends, nil if no write is blocked
 	wasCut    bool
 	isAhead   bool
+	isClosed  bool
 
 	pieces chan []byte   // read ahead; made before isAhead is set
 	ended  chan struct{} // closed after the last piece
@@ -412,11 +413,9 @@
 	defer close(o.pieces)
 	defer close(o.ended)
 	for {
-		if err := o.c.waitForRoom(held, aheadPieceBytes, maxUnread); err != nil {
+		if err := o.c.node.waitForRoom(held, aheadPieceBytes, maxUnread, o.done); err != nil {
 			o.err = err
-			if errors.Is(err, bymemory.ErrCut) || errors.Is(err, bymemory.ErrFull) {
-				o.cut(cutForMemory)
-			}
+			o.cut(cutForMemory)
 			return
 		}
 		piece := make([]byte, aheadPieceBytes)
@@ -451,7 +450,7 @@
 func (o *outflow) cut(cause string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.wasCut {
+	if o.wasCut || o.isClosed {
 		return
 	}
 	o.wasCut = true
@@ -465,6 +464,7 @@
 	close(o.done)
 	o.mu.Lock()
 	ahead := o.isAhead
+	o.isClosed = true
 	o.mu.Unlock()
 	if ahead {
 		select {
