--- a/io/byentry/duties_test.go
+++ b/io/byentry/duties_test.go
@@ -71,3 +71,25 @@
 		t.Errorf("broken rules: %v", v)
 	}
 }
+
+// TestLostResponseIsCounted lets a runner lose the response to a stream that it has run: it is
+// reported like one that its caller got.
+func TestLostResponseIsCounted(t *testing.T) {
+	c := newKeyedCluster(t)
+	c.api = bystub.NewAPI()
+	c.apiAddr = c.serveHandler(c.api)
+	n := c.startNode("n1")
+	c.waitReady(n)
+	c.waitUntil("the node reports usage", func() bool { return len(c.api.Usage("north")) > 0 })
+	c.setFaults(bystub.RunnerFaults{Lose: 1})
+	if r := n.call("POST", "/quick/1", "", keyNorth, shortPrompt, shortTokens); r.status != 502 {
+		t.Fatalf("status %d, want 502 for a lost response", r.status)
+	}
+	c.waitUntil("the stream is reported", func() bool {
+		sum := int64(0)
+		for _, n := range c.api.Usage("north") {
+			sum += n
+		}
+		return sum == 1
+	})
+}
--- a/io/byentry/prompt.go
+++ b/io/byentry/prompt.go
@@ -133,6 +133,9 @@
 		c.possibleRuns++
 	}
 	if o != outcomeAnswered {
+		if o == outcomeUnknown {
+			c.countLostStart(plan.DecodeEngine)
+		}
 		if o == outcomeUnknown && stored != nil {
 			stored.maybeFetched = true // the engine may have fetched the KV cache
 		}
@@ -188,6 +191,7 @@
 	default:
 		n.reportResult(plan.DecodeEngine, byfleet.Failed, err)
 		c.attemptBroke(ctx, plan.DecodeEngine, actionRun, relay.eventCount-eventsBefore, relay.answerBegun, err)
+		c.countLostStart(plan.DecodeEngine)
 		relay.dropHeld()
 		return outcomeUnknown, err
 	}
--- a/io/byentry/usage.go
+++ b/io/byentry/usage.go
@@ -14,9 +14,11 @@
 
 	"burdockyard"
 	"burdockyard/core/byduty"
+	"burdockyard/core/byfleet"
 	"burdockyard/core/bymember"
 	"burdockyard/core/bytruetime"
 	"burdockyard/core/byusage"
+	"burdockyard/core/bywitness"
 	"burdockyard/io/bylog"
 )
 
@@ -104,6 +106,14 @@
 	}
 }
 
+// countLostStart counts a stream whose response endpoint e has broken off before its first
+// event. An endpoint whose process has ended may not have begun it.
+func (c *call) countLostStart(e byfleet.Endpoint) {
+	if c.lastProof.endpoint != e.ID || c.lastProof.finding != bywitness.Ended {
+		c.countBegun()
+	}
+}
+
 // report returns what this node tells the holder.
 func (u *usage) report() []byusage.Window {
 	if u.length() == 0 {
