Owe usage from the window in which the first processes began

Cause: a holder without a stored state took the age of its process in whole windows, and left out the window in which it began if it had started late in it. Change: the window before the start of the holder is the first one owed.

--- a/io/byentry/duties_test.go
+++ b/io/byentry/duties_test.go
@@ -93,3 +93,29 @@
 		return sum == 1
 	})
 }
+
+// TestFirstWindowIsReported guards against the loss of what began before any node held the
+// duty: nodes start at any moment of a window.
+func TestFirstWindowIsReported(t *testing.T) {
+	for _, offset := range []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, 900 * time.Millisecond} {
+		t.Run(offset.String(), func(t *testing.T) {
+			c := newKeyedCluster(t)
+			c.api = bystub.NewAPI()
+			c.apiAddr = c.serveHandler(c.api)
+			time.Sleep(time.Until(time.Now().Truncate(testDuties.UsageWindow).Add(testDuties.UsageWindow + offset)))
+			n := c.startNode("n1")
+			c.waitReady(n)
+			if r := n.call("GET", "/read/1", "", keyNorth); r.status != 200 {
+				t.Fatalf("status %d, error %v", r.status, r.err)
+			}
+			c.waitUntil("the request is reported", func() bool {
+				for _, count := range c.api.Usage("north") {
+					if count == 1 {
+						return true
+					}
+				}
+				return false
+			})
+		})
+	}
+}
--- a/io/byentry/usage.go
+++ b/io/byentry/usage.go
@@ -198,8 +198,7 @@
 		data.Write(row.Value)
 	}
 	current := u.current()
-	// Without a state, no window that ended before this process began is owed.
-	ledger := byusage.NewLedger(current - int64(u.node.clock.Now().Sub(u.node.createdAt)/max(u.length(), time.Millisecond)))
+	ledger := byusage.NewLedger(u.firstOwed())
 	if len(rows) > 0 {
 		stored, era, err := byusage.Decode(data.Bytes())
 		switch {
@@ -220,6 +219,13 @@
 	return nil
 }
 
+// firstOwed returns the first window that is owed if no holder has saved a state: the one before
+// the start of this process, as other nodes may have started a moment earlier.
+func (u *usage) firstOwed() int64 {
+	startedAt := u.trueTime.Now().Add(-u.node.clock.Now().Sub(u.node.createdAt))
+	return startedAt.UnixNano()/int64(u.length()) - 1
+}
+
 // leaveOut leaves out the windows before first that have no fixed content.
 func (u *usage) leaveOut(l *byusage.Ledger, first int64, cause string) {
 	if n := first - l.Next(); n > 0 {
