--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,15 +1,12 @@
-// Command 9 is the case of a runner of a plain service that is killed while it sends answers
-// without a length. Started with the argument "runner", it is a runner.
+// Command 9 is the case of a prompt part that crashes runners while the nodes are restarted
+// in turn.
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,115 +18,108 @@
 )
 
 const (
-	runners = 3
-	// An answer of answerBytes is worked out and sent in pieces: plotdesk on bbpp-yard works
-	// for 60 ms in the mean and 450 ms at most, and its answers have up to 4,800 bytes.
-	answerBytes = 4800
-	pieces      = 6
-	pieceTime   = 25 * time.Millisecond
-	// Requests a second, as on bbpp-yard: stock-hold and catalog-read.
-	bookRate, readRate = 40, 16
-	requestDeadline    = 4 * time.Second
+	decodeRunners   = 8
+	eventsPerStream = 11
+	eventInterval   = 20 * time.Millisecond
+	firstEventTime  = 400 * time.Millisecond // prefill of 17,000 tokens
+	requestDeadline = 5 * time.Second
+	downTime        = 4 * time.Second
+	// Of the prompts, some begin with the part batch and some with the part steady.
+	batch, steady = 0xba7c4, 0x57ead
+	deadlyPart    = "bad1"
+	batchInterval = time.Second / 15
+	// Five requests with the deadly part come first, others follow.
+	firstDeadly, deadlyPause = 5, 130 * time.Millisecond
+	deadlyInterval           = 1500 * time.Millisecond
+	stableWindow             = 3 * time.Second
 )
 
-func main() {
-	if len(os.Args) == 3 && os.Args[1] == "runner" {
-		serveRunner(os.Args[2])
-		return
-	}
-	os.Exit(run())
-}
+func main() { os.Exit(run()) }
 
-// serveRunner is the process of a runner. It writes its address to the standard output.
-func serveRunner(id string) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		fmt.Println(err)
-		os.Exit(bystage.CannotRun)
-	}
-	fmt.Println(l.Addr())
-	srv := &http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { answer(w, req, id) })}
-	fmt.Println(srv.Serve(l))
+// server is a runner that crashes when it begins to write an answer on the deadly part.
+type server struct {
+	runner   *bystub.Runner
+	id, addr string
+	stage    *bystage.Stage
+	crashes  *atomic.Int64
+
+	mu  sync.Mutex
+	srv *http.Server
+	seq int
 }
 
-// answer sends an answer that ends with its connection.
-func answer(w http.ResponseWriter, req *http.Request, id string) {
-	w.Header().Set("X-Request-Id", req.Header.Get("X-Request-Id"))
-	w.Header().Set("X-Instance-Id", id)
-	w.Header().Set("X-Server-Load", "1,0,6")
-	if expect := req.Header.Get("X-Expect-Instance"); expect != "" && expect != id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
+// ServeHTTP implements http.Handler.
+func (r *server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if !strings.HasPrefix(req.URL.Path, "/plan/") {
+		r.runner.ServeHTTP(w, req)
 		return
 	}
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
-		return
-	}
-	w.Header().Set("X-Response-Stamp", "stamp-"+id+"-"+req.Header.Get("X-Request-Id"))
-	w.Header().Set("Transfer-Encoding", "identity") // neither a length nor chunks
-	for range pieces {
-		time.Sleep(pieceTime)
-		if _, err := io.WriteString(w, strings.Repeat("x", answerBytes/pieces)); err != nil {
-			return
-		}
-		if http.NewResponseController(w).Flush() != nil {
-			return
-		}
+	r.stage.Logf("%s reaches %s, prompt %s", req.Header.Get("X-Request-Id"), r.id, req.Header.Get("X-Prompt-Prefix"))
+	time.Sleep(firstEventTime)
+	if strings.Contains(req.Header.Get("X-Prompt-Prefix"), ","+deadlyPart+":") {
+		r.crash(req.Header.Get("X-Request-Id"))
+		panic(http.ErrAbortHandler)
 	}
+	r.runner.ServeHTTP(w, req)
 }
 
-// runner is a runner's process.
-type runner struct {
-	id    string
-	cmd   *exec.Cmd
-	ended atomic.Bool
+func (r *server) serve(l net.Listener) {
+	srv := &http.Server{Handler: r, ReadHeaderTimeout: 10 * time.Second}
+	r.mu.Lock()
+	r.srv = srv
+	r.mu.Unlock()
+	go func() { _ = srv.Serve(l) }()
 }
 
-// startRunner starts a runner's process and writes its entry to the store every 1.2 s.
-func startRunner(s *bystage.Stage, id, zone string) (*runner, error) {
-	self, err := os.Executable()
-	if err != nil {
-		return nil, err
+// register writes the runner's entry to the store while the runner is up.
+func (r *server) register() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.srv != nil {
+		r.seq++
+		r.stage.Store.Set("servers", r.id, r.runner.StoreEntry(r.addr, "ready", r.seq))
 	}
-	cmd := exec.Command(self, "runner", id)
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	out, err := cmd.StdoutPipe()
-	if err != nil {
-		return nil, err
-	}
-	if err := cmd.Start(); err != nil {
-		return nil, err
-	}
-	r := &runner{id: id, cmd: cmd}
-	s.OnClose(r.kill)
-	addr, err := bufio.NewReader(out).ReadString('\n')
-	if err != nil {
-		return nil, err
-	}
-	info, seq := bystub.NewRunner(bystub.RunnerConfig{ID: id, Service: "app", Zone: zone, Slots: 6}), 0
-	register := func() {
-		seq++
-		s.Store.Set("servers", id, info.StoreEntry(strings.TrimSpace(addr), "ready", seq))
+}
+
+// close ends the connections and the listener. It returns false if the runner is down.
+func (r *server) close() bool {
+	r.mu.Lock()
+	srv := r.srv
+	r.srv = nil
+	r.mu.Unlock()
+	if srv != nil {
+		_ = srv.Close()
 	}
-	register()
-	go func() {
-		for range time.Tick(1200 * time.Millisecond) {
-			if r.ended.Load() {
-				return
-			}
-			register()
-		}
-	}()
-	return r, nil
+	return srv != nil
 }
 
-// kill ends the runner's process.
-func (r *runner) kill() {
-	if !r.ended.Swap(true) {
-		_ = r.cmd.Process.Kill()
-		_ = r.cmd.Wait()
+// crash ends the runner, which is back after downTime.
+func (r *server) crash(id string) {
+	if !r.close() {
+		return
 	}
+	r.crashes.Add(1)
+	r.stage.Logf("runner %s crashes on %s", r.id, id)
+	time.AfterFunc(downTime, func() {
+		l, err := net.Listen("tcp4", r.addr)
+		if err != nil {
+			r.stage.Logf("runner %s does not start again: %v", r.id, err)
+			return
+		}
+		r.runner.Restart()
+		r.serve(l)
+		r.register()
+	})
 }
 
+// share counts requests and those of them that were served.
+type share struct{ sent, served atomic.Int64 }
+
+func (c *share) String() string { return fmt.Sprintf("%d of %d", c.served.Load(), c.sent.Load()) }
+
+// part returns the share that was served.
+func (c *share) part() float64 { return float64(c.served.Load()) / float64(max(c.sent.Load(), 1)) }
+
 func run() int {
 	s, err := bystage.New("review/9")
 	if err != nil {
@@ -137,75 +127,132 @@
 		return bystage.CannotRun
 	}
 	defer s.Close()
-	s.Store.Set("op", "config", bystub.EncodeConfig(1,
-		bystub.Route{Name: "book", Prefix: "/book/", Kind: "unsafe", Service: "app", Attempts: 1},
-		bystub.Route{Name: "read", Prefix: "/read/", Kind: "safe", Service: "app", Attempts: 2}))
+	s.Store.Set("op", "config", bystub.EncodeConfig(1, bystub.Route{Name: "plan", Prefix: "/plan/", Kind: "streaming", Service: "llm", Attempts: 1}))
 	zones := []string{"ctx-a", "ctx-b", "ctx-c"}
-	var all []*runner
-	for i := range runners {
-		r, err := startRunner(s, fmt.Sprintf("app-%d", i+1), zones[i%3])
+	var crashes atomic.Int64
+	for i := range decodeRunners {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
 			fmt.Println(err)
 			return bystage.CannotRun
 		}
-		all = append(all, r)
+		cfg := bystub.RunnerConfig{
+			ID: fmt.Sprintf("d-%d", i+1), Service: "llm", Zone: zones[i%3], Stage: "decode", Slots: 24, EventsPerStream: eventsPerStream, EventInterval: eventInterval,
+		}
+		r := &server{runner: bystub.NewRunner(cfg), id: cfg.ID, addr: l.Addr().String(), stage: s, crashes: &crashes}
+		r.serve(l)
+		r.register()
+		s.OnClose(func() { r.close() })
+		go func() {
+			for range time.Tick(1200 * time.Millisecond) {
+				r.register()
+			}
+		}()
 	}
 	if err := s.StartNodes(zones...); err != nil {
 		fmt.Println(err)
 		return bystage.CannotRun
 	}
-	var sent, whole, short atomic.Int64
-	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	for _, c := range []struct {
-		method, path string
-		perSecond    int
-	}{{http.MethodPost, "/book/reserve", bookRate}, {http.MethodGet, "/read/catalog", readRate}} {
-		clients.Go(func() {
-			for i := 0; ; i++ {
-				select {
-				case <-stop:
-					return
-				case <-time.After(time.Second / time.Duration(c.perSecond)):
-					clients.Go(func() { request(s, c.method, c.path, i, &sent, &whole, &short) })
-				}
+	var number atomic.Int64
+	send := func(first int, middle string, counts *share) {
+		clients.Go(func() { request(s, int(number.Add(1)), first, middle, counts) })
+	}
+	// every calls f in intervals for some time.
+	every := func(interval, length time.Duration, f func()) {
+		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(interval) {
+			f()
+		}
+	}
+	var before, after, others, deadly share
+	stop := make(chan struct{})
+	clients.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(100 * time.Millisecond):
+				send(steady, "", &others)
 			}
-		})
+		}
+	})
+	s.Logf("prompts that begin with %x", batch)
+	every(batchInterval, 5*time.Second, func() { send(batch, "", &before) })
+	if err := restartInTurn(s); err != nil {
+		fmt.Println(err)
+		return bystage.CannotRun
 	}
-	time.Sleep(4 * time.Second)
 	if bystage.Trouble() {
-		s.Logf("the process of runner %s is killed", all[0].id)
-		all[0].kill()
+		s.Logf("prompts with the deadly part")
+		for range firstDeadly {
+			send(batch, deadlyPart, &deadly)
+			time.Sleep(deadlyPause)
+		}
+	}
+	time.Sleep(2 * time.Second)
+	fifth := time.Now()
+	if err := restartInTurn(s); err != nil {
+		fmt.Println(err)
+		return bystage.CannotRun
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(max(stableWindow, 2*stableWindow-time.Since(fifth)))
+	s.Logf("prompts that begin with %x, after %d crashes", batch, crashes.Load())
+	clients.Go(func() {
+		if bystage.Trouble() {
+			every(deadlyInterval, 12*time.Second, func() { send(batch, deadlyPart, &deadly) })
+		}
+	})
+	every(batchInterval, 12*time.Second, func() { send(batch, "", &after) })
 	close(stop)
 	clients.Wait()
-	if whole.Load() < sent.Load()/2 {
-		fmt.Printf("only %d of %d answers came whole\n", whole.Load(), sent.Load())
+	if before.part() < 0.9 || before.sent.Load() < 20 || after.sent.Load() < 20 {
+		fmt.Printf("before the disruption, only %s were served\n", &before)
 		return bystage.CannotRun
 	}
-	return s.Verdict(short.Load() > 0, "%d of %d answers (%d whole) were a success with a part of the runner's body; the rule allows none", short.Load(), sent.Load(), whole.Load())
+	return s.Verdict(after.part() < before.part()/2, "%d crashes; while deadly prompts still come, %s sound prompts with the same first part are served at the first attempt, before %s; with another first part %s, deadly %s",
+		crashes.Load(), &after, &before, &others, &deadly)
 }
 
-// request sends one request and measures the body of the answer.
-func request(s *bystage.Stage, method, path string, i int, sent, whole, short *atomic.Int64) {
-	n := s.Nodes[i%len(s.Nodes)]
-	id := fmt.Sprintf("%s-%05d", strings.Split(path, "/")[1], i)
-	body := ""
-	if method == http.MethodPost {
-		body = fmt.Sprintf("reserve %d pallets for order %d", 1+i%7, i)
-	}
-	sent.Add(1)
-	a := n.Send(bystage.Request{ID: id, Method: method, Path: path, Body: body, Deadline: requestDeadline})
-	note := ""
-	if a.Status == http.StatusOK && a.Complete {
-		if len(a.Body) == answerBytes {
-			whole.Add(1)
-		} else {
-			short.Add(1)
-			note = " SHORT"
+// restartInTurn stops and starts the nodes, one after the other, as planned work.
+func restartInTurn(s *bystage.Stage) error {
+	for _, n := range s.Nodes {
+		s.Logf("node %s gets SIGTERM", n.Name)
+		n.Signal(syscall.SIGTERM)
+		select {
+		case <-n.Exited():
+		case <-time.After(8 * time.Second): // graceS
+			n.Kill()
+		}
+		if err := n.Start(false); err != nil {
+			return err
 		}
+		if err := n.WaitReady(10 * time.Second); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// request sends one request for a stream, to a node that is ready.
+func request(s *bystage.Stage, number, first int, middle string, counts *share) {
+	n := s.Nodes[number%len(s.Nodes)]
+	for try := 0; !n.IsReady() && try < len(s.Nodes); try++ {
+		n = s.Nodes[(number+try)%len(s.Nodes)]
+	}
+	id := fmt.Sprintf("plan-%05d", number)
+	parts := fmt.Sprintf("%x:13300", first)
+	if middle != "" {
+		parts += "," + middle + ":40"
+	}
+	h := http.Header{}
+	h.Set("X-Model-Name", "m")
+	h.Set("X-Token-Usage", "17020,40")
+	h.Set("X-Prompt-Prefix", fmt.Sprintf("%s,%x:3680", parts, 0x1000000+number))
+	counts.sent.Add(1)
+	a := n.Send(bystage.Request{ID: id, Method: http.MethodPost, Path: "/plan/1", Body: "a yard of 40 by 60 feet", Header: h, Deadline: requestDeadline})
+	if a.Status == http.StatusOK && a.Complete {
+		counts.served.Add(1)
 	}
-	s.Logf("answer %s by %s: status %d complete %v length %q body %d of %d stamp %q %s%s", id, n.Name, a.Status, a.Complete, a.Header.Get("Content-Length"),
-		len(a.Body), answerBytes, bystub.ResponseStamp(a.Header), a.ErrText(), note)
+	s.Logf("answer %s by %s: first part %x deadly %v status %d complete %v retry after %q %q %s", id, n.Name, first, middle != "", a.Status, a.Complete,
+		a.Header.Get("Retry-After"), strings.TrimSpace(a.Body[:min(len(a.Body), 24)]), a.ErrText())
 }
