Tell in the log why a request is refused by the quarantine

Cause: a refusal with cause "quarantined" named neither the key nor whose word its verdict is.

Change: Quarantine.Explain tells of the key that has to wait the longest its kind, ends, last end, last trial, last answer, companions, and whether the verdict rests on ends known here, on a peer or on the store. The line "calls: refused" carries them.

--- a/core/byquarantine/byquarantine.go
+++ b/core/byquarantine/byquarantine.go
@@ -232,6 +232,8 @@
 	lastEnd    time.Time
 	lastTrial  time.Time // zero if there was none
 	companions []Key     // keys that were in progress too at each endpoint that has ended, and may be to blame
+	source     Source
+	since      time.Time // when this node began to quarantine the key
 }
 
 // New returns a Quarantine without keys for the given node.
@@ -532,7 +534,7 @@
 		}
 	}
 	for _, g := range all {
-		q.quarantine(g.key, g.v)
+		q.quarantine(g.key, g.v, FromEnds)
 		c.Quarantined = append(c.Quarantined, g.key)
 		hasSeen := slices.ContainsFunc(q.ends, func(e end) bool { return e.own && slices.Contains(e.Keys, g.key) })
 		if q.saves(g.key, hasSeen) {
@@ -694,7 +696,8 @@
 }
 
 // quarantine quarantines a key. The caller must hold mu.
-func (q *Quarantine) quarantine(key Key, v *verdict) {
+func (q *Quarantine) quarantine(key Key, v *verdict, source Source) {
+	v.source, v.since = source, q.clock.Now()
 	if len(q.quarantined) >= maxQuarantined {
 		var oldest Key
 		var at time.Time
@@ -720,7 +723,7 @@
 	}
 	delete(q.quarantined, key)
 	if v := q.judgeKey(key); v != nil {
-		q.quarantined[key] = v // it has ended many endpoints since the answer
+		q.quarantine(key, v, FromEnds) // it has ended many endpoints since the answer
 		return false
 	}
 	c.Released = append(c.Released, key)
--- a/core/byquarantine/news.go
+++ b/core/byquarantine/news.go
@@ -177,7 +177,7 @@
 		}
 	}
 	for _, v := range n.Quarantined {
-		q.mergeVerdict(v, now, &c)
+		q.mergeVerdict(v, now, FromPeer, &c)
 	}
 	for _, t := range n.Trials {
 		if v := q.quarantined[t.Key]; v != nil {
@@ -188,10 +188,10 @@
 	return c
 }
 
-// mergeVerdict applies a peer's verdict on a key. An age that a peer tells lacks the time
+// mergeVerdict applies a verdict on a key of a peer or of the store. An age that a peer tells lacks the time
 // for which the news travelled, so the same end or trial seems later at each node that
 // passes it on. It must not put off the next trial. The caller must hold mu.
-func (q *Quarantine) mergeVerdict(told Verdict, now time.Time, c *Change) {
+func (q *Quarantine) mergeVerdict(told Verdict, now time.Time, source Source, c *Change) {
 	merged := &verdict{ends: told.Ends, lastEnd: now.Add(-told.Age)}
 	if told.TrialAge >= 0 {
 		merged.lastTrial = now.Add(-told.TrialAge)
@@ -214,7 +214,7 @@
 		q.announce(told.Key, now) // the peer does not know of the answer
 		return
 	}
-	q.quarantine(told.Key, merged)
+	q.quarantine(told.Key, merged, source)
 	c.Quarantined = append(c.Quarantined, told.Key)
 }
 
--- a/core/byquarantine/record.go
+++ b/core/byquarantine/record.go
@@ -132,7 +132,7 @@
 		if !r.LastTrial.IsZero() {
 			told.TrialAge = max(now.Sub(r.LastTrial), 0)
 		}
-		q.mergeVerdict(told, now, &c)
+		q.mergeVerdict(told, now, FromStore, &c)
 	}
 	c.Unsaved = len(q.unsaved) > 0
 	return c
--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -301,8 +301,11 @@
 // request has left.
 func (c *call) refuseFor(cause reason, retryAfter time.Duration) {
 	fields := []bylog.Field{bylog.Str("cause", string(cause)), bylog.Millis("back_ms", retryAfter)}
-	if cause == reasonStale {
+	switch cause {
+	case reasonStale:
 		fields = append(fields, bylog.Millis("proven_ms", c.node.provenAge()))
+	case reasonQuarantined:
+		fields = append(fields, c.quarantineFields()...)
 	}
 	c.recordEnd(bylog.OutcomeRefused, fields...)
 	if retryAfter > 0 {
--- a/io/byentry/quarantine.go
+++ b/io/byentry/quarantine.go
@@ -93,6 +93,29 @@
 	}
 }
 
+// quarantineFields returns the log fields that tell why the request is refused: the verdict
+// on one of its keys, whose word it is and what may speak against it.
+func (c *call) quarantineFields() []bylog.Field {
+	r, ok := c.node.quarantine.Explain(c.keys)
+	if !ok {
+		return nil // the key has become free since
+	}
+	fields := []bylog.Field{
+		bylog.Str("key", formatKeys([]byquarantine.Key{r.Key})), bylog.Str("key_kind", r.Key.Kind()), bylog.Int("ends", r.Ends),
+		bylog.Millis("end_age_ms", r.EndAge), bylog.Str("verdict_from", string(r.Source)), bylog.Millis("verdict_age_ms", r.Age),
+	}
+	if r.TrialAge >= 0 {
+		fields = append(fields, bylog.Millis("trial_age_ms", r.TrialAge))
+	}
+	if r.AnswerAge >= 0 {
+		fields = append(fields, bylog.Millis("answer_age_ms", r.AnswerAge))
+	}
+	if r.Companions != nil {
+		fields = append(fields, bylog.Str("companions", formatKeys(r.Companions)))
+	}
+	return fields
+}
+
 // applyQuarantineChange logs a change of the quarantine, and tells the peers of it if
 // they must learn of it without delay.
 func (n *Node) applyQuarantineChange(c byquarantine.Change, toldBy string) {
