Store and tell the companions of a quarantined key

Cause: two parts that were in progress at each endpoint that ended are both quarantined, and each is the other's companion: a request with one and not the other gets a trial after a second. Companions were computed from the ends in memory and were neither stored nor told. A node that took the verdict from the store, or from a peer after the ends were news no more, had none, and with five ends waited for 4 minutes and more.

Evidence: the lines "calls: refused" of: verdict_from "store", ends 5, no companions, no trial_age_ms, back_ms 311,570 to 376,445 at all three nodes.

Late news of a request in progress at the last end add its keys, also to the row; a key that has answered is taken out of the others' rows. Companions are kept when the ends are forgotten, and computed only when these have changed. A trial that is overdue when a node learns of the verdict is spread like others, as all nodes may start at once.

--- a/core/byquarantine/byquarantine.go
+++ b/core/byquarantine/byquarantine.go
@@ -162,6 +162,7 @@
 	mu          sync.Mutex
 	nodes       int                // number of nodes of the fleet
 	ends        []end              // sorted by time
+	endChanges  int                // number of changes of ends
 	formerEnds  map[Key]formerEnds // before those in ends: of requests, and of other keys as stored
 	answers     answerLog          // to requests with a key that others may share
 	repeated    answerLog          // to requests themselves
@@ -228,18 +229,23 @@
 
 // verdict is why a key is quarantined.
 type verdict struct {
-	ends       int
-	lastEnd    time.Time
-	lastTrial  time.Time // zero if there was none
-	companions []Key     // keys that were in progress too at each endpoint that has ended, and may be to blame
-	source     Source
-	since      time.Time // when this node began to quarantine the key
+	ends      int
+	lastEnd   time.Time
+	lastTrial time.Time // zero if there was none
+	source    Source
+	since     time.Time // when this node began to quarantine the key
+
+	company company
+	// Result of the last call of Quarantine.companions, and endChanges at that time.
+	companions      []Key
+	companionsKnown bool
+	companionsOf    int
 }
 
 // New returns a Quarantine without keys for the given node.
 func New(clock burdockyard.Clock, node burdockyard.NodeID) *Quarantine {
 	q := &Quarantine{
-		clock: clock, node: node, nodes: 1, formerEnds: map[Key]formerEnds{}, answers: newAnswerLog(maxAnswers), repeated: newAnswerLog(maxRequestAnswers),
+		clock: clock, node: node, nodes: 1, endChanges: 1, formerEnds: map[Key]formerEnds{}, answers: newAnswerLog(maxAnswers), repeated: newAnswerLog(maxRequestAnswers),
 		quarantined: map[Key]*verdict{}, unsaved: map[Key]bool{},
 	}
 	q.own.answers, q.own.trials = map[Key]time.Time{}, map[Key]time.Time{}
@@ -344,18 +350,22 @@
 	case v.ends >= provenEnds:
 		delay = min(minTrialDelay<<min(v.ends-provenEnds, 10), maxTrialDelay)
 	}
-	q.updateCompanions(key, v)
-	for _, companion := range v.companions {
-		if q.isCompanion(companion, key) && !slices.Contains(keys, companion) {
-			delay = separateTrialDelay
-		}
+	companions, known := q.companions(key, v)
+	switch {
+	case slices.ContainsFunc(companions, func(k Key) bool { return q.isCompanion(k, key) && !slices.Contains(keys, k) }):
+		delay = separateTrialDelay
+	case !known && !key.IsRequest() && !v.lastTrial.After(v.lastEnd):
+		// What may speak against the verdict is not known, so it gets one early trial, after
+		// whose end the companions are known.
+		delay = min(delay, earlyTrialDelay)
 	}
-	since := v.lastEnd
-	if v.lastTrial.After(since) {
-		since = v.lastTrial
+	share := q.lot(key) * (1 + float64(q.nodes)/nodesPerTrialDelay)
+	at := later(v.lastEnd, v.lastTrial).Add(delay + time.Duration(share*float64(delay)))
+	if v.source != FromEnds && q.nodes > 1 {
+		// Nodes that start at once all learn at that moment that a trial is overdue.
+		at = later(at, v.since.Add(time.Duration(share*float64(separateTrialDelay))))
 	}
-	spread := 1 + float64(q.nodes)/nodesPerTrialDelay
-	return since.Add(delay + time.Duration(q.lot(key)*spread*float64(delay)))
+	return at
 }
 
 // lot returns a number from 0 to 1 that differs between nodes and keys.
@@ -398,7 +408,7 @@
 	}
 	for _, key := range keys {
 		suspect := q.isSuspect(key)
-		if (suspect || q.quarantined[key] != nil) && q.record(key).Ends >= minSuspectEnds {
+		if (suspect || q.quarantined[key] != nil) && q.known(key).ends >= minSuspectEnds {
 			q.unsaved[key] = true
 		}
 		if q.addAnswer(key, now, &c) {
@@ -456,11 +466,14 @@
 		}
 	}
 	if len(q.ends) >= maxEnds {
+		q.keepCompanies(q.ends[0])
 		q.ends = slices.Delete(q.ends, 0, 1)
 	}
 	e.at = q.alignTimes(e)
 	i, _ := slices.BinarySearchFunc(q.ends, e.at, func(known end, at time.Time) int { return known.at.Compare(at) })
 	q.ends = slices.Insert(q.ends, i, e)
+	q.endChanges++
+	q.addLateCompanions(e)
 	for _, key := range e.Keys {
 		v := q.quarantined[key]
 		if v == nil {
@@ -478,7 +491,7 @@
 	}
 	q.judge(e.Keys, c)
 	for _, key := range e.Keys {
-		if q.saves(key, e.own) && (q.isSuspect(key) || q.quarantined[key] != nil) && q.record(key).Ends >= minSuspectEnds {
+		if q.saves(key, e.own) && (q.isSuspect(key) || q.quarantined[key] != nil) && q.known(key).ends >= minSuspectEnds {
 			q.unsaved[key] = true
 		}
 	}
@@ -536,8 +549,7 @@
 	for _, g := range all {
 		q.quarantine(g.key, g.v, FromEnds)
 		c.Quarantined = append(c.Quarantined, g.key)
-		hasSeen := slices.ContainsFunc(q.ends, func(e end) bool { return e.own && slices.Contains(e.Keys, g.key) })
-		if q.saves(g.key, hasSeen) {
+		if q.saves(g.key, q.hasOwnEnd(g.key)) {
 			q.unsaved[g.key] = true
 		}
 	}
@@ -654,47 +666,6 @@
 	return other.Endpoint == e.Endpoint && other.at.Sub(e.at).Abs() < sameProcess
 }
 
-// keysInProgress returns the keys of all requests that were in progress when the endpoint
-// of e ended. The caller must hold mu.
-func (q *Quarantine) keysInProgress(e end) []Key {
-	var keys []Key
-	for _, other := range q.ends {
-		if isTogether(e, other) {
-			keys = append(keys, other.Keys...)
-		}
-	}
-	return keys
-}
-
-// updateCompanions computes the companions of a quarantined key anew, unless the ends that
-// it is blamed for are forgotten. The caller must hold mu.
-func (q *Quarantine) updateCompanions(key Key, v *verdict) {
-	var companions []Key
-	found := false
-	for _, e := range q.ends {
-		if !slices.Contains(e.Keys, key) {
-			continue
-		}
-		keys := q.keysInProgress(e)
-		if !found {
-			found, companions = true, slices.DeleteFunc(keys, func(k Key) bool { return k == key || !q.isCompanion(k, key) })
-		} else {
-			companions = slices.DeleteFunc(companions, func(k Key) bool { return !slices.Contains(keys, k) })
-		}
-	}
-	if found {
-		v.companions = companions
-	}
-}
-
-// isCompanion reports whether k, which was in progress at the ends that a quarantined key is
-// blamed for, may be to blame in place of it. If a bystander is the first to notice an end,
-// a key that it shares with the request to blame may be quarantined alone, and then explains
-// all ends. The caller must hold mu.
-func (q *Quarantine) isCompanion(k, key Key) bool {
-	return q.quarantined[k] != nil || !key.IsRequest() && !k.IsRequest() && q.lastAnswer(k) == nil
-}
-
 // quarantine quarantines a key. The caller must hold mu.
 func (q *Quarantine) quarantine(key Key, v *verdict, source Source) {
 	v.source, v.since = source, q.clock.Now()
@@ -727,6 +698,7 @@
 		return false
 	}
 	c.Released = append(c.Released, key)
+	q.unsaveCompanionsOf(key)
 	// The ends that were blamed on the key have another cause.
 	for _, e := range q.ends {
 		if slices.Contains(e.Keys, key) {
@@ -749,6 +721,13 @@
 // expire forgets what is too old. The caller must hold mu.
 func (q *Quarantine) expire() {
 	now := q.clock.Now()
+	for _, e := range q.ends {
+		if now.Sub(e.at) < endMemory {
+			break
+		}
+		q.keepCompanies(e)
+		q.endChanges++
+	}
 	q.ends = slices.DeleteFunc(q.ends, func(e end) bool {
 		if now.Sub(e.at) < endMemory {
 			return false
--- a/core/byquarantine/explain.go
+++ b/core/byquarantine/explain.go
@@ -55,7 +55,7 @@
 		found = true
 		reason = Reason{
 			Key: key, Ends: v.ends, EndAge: now.Sub(v.lastEnd), TrialAge: -1, AnswerAge: -1,
-			Source: v.source, Age: now.Sub(v.since), Companions: v.companions, Wait: wait,
+			Source: v.source, Age: now.Sub(v.since), Companions: q.mainCompanions(key, v), Wait: wait,
 		}
 		if !v.lastTrial.IsZero() {
 			reason.TrialAge = now.Sub(v.lastTrial)
--- a/core/byquarantine/news.go
+++ b/core/byquarantine/news.go
@@ -26,6 +26,9 @@
 	Ends     int           // number of ends that the key is blamed for
 	Age      time.Duration // time since the last one
 	TrialAge time.Duration // time since the last trial; negative if there was none
+	// Companions are keys that may be to blame in place of this one. They are nil if the node
+	// that tells does not know them.
+	Companions []Key
 }
 
 // News is what a node tells its peers.
@@ -136,6 +139,11 @@
 	}
 	slices.SortFunc(n.Quarantined, func(a, b Verdict) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Key, b.Key)) })
 	n.Quarantined = n.Quarantined[:min(len(n.Quarantined), maxVerdictsTold)]
+	for i := range n.Quarantined {
+		v := &n.Quarantined[i]
+		v.Companions = q.mainCompanions(v.Key, q.quarantined[v.Key])
+		v.Companions = v.Companions[:min(len(v.Companions), maxCompanionsTold)]
+	}
 	return n
 }
 
@@ -193,6 +201,7 @@
 // passes it on. It must not put off the next trial. The caller must hold mu.
 func (q *Quarantine) mergeVerdict(told Verdict, now time.Time, source Source, c *Change) {
 	merged := &verdict{ends: told.Ends, lastEnd: now.Add(-told.Age)}
+	merged.company = company{told.Companions != nil, told.Companions, merged.lastEnd}
 	if told.TrialAge >= 0 {
 		merged.lastTrial = now.Add(-told.TrialAge)
 	}
@@ -201,8 +210,14 @@
 	}
 	known := q.quarantined[told.Key]
 	if known != nil {
-		if merged.ends > known.ends {
+		switch {
+		case merged.ends > known.ends:
 			known.ends, known.lastEnd = merged.ends, later(known.lastEnd, merged.lastEnd)
+			if merged.company.known {
+				known.setCompany(merged.company)
+			}
+		case merged.ends == known.ends:
+			q.mergeCompany(told.Key, known, merged.company)
 		}
 		known.mergeTrial(merged.lastTrial)
 		return
--- a/core/byquarantine/record.go
+++ b/core/byquarantine/record.go
@@ -1,6 +1,9 @@
 package byquarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Record is what must outlive all nodes of a key under which several endpoints have ended.
 type Record struct {
@@ -8,6 +11,9 @@
 	Ends      int // number of ends, and of trials of a request; 0 if the key is free
 	LastEnd   time.Time
 	LastTrial time.Time // zero if there was none
+	// Companions are keys that may be to blame in place of this one, at most MaxCompanions. They
+	// are nil if the key is not quarantined or the writer did not know them.
+	Companions []Key
 }
 
 // MaxRecords is the largest number of records that may be stored, and MaxSharedRecords of
@@ -34,17 +40,41 @@
 	return r.Ends > other.Ends || r.Ends == other.Ends && hasTrial
 }
 
-// record returns what is known of a key. The caller must hold mu.
-func (q *Quarantine) record(key Key) Record {
+// namesCompanionsOf reports whether r names the same companions as other, if other names any.
+func (r Record) namesCompanionsOf(other Record) bool {
+	if other.Companions == nil {
+		return true
+	}
+	return r.Companions != nil && slices.Equal(slices.Sorted(slices.Values(r.Companions)), slices.Sorted(slices.Values(other.Companions)))
+}
+
+// Supersedes reports whether r need not be replaced by other in the store. A record of more
+// ends names the companions as of these.
+func (r Record) Supersedes(other Record) bool {
+	return r.Covers(other) && (r.Ends > other.Ends || r.namesCompanionsOf(other))
+}
+
+// known returns the verdict on a key, or the ends that it is to blame for so far. The caller
+// must hold mu.
+func (q *Quarantine) known(key Key) *verdict {
 	if v := q.quarantined[key]; v != nil {
-		return Record{key, v.ends, v.lastEnd, v.lastTrial}
+		return v
 	}
 	last := time.Time{}
 	if a := q.lastAnswer(key); a != nil {
 		last = a.at
 	}
-	v := q.countEnds(key, last)
-	return Record{Key: key, Ends: v.ends, LastEnd: v.lastEnd}
+	return q.countEnds(key, last)
+}
+
+// record returns what is known of a key. The caller must hold mu.
+func (q *Quarantine) record(key Key) Record {
+	v := q.known(key)
+	r := Record{Key: key, Ends: v.ends, LastEnd: v.lastEnd, LastTrial: v.lastTrial}
+	if q.quarantined[key] != nil {
+		r.Companions = q.mainCompanions(key, v)
+	}
+	return r
 }
 
 // Unsaved returns the records that are to be written, or removed if they have no ends.
@@ -70,7 +100,7 @@
 	defer q.mu.Unlock()
 	for _, r := range records {
 		current := q.record(r.Key)
-		if current.Ends == r.Ends && current.LastTrial.Equal(r.LastTrial) || r.Ends == 0 && current.Ends < minSuspectEnds {
+		if current.Ends == r.Ends && current.LastTrial.Equal(r.LastTrial) && r.namesCompanionsOf(current) || r.Ends == 0 && current.Ends < minSuspectEnds {
 			delete(q.unsaved, r.Key)
 		}
 	}
@@ -114,7 +144,7 @@
 				continue
 			}
 			if r.Ends < minEnds {
-				if known := q.record(r.Key); known.Ends < r.Ends {
+				if known := q.known(r.Key); known.ends < r.Ends {
 					q.addFormer(r.Key, formerEnds{r.Ends, r.LastEnd})
 				}
 				continue
@@ -122,13 +152,13 @@
 		}
 		if r.Ends < minEnds {
 			// Of the same ends, those that are remembered one by one count already.
-			if known := q.record(r.Key); known.Ends < r.Ends && q.lastAnswer(r.Key) == nil && q.quarantined[r.Key] == nil {
+			if known := q.known(r.Key); known.ends < r.Ends && q.lastAnswer(r.Key) == nil && q.quarantined[r.Key] == nil {
 				f := q.formerEnds[r.Key]
-				q.addFormer(r.Key, formerEnds{f.ends + r.Ends - known.Ends, later(f.last, r.LastEnd)})
+				q.addFormer(r.Key, formerEnds{f.ends + r.Ends - known.ends, later(f.last, r.LastEnd)})
 			}
 			continue
 		}
-		told := Verdict{Key: r.Key, Ends: r.Ends, Age: max(now.Sub(r.LastEnd), 0), TrialAge: -1}
+		told := Verdict{Key: r.Key, Ends: r.Ends, Age: max(now.Sub(r.LastEnd), 0), TrialAge: -1, Companions: r.Companions}
 		if !r.LastTrial.IsZero() {
 			told.TrialAge = max(now.Sub(r.LastTrial), 0)
 		}
--- a/io/bydrill/bydrill_test.go
+++ b/io/bydrill/bydrill_test.go
@@ -39,6 +39,31 @@
 	}
 }
 
+// TestInnocentPartOutlivesRestarts guards against the failure that a sound part of prompts which
+// has come with a deadly one stays quarantined for minutes once the nodes have been
+// restarted, since they forget what speaks for it.
+func TestInnocentPartOutlivesRestarts(t *testing.T) {
+	for _, fault := range []bydrill.Fault{bydrill.NoFault, bydrill.KillOfAll, bydrill.StoreAway, bydrill.StoreRestored, bydrill.InTurn} {
+		for _, nodes := range []int{3, 9, 295} {
+			for _, soundAfter := range []time.Duration{8 * time.Second, 18 * time.Second} {
+				for seed := range seeds(nodes) {
+					t.Run(fmt.Sprint(fault, "/", nodes, "/", soundAfter, "/", seed), func(t *testing.T) {
+						t.Parallel()
+						rep := bydrill.PlayStoredPoison(bydrill.Config{Nodes: nodes, Seed: seed, Fault: fault}, soundAfter)
+						t.Logf("%+v", rep)
+						if rep.Late > 3 {
+							t.Errorf("%d poisoned requests are sent later than 3 s after the fifth crash, want at most 3", rep.Late)
+						}
+						if rep.Crashes == 0 || rep.Sound == 0 || 2*rep.Begun < rep.Sound {
+							t.Errorf("%d of %d sound requests with the same first key begin after %d crashes, want at least half", rep.Begun, rep.Sound, rep.Crashes)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
 // TestKilledEnginesBlameNoInput guards sound callers: engines that end for other reasons,
 // alone or many at a time, must not make nodes refuse requests.
 func TestKilledEnginesBlameNoInput(t *testing.T) {
@@ -84,7 +109,7 @@
 // again and again, ends engine after engine: at other nodes, after nodes have restarted,
 // and when all of them were killed at once.
 func TestRepeatedRequestStopsAcrossFleet(t *testing.T) {
-	for _, fault := range bydrill.RepeatFaults() {
+	for _, fault := range bydrill.StoreFaults() {
 		for _, nodes := range []int{9, 295} {
 			for _, together := range []bool{false, true} {
 				if nodes > 32 && together != (fault == bydrill.KillOfAll || fault == bydrill.Restarts) {
--- a/io/bydrill/poison.go
+++ b/io/bydrill/poison.go
@@ -19,6 +19,7 @@
 
 const (
 	startTime = 90 * time.Millisecond  // until an answer begins
+	longStart = 600 * time.Millisecond // the same of a long prompt
 	proveTime = 100 * time.Millisecond // until it counts as begun
 	downTime  = 3 * time.Second        // of an engine after its end
 	engines   = 12
@@ -35,7 +36,7 @@
 	link
 }
 
-// engine begins to answer a request startTime after it got it.
+// engine begins to answer a request some time after it got it.
 type engine struct {
 	id        uint64 // changes with each start
 	downUntil time.Time
@@ -44,6 +45,7 @@
 
 type request struct {
 	number   uint64
+	process  *byquarantine.Quarantine // of the node that has sent it
 	node     *poisonNode
 	keys     []byquarantine.Key
 	poisoned bool
@@ -59,6 +61,7 @@
 	engines []*engine
 	crashes []time.Time
 	sent    []*request
+	start   time.Duration                            // until an answer begins
 	claim   func(*poisonNode, byquarantine.Key) bool // claims a trial of a request; nil if no request is repeated
 }
 
@@ -79,9 +82,42 @@
 	return d.report()
 }
 
+const (
+	// storedPoisonTime is the length of PlayStoredPoison after the first poisoned request.
+	storedPoisonTime = 40 * time.Second
+	// poisonDelay is the time from the restart of all nodes to that request.
+	poisonDelay = 4 * time.Second
+)
+
+// PlayStoredPoison plays as PlayPoison, with a store that outlives the nodes. Sound requests
+// with the first key of the poisoned ones stop with the first of these and come again
+// soundAfter later. Just before, the nodes are restarted, so that they have forgotten that
+// such requests were answered.
+func PlayStoredPoison(cfg Config, soundAfter time.Duration) PoisonReport {
+	d := newStoreDrill(cfg)
+	d.start = longStart
+	resumesAt := time.Time{}
+	d.every(time.Second/soundPerSecond, func() {
+		keys := d.soundKeys()
+		if keys[0] != firstKey || !d.now.Before(resumesAt) {
+			d.sendIfReady(d.nodes[d.rng.IntN(len(d.nodes))], keys, false)
+		}
+	})
+	d.run(4 * time.Second)
+	resumesAt = d.now.Add(poisonDelay + soundAfter)
+	d.killAll()
+	d.run(poisonDelay)
+	d.startStoreFault()
+	d.every(time.Second/poisonedPerSecond, func() {
+		d.sendIfReady(d.nodes[d.rng.IntN(len(d.nodes))], []byquarantine.Key{firstKey, poisonKey, d.soundKeys()[1]}, true)
+	})
+	d.run(storedPoisonTime)
+	return d.report()
+}
+
 // newPoisonDrill returns a drill with nodes that tell each other news.
 func newPoisonDrill(cfg Config) *poisonDrill {
-	d := &poisonDrill{world: newWorld(cfg.Seed)}
+	d := &poisonDrill{world: newWorld(cfg.Seed), start: startTime}
 	interval, delay := newsTimes(cfg.Nodes)
 	for i := range cfg.Nodes {
 		n := &poisonNode{}
@@ -145,14 +181,21 @@
 	})
 }
 
+// soundKeys returns the keys of a sound request. A quarter of them has the first key of the
+// poisoned ones.
+func (d *poisonDrill) soundKeys() []byquarantine.Key {
+	keys := []byquarantine.Key{1 + byquarantine.Key(d.rng.IntN(40)), 1000 + byquarantine.Key(d.rng.IntN(1034))}
+	if d.rng.IntN(4) == 0 {
+		keys[0] = firstKey
+	}
+	return keys
+}
+
 // send sends one request to a random engine through a random node.
 func (d *poisonDrill) send(poisoned bool) {
-	keys := []byquarantine.Key{1 + byquarantine.Key(d.rng.IntN(40)), 1000 + byquarantine.Key(d.rng.IntN(1034))}
-	switch {
-	case poisoned:
+	keys := d.soundKeys()
+	if poisoned {
 		keys = []byquarantine.Key{firstKey, poisonKey, keys[1]}
-	case d.rng.IntN(4) == 0:
-		keys[0] = firstKey
 	}
 	d.sendThrough(d.nodes[d.rng.IntN(len(d.nodes))], keys, poisoned)
 }
@@ -160,7 +203,7 @@
 // sendThrough sends one request to a random engine through a node. The engine crashes if
 // the request is poisoned.
 func (d *poisonDrill) sendThrough(n *poisonNode, keys []byquarantine.Key, poisoned bool) {
-	r := &request{number: uint64(len(d.sent)), node: n, keys: keys, poisoned: poisoned, sentAt: d.now, counts: !n.deaf && !n.mute && !d.now.Before(n.excused)}
+	r := &request{number: uint64(len(d.sent)), process: n.Quarantine, node: n, keys: keys, poisoned: poisoned, sentAt: d.now, counts: !n.deaf && !n.mute && !d.now.Before(n.excused)}
 	d.sent = append(d.sent, r)
 	decision := n.Admit(keys)
 	if !decision.Admitted || decision.Claim != 0 && !d.claim(n, decision.Claim) {
@@ -174,7 +217,7 @@
 	e := up[d.rng.IntN(len(up))]
 	e.open = append(e.open, r)
 	id := e.id
-	d.after(startTime, func() {
+	d.after(d.start, func() {
 		switch {
 		case e.id != id:
 		case r.poisoned:
@@ -192,14 +235,21 @@
 		return
 	}
 	e.open = slices.DeleteFunc(e.open, func(o *request) bool { return o == r })
-	r.begun = true
-	r.node.RecordAnswer(r.keys)
+	if r.isKnown() {
+		r.begun = true
+		r.process.RecordAnswer(r.keys)
+	}
 }
 
+// isKnown reports whether the process that has sent the request still runs.
+func (r *request) isKnown() bool { return r.node.Quarantine == r.process }
+
 // end ends the process of an engine.
 func (d *poisonDrill) end(e *engine) {
 	for _, r := range e.open {
-		r.node.RecordEnd(byquarantine.End{Request: r.number, Endpoint: e.id, Keys: r.keys})
+		if r.isKnown() {
+			r.process.RecordEnd(byquarantine.End{Request: r.number, Endpoint: e.id, Keys: r.keys})
+		}
 	}
 	e.open = nil
 	e.id += 1000
--- a/io/byentry/odd_test.go
+++ b/io/byentry/odd_test.go
@@ -39,6 +39,8 @@
 		"another type":   {Key: recordKey(7), Value: []byte(`{"ends":"3"}`)},
 		"huge number":    {Key: recordKey(7), Value: []byte(`{"ends":9223372036854775807,"last_end":9223372036854775807}`)},
 		"negative":       {Key: recordKey(7), Value: []byte(`{"ends":-3,"last_end":-1}`)},
+		"companion":      {Key: recordKey(7), Value: []byte(`{"ends":3,"last_end":1,"companions":["7x"]}`)},
+		"companions":     {Key: recordKey(7), Value: []byte(`{"ends":3,"last_end":1,"companions":["1"` + strings.Repeat(`,"1"`, byquarantine.MaxCompanions) + `]}`)},
 		"nested":         {Key: recordKey(7), Value: []byte(strings.Repeat("[", 60_000))},
 		"key with zeros": {Key: quarantineTable + "/007", Value: []byte(`{"ends":1,"last_end":1}`)},
 		"key is no hash": {Key: quarantineTable + "/no-hash", Value: []byte(`{"ends":3}`)},
--- a/io/byentry/records.go
+++ b/io/byentry/records.go
@@ -45,6 +45,9 @@
 	Ends        int   `json:"ends"` // number of ends and trials
 	LastEndMS   int64 `json:"last_end"`
 	LastTrialMS int64 `json:"last_trial,omitempty"`
+	// Companions are hexadecimal numbers like the keys of rows. Releases up to efd7c1a neither
+	// read nor write them.
+	Companions []string `json:"companions,omitzero"`
 }
 
 // recordKey returns the key of a record's row.
@@ -58,6 +61,12 @@
 	if !r.LastTrial.IsZero() {
 		row.LastTrialMS = r.LastTrial.UnixMilli()
 	}
+	if r.Companions != nil {
+		row.Companions = []string{}
+	}
+	for _, key := range r.Companions {
+		row.Companions = append(row.Companions, strconv.FormatUint(uint64(key), 16))
+	}
 	return json.Marshal(row)
 }
 
@@ -79,6 +88,19 @@
 	if v.Ends < 0 || v.Ends > maxRecordEnds || max(v.LastEndMS, v.LastTrialMS) > maxRecordMS || min(v.LastEndMS, v.LastTrialMS) < 0 {
 		return r, fmt.Errorf("row %s: %+v is out of range", row.Key, v)
 	}
+	if len(v.Companions) > byquarantine.MaxCompanions {
+		return r, fmt.Errorf("row %s: %d companions; expected at most %d", row.Key, len(v.Companions), byquarantine.MaxCompanions)
+	}
+	if v.Companions != nil {
+		r.Companions = []byquarantine.Key{}
+	}
+	for _, text := range v.Companions {
+		companion, err := strconv.ParseUint(text, 16, 64)
+		if err != nil {
+			return byquarantine.Record{Key: r.Key}, fmt.Errorf("row %s: companion %q is not a hexadecimal number", row.Key, text)
+		}
+		r.Companions = append(r.Companions, byquarantine.Key(companion))
+	}
 	r.Ends, r.LastEnd = v.Ends, time.UnixMilli(v.LastEndMS)
 	if v.LastTrialMS > 0 {
 		r.LastTrial = time.UnixMilli(v.LastTrialMS)
@@ -275,7 +297,7 @@
 		switch {
 		case r.Ends == 0 && ok:
 			add(r.Key, burdockyard.Write{Key: recordKey(r.Key), Delete: true})
-		case r.Ends > 0 && !(ok && known.Covers(r)) && (ok || len(rows) < byquarantine.MaxRecords):
+		case r.Ends > 0 && !(ok && known.Supersedes(r)) && (ok || len(rows) < byquarantine.MaxRecords):
 			value, err := encodeRecord(r)
 			if err != nil {
 				return txn, err
--- a/io/bypeer/quarantine.go
+++ b/io/bypeer/quarantine.go
@@ -17,7 +17,10 @@
 		if v.TrialAge >= 0 {
 			trialAge = v.TrialAge.Milliseconds()
 		}
-		out.Quarantined = append(out.Quarantined, &bypeerpb.QuarantinedKey{Key: uint64(v.Key), Ends: int64(v.Ends), AgeMs: v.Age.Milliseconds(), TrialAgeMs: trialAge})
+		out.Quarantined = append(out.Quarantined, &bypeerpb.QuarantinedKey{
+			Key: uint64(v.Key), Ends: int64(v.Ends), AgeMs: v.Age.Milliseconds(), TrialAgeMs: trialAge,
+			Companions: convert[uint64](v.Companions), KnowsCompanions: v.Companions != nil,
+		})
 	}
 	return out
 }
@@ -32,7 +35,11 @@
 		if v.GetTrialAgeMs() >= 0 {
 			trialAge = millis(v.GetTrialAgeMs())
 		}
-		n.Quarantined = append(n.Quarantined, byquarantine.Verdict{Key: byquarantine.Key(v.GetKey()), Ends: int(v.GetEnds()), Age: millis(v.GetAgeMs()), TrialAge: trialAge})
+		told := byquarantine.Verdict{Key: byquarantine.Key(v.GetKey()), Ends: int(v.GetEnds()), Age: millis(v.GetAgeMs()), TrialAge: trialAge}
+		if v.GetKnowsCompanions() {
+			told.Companions = append([]byquarantine.Key{}, convert[byquarantine.Key](v.GetCompanions())...)
+		}
+		n.Quarantined = append(n.Quarantined, told)
 	}
 	return n
 }
