Count a stored end of a repeated request once

What callers may see: a request that has been in progress at two ends is quarantined for a minute and more, as after three.

Cause: a record of two ends was added to the ends that a node remembers one by one; the second of them, told by a peer later, was counted once more. Keys of parts and paths skip ends up to the last one of the record, keys of requests didn't.

Change: all keys skip them, and one function adds the ends of a record.

Test: TestStoredEndsCountOnce; before the fix "key, the first end remembered: quarantined after two ends".

--- a/core/byquarantine/byquarantine.go
+++ b/core/byquarantine/byquarantine.go
@@ -596,7 +596,7 @@
 		if again && e.at.Sub(before) < sameProcess {
 			continue
 		}
-		if !key.IsRequest() && former.ends > 0 && e.at.Sub(former.last) < sameMoment {
+		if former.ends > 0 && e.at.Sub(former.last) < sameMoment {
 			continue // it is one of the former ends
 		}
 		inSameMoment := v.ends > 0 && e.at.Sub(v.lastEnd) < sameMoment
--- a/core/byquarantine/byquarantine_test.go
+++ b/core/byquarantine/byquarantine_test.go
@@ -622,3 +622,34 @@
 		})
 	}
 }
+
+// TestStoredEndsCountOnce guards against the failure that a sound key is quarantined after two
+// ends, since one that a node remembers counts again with the record of both.
+func TestStoredEndsCountOnce(t *testing.T) {
+	for _, k := range []byquarantine.Key{poison, byquarantine.RequestKey(7)} {
+		for remembered, name := range []string{"the first end", "the last end"} {
+			synctest.Test(t, func(t *testing.T) {
+				ends := []byquarantine.End{{Request: 1, Endpoint: 1, Keys: keys(k)}, {Request: 2, Endpoint: 2, Keys: keys(k)}, {Request: 3, Endpoint: 3, Keys: keys(k)}}
+				q, other := byquarantine.New(burdockyard.SystemClock{}, "n1"), byquarantine.New(burdockyard.SystemClock{}, "n2")
+				for i, e := range ends[:2] {
+					time.Sleep(2 * time.Second)
+					q.RecordEnd(e)
+					if i == remembered {
+						other.RecordEnd(e)
+					}
+				}
+				other.Load(q.Unsaved())
+				time.Sleep(2 * time.Second)
+				other.Merge(q.News()) // the end that it lacks, if it is news still
+				if other.Admit(keys(k)); other.IsQuarantined(keys(k)) {
+					t.Errorf("key %x, %s remembered: quarantined after two ends", k, name)
+				}
+				other.RecordEnd(ends[2])
+				time.Sleep(2 * time.Second)
+				if other.Admit(keys(k)); !other.IsQuarantined(keys(k)) {
+					t.Errorf("key %x, %s remembered: free after three ends", k, name)
+				}
+			})
+		}
+	}
+}
--- a/core/byquarantine/record.go
+++ b/core/byquarantine/record.go
@@ -128,6 +128,24 @@
 	return q.record(key)
 }
 
+// addStoredEnds counts as many ends under a key that is not quarantined as a record has. Some of
+// them may be remembered one by one. The caller must hold mu.
+func (q *Quarantine) addStoredEnds(r Record) {
+	if q.quarantined[r.Key] != nil {
+		return
+	}
+	f := q.formerEnds[r.Key]
+	f.last = later(f.last, r.LastEnd)
+	// The second time, remembered ends up to the last one of the record are among the former
+	// ones.
+	for range 2 {
+		if missing := r.Ends - q.known(r.Key).ends; missing > 0 {
+			f.ends += missing
+			q.addFormer(r.Key, f)
+		}
+	}
+}
+
 // Load takes stored records.
 func (q *Quarantine) Load(records []Record) Change {
 	q.mu.Lock()
@@ -143,18 +161,10 @@
 				q.unsaved[r.Key] = true // the node that had the answer did not remove the record
 				continue
 			}
-			if r.Ends < minEnds {
-				if known := q.known(r.Key); known.ends < r.Ends {
-					q.addFormer(r.Key, formerEnds{r.Ends, r.LastEnd})
-				}
-				continue
-			}
 		}
 		if r.Ends < minEnds {
-			// Of the same ends, those that are remembered one by one count already.
-			if known := q.known(r.Key); known.ends < r.Ends && q.lastAnswer(r.Key) == nil && q.quarantined[r.Key] == nil {
-				f := q.formerEnds[r.Key]
-				q.addFormer(r.Key, formerEnds{f.ends + r.Ends - known.ends, later(f.last, r.LastEnd)})
+			if !r.Key.IsRequest() || q.lastAnswer(r.Key) == nil {
+				q.addStoredEnds(r)
 			}
 			continue
 		}
