Keep a stored verdict when news of an older answer arrive

What callers may see: after a restart, a part that has ended eight endpoints and more ends others again (BUDGET), since the verdict goes with the news of an answer from before these ends.

Cause: an answer took the verdict away and had the key judged by the ends that the node remembers one by one. A node that knows them by the stored verdict only remembers none.

Change: a verdict of eight ends or more, the number that also condemns a key that was answered, ends with an answer after its last end only.

Test: TestOldAnswerFreesNoStoredVerdict; before the fix "quarantined false after 8 ends and news of an older answer, want true".

--- a/core/byquarantine/byquarantine.go
+++ b/core/byquarantine/byquarantine.go
@@ -689,8 +689,9 @@
 	if former, ok := q.formerEnds[key]; ok && at.After(former.last) {
 		delete(q.formerEnds, key)
 	}
-	if q.quarantined[key] == nil {
-		return false
+	v := q.quarantined[key]
+	if v == nil || !at.After(v.lastEnd) && v.ends >= minEndsAfterAnswer {
+		return false // the ends since the answer may be remembered by the verdict only
 	}
 	delete(q.quarantined, key)
 	if v := q.judgeKey(key); v != nil {
--- a/core/byquarantine/byquarantine_test.go
+++ b/core/byquarantine/byquarantine_test.go
@@ -653,3 +653,23 @@
 		}
 	}
 }
+
+// TestOldAnswerFreesNoStoredVerdict guards against the failure that news of an answer from before
+// the ends free a key that has ended many endpoints, at a node that knows these ends only by the
+// stored verdict.
+func TestOldAnswerFreesNoStoredVerdict(t *testing.T) {
+	for ends, quarantined := range map[int]bool{5: false, 8: true} {
+		synctest.Test(t, func(t *testing.T) {
+			q := byquarantine.New(burdockyard.SystemClock{}, "n1")
+			q.Load([]byquarantine.Record{{Key: poison, Ends: ends, LastEnd: time.Now().Add(-time.Second)}})
+			q.Merge(byquarantine.News{Answers: []byquarantine.Event{{Key: poison, Age: time.Minute}}})
+			if q.IsQuarantined(keys(poison)) != quarantined {
+				t.Errorf("quarantined %v after %d ends and news of an older answer, want %v", !quarantined, ends, quarantined)
+			}
+			q.Merge(byquarantine.News{Answers: []byquarantine.Event{{Key: poison, Age: 0}}})
+			if q.IsQuarantined(keys(poison)) {
+				t.Errorf("quarantined after %d ends and news of a later answer", ends)
+			}
+		})
+	}
+}
