Store the last answer beside the ends that it speaks against

What callers may see: a path or part that is answered is refused by all nodes once they have been restarted, because three to seven endpoints have ended under it since its last answer. Without the restart it would not be: eight ends are needed then.

Cause: a record of three ends and more is taken for a verdict, whatever the node that wrote it knows. The answer was held in memory only.

Change: records name the last answer before the last end. Whether a record is a verdict follows from both, and a node that loads it knows the answer. One that knows a later answer than the writer keeps the ends as those of a key that is free, and writes the row again with the answer. The row of an earlier release is read as before; earlier ones ignore the field.

Test: TestAnsweredKeyStaysFreeAfterRestart; before the fix "key bad1 is quarantined after 5 ends, an answer before them and a restart".

--- a/core/byquarantine/byquarantine_test.go
+++ b/core/byquarantine/byquarantine_test.go
@@ -654,6 +654,49 @@
 	}
 }
 
+// TestAnsweredKeyStaysFreeAfterRestart guards against the failure that a key which is answered, and
+// has since been in progress at a few ends of endpoints, is quarantined once all nodes have
+// been restarted, although it would not be without that.
+func TestAnsweredKeyStaysFreeAfterRestart(t *testing.T) {
+	for _, k := range []byquarantine.Key{poison, byquarantine.PathKey(0x77), byquarantine.RequestKey(7)} {
+		synctest.Test(t, func(t *testing.T) {
+			q := byquarantine.New(burdockyard.SystemClock{}, "n1")
+			q.RecordAnswer(keys(k))
+			ends := uint64(0)
+			end := func() {
+				ends++
+				time.Sleep(2 * time.Second)
+				q.RecordEnd(byquarantine.End{Request: ends, Endpoint: ends, Keys: keys(k)})
+			}
+			restart := func() {
+				records := q.Unsaved()
+				q = byquarantine.New(burdockyard.SystemClock{}, "n1")
+				q.Load(records)
+				q.MarkLost() // so that the next restart has them too
+			}
+			for range 5 {
+				end()
+			}
+			restart()
+			if q.Admit(keys(k)); q.IsQuarantined(keys(k)) {
+				t.Errorf("key %x is quarantined after 5 ends, an answer before them and a restart", k)
+			}
+			restart()
+			for range 3 {
+				end()
+			}
+			time.Sleep(2 * time.Second)
+			if q.Admit(keys(k)); !q.IsQuarantined(keys(k)) {
+				t.Errorf("key %x is free after 8 ends and two restarts", k)
+			}
+			restart()
+			if !q.IsQuarantined(keys(k)) {
+				t.Errorf("key %x is free after another restart", k)
+			}
+		})
+	}
+}
+
 // TestOldAnswerFreesNoStoredVerdict guards against the failure that news of an answer from before
 // the ends free a key that has ended many endpoints, at a node that knows these ends only by the
 // stored verdict.
--- a/core/byquarantine/record.go
+++ b/core/byquarantine/record.go
@@ -14,6 +14,17 @@
 	// Companions are keys that may be to blame in place of this one, at most MaxCompanions. They
 	// are nil if the key is not quarantined or the writer did not know them.
 	Companions []Key
+	// LastAnswer is the last known answer to a request with the key, before the last end. It is
+	// zero if there was none of late, or the writer did not tell.
+	LastAnswer time.Time
+}
+
+// isVerdict reports whether the key is to be quarantined for the ends of the record.
+func (r Record) isVerdict() bool {
+	if !r.LastAnswer.IsZero() && r.LastEnd.Sub(r.LastAnswer) < answerMemory {
+		return r.Ends >= minEndsAfterAnswer
+	}
+	return r.Ends >= minEnds
 }
 
 // MaxRecords is the largest number of records that may be stored, and MaxSharedRecords of
@@ -25,7 +36,7 @@
 
 // HasLapsed reports whether the record no longer matters.
 func (r Record) HasLapsed(now time.Time) bool {
-	if r.Ends < minEnds {
+	if !r.isVerdict() {
 		return now.Sub(r.LastEnd) >= r.Key.memory()
 	}
 	return (&verdict{lastEnd: r.LastEnd, lastTrial: r.LastTrial}).hasLapsed(r.Key, now)
@@ -49,9 +60,9 @@
 }
 
 // Supersedes reports whether r need not be replaced by other in the store. A record of more
-// ends names the companions as of these.
+// ends names the companions and the last answer as of these.
 func (r Record) Supersedes(other Record) bool {
-	return r.Covers(other) && (r.Ends > other.Ends || r.namesCompanionsOf(other))
+	return r.Covers(other) && (r.Ends > other.Ends || r.namesCompanionsOf(other) && other.LastAnswer.Sub(r.LastAnswer) < time.Millisecond)
 }
 
 // known returns the verdict on a key, or the ends that it is to blame for so far. The caller
@@ -74,6 +85,9 @@
 	if q.quarantined[key] != nil {
 		r.Companions = q.mainCompanions(key, v)
 	}
+	if a := q.lastAnswer(key); a != nil && r.Ends > 0 && a.at.Before(r.LastEnd) {
+		r.LastAnswer = a.at
+	}
 	return r
 }
 
@@ -100,7 +114,7 @@
 	defer q.mu.Unlock()
 	for _, r := range records {
 		current := q.record(r.Key)
-		if current.Ends == r.Ends && current.LastTrial.Equal(r.LastTrial) && r.namesCompanionsOf(current) || r.Ends == 0 && current.Ends < minSuspectEnds {
+		if current.Ends == r.Ends && current.LastTrial.Equal(r.LastTrial) && r.namesCompanionsOf(current) && current.LastAnswer.Equal(r.LastAnswer) || r.Ends == 0 && current.Ends < minSuspectEnds {
 			delete(q.unsaved, r.Key)
 		}
 	}
@@ -162,8 +176,16 @@
 				continue
 			}
 		}
-		if r.Ends < minEnds {
-			if !r.Key.IsRequest() || q.lastAnswer(r.Key) == nil {
+		if !r.LastAnswer.IsZero() && now.Sub(r.LastAnswer) < answerMemory {
+			q.addAnswer(r.Key, r.LastAnswer, &c)
+		}
+		a := q.lastAnswer(r.Key)
+		if a != nil && r.isVerdict() && r.Ends < minEndsAfterAnswer {
+			q.unsaved[r.Key] = true // the writer did not know of the answer
+			q.announce(r.Key, now)
+		}
+		if a != nil && r.Ends < minEndsAfterAnswer || !r.isVerdict() {
+			if !r.Key.IsRequest() || a == nil || !r.LastAnswer.IsZero() {
 				q.addStoredEnds(r)
 			}
 			continue
--- a/io/byentry/records.go
+++ b/io/byentry/records.go
@@ -45,9 +45,10 @@
 	Ends        int   `json:"ends"` // number of ends and trials
 	LastEndMS   int64 `json:"last_end"`
 	LastTrialMS int64 `json:"last_trial,omitempty"`
-	// Companions are hexadecimal numbers like the keys of rows. Releases up to efd7c1a neither
-	// read nor write them.
-	Companions []string `json:"companions,omitzero"`
+	// Releases up to efd7c1a neither read nor write the other fields. Companions are hexadecimal
+	// numbers like the keys of rows.
+	Companions   []string `json:"companions,omitzero"`
+	LastAnswerMS int64    `json:"last_answer,omitempty"`
 }
 
 // recordKey returns the key of a record's row.
@@ -61,6 +62,9 @@
 	if !r.LastTrial.IsZero() {
 		row.LastTrialMS = r.LastTrial.UnixMilli()
 	}
+	if !r.LastAnswer.IsZero() {
+		row.LastAnswerMS = r.LastAnswer.UnixMilli()
+	}
 	if r.Companions != nil {
 		row.Companions = []string{}
 	}
@@ -85,9 +89,12 @@
 	if err := json.Unmarshal(row.Value, &v); err != nil {
 		return r, merry.Prepend(err, "row "+row.Key)
 	}
-	if v.Ends < 0 || v.Ends > maxRecordEnds || max(v.LastEndMS, v.LastTrialMS) > maxRecordMS || min(v.LastEndMS, v.LastTrialMS) < 0 {
+	if v.Ends < 0 || v.Ends > maxRecordEnds || max(v.LastEndMS, v.LastTrialMS, v.LastAnswerMS) > maxRecordMS || min(v.LastEndMS, v.LastTrialMS, v.LastAnswerMS) < 0 {
 		return r, fmt.Errorf("row %s: %+v is out of range", row.Key, v)
 	}
+	if v.LastAnswerMS > 0 {
+		r.LastAnswer = time.UnixMilli(v.LastAnswerMS)
+	}
 	if len(v.Companions) > byquarantine.MaxCompanions {
 		return r, fmt.Errorf("row %s: %d companions; expected at most %d", row.Key, len(v.Companions), byquarantine.MaxCompanions)
 	}
--- a/io/byentry/records_test.go
+++ b/io/byentry/records_test.go
@@ -9,11 +9,12 @@
 	"burdockyard/core/byquarantine"
 )
 
-// TestRecordRowKeepsCompanions guards against the failure that a node cannot tell a key without
-// companions from one whose companions an earlier release did not store.
-func TestRecordRowKeepsCompanions(t *testing.T) {
+// TestRecordRowKeepsAll guards against the failure that what speaks against a verdict gets lost in
+// the store, and that a node cannot tell a key without companions from one whose companions an
+// earlier release did not store.
+func TestRecordRowKeepsAll(t *testing.T) {
 	for _, companions := range [][]byquarantine.Key{nil, {}, {0xbad1, byquarantine.RequestKey(9)}} {
-		r := byquarantine.Record{Key: 7, Ends: 5, LastEnd: time.UnixMilli(4000), LastTrial: time.UnixMilli(5000), Companions: companions}
+		r := byquarantine.Record{Key: 7, Ends: 5, LastEnd: time.UnixMilli(4000), LastTrial: time.UnixMilli(5000), Companions: companions, LastAnswer: time.UnixMilli(3000)}
 		value, err := encodeRecord(r)
 		if err != nil {
 			t.Fatal(err)
