Tell in the log by whose word a 404 or 401 rests on a configuration

Cause: a request that is rejected with 404 was logged without the version that decided.

Change: the line "calls: rejected" names the version, the era and version of the copy, the age of the reading or proof that it rests on, who asked for it, and the age that the node can prove by itself.

--- a/io/byentry/ingress.go
+++ b/io/byentry/ingress.go
@@ -160,10 +160,10 @@
 		}
 	}
 	path, _, _ := strings.Cut(c.path, "?")
+	c.configVersion = table.Version()
 	if c.route = table.Match(c.r.Host, path); c.route == nil {
 		return http.StatusNotFound, "no route for " + c.r.Host + path
 	}
-	c.configVersion = table.Version()
 	info, err := c.node.platform.Protocol.DecodeRequest(c.r.Header)
 	if err != nil {
 		return http.StatusBadRequest, err.Error()
@@ -260,7 +260,11 @@
 
 // reject responds to an invalid request.
 func (c *call) reject(status int, cause string) {
-	c.recordEnd(bylog.OutcomeRejected, bylog.Int("status", status), bylog.Str("cause", cause))
+	fields := []bylog.Field{bylog.Int("status", status), bylog.Str("cause", cause)}
+	if status == http.StatusNotFound {
+		fields = append(fields, c.configFields()...)
+	}
+	c.recordEnd(bylog.OutcomeRejected, fields...)
 	c.markNotRun(reasonRejected)
 	if status == http.StatusRequestEntityTooLarge || status == http.StatusBadRequest || status == http.StatusRequestTimeout {
 		c.w.Header().Set("Connection", "close") // the rest of the body is left unread
@@ -268,6 +272,20 @@
 	http.Error(c.w, cause, status)
 }
 
+// configFields returns the log fields that tell by which configuration the request is
+// rejected, how recent it is, and by whose word.
+func (c *call) configFields() []bylog.Field {
+	n := c.node
+	fields := n.configWatcher.copyFields()
+	if c.route == nil { // otherwise each line about the request has it
+		fields = append(fields, bylog.Int("config", int(c.configVersion)))
+	}
+	if n.provesConfig() {
+		fields = append(fields, bylog.Millis("proven_ms", n.provenAge()))
+	}
+	return fields
+}
+
 // reason is why a request was refused or failed, as written to the log and to the
 // response body.
 type reason string
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -146,7 +146,7 @@
 	p.handleRelayed(d)
 	p.node.duties.handleDatagram(d)
 	for _, c := range d.Confirmations {
-		p.node.applyConfirmation(c)
+		p.node.applyConfirmation(c, d.Heartbeat.Member.Node)
 	}
 	if d.AgeQuery != 0 {
 		p.answerAgeQuery(d)
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -77,6 +77,7 @@
 	mu           sync.Mutex
 	waitsSince   time.Time // since when this node waits for the first reading of a peer; zero if it does not wait
 	requestedAt  time.Time // when the newest reading was requested from the store, by this node or another
+	readBy       string    // who has requested it: the node itself, a peer, or ownDomainPeer
 	storeFailing bool      // whether the last store call of this node failed
 	// relayedVersion is the version up to which the nodes of this failure domain have
 	// been told of all changes that matter, by this node or another.
@@ -118,13 +119,30 @@
 	return w.requestedAt
 }
 
-// recordRequest records when a reading was requested, unless a newer one is known.
-func (w *tableWatcher) recordRequest(requestedAt time.Time) {
+// ownDomainPeer stands for the sender of a relayed reading, which does not name it.
+const ownDomainPeer = "peer"
+
+// recordRequest records when a reading was requested, and by whom, unless a newer one is
+// known.
+func (w *tableWatcher) recordRequest(requestedAt time.Time, by string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if requestedAt.After(w.requestedAt) {
-		w.requestedAt = requestedAt
+		w.requestedAt, w.readBy = requestedAt, by
+	}
+}
+
+// copyFields returns the log fields that tell how recent the copy is, and by whose word.
+func (w *tableWatcher) copyFields() []bylog.Field {
+	version := w.mirror.Version()
+	w.mu.Lock()
+	requestedAt, by := w.requestedAt, w.readBy
+	w.mu.Unlock()
+	fields := []bylog.Field{bylog.Int("store_era", int(version.Era)), bylog.Int("store_version", int(version.Number)), bylog.Str("read_by", by)}
+	if !requestedAt.IsZero() {
+		fields = append(fields, bylog.Millis("read_age_ms", w.node.clock.Now().Sub(requestedAt)))
 	}
+	return fields
 }
 
 // maxAge returns the age of the copy at which a node of the given rank polls the
@@ -184,7 +202,7 @@
 	r := bypeer.TableReading{Table: w.table, ChangedSince: from, Version: version, Changes: changes}
 	relayedVersion := w.relayedUpTo()
 	isFirst := w.mirror.Version() == burdockyard.StoreVersion{}
-	if !w.applyReading(r, requestedAt) {
+	if !w.applyReading(r, requestedAt, string(w.node.self.Node)) {
 		return nil // the copy has reached a newer era in the meantime
 	}
 	if w.onReading != nil {
@@ -275,10 +293,10 @@
 	return changes
 }
 
-// applyReading applies a reading that was requested from the store at requestedAt. It
+// applyReading applies a reading that was requested from the store at requestedAt, by a node. It
 // returns false, and changes nothing, if the copy lacks changes before the reading or
 // is of another era.
-func (w *tableWatcher) applyReading(r bypeer.TableReading, requestedAt time.Time) bool {
+func (w *tableWatcher) applyReading(r bypeer.TableReading, requestedAt time.Time, by string) bool {
 	w.applying.Lock()
 	defer w.applying.Unlock()
 	var d bymirror.Delta
@@ -300,7 +318,7 @@
 	}
 	w.apply(d, requestedAt)
 	w.recordCopy()
-	w.recordRequest(requestedAt)
+	w.recordRequest(requestedAt, by)
 	w.node.observeEra(r.Version.Era)
 	return true
 }
@@ -313,13 +331,13 @@
 }
 
 // applyConfirmation records that the copy is still up to date, unless it lacks changes.
-func (w *tableWatcher) applyConfirmation(c bypeer.Confirmation, requestedAt time.Time) {
+func (w *tableWatcher) applyConfirmation(c bypeer.Confirmation, requestedAt time.Time, by string) {
 	w.applying.Lock()
 	defer w.applying.Unlock()
 	if d, ok := w.mirror.ApplyChanges(nil, c.ChangedSince, c.Version); ok {
 		w.apply(d, requestedAt)
 		w.recordCopy()
-		w.recordRequest(requestedAt)
+		w.recordRequest(requestedAt, by)
 	}
 }
 
@@ -391,7 +409,7 @@
 			continue
 		}
 		r.Changes = w.redacted(r.Changes) // nodes of earlier versions pass on what they have read
-		if w.applyReading(r, n.clock.Now().Add(-r.Age-n.guard.ConnWait())) {
+		if w.applyReading(r, n.clock.Now().Add(-r.Age-n.guard.ConnWait()), ownDomainPeer) {
 			w.recordRelayed(r.Version)
 		}
 		return w.mirror.Version()
@@ -401,10 +419,10 @@
 
 // applyConfirmation applies a confirmation that another node has sent. Its age includes the
 // time for which it may have waited in the socket of this node.
-func (n *Node) applyConfirmation(c bypeer.Confirmation) {
+func (n *Node) applyConfirmation(c bypeer.Confirmation, by burdockyard.NodeID) {
 	for _, w := range n.watchers {
 		if w.table == c.Table {
-			w.applyConfirmation(c, n.clock.Now().Add(-c.Age))
+			w.applyConfirmation(c, n.clock.Now().Add(-c.Age), string(by))
 		}
 	}
 }
--- a/io/byentry/workspaces.go
+++ b/io/byentry/workspaces.go
@@ -115,7 +115,7 @@
 	if c.info.HasKey {
 		fields = append(fields, bylog.Str("key_hash", c.info.Key.String()))
 	}
-	c.recordEnd(bylog.OutcomeRejected, fields...)
+	c.recordEnd(bylog.OutcomeRejected, append(fields, c.configFields()...)...)
 	c.markNotRun(reasonDenied)
 	http.Error(c.w, text, http.StatusUnauthorized)
 }
