Date a removed row by its own version

What callers may see: an endpoint that was removed and has registered again gets no requests from a node until its row changes once more.

Cause: a copy took a removal for one after the version that the reading starts from, though the row names its own. Peers relay a reading with a start that may be later than a removal in it, if other readings overtake it; the tombstone then hid the row that was added meanwhile.

Change: a removal without a version is dated by the start of the reading only.

Test: TestLateRemovalHidesNoNewerRow, "rows [], want a@9" before the fix.

--- a/core/bymirror/bymirror.go
+++ b/core/bymirror/bymirror.go
@@ -15,6 +15,7 @@
 package bymirror
 
 import (
+	"slices"
 	"sync"
 
 	"burdockyard"
@@ -128,9 +129,9 @@
 	if m.version.Era != from.Era || m.version.Compare(from) < 0 {
 		return d, false
 	}
-	for _, c := range changes {
+	for _, c := range datedRemovals(changes, from) {
 		if c.Removed {
-			m.remove(c.Row.Key, max(c.Row.Version, from.Number+1), &d)
+			m.remove(c.Row.Key, c.Row.Version, &d)
 		} else {
 			m.upsert(c.Row, &d)
 		}
@@ -144,6 +145,18 @@
 	return d, true
 }
 
+// datedRemovals returns changes after version from, with a version for each removal that has
+// none. One that has a version keeps it: a row may have been added again since.
+func datedRemovals(changes []burdockyard.Change, from burdockyard.StoreVersion) []burdockyard.Change {
+	out := slices.Clone(changes)
+	for i, c := range out {
+		if c.Removed && c.Row.Version == 0 {
+			out[i].Row.Version = from.Number + 1
+		}
+	}
+	return out
+}
+
 func (m *Mirror) upsert(r burdockyard.Row, d *Delta) {
 	if r.Version <= m.rows[r.Key].Version || r.Version <= m.tombstones[r.Key] {
 		return
--- a/core/bymirror/bymirror_test.go
+++ b/core/bymirror/bymirror_test.go
@@ -170,3 +170,16 @@
 	}
 	return changes
 }
+
+// TestLateRemovalHidesNoNewerRow guards against the failure that a row which has been removed and
+// added again stays away, because a peer tells of the removal as after a later version.
+func TestLateRemovalHidesNoNewerRow(t *testing.T) {
+	m := bymirror.New()
+	m.ApplyScan([]burdockyard.Row{{Key: "a", Version: 3}}, at(5))
+	m.ApplyChanges([]burdockyard.Change{change("a", 6, true)}, at(5), at(8))
+	m.ApplyChanges([]burdockyard.Change{change("a", 6, true)}, at(8), at(8))
+	m.ApplyChanges([]burdockyard.Change{change("a", 9, false)}, at(8), at(9))
+	if got := rowVersions(m); !slices.Equal(got, []string{"a@9"}) {
+		t.Errorf("rows %v, want a@9", got)
+	}
+}
