Tell peers of no change only if they were told of all before

Cause: a reader of a failure domain confirms to its peers that nothing has changed since the version up to which they were told. That version was kept apart from the copy and set without regard to order: a relayed reading that came late, or one that was applied while the node's own reading was on its way, set it back to before a change that the copy had already. The next confirmation then denied that change, and a peer which had missed it moved past it. Such a peer reads only later changes from the store, and counts its own readings as a proof: the bound of revocation rests on the same copy.

That it is what the users saw is suspected, not shown.

Change: core/bymirror keeps the version in step with the rows, under one lock, and never sets it back. A reading of the node itself returns what the peers are to be told. watch.go only wires.

--- a/core/bymirror/bymirror.go
+++ b/core/bymirror/bymirror.go
@@ -7,11 +7,21 @@
 //	d, ok := m.ApplyScan(rows, version)          // after a scan
 //	d, ok := m.ApplyChanges(changes, from, to)   // after a read of changes
 //	if !ok { … scan the whole table … }
+//	d, relay, ok := m.ReadChanges(changes, matter, from, to) // after a read of this node
+//	… tell the peers relay …
 //
 // Reads reach a node over several paths and in any order. Each row carries the
 // version of its last change, so that an older row never replaces a newer one. Versions
 // are compared within one era of the store only. A scan of a newer era replaces all
 // rows, and reads of older eras have no effect.
+//
+// # What peers are told
+//
+// A node that reads the store tells its peers the changes that matter to them, or that there
+// were none between two versions. A peer goes by such a word alone, so it must not leave out a
+// change that the node has got from somebody else meanwhile: a Mirror keeps the version up to
+// which peers have been told, in step with its rows. Between that version and its own there
+// are no changes that matter.
 package bymirror
 
 import (
@@ -38,6 +48,15 @@
 	tombstones map[string]uint64 // version of the removal, by key of the removed row
 	version    burdockyard.StoreVersion
 	changedAt  burdockyard.StoreVersion
+	told       burdockyard.StoreVersion // up to which peers have been told, by this node or another
+}
+
+// Relay is what peers are to be told after a node has read the store up to a version: the
+// changes that matter since ChangedSince, or that there are none.
+type Relay struct {
+	Whole        bool // they need the whole table
+	ChangedSince burdockyard.StoreVersion
+	Changes      []burdockyard.Change
 }
 
 // maxTombstones is the largest number of tombstones kept; beyond it all are
@@ -84,11 +103,20 @@
 	return r, ok
 }
 
-// ApplyScan applies a scan of the whole table at a store version. A scan older than
-// the replica has no effect; if it is of an older era, ApplyScan returns false.
+// ApplyScan applies a scan of the whole table at a store version, by this node or by a peer
+// that tells others of it. A scan older than the replica has no effect; if it is of an older
+// era, ApplyScan returns false.
 func (m *Mirror) ApplyScan(rows []burdockyard.Row, version burdockyard.StoreVersion) (Delta, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	d, ok := m.applyScan(rows, version)
+	if ok {
+		m.recordTold(version)
+	}
+	return d, ok
+}
+
+func (m *Mirror) applyScan(rows []burdockyard.Row, version burdockyard.StoreVersion) (Delta, bool) {
 	var d Delta
 	if version.Compare(m.version) < 0 {
 		return d, version.Era == m.version.Era
@@ -120,11 +148,61 @@
 }
 
 // ApplyChanges applies the changes after version from, up to version to, which is of
-// the same era. It returns false and changes nothing if the replica has not reached
-// from, because the changes in between are missing, or if it is of another era.
+// the same era, that a peer tells this node and others. It returns false and changes nothing
+// if the replica has not reached from, because the changes in between are missing, or if it
+// is of another era.
 func (m *Mirror) ApplyChanges(changes []burdockyard.Change, from, to burdockyard.StoreVersion) (Delta, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	d, ok := m.applyChanges(changes, from, to)
+	if ok {
+		m.recordTold(to)
+	}
+	return d, ok
+}
+
+// Confirm applies the word of a peer that there are no changes after version from, up to
+// version to. It returns false as ApplyChanges does.
+func (m *Mirror) Confirm(from, to burdockyard.StoreVersion) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.applyChanges(nil, from, to)
+	return ok
+}
+
+// ReadChanges applies changes that this node has read from the store, as ApplyChanges does, and
+// returns what its peers are to be told. matter are those of the changes that matter to them.
+func (m *Mirror) ReadChanges(changes, matter []burdockyard.Change, from, to burdockyard.StoreVersion) (Delta, Relay, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	relay := Relay{ChangedSince: m.told}
+	for _, c := range datedRemovals(matter, from) {
+		// Changes that a peer has told since this node asked the store are no news.
+		if c.Removed || c.Row.Version > m.rows[c.Row.Key].Version {
+			relay.Changes = append(relay.Changes, c)
+		}
+	}
+	d, ok := m.applyChanges(changes, from, to)
+	if !ok {
+		return d, Relay{}, false
+	}
+	relay.Whole = m.told.Era != to.Era
+	if relay.Whole || len(relay.Changes) > 0 {
+		m.recordTold(to)
+	}
+	return d, relay, true
+}
+
+// recordTold records that peers have been told of all changes up to a version. What arrives
+// late must not take back a later one: changes before it would be left out. The caller must
+// hold mu.
+func (m *Mirror) recordTold(version burdockyard.StoreVersion) {
+	if version.Compare(m.told) > 0 {
+		m.told = version
+	}
+}
+
+func (m *Mirror) applyChanges(changes []burdockyard.Change, from, to burdockyard.StoreVersion) (Delta, bool) {
 	var d Delta
 	if m.version.Era != from.Era || m.version.Compare(from) < 0 {
 		return d, false
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -79,9 +79,6 @@
 	requestedAt  time.Time // when the newest reading was requested from the store, by this node or another
 	readBy       string    // who has requested it: the node itself, a peer, or ownDomainPeer
 	storeFailing bool      // whether the last store call of this node failed
-	// relayedVersion is the version up to which the nodes of this failure domain have
-	// been told of all changes that matter, by this node or another.
-	relayedVersion burdockyard.StoreVersion
 }
 
 func newTableWatcher(n *Node, table string, bound func() time.Duration, share float64, log bylog.Logger, apply func(bymirror.Delta, time.Time)) *tableWatcher {
@@ -198,41 +195,53 @@
 	if err != nil {
 		return err
 	}
-	toRelay := w.changesToRelay(changes)
-	r := bypeer.TableReading{Table: w.table, ChangedSince: from, Version: version, Changes: changes}
-	relayedVersion := w.relayedUpTo()
 	isFirst := w.mirror.Version() == burdockyard.StoreVersion{}
-	if !w.applyReading(r, requestedAt, string(w.node.self.Node)) {
+	relay, ok := w.applyOwnReading(changes, from, version, requestedAt)
+	if !ok {
 		return nil // the copy has reached a newer era in the meantime
 	}
 	if w.onReading != nil {
 		w.onReading(version, requestedAt)
 	}
-	w.recordRelayed(version)
-	if isFirst && !w.isAwaited() {
+	switch {
+	case isFirst && !w.isAwaited():
 		// Peers that have no copy either are about to read the store themselves. If each
 		// starting node sent the whole table to all others, their links would be full for
 		// longer than reading it takes.
-		return nil
-	}
-	if relayedVersion.Era != version.Era || from.Number == 0 {
+	case relay.Whole:
 		w.relayToPeers(ctx, w.fullReading(requestedAt), requestedAt)
-		return nil
-	}
-	r.ChangedSince, r.Changes = relayedVersion, toRelay
-	if len(toRelay) > 0 {
-		w.relayToPeers(ctx, r, requestedAt)
-		return nil
-	}
-	// Each confirmation starts at the last reading that was relayed, so that a lost one
-	// leaves no gap.
-	w.recordRelayed(relayedVersion)
-	w.node.peers.sendConfirmation(bypeer.Confirmation{
-		Table: w.table, ChangedSince: relayedVersion, Version: version, Age: w.node.clock.Now().Sub(requestedAt),
-	})
+	case len(relay.Changes) > 0:
+		w.relayToPeers(ctx, bypeer.TableReading{Table: w.table, ChangedSince: relay.ChangedSince, Version: version, Changes: relay.Changes}, requestedAt)
+	default:
+		// Each confirmation starts at the last reading that was relayed, so that a lost one
+		// leaves no gap.
+		w.node.peers.sendConfirmation(bypeer.Confirmation{
+			Table: w.table, ChangedSince: relay.ChangedSince, Version: version, Age: w.node.clock.Now().Sub(requestedAt),
+		})
+	}
 	return nil
 }
 
+// applyOwnReading applies a reading of this node: the whole table if from is zero, otherwise
+// the changes since then. It returns what the peers are to be told, and false as
+// applyReading does.
+func (w *tableWatcher) applyOwnReading(changes []burdockyard.Change, from, version burdockyard.StoreVersion, requestedAt time.Time) (bymirror.Relay, bool) {
+	w.applying.Lock()
+	defer w.applying.Unlock()
+	if from.Number == 0 {
+		d, ok := w.mirror.ApplyScan(rowsOf(changes), version)
+		if ok {
+			w.applyDelta(d, version, requestedAt, string(w.node.self.Node))
+		}
+		return bymirror.Relay{Whole: true}, ok
+	}
+	d, relay, ok := w.mirror.ReadChanges(changes, w.changesToRelay(changes), from, version)
+	if ok {
+		w.applyDelta(d, version, requestedAt, string(w.node.self.Node))
+	}
+	return relay, ok
+}
+
 // changesToRelay returns the changes that peers must be told of.
 func (w *tableWatcher) changesToRelay(changes []burdockyard.Change) []burdockyard.Change {
 	var out []burdockyard.Change
@@ -253,20 +262,6 @@
 	return !w.waitsSince.IsZero()
 }
 
-// relayedUpTo returns relayedVersion.
-func (w *tableWatcher) relayedUpTo() burdockyard.StoreVersion {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.relayedVersion
-}
-
-// recordRelayed sets relayedVersion.
-func (w *tableWatcher) recordRelayed(v burdockyard.StoreVersion) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.relayedVersion = v
-}
-
 // fetch returns the changes since the version from, or the whole table if from is
 // zero, and the version read.
 func (w *tableWatcher) fetch(ctx context.Context, from burdockyard.StoreVersion) ([]burdockyard.Change, burdockyard.StoreVersion, error) {
@@ -293,34 +288,44 @@
 	return changes
 }
 
-// applyReading applies a reading that was requested from the store at requestedAt, by a node. It
-// returns false, and changes nothing, if the copy lacks changes before the reading or
-// is of another era.
-func (w *tableWatcher) applyReading(r bypeer.TableReading, requestedAt time.Time, by string) bool {
+// applyReading applies a reading that a peer has relayed and that was requested from the store
+// at requestedAt. It returns false, and changes nothing, if the copy lacks changes before the
+// reading or is of another era.
+func (w *tableWatcher) applyReading(r bypeer.TableReading, requestedAt time.Time) bool {
 	w.applying.Lock()
 	defer w.applying.Unlock()
 	var d bymirror.Delta
 	var ok bool
 	if r.ChangedSince.Number == 0 {
-		rows := make([]burdockyard.Row, 0, len(r.Changes))
-		for _, c := range r.Changes {
-			rows = append(rows, c.Row)
-		}
-		d, ok = w.mirror.ApplyScan(rows, r.Version)
+		d, ok = w.mirror.ApplyScan(rowsOf(r.Changes), r.Version)
 	} else {
 		d, ok = w.mirror.ApplyChanges(r.Changes, r.ChangedSince, r.Version)
 	}
-	if !ok {
-		return false
+	if ok {
+		w.applyDelta(d, r.Version, requestedAt, ownDomainPeer)
 	}
+	return ok
+}
+
+// applyDelta puts in force what a reading of a version has changed in the copy. The caller
+// must hold applying.
+func (w *tableWatcher) applyDelta(d bymirror.Delta, version burdockyard.StoreVersion, requestedAt time.Time, by string) {
 	if d.EraChanged {
-		w.log.Warn("store was restored from an older copy", bylog.Str("table", w.table), bylog.Int("era", int(r.Version.Era)), bylog.Int("version", int(r.Version.Number)))
+		w.log.Warn("store was restored from an older copy", bylog.Str("table", w.table), bylog.Int("era", int(version.Era)), bylog.Int("version", int(version.Number)))
 	}
 	w.apply(d, requestedAt)
 	w.recordCopy()
 	w.recordRequest(requestedAt, by)
-	w.node.observeEra(r.Version.Era)
-	return true
+	w.node.observeEra(version.Era)
+}
+
+// rowsOf returns the rows of changes that are a whole table.
+func rowsOf(changes []burdockyard.Change) []burdockyard.Row {
+	rows := make([]burdockyard.Row, 0, len(changes))
+	for _, c := range changes {
+		rows = append(rows, c.Row)
+	}
+	return rows
 }
 
 // recordCopy tells how far apply has seen the table. The caller must hold applying.
@@ -334,8 +339,8 @@
 func (w *tableWatcher) applyConfirmation(c bypeer.Confirmation, requestedAt time.Time, by string) {
 	w.applying.Lock()
 	defer w.applying.Unlock()
-	if d, ok := w.mirror.ApplyChanges(nil, c.ChangedSince, c.Version); ok {
-		w.apply(d, requestedAt)
+	if w.mirror.Confirm(c.ChangedSince, c.Version) {
+		w.apply(bymirror.Delta{}, requestedAt)
 		w.recordCopy()
 		w.recordRequest(requestedAt, by)
 	}
@@ -409,9 +414,7 @@
 			continue
 		}
 		r.Changes = w.redacted(r.Changes) // nodes of earlier versions pass on what they have read
-		if w.applyReading(r, n.clock.Now().Add(-r.Age-n.guard.ConnWait()), ownDomainPeer) {
-			w.recordRelayed(r.Version)
-		}
+		w.applyReading(r, n.clock.Now().Add(-r.Age-n.guard.ConnWait()))
 		return w.mirror.Version()
 	}
 	return burdockyard.StoreVersion{}
