Read the whole configuration table if peers go by a newer version

What callers may see (CONFIG): a node that lacks a change without knowing it answers 404 for routes that are there until the next change.

Change: heartbeats name the version of the configuration already. A node that has heard of a newer one for a quarter of the bound, in which relayed readings arrive many times over, reads the whole table, once for each version (byroutes.Lag), and logs what its copy claimed. Nothing on the wire changes.

--- /dev/null
+++ b/core/byroutes/lag_test.go
@@ -0,0 +1,46 @@
+package byroutes_test
+
+import (
+	"testing"
+	"time"
+
+	"burdockyard/core/byroutes"
+)
+
+// TestLagIsNoticedOnce guards against a node that goes by an old configuration unnoticed, and
+// against one that reads the store again and again for a version that a restore has lost.
+func TestLagIsNoticedOnce(t *testing.T) {
+	start := time.Unix(1000, 0)
+	const after = 500 * time.Millisecond
+	var lag byroutes.Lag
+	for _, step := range []struct {
+		at       time.Duration
+		hear     uint64 // 0: nothing
+		own      uint64
+		search   bool
+		overdue  bool
+		describe string
+	}{
+		{0, 5, 5, false, false, "peers go by the same version"},
+		{100, 4, 5, false, false, "a peer is late"},
+		{1000, 6, 5, false, false, "a newer version is heard of"},
+		{1400, 7, 5, false, false, "and another one"},
+		{1500, 0, 5, false, true, "the node should have read it"},
+		{1600, 0, 7, false, false, "the node has got it"},
+		{1700, 8, 7, false, false, "a newer version is heard of"},
+		{2200, 0, 7, true, true, "it is searched for"},
+		{9000, 8, 7, false, false, "and was not found: it is not searched for again"},
+		{9100, 9, 7, false, true, "a newer one is"},
+	} {
+		now := start.Add(step.at * time.Millisecond)
+		if step.hear > 0 {
+			lag.Hear(step.hear, step.own, now)
+		}
+		if got := lag.IsOverdue(step.own, now, after); got != step.overdue {
+			t.Errorf("after %d ms, %s: overdue %v, want %v", step.at, step.describe, got, step.overdue)
+		}
+		if step.search {
+			lag.RecordSearch()
+		}
+	}
+}
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -148,6 +148,7 @@
 	self               burdockyard.Member
 	selfHash           uint64 // bymember.Hash of self
 	routes             byroutes.ActiveTable
+	configLag          byroutes.Lag
 	fleet              *byfleet.Fleet
 	loadTracker        *byplace.LoadTracker
 	forwarder          *byforward.Forwarder
@@ -248,6 +249,7 @@
 	n.freshness = byworkspace.NewFreshness(n.clock)
 	n.configWatcher.onCopy, n.configWatcher.onReading = n.freshness.RecordCopy, n.freshness.RecordReading
 	n.configWatcher.proofDue = n.proofDue
+	n.configWatcher.lacksChange, n.configWatcher.onWholeRead = n.lacksConfig, n.configLag.RecordSearch
 	instanceWatcher := newTableWatcher(n, p.InstanceTable, func() time.Duration { return n.reloadableSettings.Load().DrainBound }, drainMaxAgeShare, n.log.fleet, n.applyInstances)
 	instanceWatcher.isRoutine = n.isRoutineUpdate
 	n.versions = newVersions(n)
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -166,6 +166,9 @@
 	if h.Ready {
 		n.records.known.Store(true) // its heartbeats name the quarantined requests
 	}
+	if own := n.configVersion(); own > 0 && h.Ready {
+		n.configLag.Hear(h.Generation, own, n.clock.Now())
+	}
 	info := peer{domain: h.Domain, capacity: h.Capacity, leaving: h.Leaving, lastSeen: n.clock.Now().Add(-h.Waited)}
 	p.recordNode(h.Member.Node, info, h.Member.Addr, true)
 	if h.Waited < unreachableAfter {
--- a/io/byentry/prove.go
+++ b/io/byentry/prove.go
@@ -65,6 +65,20 @@
 	return n.configWatcher.readAt()
 }
 
+// configVersion returns the version of the configuration in force, or 0 before the first one.
+func (n *Node) configVersion() uint64 {
+	if t := n.routes.Current(); t != nil {
+		return t.Version()
+	}
+	return 0
+}
+
+// lacksConfig reports whether peers have gone by a newer configuration for so long that this
+// node should have read it.
+func (n *Node) lacksConfig() bool {
+	return n.configLag.IsOverdue(n.configVersion(), n.clock.Now(), fraction(n.configBound(), lackShare))
+}
+
 // maxProvenAge stands for the age of a configuration of which nothing is proven.
 const maxProvenAge = 24 * time.Hour
 
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -51,6 +51,11 @@
 	restoringNodes = 2
 	// minAgeCheckInterval is the shortest interval between two checks of a copy's age.
 	minAgeCheckInterval = 20 * time.Millisecond
+	// lackShare is the time for which peers go by a newer configuration until a node takes it
+	// that its copy lacks a change, as a fraction of the bound. Readings that are relayed
+	// arrive long before.
+	lackShare         = 0.25
+	lackCheckInterval = 200 * time.Millisecond
 	// maxConcurrentRelays limits how many nodes a reading is relayed to concurrently.
 	maxConcurrentRelays = 8
 )
@@ -68,6 +73,8 @@
 	onCopy      func(burdockyard.StoreVersion)            // called with the version whose rows apply has seen; nil if not needed
 	onReading   func(burdockyard.StoreVersion, time.Time) // called after a reading of this node was applied, with when it was requested
 	proofDue    func(rank int) time.Duration              // returns the time until this node must read the store to prove how recent its copy is; nil if it need not
+	lacksChange func() bool                               // whether the copy may lack a change that it counts as known; nil if it can't be told
+	onWholeRead func()                                    // called after the whole table was read on that account
 	redact      func(burdockyard.Row) burdockyard.Row     // removes what this process must not keep; nil if rows hold nothing such
 
 	// applying keeps the copy from being ahead of what apply has seen. It is held while
@@ -165,11 +172,20 @@
 func (w *tableWatcher) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		rank := w.rank()
+		if w.lacksChange != nil && w.lacksChange() {
+			if err := w.readWhole(ctx); err != nil {
+				sleep(ctx, min(baseRetryDelay*time.Duration(1+rank), maxRetryDelay))
+			}
+			continue
+		}
 		left := w.maxAge(rank) - w.age()
 		if w.proofDue != nil {
 			left = min(left, w.proofDue(rank))
 		}
 		if left > 0 {
+			if w.lacksChange != nil {
+				left = min(left, lackCheckInterval)
+			}
 			sleep(ctx, max(left, minAgeCheckInterval))
 			continue
 		}
@@ -242,6 +258,24 @@
 	return relay, ok
 }
 
+// readWhole reads the whole table, since the copy may lack a change before its version, which a
+// reading of later changes does not bring. Peers read for themselves.
+func (w *tableWatcher) readWhole(ctx context.Context) error {
+	requestedAt := w.node.clock.Now()
+	changes, version, err := w.fetch(ctx, burdockyard.StoreVersion{})
+	w.recordStoreCall(err)
+	if err != nil {
+		return err
+	}
+	before := w.copyFields()
+	if _, ok := w.applyOwnReading(changes, burdockyard.StoreVersion{}, version, requestedAt); ok && w.onReading != nil {
+		w.onReading(version, requestedAt)
+	}
+	w.onWholeRead()
+	w.log.Warn("peers go by a newer configuration, the whole table was read", before...)
+	return nil
+}
+
 // changesToRelay returns the changes that peers must be told of.
 func (w *tableWatcher) changesToRelay(changes []burdockyard.Change) []burdockyard.Change {
 	var out []burdockyard.Change
