Cut replies of peers and of the platform that have no end

What callers may see (a report of other operators): a node runs out of memory, and the requests of its other callers end with it, because something else answers at the address of a peer, or in place of the store.

Cause: the reply of a peer to a relayed reading or to a question was read to its end, whatever its length, until the call timed out. The header of a reply of the store or of the platform's API was read up to net/http's 10 MiB a call.

Change: replies of peers are cut after 64 KiB, headers after 64 KiB. Both were bounded in time before (400 ms, 900 ms); now they end when the bound in bytes is reached, with an error and a closed connection.

--- a/io/bypeer/relay.go
+++ b/io/bypeer/relay.go
@@ -17,6 +17,10 @@
 // later is of little use.
 const relayTimeout = 400 * time.Millisecond
 
+// maxPeerReplyBytes limits the reply of a node to a reading or a question, which is short.
+// Another program may have taken its address.
+const maxPeerReplyBytes = 64 << 10
+
 // TableReading is the content of a table in the platform's store, or the changes
 // to it, as one node has read them.
 type TableReading struct {
@@ -40,7 +44,7 @@
 // NewRelayClients returns RelayClients that connect to a node on the first call
 // to it.
 func NewRelayClients() *RelayClients {
-	return &RelayClients{httpClient: bywire.NewClient(), clientsByAddr: map[string]bypeerpb.Relay{}}
+	return &RelayClients{httpClient: bywire.LimitReplies(bywire.NewClient(), maxPeerReplyBytes), clientsByAddr: map[string]bypeerpb.Relay{}}
 }
 
 // SendReading sends a reading to the node at addr and returns the version of the
--- a/io/bypeer/witness.go
+++ b/io/bypeer/witness.go
@@ -29,7 +29,9 @@
 
 // NewWitnessClient returns a WitnessClient. It opens a connection for each question: they
 // are rare, and an idle connection may have died unnoticed.
-func NewWitnessClient() WitnessClient { return WitnessClient{bywire.NewUnpooledClient()} }
+func NewWitnessClient() WitnessClient {
+	return WitnessClient{bywire.LimitReplies(bywire.NewUnpooledClient(), maxPeerReplyBytes)}
+}
 
 // Examine asks the node at addr what it finds at an endpoint. Without an answer, the finding
 // is Unproved.
--- a/io/bywire/bywire.go
+++ b/io/bywire/bywire.go
@@ -37,6 +37,8 @@
 const (
 	// MaxBodyBytes is the largest request or response body that is read, in bytes.
 	MaxBodyBytes = 64 << 20
+	// MaxHeadBytes limits the header of a reply, interim ones included, in bytes.
+	MaxHeadBytes = 64 << 10
 	// dialTimeout limits the time to set up a connection.
 	dialTimeout = time.Second
 	// maxIdleConnsPerHost limits the idle connections kept to one host.
@@ -93,10 +95,30 @@
 	d := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DialContext: d.DialContext, DisableKeepAlives: disableKeepAlives,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true,
+		MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true, MaxResponseHeaderBytes: MaxHeadBytes,
 	}
 }
 
+// LimitReplies makes c fail to read the body of a reply beyond limit bytes, and returns it.
+func LimitReplies(c *http.Client, limit int64) *http.Client {
+	c.Transport = limitedTransport{c.Transport, limit}
+	return c
+}
+
+type limitedTransport struct {
+	http.RoundTripper
+	limit int64
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t limitedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.RoundTripper.RoundTrip(r)
+	if err == nil {
+		resp.Body = http.MaxBytesReader(nil, resp.Body, t.limit)
+	}
+	return resp, err
+}
+
 // NotSent reports whether err, returned by a call of an HTTP client, means that
 // the dial failed and so no byte of the request was sent.
 func NotSent(err error) bool {
