Bound long headers and refusals of all endpoints together

What callers may see (a report of other operators): many endpoints in trouble send bytes without end; the node keeps them, exceeds its memory and is killed with the requests of its other callers.

Cause: each response was bounded (64 KiB of header, 1 MiB of an event, 256 KiB of a refusal), but headers and the bodies of refusals were not charged to the memory of the node, and a refusal was read until the deadline of its request. A buffer of 1 MiB for an event that had not ended was kept, uncharged, while the stream went on at another endpoint.

Change: beyond 8 KiB each, the headers of all responses share 3% of the VM's memory; a response that needs more fails like one whose header is too long, and those of the usual size are read. A refusal's body is discarded, not kept, and waited for for 50 ms at most, so that the request goes on at once. Large event buffers are dropped between runs. Calls of peers are limited to 8 MiB.

Not changed, as measured or read: chunk extensions and trailers are bounded by net/http, garbage and interim headers count as header, bodies are passed on, or held within the memory budget, until the deadline.

--- a/cmd/burdock-soak/main.go
+++ b/cmd/burdock-soak/main.go
@@ -32,7 +32,7 @@
 	Nodes    int           `long:"nodes" default:"5" description:"entry nodes"`
 	Callers  int           `long:"callers" default:"24" description:"callers at a time"`
 	Length   time.Duration `long:"length" default:"15s" description:"of the part with faults"`
-	Trouble  string        `long:"trouble" default:"turns" choice:"turns" choice:"faults" choice:"versions" choice:"faults-versions" choice:"cuts" choice:"wakes" description:"what happens; in turns: another kind for each seed"`
+	Trouble  string        `long:"trouble" default:"turns" choice:"turns" choice:"faults" choice:"versions" choice:"faults-versions" choice:"cuts" choice:"wakes" choice:"endless" description:"what happens; in turns: another kind for each seed"`
 	Keep     bool          `long:"keep" description:"keep the logs, also of a seed that passed"`
 }
 
@@ -121,6 +121,9 @@
 	fmt.Printf("seed %d: %s, %s, %d faults, %d requests, %d answered, %d refused, %.3f served after recovery, streams taken up %v, begun %v, served where cut off %v, elsewhere %v, booked at silent runners %v\n",
 		seed, verdict, o.trouble(seed), len(rep.Plan)-1, rep.Requests, rep.Answered, rep.Refused, rep.RecoveredShare,
 		rep.TakenUp, rep.Begun, rep.CutOff, rep.Others, rep.Silenced)
+	if o.trouble(seed) == bysoak.Endless {
+		fmt.Printf("   peak memory of a node %d KiB, requests to runners without end that ended in time %v\n", rep.PeakMemoryKB, rep.Endless)
+	}
 	if !passed {
 		for _, line := range append(rep.Plan, rep.Violations...) {
 			fmt.Println("  ", line)
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -198,10 +198,13 @@
 	return byfleet.Unreachable
 }
 
+// drainTime is how long the rest of a refusal is waited for, in order to reuse its connection.
+const drainTime = 50 * time.Millisecond
+
 // drainBody reads and discards the rest of a response so that its connection can be
-// reused.
+// reused. It does not hold up the request.
 func (c *call) drainBody(resp *byforward.Response) {
-	if _, err := resp.ReadAll(maxBufferedBody); err != nil {
+	if err := resp.Discard(maxBufferedBody, drainTime); err != nil {
 		c.node.log.calls.Debug("refusal body not read to its end", bylog.Str("request", string(c.info.ID)), bylog.Err(err))
 	}
 }
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -227,7 +227,7 @@
 	n.selfHash = bymember.Hash(n.self)
 	n.fleet = byfleet.New(n.clock)
 	n.loadTracker = byplace.NewLoadTracker(n.clock)
-	n.forwarder = byforward.New(n.clock, func(h http.Header) burdockyard.RequestID { return p.Protocol.DecodeResponse(http.StatusOK, h).ID })
+	n.forwarder = byforward.New(n.clock, func(h http.Header) burdockyard.RequestID { return p.Protocol.DecodeResponse(http.StatusOK, h).ID }, forwarderOptions(s)...)
 	n.view = bymember.New(n.clock, n.self)
 	n.retryBudgets = newRetryBudgets(n.clock)
 	n.peers = newPeers(n)
@@ -325,12 +325,26 @@
 	return group.Wait()
 }
 
+// headMemoryShare is the share of the VM's memory for long headers of responses.
+const headMemoryShare = 0.03
+
+func forwarderOptions(s Settings) []byforward.Option {
+	if s.MemoryBytes <= 0 {
+		return nil
+	}
+	return []byforward.Option{byforward.WithHeadMemory(int64(headMemoryShare * float64(s.MemoryBytes)))}
+}
+
+// maxPeerCallBytes limits the calls of other nodes, of which readings of the store are the
+// longest, in bytes.
+const maxPeerCallBytes = 8 << 20
+
 // peerCallHandler returns a handler that serves the calls of other nodes.
 func (n *Node) peerCallHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(bypeerpb.RelayPathPrefix, bypeer.NewRelayHandler(n.applyRelayedReading))
 	mux.Handle(bypeerpb.WitnessPathPrefix, bypeer.NewWitnessHandler(n.examine))
-	return mux
+	return http.MaxBytesHandler(mux, maxPeerCallBytes)
 }
 
 // metricsHandler returns a handler that serves the node's metrics in the
--- a/io/byentry/handover.go
+++ b/io/byentry/handover.go
@@ -275,7 +275,7 @@
 	defer resp.Close()
 	if cause, ok := h.notRunReason(resp.Header); ok {
 		c.log("peer refused", bylog.Str("peer", string(peer.Member.Node)), bylog.Str("cause", string(cause)))
-		_, _ = resp.ReadAll(maxBufferedBody) // only to reuse the connection
+		_ = resp.Discard(maxBufferedBody, drainTime) // only to reuse the connection
 		if cause.isOfNode() || c.possibleRuns > 0 {
 			return outcomeNotRun, burdockyard.ErrNotStarted
 		}
--- a/io/byentry/relay.go
+++ b/io/byentry/relay.go
@@ -21,6 +21,8 @@
 	// contactInterval is the shortest time between two events that count as contact with
 	// their endpoint.
 	contactInterval = 100 * time.Millisecond
+	// maxKeptBytes is the largest buffer that is kept from one run of a stream to the next.
+	maxKeptBytes = 4 * relayReadBytes
 	// maxEventBytes is the maximum size of one event, and of the events of a stream that
 	// is held, in bytes.
 	maxEventBytes = 1 << 20
@@ -65,7 +67,9 @@
 // forwardResponse forwards a response of endpoint e until its end. onFirstByte is called once, when
 // the first byte of the body arrives and before any event is forwarded.
 func (r *eventRelay) forwardResponse(resp *byforward.Response, e byfleet.Endpoint, onFirstByte func()) error {
-	r.pending = r.pending[:0]
+	if r.pending = r.pending[:0]; cap(r.pending) > maxKeptBytes {
+		r.pending = nil // what it was charged with is free
+	}
 	r.endpoint = e
 	r.runEventAt, r.answerBegun = time.Time{}, false
 	if r.headerSent {
--- a/io/byforward/byforward.go
+++ b/io/byforward/byforward.go
@@ -30,6 +30,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -68,6 +69,10 @@
 	// maxHeadBytes limits the size in bytes of all headers that are read before the
 	// body of a response. The bytes of an endpoint in trouble may never end.
 	maxHeadBytes = 64 << 10
+	// freeHeadBytes is what each response may have of that without a charge, and
+	// defaultHeadMemory what all of them may have beyond it.
+	freeHeadBytes     = 8 << 10
+	defaultHeadMemory = 16 << 20
 	// maxDuplicates is how many late copies of earlier responses on a connection are
 	// skipped before the response to a request, and maxDuplicateBytes the largest size of
 	// each.
@@ -111,6 +116,7 @@
 	clock       burdockyard.Clock
 	requestIDOf func(http.Header) burdockyard.RequestID
 	dialer      net.Dialer
+	headMemory  headMemory
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -125,7 +131,7 @@
 type conn struct {
 	net.Conn
 	addr        string
-	in          *limitedReader
+	in          *headReader
 	br          *bufio.Reader           // reads from in
 	carriedIDs  []burdockyard.RequestID // IDs of the last requests on it that had one, at most maxCarriedIDs
 	idleSince   time.Time               // when it was returned to the pool
@@ -134,15 +140,27 @@
 
 // New returns a Forwarder without connections. requestIDOf returns the request ID
 // in the header of a response, or "" if there is none.
-func New(clock burdockyard.Clock, requestIDOf func(http.Header) burdockyard.RequestID) *Forwarder {
-	return &Forwarder{
+func New(clock burdockyard.Clock, requestIDOf func(http.Header) burdockyard.RequestID, opts ...Option) *Forwarder {
+	f := &Forwarder{
 		clock: clock, requestIDOf: requestIDOf, pools: map[string]*pool{},
 		// With TCP_USER_TIMEOUT, a single lost keep-alive probe breaks the connection.
 		// Without probes, deadlines and idle timeouts bound the life of all connections.
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setTimeouts},
 	}
+	f.headMemory.left.Store(defaultHeadMemory)
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
 }
 
+// Option configures a Forwarder.
+type Option func(*Forwarder)
+
+// WithHeadMemory sets the memory that the headers of all responses may need beyond 8 KiB each,
+// in bytes. The default is 16 MiB.
+func WithHeadMemory(bytes int64) Option { return func(f *Forwarder) { f.headMemory.left.Store(bytes) } }
+
 // setTimeouts sets TCP_USER_TIMEOUT on a socket, so that the kernel closes the
 // connection when its peer no longer acknowledges data. Without it a dead peer
 // cannot be told from an endpoint that is slow to respond.
@@ -168,8 +186,8 @@
 	if err != nil {
 		return nil, err
 	}
-	resp := &Response{f: f, c: c, stop: context.AfterFunc(ctx, func() { c.Close() })}
-	if err := c.SetDeadline(time.Now().Add(r.Deadline.Sub(f.clock.Now()))); err != nil {
+	resp := &Response{f: f, c: c, stop: context.AfterFunc(ctx, func() { c.Close() }), deadline: time.Now().Add(r.Deadline.Sub(f.clock.Now()))}
+	if err := c.SetDeadline(resp.deadline); err != nil {
 		resp.abandon()
 		return nil, notStarted(err)
 	}
@@ -258,32 +276,68 @@
 		f.decrementOpen(t.Addr)
 		return nil, notStarted(err)
 	}
-	in := &limitedReader{r: nc, left: math.MaxInt64}
+	in := &headReader{r: nc, memory: &f.headMemory}
+	in.end()
 	return &conn{Conn: nc, addr: t.Addr, in: in, br: bufio.NewReaderSize(in, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
 }
 
-// limitedReader reads from r until a number of bytes has been read. Unlike
-// io.LimitedReader it then returns an error, so that a cut header is not taken for the
-// end of the connection.
-type limitedReader struct {
-	r    io.Reader
-	left int64
+// headReader reads from r. While it reads the header of a response, it returns an error once
+// the header is too long, or once the long headers of all responses need too much memory.
+// Unlike with io.LimitedReader, a cut header is not taken for the end of the connection.
+type headReader struct {
+	r       io.Reader
+	memory  *headMemory
+	left    int64 // until the header is too long
+	free    int64 // until memory is needed
+	charged int64 // taken from memory
 }
 
-var errHeadTooLong = errors.New("the header is too long")
+var (
+	errHeadTooLong   = errors.New("the header is too long")
+	errHeadsTooLarge = errors.New("the headers of all responses are too long")
+)
+
+// begin is called before the header of a response is read, and end afterwards.
+func (h *headReader) begin() { h.left, h.free = maxHeadBytes, freeHeadBytes }
+func (h *headReader) end()   { h.left, h.free = math.MaxInt64, math.MaxInt64 }
 
-func (l *limitedReader) Read(buf []byte) (int, error) {
-	if l.left <= 0 {
+// release returns the memory of the headers that have been read.
+func (h *headReader) release() {
+	h.memory.left.Add(h.charged)
+	h.charged = 0
+}
+
+func (h *headReader) Read(buf []byte) (int, error) {
+	if h.left <= 0 {
 		return 0, errHeadTooLong
 	}
-	if int64(len(buf)) > l.left {
-		buf = buf[:l.left]
+	if int64(len(buf)) > h.left {
+		buf = buf[:h.left]
+	}
+	n, err := h.r.Read(buf)
+	h.left -= int64(n)
+	if h.free -= int64(n); h.free < 0 {
+		if !h.memory.take(-h.free) {
+			return 0, errHeadsTooLarge
+		}
+		h.charged -= h.free
+		h.free = 0
 	}
-	n, err := l.r.Read(buf)
-	l.left -= int64(n)
 	return n, err
 }
 
+// headMemory is the memory that is left for long headers, in bytes.
+type headMemory struct{ left atomic.Int64 }
+
+// take takes n bytes, and returns false if they are not left.
+func (m *headMemory) take(n int64) bool {
+	if m.left.Add(-n) >= 0 {
+		return true
+	}
+	m.left.Add(n)
+	return false
+}
+
 // Probe opens a new connection to addr and closes it without sending anything. It takes at
 // most timeout.
 func (f *Forwarder) Probe(ctx context.Context, addr string, timeout time.Duration) error {
@@ -413,6 +467,7 @@
 	f             *Forwarder
 	c             *conn
 	body          io.ReadCloser
+	deadline      time.Time       // of the whole exchange
 	stop          func() bool     // stops closing c when the context is canceled; false if it was closed
 	bodyWrite     *errgroup.Group // writes a long request body, nil if the request was written before reading
 	bodyWritten   chan struct{}   // closed when the goroutine of bodyWrite has ended
@@ -471,9 +526,9 @@
 		defer resp.c.recordID(r.ID)
 	}
 	for {
-		resp.c.in.left = maxHeadBytes
+		resp.c.in.begin()
 		httpResp, err := readResponse(resp.c.br, r.Method)
-		resp.c.in.left = math.MaxInt64
+		resp.c.in.end()
 		if err != nil {
 			return nil, err
 		}
@@ -603,7 +658,7 @@
 	if start, _ := resp.c.br.Peek(len(firstBytes)); !strings.HasPrefix(firstBytes, string(start)) {
 		return Head{}, false // the bytes belong to no request
 	}
-	resp.c.in.left = maxHeadBytes
+	resp.c.in.begin()
 	next, err := readResponse(resp.c.br, http.MethodGet)
 	switch {
 	case err == nil:
@@ -614,6 +669,21 @@
 	return Head{}, false
 }
 
+// Discard reads and discards the rest of the body, so that the connection can be used again,
+// unless that is longer than limit bytes or does not arrive within a time.
+func (resp *Response) Discard(limit int64, within time.Duration) error {
+	if until := time.Now().Add(within); until.Before(resp.deadline) {
+		if err := resp.c.SetReadDeadline(until); err != nil {
+			return interrupted(err)
+		}
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp, limit+1))
+	if err == nil && n > limit {
+		err = interrupted(errors.New("answer is too long"))
+	}
+	return err
+}
+
 // ReadAll reads the rest of the body. It fails if that is longer than limit bytes.
 func (resp *Response) ReadAll(limit int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(resp, limit+1))
@@ -635,6 +705,7 @@
 		return
 	}
 	resp.closed = true
+	resp.c.in.release()
 	resp.f.release(resp.c)
 }
 
@@ -662,5 +733,6 @@
 	}
 	resp.closed = true
 	resp.stop()
+	resp.c.in.release()
 	resp.f.discard(resp.c)
 }
--- a/io/bysoak/bysoak.go
+++ b/io/bysoak/bysoak.go
@@ -68,10 +68,11 @@
 	Versions       Trouble = "versions"        // releases of new versions of the runners, and what breaks streams
 	FaultsVersions Trouble = "faults-versions" // both
 	Cuts           Trouble = "cuts"            // nodes are cut off from all runners
+	Endless        Trouble = "endless"         // runners send bytes without end
 	Wakes          Trouble = "wakes"           // nodes are frozen while versions are released, and the store turns them away
 )
 
-// Troubles returns all kinds of trouble.
+// Troubles returns the kinds of trouble that take turns.
 func Troubles() []Trouble { return []Trouble{Faults, FaultsVersions, Versions, Cuts, Wakes} }
 
 // Report is the result of a soak run.
@@ -85,6 +86,8 @@
 	Begun          Share    // streams that began of the new ones, at calm nodes with two runners of one version
 	Silenced       Share    // bookings that were answered of those in progress at runners that fell silent
 	CutOff, Others Share    // first tries that were served at nodes that were cut off from all runners, and at the others meanwhile
+	PeakMemoryKB   int      // most memory that a node has had, in KiB, if the trouble is Endless
+	Endless        Share    // requests to runners that send bytes without end that ended in time
 	Violations     []string // guarantees that were broken
 }
 
@@ -116,6 +119,9 @@
 	repeat        record    // request that callers repeat; without a path if none
 	restoredAt    time.Time // when the store was last restored from an older copy
 
+	peakMemoryKB int   // most memory that a node has had, in KiB
+	endless      Share // requests to runners that send bytes without end, and those that ended in time
+
 	silences    []silence
 	failedDials []failedDial
 
@@ -145,6 +151,7 @@
 	callerAddr, readyAddr, directoryAddr string
 	storeProxy                           *proxy
 	settingsFile                         string
+	memoryMB                             int // of its VM; 0 means the default of the stub
 
 	disturbances disturbances
 	storeCuts    disturbances // times without a sound path to the store
@@ -170,6 +177,7 @@
 	defer s.tearDown()
 	var group errgroup.Group
 	callersCtx, stopCallers := context.WithCancel(ctx)
+	defer stopCallers()
 	for i := range max(cfg.Callers, 1) {
 		rng := rand.New(rand.NewPCG(cfg.Seed, uint64(100+i)))
 		group.Go(func() error { s.runCaller(callersCtx, i, rng); return nil })
@@ -181,6 +189,9 @@
 	case s.hasVersions():
 		trouble.Go(func() error { s.runVersions(ctx); return nil })
 	}
+	if cfg.Trouble == Endless {
+		trouble.Go(func() error { return s.runEndless(ctx) })
+	}
 	if cfg.Trouble == Cuts {
 		trouble.Go(func() error { s.runCuts(ctx); return nil })
 	}
@@ -190,7 +201,9 @@
 		trouble.Go(func() error { s.runRepeats(ctx); return nil })
 		s.injectFaults(ctx)
 	}
-	_ = trouble.Wait() // the functions return no error
+	if err := trouble.Wait(); err != nil {
+		return Report{}, err
+	}
 	s.endAllFaults()
 	faultsEndedAt := time.Now()
 	sleep(ctx, recoveryTime+3*time.Second)
@@ -248,6 +261,9 @@
 			return err
 		}
 		n := &node{name: fmt.Sprintf("n%d", i+1), domain: domain, storeProxy: p}
+		if s.cfg.Trouble == Endless {
+			n.memoryMB = endlessMemoryMB
+		}
 		if err := n.writeSettings(s.cfg.Dir, nodeIP(i)); err != nil {
 			return err
 		}
@@ -338,7 +354,7 @@
 	n.callerAddr, n.readyAddr, n.directoryAddr = addr(callerPort), addr(readyPort), addr(directoryPort)
 	settings := bystub.NodeSettings{
 		Name: n.name, IP: ip, Domain: n.domain, CallerAddr: n.callerAddr, Ready: n.readyAddr, Directory: n.directoryAddr,
-		PeerPort: peerPort, Store: n.storeProxy.addr(), Grace: stopGrace,
+		PeerPort: peerPort, Store: n.storeProxy.addr(), Grace: stopGrace, MemoryMB: n.memoryMB,
 	}
 	n.settingsFile = filepath.Join(dir, n.name+".conf")
 	return os.WriteFile(n.settingsFile, []byte(settings.Encode()), 0o600)
--- a/io/bysoak/check.go
+++ b/io/bysoak/check.go
@@ -101,6 +101,7 @@
 	s.checkLimits()
 	rep.CutOff, rep.Others = s.checkCuts()
 	rep.Silenced = s.checkSilences()
+	rep.PeakMemoryKB, rep.Endless = s.peakMemoryKB, s.endless
 	if sentAfterRecovery > 0 {
 		rep.RecoveredShare = float64(answeredAfterRecovery) / float64(sentAfterRecovery)
 	}
--- a/io/bysoak/faults.go
+++ b/io/bysoak/faults.go
@@ -244,5 +244,8 @@
 		bystub.Route{Name: "quick", Prefix: "/quick/", Kind: "streaming", Service: "llm", Attempts: 2, Resumable: true},
 		bystub.Route{Name: "long", Prefix: "/long/", Kind: "streaming", Service: "llm", Attempts: 1},
 		bystub.Route{Name: "version", Prefix: fmt.Sprintf("/version-%d/", s.configVersion), Kind: "safe", Service: "app", Attempts: 2},
+		bystub.Route{Name: "endless", Prefix: "/endless/", Kind: "safe", Service: endlessService, Attempts: 2},
+		bystub.Route{Name: "endless-once", Prefix: "/endless-once/", Kind: "unsafe", Service: endlessService, Attempts: 1},
+		bystub.Route{Name: "endless-stream", Prefix: "/endless-stream/", Kind: "streaming", Service: endlessService, Attempts: 2, Resumable: true},
 	)
 }
--- a/io/bysoak/soak_test.go
+++ b/io/bysoak/soak_test.go
@@ -48,6 +48,11 @@
 // a node that was frozen: what had waited in its sockets counted as new.
 func TestSoakKeepsVersionsWhereNodesWake(t *testing.T) { report(t, soak(t, bysoak.Wakes, 1)) }
 
+// TestSoakBearsBytesWithoutEnd guards against runners that send bytes without end, in a header, a
+// body, an event or a refusal: nodes must not keep them until their memory is used up, and must
+// end the request in time.
+func TestSoakBearsBytesWithoutEnd(t *testing.T) { report(t, soak(t, bysoak.Endless, 1)) }
+
 // isAboutTakeUps reports whether a violation is one of the share of the streams that go on.
 func isAboutTakeUps(violation string) bool { return strings.Contains(violation, ": take-ups: ") }
 
