Correct a stored verdict at a node that knows an older answer

What callers may see: a request that is repeated, was answered and has since been in progress at a few ends is counted from none again, or refused after a restart.

Cause: counted the ends of a stored verdict on a request only if the writer knew the answer, and removed the row otherwise. Companions that a peer tells were not limited in number.

Change: the ends count if the answer is older, and the row is written again with it; an answer after the last end removes the row, as for parts and paths.

Test: TestAnswerCorrectsStoredVerdict; before, "key: records [...Ends:0...] are to be stored, want one of 4 ends and the answer before them".

--- a/core/byquarantine/byquarantine_test.go
+++ b/core/byquarantine/byquarantine_test.go
@@ -716,3 +716,26 @@
 		})
 	}
 }
+
+// TestAnswerCorrectsStoredVerdict guards against the failure that a verdict by nodes which have
+// forgotten an answer stays in the store, or that its ends are lost, once a node that knows the
+// answer has read it.
+func TestAnswerCorrectsStoredVerdict(t *testing.T) {
+	for _, k := range []byquarantine.Key{poison, byquarantine.PathKey(0x77), byquarantine.RequestKey(7)} {
+		synctest.Test(t, func(t *testing.T) {
+			q := byquarantine.New(burdockyard.SystemClock{}, "n1")
+			q.RecordAnswer(keys(k))
+			answeredAt := time.Now()
+			time.Sleep(10 * time.Second)
+			lastEnd := time.Now()
+			q.Load([]byquarantine.Record{{Key: k, Ends: 4, LastEnd: lastEnd}})
+			if q.IsQuarantined(keys(k)) {
+				t.Errorf("key %x is quarantined for 4 ends at a node that knows an answer before them", k)
+			}
+			records := q.Unsaved()
+			if len(records) != 1 || records[0].Ends != 4 || !records[0].LastEnd.Equal(lastEnd) || !records[0].LastAnswer.Equal(answeredAt) {
+				t.Errorf("key %x: records %+v are to be stored, want one of 4 ends and the answer before them", k, records)
+			}
+		})
+	}
+}
--- a/core/byquarantine/news.go
+++ b/core/byquarantine/news.go
@@ -196,12 +196,12 @@
 	return c
 }
 
-// mergeVerdict applies a verdict on a key of a peer or of the store. An age that a peer tells lacks the time
-// for which the news travelled, so the same end or trial seems later at each node that
-// passes it on. It must not put off the next trial. The caller must hold mu.
+// mergeVerdict applies a verdict of a peer or of the store. An age that a peer tells lacks
+// the time for which the news travelled, so the same end or trial seems later at each node
+// that passes it on. It must not put off the next trial. The caller must hold mu.
 func (q *Quarantine) mergeVerdict(told Verdict, now time.Time, source Source, c *Change) {
 	merged := &verdict{ends: told.Ends, lastEnd: now.Add(-told.Age)}
-	merged.company = company{told.Companions != nil, told.Companions, merged.lastEnd}
+	merged.company = company{told.Companions != nil, told.Companions[:min(len(told.Companions), MaxCompanions)], merged.lastEnd}
 	if told.TrialAge >= 0 {
 		merged.lastTrial = now.Add(-told.TrialAge)
 	}
--- a/core/byquarantine/record.go
+++ b/core/byquarantine/record.go
@@ -185,7 +185,7 @@
 			q.announce(r.Key, now)
 		}
 		if a != nil && r.Ends < minEndsAfterAnswer || !r.isVerdict() {
-			if !r.Key.IsRequest() || a == nil || !r.LastAnswer.IsZero() {
+			if a == nil || a.at.Before(r.LastEnd) {
 				q.addStoredEnds(r)
 			}
 			continue
