Count poisoned prompts in the soak only while runners crash on them

The check counted all prompts with the part until the end of the run, also after the runners had ceased to crash on it, when a trial is answered and the prompts are sound ones that must be served.

Change: each part has the time at which no runner crashes on it any more; what comes later is not counted. The bound stays.

--- a/io/bysoak/poison.go
+++ b/io/bysoak/poison.go
@@ -31,6 +31,9 @@
 	hash    string // of the part; empty for a whole request
 	path    string // of the whole request
 	crashes []time.Time
+	// harmlessAt is when the runners ceased to crash on the part; zero if they have not. Later
+	// prompts with it are sound, and a trial that is answered frees them.
+	harmlessAt time.Time
 }
 
 func (p *poison) String() string { return p.hash + p.path }
@@ -50,6 +53,7 @@
 			downTime := time.Duration(300+rng.IntN(1200)) * time.Millisecond
 			r.stub.CrashOn(bystub.HasPromptPart(p.hash), func() { s.crashRunner(ctx, r, p, downTime) })
 		}
+		s.recordHarmless(i - 1)
 		sleep(ctx, poisonTime)
 		s.mu.Lock()
 		s.poison = nil
@@ -59,6 +63,19 @@
 	for _, r := range s.liveRunners() {
 		r.stub.CrashOn(nil, nil)
 	}
+	s.mu.Lock()
+	last := len(s.poisons) - 1
+	s.mu.Unlock()
+	s.recordHarmless(last)
+}
+
+// recordHarmless records that the runners crash no longer on the i-th part, if there is one.
+func (s *soak) recordHarmless(i int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i >= 0 {
+		s.poisons[i].harmlessAt = time.Now()
+	}
 }
 
 // crashRunner ends the process of a runner, which starts again after downTime.
@@ -151,7 +168,7 @@
 		late := 0
 		for _, r := range s.runners {
 			for _, a := range r.stub.ReceivedRequests() {
-				if n := sentTo[a.ID]; n != nil && a.HasPart(p.hash) && a.At.After(bound) && n.disturbances.isCalm(a.At) {
+				if n := sentTo[a.ID]; n != nil && a.HasPart(p.hash) && a.At.After(bound) && (p.harmlessAt.IsZero() || a.At.Before(p.harmlessAt)) && n.disturbances.isCalm(a.At) {
 					late++
 				}
 			}
