Say in the package comment what else outlives the nodes

Cause: the comment of byquarantine told of ends and trials only, and a newcomer had to guess what a company is.

Change: comments.

Result: the tests of the package pass.

--- a/core/byquarantine/byquarantine.go
+++ b/core/byquarantine/byquarantine.go
@@ -38,9 +38,10 @@
 // # What outlives the nodes
 //
 // The ends and trials of a key under which several endpoints have ended must outlive all
-// nodes. Unsaved returns what is to be stored, and Load takes what has been stored. An answer
-// removes the record, and a stored verdict gets trials like any other: a wrong one ends
-// with the first request that is sound.
+// nodes, and so must what speaks against it: its companions, see company.go, and its last
+// answer before the ends. Unsaved returns what is to be stored, and Load takes what has been
+// stored. An answer removes the record, and a stored verdict gets trials like any other: a
+// wrong one ends with the first request that is sound.
 package byquarantine
 
 import (
--- a/core/byquarantine/company.go
+++ b/core/byquarantine/company.go
@@ -8,6 +8,9 @@
 // If two keys were in progress at each endpoint that has ended, the ends don't tell which
 // of them is to blame, and both are quarantined. They are companions: a request that has
 // one of them and not the other tells it, and need not wait long for its trial.
+//
+// A node computes the companions of a key from the ends that it remembers one by one, and
+// from its company: what it knows of earlier ends, or was told with the verdict.
 
 const (
 	// MaxCompanions is the largest number of companions of a key that are stored.
