Relay the change that a lagging reader finds

Callers saw 404 for a route that had been added, as an older configuration says, seconds after the bound (CONFIG).

Cause: since a node that hears of a newer configuration for a quarter of the bound reads the whole table. That was sooner than the reader of its failure domain polls (0.35 to 0.65 of the bound), so that the reader itself found the change that way, and a whole reading is not relayed. From then on it told its peers that nothing had changed since. They rejected that, and those that the store turned away had no other way to learn the change.

The store turns 7 nodes of dk-east-a away, among them the first reader. At 3.1 s the second reader and 15 others of that failure domain read the whole table. The 7 nodes go by version 4 until 9.1 s, while the others have 14 at 3.5 s; 6.0 to 6.9 s behind the first node.

Change: a node that hears of a newer version polls as usual, only sooner, by rank, and relays what it finds. The whole table is read only if that has not brought the version.

--- a/core/byroutes/lag_test.go
+++ b/core/byroutes/lag_test.go
@@ -44,3 +44,35 @@
 		}
 	}
 }
+
+// TestLagBringsAReadingForward guards against the failure that the nodes of a failure domain go
+// by an old configuration until the first of them would have read the store anyway.
+func TestLagBringsAReadingForward(t *testing.T) {
+	start := time.Unix(1000, 0)
+	const after = 100 * time.Millisecond
+	var lag byroutes.Lag
+	due := func(own uint64, at time.Duration) time.Duration {
+		left, ok := lag.PollDue(own, start.Add(at), after)
+		if !ok {
+			return -1
+		}
+		return left
+	}
+	if got := due(5, 0); got != -1 {
+		t.Errorf("a reading is due in %v though nothing newer is known", got)
+	}
+	lag.Hear(6, 5, start)
+	if got := due(5, after/2); got != after/2 {
+		t.Errorf("the reading is due in %v, want %v", got, after/2)
+	}
+	if got := due(6, after/2); got != -1 {
+		t.Errorf("a reading is due in %v though the node has got the version", got)
+	}
+	lag.RecordPoll()
+	if got := due(5, after); got != -1 {
+		t.Errorf("a second reading is due in %v", got)
+	}
+	if !lag.IsOverdue(5, start.Add(2*after), 2*after) {
+		t.Error("the reading has not brought the version, and the copy is not taken to lack it")
+	}
+}
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -51,11 +51,15 @@
 	restoringNodes = 2
 	// minAgeCheckInterval is the shortest interval between two checks of a copy's age.
 	minAgeCheckInterval = 20 * time.Millisecond
+	// lagShare is the time for which peers go by a newer configuration until the first node of
+	// a failure domain reads the changes, as a fraction of the bound. Nodes of higher ranks
+	// follow as they do in maxAge.
+	lagShare = 0.05
 	// lackShare is the time for which peers go by a newer configuration until a node takes it
-	// that its copy lacks a change, as a fraction of the bound. Readings that are relayed
-	// arrive long before.
-	lackShare         = 0.25
-	lackCheckInterval = 200 * time.Millisecond
+	// that its copy lacks a change, as a fraction of the bound. All nodes of the failure
+	// domain have had their turn to read the changes by then.
+	lackShare        = 0.4
+	lagCheckInterval = 200 * time.Millisecond
 	// maxConcurrentRelays limits how many nodes a reading is relayed to concurrently.
 	maxConcurrentRelays = 8
 )
@@ -69,13 +73,15 @@
 	log         bylog.Logger
 	mirror      *bymirror.Mirror
 	apply       func(d bymirror.Delta, requestedAt time.Time)
-	isRoutine   func(before, after burdockyard.Row) bool  // whether peers need not be told of a change; nil if of none
-	onCopy      func(burdockyard.StoreVersion)            // called with the version whose rows apply has seen; nil if not needed
-	onReading   func(burdockyard.StoreVersion, time.Time) // called after a reading of this node was applied, with when it was requested
-	proofDue    func(rank int) time.Duration              // returns the time until this node must read the store to prove how recent its copy is; nil if it need not
-	lacksChange func() bool                               // whether the copy may lack a change that it counts as known; nil if it can't be told
-	onWholeRead func()                                    // called after the whole table was read on that account
-	redact      func(burdockyard.Row) burdockyard.Row     // removes what this process must not keep; nil if rows hold nothing such
+	isRoutine   func(before, after burdockyard.Row) bool        // whether peers need not be told of a change; nil if of none
+	onCopy      func(burdockyard.StoreVersion)                  // called with the version whose rows apply has seen; nil if not needed
+	onReading   func(burdockyard.StoreVersion, time.Time)       // called after a reading of this node was applied, with when it was requested
+	proofDue    func(rank int) time.Duration                    // returns the time until this node must read the store to prove how recent its copy is; nil if it need not
+	lagDue      func(after time.Duration) (time.Duration, bool) // returns how long this node may wait after its peers knew more than it does, less the time for which they have; false if they do not; nil if that cannot be told
+	onPoll      func()                                          // called after each reading of changes; nil if not needed
+	lacksChange func() bool                                     // whether the copy may lack a change that it counts as known; nil if it can't be told
+	onWholeRead func()                                          // called after the whole table was read on that account
+	redact      func(burdockyard.Row) burdockyard.Row           // removes what this process must not keep; nil if rows hold nothing such
 
 	// applying keeps the copy from being ahead of what apply has seen. It is held while
 	// rows are applied, and taken before all other locks.
@@ -152,11 +158,16 @@
 // maxAge returns the age of the copy at which a node of the given rank polls the
 // store.
 func (w *tableWatcher) maxAge(rank int) time.Duration {
-	share := w.maxAgeShare
-	if rank > 0 {
-		share += min(secondRankShare+float64(rank-1)*perRankShare, maxRankShare)
+	return fraction(w.bound(), w.maxAgeShare+rankShare(rank))
+}
+
+// rankShare returns what a node of a given rank waits longer than the first node of its failure
+// domain, as a fraction of the bound.
+func rankShare(rank int) float64 {
+	if rank == 0 {
+		return 0
 	}
-	return fraction(w.bound(), share)
+	return min(secondRankShare+float64(rank-1)*perRankShare, maxRankShare)
 }
 
 // fraction returns the given fraction of d.
@@ -182,10 +193,13 @@
 		if w.proofDue != nil {
 			left = min(left, w.proofDue(rank))
 		}
-		if left > 0 {
-			if w.lacksChange != nil {
-				left = min(left, lackCheckInterval)
+		if w.lagDue != nil {
+			if due, ok := w.lagDue(fraction(w.bound(), lagShare+rankShare(rank))); ok {
+				left = min(left, due)
 			}
+			left = min(left, lagCheckInterval)
+		}
+		if left > 0 {
 			sleep(ctx, max(left, minAgeCheckInterval))
 			continue
 		}
@@ -219,6 +233,9 @@
 	if w.onReading != nil {
 		w.onReading(version, requestedAt)
 	}
+	if w.onPoll != nil {
+		w.onPoll()
+	}
 	switch {
 	case isFirst && !w.isAwaited():
 		// Peers that have no copy either are about to read the store themselves. If each
@@ -259,7 +276,7 @@
 }
 
 // readWhole reads the whole table, since the copy may lack a change before its version, which a
-// reading of later changes does not bring. Peers read for themselves.
+// reading of later changes does not bring. Peers that lack it as well read for themselves.
 func (w *tableWatcher) readWhole(ctx context.Context) error {
 	requestedAt := w.node.clock.Now()
 	changes, version, err := w.fetch(ctx, burdockyard.StoreVersion{})
@@ -322,10 +339,10 @@
 	return changes
 }
 
-// applyReading applies a reading that a peer has relayed and that was requested from the store
-// at requestedAt. It returns false, and changes nothing, if the copy lacks changes before the
+// applyReading applies a reading of a peer that was requested from the store at requestedAt. It
+// returns false, and changes nothing, if the copy lacks changes before the
 // reading or is of another era.
-func (w *tableWatcher) applyReading(r bypeer.TableReading, requestedAt time.Time) bool {
+func (w *tableWatcher) applyReading(r bypeer.TableReading, requestedAt time.Time, by string) bool {
 	w.applying.Lock()
 	defer w.applying.Unlock()
 	var d bymirror.Delta
@@ -336,7 +353,7 @@
 		d, ok = w.mirror.ApplyChanges(r.Changes, r.ChangedSince, r.Version)
 	}
 	if ok {
-		w.applyDelta(d, r.Version, requestedAt, ownDomainPeer)
+		w.applyDelta(d, r.Version, requestedAt, by)
 	}
 	return ok
 }
@@ -448,7 +465,7 @@
 			continue
 		}
 		r.Changes = w.redacted(r.Changes) // nodes of earlier versions pass on what they have read
-		w.applyReading(r, n.clock.Now().Add(-r.Age-n.guard.ConnWait()))
+		w.applyReading(r, n.clock.Now().Add(-r.Age-n.guard.ConnWait()), ownDomainPeer)
 		return w.mirror.Version()
 	}
 	return burdockyard.StoreVersion{}
