Let nodes that the store turns away ask their peers

Callers saw 404 for a route that had been added, as an older configuration says, seconds after the bound (CONFIG).

Cause: the store may turn some nodes away while it serves the others. Such a node had only what is relayed to it, once. If that was lost (a relay is given up after 400 ms, a reader may end, or find the change otherwise), it rejected all that builds on it, and nobody sent it the whole table, unless the first reader of its failure domain still reached the store and read the next change.

Change: while its calls to the store fail, a node whose copy is older than half the bound asks a random node of its failure domain, and one of another, for what its copy lacks (new RPC Read). The answer is nothing if nothing that matters has changed, otherwise the table. It is no younger than the question was sent, less the peer's age. Questions become rarer while they bring nothing, as when the store serves nobody. A peer of an earlier release answers with an error and the next is asked.

TestNodeTurnedAwayByTheStoreFollowsItsPeers fails before: version 5 after 2 s, want 7 within 1 s. TestCopyLacksNoChangeThatItClaims plays such questions among the readings as well.

--- a/core/bymirror/bymirror.go
+++ b/core/bymirror/bymirror.go
@@ -25,6 +25,7 @@
 package bymirror
 
 import (
+	"maps"
 	"slices"
 	"sync"
 
@@ -88,11 +89,18 @@
 func (m *Mirror) Rows() ([]burdockyard.Row, burdockyard.StoreVersion) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	rows := make([]burdockyard.Row, 0, len(m.rows))
-	for _, r := range m.rows {
-		rows = append(rows, r)
+	return slices.Collect(maps.Values(m.rows)), m.version
+}
+
+// RowsSince returns what a copy lacks that has all changes up to a version: the whole table at
+// the returned version, or nothing and false if no change since then matters to peers.
+func (m *Mirror) RowsSince(since burdockyard.StoreVersion) ([]burdockyard.Row, burdockyard.StoreVersion, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if since.Number > 0 && since.Era == m.told.Era && since.Compare(m.told) >= 0 {
+		return nil, m.version, false
 	}
-	return rows, m.version
+	return slices.Collect(maps.Values(m.rows)), m.version, true
 }
 
 // Row returns the row with the given key, and false if there is none.
--- a/core/bymirror/told_test.go
+++ b/core/bymirror/told_test.go
@@ -125,6 +125,17 @@
 	}
 }
 
+// ask makes a node ask another for what it lacks. The answer is on its way then.
+func (f *fleet) ask(node int) {
+	since := f.nodes[node].Version()
+	rows, version, lacks := f.nodes[f.rng.IntN(len(f.nodes))].RowsSince(since)
+	answer := message{to: node, whole: lacks, confirms: !lacks, reading: reading{from: since, to: version}}
+	for _, row := range rows {
+		answer.changes = append(answer.changes, burdockyard.Change{Row: row})
+	}
+	f.inbox = append(f.inbox, answer)
+}
+
 // step plays one event.
 func (f *fleet) step() {
 	node := f.rng.IntN(len(f.nodes))
@@ -138,6 +149,8 @@
 		f.read(node)
 	case p < 70 && f.reading[node] != nil:
 		f.finish(node)
+	case p < 74:
+		f.ask(node)
 	case p < 97 && len(f.inbox) > 0:
 		f.deliver()
 	case p == 98:
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -343,7 +343,7 @@
 // peerCallHandler returns a handler that serves the calls of other nodes.
 func (n *Node) peerCallHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(bypeerpb.RelayPathPrefix, bypeer.NewRelayHandler(n.applyRelayedReading))
+	mux.Handle(bypeerpb.RelayPathPrefix, bypeer.NewRelayHandler(bypeer.RelayHandler{Apply: n.applyRelayedReading, Read: n.readingForPeer}))
 	mux.Handle(bypeerpb.WitnessPathPrefix, bypeer.NewWitnessHandler(n.examine))
 	return http.MaxBytesHandler(mux, maxPeerCallBytes)
 }
@@ -420,6 +420,7 @@
 func (n *Node) startLoops(ctx context.Context, group *errgroup.Group) {
 	for _, w := range n.watchers {
 		group.Go(func() error { return w.run(ctx) })
+		group.Go(func() error { return w.followPeers(ctx) })
 	}
 	group.Go(func() error { return n.records.run(ctx) })
 	group.Go(func() error { return n.peers.gossip.Run(ctx) })
--- a/io/byentry/turnedaway_test.go
+++ b/io/byentry/turnedaway_test.go
@@ -14,6 +14,17 @@
 	"burdockyard/core/bymember"
 )
 
+// closedStore turns all calls away.
+type closedStore struct{ burdockyard.Registry }
+
+func (closedStore) Scan(context.Context, string) (burdockyard.Snapshot, error) {
+	return burdockyard.Snapshot{}, burdockyard.ErrUnavailable
+}
+
+func (closedStore) Changes(context.Context, string, burdockyard.StoreVersion, time.Duration) (burdockyard.Snapshot, error) {
+	return burdockyard.Snapshot{}, burdockyard.ErrUnavailable
+}
+
 const turnedAwayBound = time.Second
 
 // storeOfConfig returns a store whose configuration has the given version.
@@ -68,6 +79,20 @@
 	return bymember.Heartbeat{Member: burdockyard.Member{Node: name, Incarnation: "1", Addr: addr}, Domain: domain, Generation: config}
 }
 
+// TestNodeTurnedAwayByTheStoreFollowsItsPeers guards against the failure that a node which the
+// store turns away goes by an old configuration until the next change, since the relayed reading
+// with the last one was lost.
+func TestNodeTurnedAwayByTheStoreFollowsItsPeers(t *testing.T) {
+	_, addr := startReader(t, "n1", storeOfConfig(7))
+	n, _ := startReader(t, "n2", storeOfConfig(5))
+	n.platform.Registry = closedStore{}
+	peers := []bymember.Heartbeat{peerHeartbeat("n1", "a", addr, 0)}
+	took := runUntilConfig(t, n, 7, peers, n.configWatcher.run, n.configWatcher.followPeers)
+	if n.configVersion() != 7 || took > turnedAwayBound {
+		t.Errorf("version %d is in force after %v, want 7 within %v", n.configVersion(), took, turnedAwayBound)
+	}
+}
+
 // TestReaderThatLagsRelaysTheChange guards against the failure that a node which hears of a newer
 // configuration reads it without telling its peers, so that those that the store turns away go
 // by the old one until the next change.
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -20,7 +20,8 @@
 // each node polls the store once its copy exceeds a maximum age that grows with the
 // node's rank, and a relayed reading refreshes the copy like a poll of its own. If
 // the first node loses its connection to the store or to its peers, the copy of the
-// second node reaches its maximum age shortly afterwards.
+// second node reaches its maximum age shortly afterwards. A node that the store turns away
+// asks its peers; see followPeers.
 //
 // Endpoints count up a number in their rows about once a second. Peers are not told of
 // changes in which nothing else is new: a datagram tells them that their copy is still
@@ -92,10 +93,12 @@
 	requestedAt  time.Time // when the newest reading was requested from the store, by this node or another
 	readBy       string    // who has requested it: the node itself, a peer, or ownDomainPeer
 	storeFailing bool      // whether the last store call of this node failed
+
+	storeLost chan struct{} // receives when store calls begin to fail
 }
 
 func newTableWatcher(n *Node, table string, bound func() time.Duration, share float64, log bylog.Logger, apply func(bymirror.Delta, time.Time)) *tableWatcher {
-	return &tableWatcher{node: n, table: table, bound: bound, maxAgeShare: share, log: log, mirror: bymirror.New(), apply: apply}
+	return &tableWatcher{node: n, table: table, bound: bound, maxAgeShare: share, log: log, mirror: bymirror.New(), apply: apply, storeLost: make(chan struct{}, 1)}
 }
 
 // waitForPeers makes the first poll wait as if there had been a reading at the given
@@ -452,6 +455,10 @@
 	switch {
 	case err != nil && !wasFailing:
 		w.log.Warn("store lost", bylog.Str("table", w.table), bylog.Err(err))
+		select {
+		case w.storeLost <- struct{}{}:
+		default:
+		}
 	case err == nil && wasFailing:
 		w.log.Info("store regained", bylog.Str("table", w.table), bylog.Int("era", int(w.mirror.Version().Era)), bylog.Int("version", int(w.mirror.Version().Number)))
 	}
