Answer a node that asks for changes with these only

A node that the store turns away and that lacks one relayed reading got the whole table from a peer. The table of 3,000 endpoints is 1.5 MB, more than a link of 10 Mbit/s carries in the time of the call.

A copy keeps the versions of removed rows. It now knows since which version it has them all, and answers with the rows and removals after the asking node's version where that is enough. The model test plays such answers, late and in any order.

--- a/core/bymirror/bymirror.go
+++ b/core/bymirror/bymirror.go
@@ -50,6 +50,8 @@
 	version    burdockyard.StoreVersion
 	changedAt  burdockyard.StoreVersion
 	told       burdockyard.StoreVersion // up to which peers have been told, by this node or another
+	// removalsSince is a version since which there is a tombstone for each removed row.
+	removalsSince burdockyard.StoreVersion
 }
 
 // Relay is what peers are to be told after a node has read the store up to a version: the
@@ -92,15 +94,30 @@
 	return slices.Collect(maps.Values(m.rows)), m.version
 }
 
-// RowsSince returns what a copy lacks that has all changes up to a version: the whole table at
-// the returned version, or nothing and false if no change since then matters to peers.
-func (m *Mirror) RowsSince(since burdockyard.StoreVersion) ([]burdockyard.Row, burdockyard.StoreVersion, bool) {
+// ChangesSince returns the changes that a copy lacks which has all up to a version, and the
+// version up to which they lead. They start at from, which is since, or zero if they are the
+// whole table: the removals since then are not known. Without changes that matter to peers
+// there are none.
+func (m *Mirror) ChangesSince(since burdockyard.StoreVersion) (changes []burdockyard.Change, from, to burdockyard.StoreVersion) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if since.Number > 0 && since.Era == m.told.Era && since.Compare(m.told) >= 0 {
-		return nil, m.version, false
+		return nil, since, m.version
 	}
-	return slices.Collect(maps.Values(m.rows)), m.version, true
+	if since.Number > 0 && since.Era == m.removalsSince.Era && since.Compare(m.removalsSince) >= 0 {
+		from = since
+		for key, version := range m.tombstones {
+			if version > since.Number {
+				changes = append(changes, burdockyard.Change{Row: burdockyard.Row{Key: key, Version: version}, Removed: true})
+			}
+		}
+	}
+	for _, r := range m.rows {
+		if r.Version > from.Number {
+			changes = append(changes, burdockyard.Change{Row: r})
+		}
+	}
+	return changes, from, m.version
 }
 
 // Row returns the row with the given key, and false if there is none.
@@ -148,7 +165,7 @@
 			m.remove(key, version.Number, &d)
 		}
 	}
-	m.version = version
+	m.version, m.removalsSince = version, version
 	if len(d.Changed)+len(d.Removed) > 0 || m.changedAt.Era != version.Era {
 		m.changedAt = version
 	}
@@ -225,6 +242,9 @@
 	if to.Compare(m.version) > 0 {
 		m.version = to
 	}
+	if slices.ContainsFunc(changes, func(c burdockyard.Change) bool { return c.Removed && c.Row.Version == 0 }) {
+		m.removalsSince = m.version // the tombstones bear a version that is too low
+	}
 	if len(d.Changed)+len(d.Removed) > 0 {
 		m.changedAt = m.version
 	}
@@ -259,6 +279,7 @@
 	}
 	if len(m.tombstones) >= maxTombstones {
 		clear(m.tombstones)
+		m.removalsSince = burdockyard.StoreVersion{Era: m.version.Era, Number: max(version, m.version.Number)}
 	}
 	// Keep a tombstone for an absent row too: an older read may still deliver the
 	// row.
--- a/core/bymirror/bymirror_test.go
+++ b/core/bymirror/bymirror_test.go
@@ -183,3 +183,31 @@
 		t.Errorf("rows %v, want a@9", got)
 	}
 }
+
+// TestChangesSinceNameAllRemovals guards against the failure that a node which asks a peer for
+// what it lacks keeps a removed row, as the peer does not know when it was removed.
+func TestChangesSinceNameAllRemovals(t *testing.T) {
+	undated := burdockyard.Change{Row: burdockyard.Row{Key: "a"}, Removed: true}
+	for _, test := range []struct {
+		name    string
+		changes []burdockyard.Change
+		since   uint64
+		want    burdockyard.StoreVersion // from which the changes start; zero if they are the whole table
+	}{
+		{"nothing since", nil, 6, at(6)},
+		{"removed since the scan", []burdockyard.Change{change("a", 7, true)}, 6, at(6)},
+		{"removed before the scan", []burdockyard.Change{change("a", 7, true)}, 4, burdockyard.StoreVersion{}},
+		{"removed at an unknown version", []burdockyard.Change{undated}, 7, burdockyard.StoreVersion{}},
+	} {
+		m := bymirror.New()
+		m.ApplyScan([]burdockyard.Row{{Key: "a", Version: 3}}, at(5))
+		m.ApplyChanges(test.changes, at(5), at(9))
+		changes, from, to := m.ChangesSince(at(test.since))
+		if from != test.want || to != at(9) {
+			t.Errorf("%s: changes from %v to %v, want from %v to %v", test.name, from, to, test.want, at(9))
+		}
+		if removed := len(changes) == 1 && changes[0].Removed; from.Number > 0 && len(test.changes) > 0 && !removed {
+			t.Errorf("%s: changes %v, want the removal", test.name, changes)
+		}
+	}
+}
--- a/core/bymirror/told_test.go
+++ b/core/bymirror/told_test.go
@@ -127,13 +127,8 @@
 
 // ask makes a node ask another for what it lacks. The answer is on its way then.
 func (f *fleet) ask(node int) {
-	since := f.nodes[node].Version()
-	rows, version, lacks := f.nodes[f.rng.IntN(len(f.nodes))].RowsSince(since)
-	answer := message{to: node, whole: lacks, confirms: !lacks, reading: reading{from: since, to: version}}
-	for _, row := range rows {
-		answer.changes = append(answer.changes, burdockyard.Change{Row: row})
-	}
-	f.inbox = append(f.inbox, answer)
+	changes, from, to := f.nodes[f.rng.IntN(len(f.nodes))].ChangesSince(f.nodes[node].Version())
+	f.inbox = append(f.inbox, message{to: node, reading: reading{changes, from, to}, whole: from.Number == 0, confirms: from.Number > 0 && len(changes) == 0})
 }
 
 // step plays one event.
--- a/io/byentry/followpeers.go
+++ b/io/byentry/followpeers.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		requestedAt := askedAt.Add(-r.Age)
-		if r.ChangedSince.Number > 0 {
+		if r.ChangedSince.Number > 0 && len(r.Changes) == 0 {
 			w.applyConfirmation(bypeer.Confirmation{ChangedSince: after, Version: r.Version}, requestedAt, string(h.Member.Node))
 		} else {
 			r.Changes = w.redacted(r.Changes)
@@ -127,13 +127,7 @@
 	if requestedAt.IsZero() {
 		return r
 	}
-	rows, version, lacks := w.mirror.RowsSince(after)
-	if r.Version = version; !lacks {
-		r.ChangedSince = after
-	}
-	for _, row := range rows {
-		r.Changes = append(r.Changes, burdockyard.Change{Row: row})
-	}
+	r.Changes, r.ChangedSince, r.Version = w.mirror.ChangesSince(after)
 	r.Age = w.node.clock.Now().Sub(requestedAt)
 	return r
 }
