--- a/io/byentry/followpeers.go
+++ b/io/byentry/followpeers.go
@@ -85,6 +85,10 @@
 			if whole {
 				w.onWholeRead()
 			}
+			if len(r.Changes) > 0 {
+				w.log.Info("changes read from a peer", bylog.Str("table", w.table), bylog.Str("peer", string(h.Member.Node)), bylog.Int("rows", len(r.Changes)),
+					bylog.Int("after", int(after.Number)), bylog.Int("version", int(r.Version.Number)))
+			}
 			return true
 		}
 	}
