Wake the reader of the configuration instead of a check every 200 ms

Since each node looked five times a second whether its peers go by a newer configuration, and ranked all nodes that it knows for it. A heartbeat with a newer version wakes the reader now, which otherwise sleeps until its copy is due as before.

--- a/core/byroutes/lag.go
+++ b/core/byroutes/lag.go
@@ -18,17 +18,21 @@
 	searched uint64 // newest version for which the node has read the whole table
 }
 
-// Hear records that a peer goes by a version, while the node goes by own.
-func (l *Lag) Hear(version, own uint64, now time.Time) {
+// Hear records that a peer goes by a version, while the node goes by own. It reports whether
+// that is news to a node that may have to read.
+func (l *Lag) Hear(version, own uint64, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if version <= own {
-		return
+		return false
 	}
 	if l.own != own || l.newest <= own {
 		l.own, l.since, l.newest = own, now, version
+		return true
 	}
+	isNews := version > l.newest
 	l.newest = max(l.newest, version)
+	return isNews
 }
 
 // PollDue returns the time until a node that goes by own must read the changes, which is the
@@ -36,26 +40,28 @@
 func (l *Lag) PollDue(own uint64, now time.Time, after time.Duration) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.own != own || l.newest <= max(own, l.polled) {
-		return 0, false
-	}
-	return after - now.Sub(l.since), true
+	return l.due(l.polled, own, now, after)
 }
 
-// RecordPoll records that the node has read the changes. It does so early once for each
-// version, as a store that was restored may have lost it.
-func (l *Lag) RecordPoll() {
+// SearchDue returns the time until a node that goes by own must read the whole table, as PollDue
+// does for the changes.
+func (l *Lag) SearchDue(own uint64, now time.Time, after time.Duration) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.polled = max(l.polled, l.newest)
+	return l.due(l.searched, own, now, after)
 }
 
-// IsOverdue reports whether the node, which goes by own, has heard of a newer version for at
-// least the given time, and has not read the whole table for it.
-func (l *Lag) IsOverdue(own uint64, now time.Time, after time.Duration) bool {
+// due returns the time until a node must read for want of versions after done.
+func (l *Lag) due(done, own uint64, now time.Time, after time.Duration) (time.Duration, bool) {
+	return after - now.Sub(l.since), l.own == own && l.newest > max(own, done)
+}
+
+// RecordPoll records that the node has read the changes. It does so early once for each
+// version, as a store that was restored may have lost it.
+func (l *Lag) RecordPoll() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.own == own && l.newest > max(own, l.searched) && now.Sub(l.since) >= after
+	l.polled = max(l.polled, l.newest)
 }
 
 // RecordSearch records that the node has read the whole table, once for each version.
--- a/core/byroutes/lag_test.go
+++ b/core/byroutes/lag_test.go
@@ -36,7 +36,8 @@
 		if step.hear > 0 {
 			lag.Hear(step.hear, step.own, now)
 		}
-		if got := lag.IsOverdue(step.own, now, after); got != step.overdue {
+		left, ok := lag.SearchDue(step.own, now, after)
+		if got := ok && left <= 0; got != step.overdue {
 			t.Errorf("after %d ms, %s: overdue %v, want %v", step.at, step.describe, got, step.overdue)
 		}
 		if step.search {
@@ -61,7 +62,9 @@
 	if got := due(5, 0); got != -1 {
 		t.Errorf("a reading is due in %v though nothing newer is known", got)
 	}
-	lag.Hear(6, 5, start)
+	if !lag.Hear(6, 5, start) || lag.Hear(6, 5, start) || lag.Hear(5, 5, start) {
+		t.Error("a version is news when it is heard of again, or not when it is heard of at first")
+	}
 	if got := due(5, after/2); got != after/2 {
 		t.Errorf("the reading is due in %v, want %v", got, after/2)
 	}
@@ -72,7 +75,7 @@
 	if got := due(5, after); got != -1 {
 		t.Errorf("a second reading is due in %v", got)
 	}
-	if !lag.IsOverdue(5, start.Add(2*after), 2*after) {
+	if left, ok := lag.SearchDue(5, start.Add(2*after), 2*after); !ok || left > 0 {
 		t.Error("the reading has not brought the version, and the copy is not taken to lack it")
 	}
 }
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -250,7 +250,7 @@
 	n.configWatcher.onCopy, n.configWatcher.onReading = n.freshness.RecordCopy, n.freshness.RecordReading
 	n.configWatcher.proofDue = n.proofDue
 	n.configWatcher.lagDue, n.configWatcher.onPoll = n.configLagDue, n.configLag.RecordPoll
-	n.configWatcher.lacksChange, n.configWatcher.onWholeRead = n.lacksConfig, n.configLag.RecordSearch
+	n.configWatcher.lackDue, n.configWatcher.onWholeRead = n.configLackDue, n.configLag.RecordSearch
 	instanceWatcher := newTableWatcher(n, p.InstanceTable, func() time.Duration { return n.reloadableSettings.Load().DrainBound }, drainMaxAgeShare, n.log.fleet, n.applyInstances)
 	instanceWatcher.isRoutine = n.isRoutineUpdate
 	n.versions = newVersions(n)
--- a/io/byentry/followpeers.go
+++ b/io/byentry/followpeers.go
@@ -35,7 +35,7 @@
 		case <-w.storeLost:
 		}
 		for share := minAskShare; ctx.Err() == nil && w.isStoreFailing(); {
-			lacks := w.lacksChange != nil && w.lacksChange()
+			lacks := w.lacksChange()
 			switch {
 			case !lacks && w.age() < w.maxAge(askRank):
 				share = minAskShare
@@ -56,6 +56,15 @@
 	return w.storeFailing
 }
 
+// lacksChange reports whether the copy is taken to lack a change that it counts as known.
+func (w *tableWatcher) lacksChange() bool {
+	if w.lackDue == nil {
+		return false
+	}
+	due, ok := w.lackDue()
+	return ok && due <= 0
+}
+
 // askPeers asks a node of this failure domain, and one of another, for what this node lacks. It
 // returns true if that made the copy more recent. whole means that the copy may lack a change
 // before its version.
--- a/io/byentry/lag_test.go
+++ b/io/byentry/lag_test.go
@@ -60,7 +60,7 @@
 				Member: burdockyard.Member{Node: "n2", Incarnation: "1", Addr: "10.0.0.2:1"}, Domain: "b", Seq: seq + 1, Ready: true, Generation: 7,
 			})
 			time.Sleep(bound / 20)
-			if w.lacksChange != nil && w.lacksChange() {
+			if w.lacksChange() {
 				if err := w.readWhole(t.Context()); err != nil {
 					t.Fatal(err)
 				}
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -167,7 +167,9 @@
 		n.records.known.Store(true) // its heartbeats name the quarantined requests
 	}
 	if own := n.configVersion(); own > 0 && h.Ready {
-		n.configLag.Hear(h.Generation, own, n.clock.Now())
+		if n.configLag.Hear(h.Generation, own, n.clock.Now()) {
+			n.configWatcher.wakeUp()
+		}
 	}
 	info := peer{domain: h.Domain, capacity: h.Capacity, leaving: h.Leaving, lastSeen: n.clock.Now().Add(-h.Waited)}
 	p.recordNode(h.Member.Node, info, h.Member.Addr, true)
--- a/io/byentry/prove.go
+++ b/io/byentry/prove.go
@@ -73,16 +73,16 @@
 	return 0
 }
 
-// configLagDue returns the time until this node must read the store, which is the given time
-// after it has heard that peers go by a newer configuration, and false if it need not.
+// configLagDue returns the time until this node must read the latest changes, which is the given
+// time after it has heard that peers go by a newer configuration, and false if it need not.
 func (n *Node) configLagDue(after time.Duration) (time.Duration, bool) {
 	return n.configLag.PollDue(n.configVersion(), n.clock.Now(), after)
 }
 
-// lacksConfig reports whether peers have gone by a newer configuration for so long that this
-// node should have read it.
-func (n *Node) lacksConfig() bool {
-	return n.configLag.IsOverdue(n.configVersion(), n.clock.Now(), fraction(n.configBound(), lackShare))
+// configLackDue returns the time until this node must take it that its copy lacks a change,
+// since peers go by a newer configuration, and false if it need not.
+func (n *Node) configLackDue() (time.Duration, bool) {
+	return n.configLag.SearchDue(n.configVersion(), n.clock.Now(), fraction(n.configBound(), lackShare))
 }
 
 // maxProvenAge stands for the age of a configuration of which nothing is proven.
--- a/io/byentry/watch.go
+++ b/io/byentry/watch.go
@@ -59,8 +59,7 @@
 	// lackShare is the time for which peers go by a newer configuration until a node takes it
 	// that its copy lacks a change, as a fraction of the bound. All nodes of the failure
 	// domain have had their turn to read the changes by then.
-	lackShare        = 0.4
-	lagCheckInterval = 200 * time.Millisecond
+	lackShare = 0.4
 	// maxConcurrentRelays limits how many nodes a reading is relayed to concurrently.
 	maxConcurrentRelays = 8
 )
@@ -80,7 +79,7 @@
 	proofDue    func(rank int) time.Duration                    // returns the time until this node must read the store to prove how recent its copy is; nil if it need not
 	lagDue      func(after time.Duration) (time.Duration, bool) // returns how long this node may wait after its peers knew more than it does, less the time for which they have; false if they do not; nil if that cannot be told
 	onPoll      func()                                          // called after each reading of changes; nil if not needed
-	lacksChange func() bool                                     // whether the copy may lack a change that it counts as known; nil if it can't be told
+	lackDue     func() (time.Duration, bool)                    // returns the time until the copy is taken to lack a change that it counts as known, and false if it is not; nil if that cannot be told
 	onWholeRead func()                                          // called after the whole table was read on that account
 	redact      func(burdockyard.Row) burdockyard.Row           // removes what this process must not keep; nil if rows hold nothing such
 
@@ -95,10 +94,11 @@
 	storeFailing bool      // whether the last store call of this node failed
 
 	storeLost chan struct{} // receives when store calls begin to fail
+	wake      chan struct{} // receives when peers are known to have more
 }
 
 func newTableWatcher(n *Node, table string, bound func() time.Duration, share float64, log bylog.Logger, apply func(bymirror.Delta, time.Time)) *tableWatcher {
-	return &tableWatcher{node: n, table: table, bound: bound, maxAgeShare: share, log: log, mirror: bymirror.New(), apply: apply, storeLost: make(chan struct{}, 1)}
+	return &tableWatcher{node: n, table: table, bound: bound, maxAgeShare: share, log: log, mirror: bymirror.New(), apply: apply, storeLost: make(chan struct{}, 1), wake: make(chan struct{}, 1)}
 }
 
 // waitForPeers makes the first poll wait as if there had been a reading at the given
@@ -186,12 +186,7 @@
 func (w *tableWatcher) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		rank := w.rank()
-		if w.lacksChange != nil && w.lacksChange() {
-			if err := w.readWhole(ctx); err != nil {
-				sleep(ctx, min(baseRetryDelay*time.Duration(1+rank), maxRetryDelay))
-			}
-			continue
-		}
+		read := w.poll
 		left := w.maxAge(rank) - w.age()
 		if w.proofDue != nil {
 			left = min(left, w.proofDue(rank))
@@ -200,19 +195,48 @@
 			if due, ok := w.lagDue(fraction(w.bound(), lagShare+rankShare(rank))); ok {
 				left = min(left, due)
 			}
-			left = min(left, lagCheckInterval)
+		}
+		if w.lackDue != nil {
+			if due, ok := w.lackDue(); ok {
+				left = min(left, due)
+				if due <= 0 {
+					read = w.readWhole
+				}
+			}
 		}
 		if left > 0 {
-			sleep(ctx, max(left, minAgeCheckInterval))
+			w.sleepUntilWoken(ctx, max(left, minAgeCheckInterval))
 			continue
 		}
-		if err := w.poll(ctx); err != nil {
+		if err := read(ctx); err != nil {
 			sleep(ctx, min(baseRetryDelay*time.Duration(1+rank), maxRetryDelay))
 		}
 	}
 	return nil
 }
 
+// wakeUp makes run check what is due.
+func (w *tableWatcher) wakeUp() { notify(w.wake) }
+
+// notify sends to a channel with room for one value, unless it holds one.
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// sleepUntilWoken waits for d, until wakeUp is called, or until ctx is done.
+func (w *tableWatcher) sleepUntilWoken(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-w.wake:
+	case <-ctx.Done():
+	}
+}
+
 // poll reads the store once, applies the result, and relays it to the other nodes of
 // this failure domain. It reads the whole table if the store no longer keeps the
 // changes since the last reading.
@@ -455,10 +479,7 @@
 	switch {
 	case err != nil && !wasFailing:
 		w.log.Warn("store lost", bylog.Str("table", w.table), bylog.Err(err))
-		select {
-		case w.storeLost <- struct{}{}:
-		default:
-		}
+		notify(w.storeLost)
 	case err == nil && wasFailing:
 		w.log.Info("store regained", bylog.Str("table", w.table), bylog.Int("era", int(w.mirror.Version().Era)), bylog.Int("version", int(w.mirror.Version().Number)))
 	}
