--- a/io/byentry/turnedaway_test.go
+++ b/io/byentry/turnedaway_test.go
@@ -33,8 +33,8 @@
 	return &feedStore{row: row, version: burdockyard.StoreVersion{Era: 1, Number: config + 1}}
 }
 
-// startReader returns a node that has read the configuration of a store, and its peer address.
-func startReader(t *testing.T, name burdockyard.NodeID, store *feedStore) (n *Node, addr string) {
+// newConfigNode returns a node that follows the configuration of a store, and its peer address.
+func newConfigNode(t *testing.T, name burdockyard.NodeID, store burdockyard.Registry) (n *Node, addr string) {
 	decode := func(value []byte) (*burdockyard.RouteConfig, error) {
 		c := &burdockyard.RouteConfig{}
 		_, err := fmt.Sscan(string(value), &c.Version)
@@ -42,14 +42,20 @@
 	}
 	n = New(Settings{Node: name, Domain: "a", PeerAddr: "127.0.0.1:1", ReloadableSettings: ReloadableSettings{ConfigBound: turnedAwayBound}},
 		Platform{Registry: store, ConfigTable: "op", ConfigKey: "op/config", DecodeConfig: decode})
-	if err := n.configWatcher.poll(t.Context()); err != nil || n.configVersion() != store.row.Version {
-		t.Fatalf("poll returned %v and version %d is in force, want %d", err, n.configVersion(), store.row.Version)
-	}
 	srv := httptest.NewServer(n.peerCallHandler())
 	t.Cleanup(srv.Close)
 	return n, strings.TrimPrefix(srv.URL, "http://")
 }
 
+// startReader returns a node that has read the configuration of a store, and its peer address.
+func startReader(t *testing.T, name burdockyard.NodeID, store *feedStore) (n *Node, addr string) {
+	n, addr = newConfigNode(t, name, store)
+	if err := n.configWatcher.poll(t.Context()); err != nil || n.configVersion() != store.row.Version {
+		t.Fatalf("poll returned %v and version %d is in force, want %d", err, n.configVersion(), store.row.Version)
+	}
+	return n, addr
+}
+
 // runUntilConfig runs loops of a node, which hears of its peers meanwhile, until it goes by a
 // version of the configuration, and returns how long that took.
 func runUntilConfig(t *testing.T, n *Node, version uint64, peers []bymember.Heartbeat, loops ...func(context.Context) error) time.Duration {
@@ -81,15 +87,18 @@
 
 // TestNodeTurnedAwayByTheStoreFollowsItsPeers guards against the failure that a node which the
 // store turns away goes by an old configuration until the next change, since the relayed reading
-// with the last one was lost.
+// with the last one was lost, or by none, since it has been restarted.
 func TestNodeTurnedAwayByTheStoreFollowsItsPeers(t *testing.T) {
 	_, addr := startReader(t, "n1", storeOfConfig(7))
-	n, _ := startReader(t, "n2", storeOfConfig(5))
-	n.platform.Registry = closedStore{}
+	late, _ := startReader(t, "n2", storeOfConfig(5))
+	late.platform.Registry = closedStore{}
+	restarted, _ := newConfigNode(t, "n3", closedStore{})
 	peers := []bymember.Heartbeat{peerHeartbeat("n1", "a", addr, 0)}
-	took := runUntilConfig(t, n, 7, peers, n.configWatcher.run, n.configWatcher.followPeers)
-	if n.configVersion() != 7 || took > turnedAwayBound {
-		t.Errorf("version %d is in force after %v, want 7 within %v", n.configVersion(), took, turnedAwayBound)
+	for _, n := range []*Node{late, restarted} {
+		took := runUntilConfig(t, n, 7, peers, n.configWatcher.run, n.configWatcher.followPeers)
+		if n.configVersion() != 7 || took > turnedAwayBound {
+			t.Errorf("%s: version %d is in force after %v, want 7 within %v", n.self.Node, n.configVersion(), took, turnedAwayBound)
+		}
 	}
 }
 
