Keep a node stale in its test now that it asks its peers

It rests on a node that has lost the store and lacks a change for as long as that lasts. The node gets the change from its peer now, is not stale, and the directory rightly goes on naming it.

The test checks what it did before, on a node that asks no peers, as nodes of earlier releases. TestStaleNodeAsksForTheChange checks the rest on one that does: the key that was taken away is denied in time, others are served.

--- a/io/byentry/cluster_test.go
+++ b/io/byentry/cluster_test.go
@@ -51,6 +51,7 @@
 	api            *bystub.API   // the platform's API; nil if there is none
 	apiAddr        string        // its address
 	logOutput      io.Writer     // where nodes write their logs; nil means logs
+	asksNoPeers    bool          // whether the nodes that are started do not ask peers for what they lack
 }
 
 // syncBuffer is a bytes.Buffer that is safe for concurrent use.
@@ -197,6 +198,9 @@
 		},
 		NewReadiness: platform.NewReadinessHandler,
 	}, byentry.WithLog(bylog.New(out, "debug", name)))
+	if c.asksNoPeers {
+		node.AskNoPeers()
+	}
 	n.group.Go(func() error { return node.Run(ctx) })
 	c.nodes = append(c.nodes, n)
 	c.t.Cleanup(func() {
