--- a/io/byentry/workspaces_test.go
+++ b/io/byentry/workspaces_test.go
@@ -298,8 +298,8 @@
 // earlier releases.
 func TestStaleNodeHandsKeyedRequestsOver(t *testing.T) { testStaleNode(t, false) }
 
-// TestStaleNodeAsksForTheChange checks the same of a node that gets the change from the peer. It
-// is not stale then, and the directory goes on naming it.
+// TestStaleNodeAsksForTheChange checks the same of a node that gets the change from the peer, but
+// not that the directory leaves it out, as it is not stale then.
 func TestStaleNodeAsksForTheChange(t *testing.T) { testStaleNode(t, true) }
 
 func testStaleNode(t *testing.T, asksPeers bool) {
