Wait for both peers in the test of hand-overs

Cause: it waited for two addresses in the directory. These may be the node's own and that of one peer, as both peers had the same address.

Each peer has an address of its own and the test waits for both; what it checks is unchanged.

--- a/io/byentry/handover_peer_test.go
+++ b/io/byentry/handover_peer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -24,7 +25,7 @@
 
 // addFakePeer makes a node believe that there is another node which reaches the endpoints
 // of the service "app", until the test ends. The other node is the handler h.
-func (c *testCluster) addFakePeer(n *testNode, name string, h http.HandlerFunc) {
+func (c *testCluster) addFakePeer(n *testNode, name string, h http.HandlerFunc) (callerAddr string) {
 	srv := httptest.NewServer(h)
 	conn, err := net.Dial("udp4", n.settings.PeerAddr)
 	if err != nil {
@@ -32,7 +33,7 @@
 	}
 	hb := bymember.Heartbeat{
 		Member:     burdockyard.Member{Node: burdockyard.NodeID(name), Incarnation: "1", Addr: strings.TrimPrefix(srv.URL, "http://")},
-		CallerAddr: "127.0.0.1:1", Domain: "other", Ready: true, Capacity: 0.4, Reach: byreach.Peer{Reached: []string{"app"}},
+		CallerAddr: "127.0.0.1:" + strings.TrimPrefix(name, "p"), Domain: "other", Ready: true, Capacity: 0.4, Reach: byreach.Peer{Reached: []string{"app"}},
 	}
 	stop := make(chan struct{})
 	var group errgroup.Group
@@ -59,6 +60,7 @@
 		srv.CloseClientConnections()
 		srv.Close()
 	})
+	return hb.CallerAddr
 }
 
 // newCutNode returns a cluster with one node that is cut off from its runners.
@@ -127,8 +129,9 @@
 			t.Parallel()
 			c, n := newCutNode(t)
 			var handovers atomic.Int32
+			var peers []string
 			for _, name := range []string{"p1", "p2"} {
-				c.addFakePeer(n, name, func(w http.ResponseWriter, r *http.Request) {
+				peers = append(peers, c.addFakePeer(n, name, func(w http.ResponseWriter, r *http.Request) {
 					body, err := io.ReadAll(r.Body)
 					left, errLeft := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
 					if err != nil || errLeft != nil || left <= 0 || left > 1500 || r.RequestURI != tt.path || r.Method != "POST" || r.Host != "h.example" || string(body) != "x" || r.Header.Get("X-Own") != "kept" || r.Header.Get("X-Kv-Source") != "" {
@@ -136,9 +139,12 @@
 					}
 					handovers.Add(1)
 					tt.peer(w, r)
-				})
+				}))
 			}
-			c.waitUntil("the node knows the others", func() bool { return len(n.directoryAddrs()) >= 2 })
+			c.waitUntil("the node knows the others", func() bool {
+				known := n.directoryAddrs()
+				return slices.Contains(known, peers[0]) && slices.Contains(known, peers[1])
+			})
 			started := time.Now()
 			got := n.call("POST", tt.path, "x", "X-Deadline-Ms: 1500", "X-Own: kept", "X-Kv-Source: forged")
 			if got.status != tt.status || got.err != nil || (got.header.Get("Retry-After") != "") != tt.retryAfter || got.header.Get("Burdock-Not-Run") != "" && tt.name != "unsafe, an endpoint names the refusal" {
