Take a reset during the upload for what it is, not for the end of a response

Callers got a part of an answer as a complete one: an endpoint answered a long upload at once with a status and no length, sent part of the body, and reset the connection, or closed it with the upload unread, which makes its kernel reset it.

Cause: Linux keeps one pending error per socket and reports it to a single call. If that is the write of the request body, the next read returns a plain end of file, which ends a body without a length. The other cause that could be true was a real FIN before the reset; the writer's error tells them apart, since it is EPIPE after a FIN.

Change: at the end of a body that ends with its connection, the forwarder waits until the request has been written, and fails if it could not be. Bodies with a length or in chunks are not concerned. Discard bounds the wait by its own time.

--- a/io/byentry/handover_peer_test.go
+++ b/io/byentry/handover_peer_test.go
@@ -64,8 +64,11 @@
 }
 
 // newCutNode returns a cluster with one node that is cut off from its runners.
-func newCutNode(t *testing.T) (*testCluster, *testNode) {
+func newCutNode(t *testing.T, opts ...func(*testCluster)) (*testCluster, *testNode) {
 	c := newTestCluster(t)
+	for _, opt := range opts {
+		opt(c)
+	}
 	c.publishConfig(3, nil)
 	c.addRunner(bystub.RunnerConfig{ID: "app-1", Service: "app", Zone: "a"})
 	c.addRunner(bystub.RunnerConfig{ID: "app-2", Service: "app", Zone: "a"})
--- /dev/null
+++ b/io/byentry/malformed_test.go
@@ -0,0 +1,159 @@
+package byentry_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"burdockyard/platform/bystub"
+)
+
+// possibleRuns is how often a request may run on a route of each kind of publishServices.
+var possibleRuns = map[string]int{"safe": 2, "unsafe": 1, "resumable": 2, "streaming": 1}
+
+// addRawServer starts a bystub.RawServer and registers it in the store as an endpoint.
+func (c *testCluster) addRawServer(id, service, text string, end bystub.RawEnd) *bystub.RawServer {
+	c.t.Helper()
+	s, err := bystub.ListenRaw(text, end)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() { s.Close() })
+	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":4,"state":"ready","sequence":1,"version":"v1","stage":"decode"}`, service, s.Addr())
+	c.store.Set("servers", id, []byte(entry))
+	return s
+}
+
+// malformedAnswer is what the endpoints of one service answer.
+type malformedAnswer struct {
+	name   string
+	answer string
+	end    bystub.RawEnd
+	sound  string // body that the caller gets of a sound answer; empty if the answer is broken
+	reason string // part of the error in the log if it is broken
+}
+
+// testMalformedAnswers sends requests with the given body to endpoints that give the answers,
+// on a route of each kind. A caller must get sound answers, and none that is broken; those
+// count as runs. A stream of which the caller has got events is cut off instead.
+func testMalformedAnswers(t *testing.T, repetitions int, body string, answers []malformedAnswer) {
+	c := newTestCluster(t)
+	c.maxBodyBytes = 16 << 20
+	var services []string
+	servers := map[string][]*bystub.RawServer{} // by service
+	for i, a := range answers {
+		service := fmt.Sprint("s-", i)
+		services = append(services, service)
+		for _, id := range []string{"d1-", "d2-"} {
+			servers[service] = append(servers[service], c.addRawServer(id+service, service, a.answer, a.end))
+		}
+	}
+	c.publishServices(services...)
+	n := c.startNode("n1")
+	c.waitReady(n)
+	runs := func(service string) int { return servers[service][0].Requests() + servers[service][1].Requests() }
+	for i, a := range answers {
+		t.Run(a.name, func(t *testing.T) {
+			for kind, limit := range possibleRuns {
+				for range repetitions {
+					before := runs(services[i])
+					got := n.call("POST", "/"+services[i]+"/"+kind+"/1", body, shortPrompt, shortTokens)
+					switch ran := runs(services[i]) - before; {
+					case a.sound != "":
+						if got.err != nil || got.body != a.sound || ran != 1 {
+							t.Errorf("%s: got %+v after %d runs, want the answer of the only run", kind, got, ran)
+						}
+					case got.err == nil && (got.status != http.StatusBadGateway || strings.Contains(got.body, "piece")):
+						t.Errorf("%s: got %+v, want status 502 or a response that is cut off", kind, got)
+					case ran < 1 || ran > limit:
+						t.Errorf("%s: the request ran %d times, want 1 to %d", kind, ran, limit)
+					}
+				}
+			}
+			if a.sound == "" && !strings.Contains(c.logs.String(), a.reason) {
+				t.Errorf("no line of the log says %q", a.reason)
+			}
+		})
+	}
+}
+
+const (
+	eventStream = "Content-Type: text/event-stream\r\n"
+	longUpload  = 8 << 20
+	lostUpload  = "connection lost while the request was being sent"
+)
+
+// TestResetWhileUploadingIsNoCompleteResponse guards against the failure that a caller gets a
+// part of an answer as a complete one, because its endpoint resets the connection while the
+// request is still being written.
+func TestResetWhileUploadingIsNoCompleteResponse(t *testing.T) {
+	t.Parallel()
+	two := testEvents(1, 2)
+	testMalformedAnswers(t, 5, strings.Repeat("x", longUpload), []malformedAnswer{
+		{name: "part of a body", answer: httpAnswer("200 OK", "", "piece of an answer"), end: bystub.RawReset, reason: lostUpload},
+		{name: "whole events", answer: httpAnswer("200 OK", eventStream, two), end: bystub.RawReset, reason: lostUpload},
+		{name: "closed with the upload unread", answer: httpAnswer("200 OK", eventStream, two), end: bystub.RawCloseUnread, reason: lostUpload},
+		{name: "failure", answer: httpAnswer("500 Internal Server Error", "", "piece of an error"), end: bystub.RawReset, reason: lostUpload},
+		{name: "rejection", answer: httpAnswer("404 Not Found", "", "piece of an error"), end: bystub.RawReset, reason: lostUpload},
+		{name: "with a length", answer: httpAnswer("200 OK", eventStream+fmt.Sprintf("Content-Length: %d\r\n", len(two)), two), end: bystub.RawReset, sound: two},
+		{name: "in chunks", answer: httpAnswer("200 OK", eventStream+"Transfer-Encoding: chunked\r\n", inChunks(two)+"0\r\n\r\n"), end: bystub.RawReset, sound: two},
+		{name: "upload read, then closed", answer: httpAnswer("200 OK", eventStream, two), end: bystub.RawClose, sound: two},
+	})
+}
+
+// TestBrokenLongResponseIsNotCompleteInHTTP10 guards against the failure that a caller that
+// speaks HTTP/1.0, where a response ends with its connection, takes a long response for
+// complete whose endpoint has reset the connection while the request was being written.
+func TestBrokenLongResponseIsNotCompleteInHTTP10(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t)
+	c.maxBodyBytes = 16 << 20
+	c.addRawServer("d1", "app", httpAnswer("200 OK", "", strings.Repeat("x", 600<<10)), bystub.RawReset)
+	c.publishConfig(3, nil)
+	n := c.startNode("n1")
+	c.waitReady(n)
+	for range 5 {
+		conn, err := net.Dial("tcp4", n.settings.CallerAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		id := fmt.Sprint("old-", requestCount.Add(1))
+		if _, err := fmt.Fprintf(conn, "POST /read/1 HTTP/1.0\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 2000\r\nContent-Length: %d\r\n\r\n%s", id, longUpload, strings.Repeat("x", longUpload)); err != nil {
+			t.Fatal(err)
+		}
+		if data, err := io.ReadAll(conn); err == nil && !strings.HasPrefix(string(data), "HTTP/1.0 502") {
+			t.Errorf("the connection was closed after %d bytes, want status 502 or a reset", len(data))
+		}
+	}
+}
+
+// TestResetOfPeerIsNoCompleteResponse guards against the failure that a node takes a part of
+// the answer of another node, to which it hands a long request over, for a complete one.
+func TestResetOfPeerIsNoCompleteResponse(t *testing.T) {
+	t.Parallel()
+	c, n := newCutNode(t, func(c *testCluster) { c.maxBodyBytes = 16 << 20 })
+	c.addFakePeer(n, "p1", func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, strings.ReplaceAll(httpAnswer("200 OK", "", "piece of an answer"), "%s", r.Header.Get("X-Request-Id")))
+		time.Sleep(10 * time.Millisecond) // the node reads the part meanwhile
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	})
+	c.waitUntil("the node knows the other", func() bool { return len(n.directoryAddrs()) >= 1 })
+	for range 5 {
+		for _, path := range []string{"/read/1", "/book/1"} {
+			if got := n.call("POST", path, strings.Repeat("x", longUpload)); got.status != http.StatusBadGateway || got.err != nil {
+				t.Errorf("%s got %+v, want status 502", path, got)
+			}
+		}
+	}
+}
--- a/io/byforward/byforward.go
+++ b/io/byforward/byforward.go
@@ -561,15 +561,33 @@
 // other errors wrap burdockyard.ErrInterrupted.
 func (resp *Response) Read(buf []byte) (int, error) {
 	n, err := resp.body.Read(buf)
-	switch {
-	case err == io.EOF:
+	if err == io.EOF {
+		if endErr := resp.checkEnd(); endErr != nil {
+			return n, interrupted(endErr)
+		}
 		resp.complete = true
-	case err != nil:
+	} else if err != nil {
 		err = interrupted(err)
 	}
 	return n, err
 }
 
+// checkEnd returns an error if the body is incomplete although its data has ended.
+//
+// A body that ends with its connection is complete only if the connection was closed and not
+// reset. Read alone cannot tell: Linux reports a reset to a single call, and if that is the
+// write of the request body, the next read returns an end of file. checkEnd therefore waits
+// until the request has been written, up to the deadline of the connection.
+func (resp *Response) checkEnd() error {
+	if resp.selfDelimited || resp.body == http.NoBody || resp.bodyWrite == nil {
+		return nil
+	}
+	if err := resp.bodyWrite.Wait(); err != nil {
+		return merry.Prepend(err, "connection lost while the request was being sent")
+	}
+	return nil
+}
+
 // IsSelfDelimited reports whether the body is delimited by a Content-Length or by
 // chunked encoding, rather than by the end of the connection.
 func (resp *Response) IsSelfDelimited() bool { return resp.selfDelimited }
@@ -607,7 +625,7 @@
 // unless that is longer than limit bytes or does not arrive within a time.
 func (resp *Response) Discard(limit int64, within time.Duration) error {
 	if until := time.Now().Add(within); until.Before(resp.deadline) {
-		if err := resp.c.SetReadDeadline(until); err != nil {
+		if err := resp.c.SetDeadline(until); err != nil { // the end of the body may wait for the request
 			return interrupted(err)
 		}
 	}
