Take a response with a blank in the name of a field for a broken one

Callers got a body that was not the endpoint's: the bytes of the coding, or more than the length said; and responses whose fields said otherwise (not executed, encoding, stamp).

Cause: net/textproto accepts names with blanks and leaves them as they are, so that 'Content-Length : 21' is another field and frames nothing. The other cause that could be true, that it drops the line, is excluded: the header that it returns has the name with its blank, which is what the log now prints. The same holds for a line that begins with a blank and reads like a field, since it continues the value of the line before it.

Change: a header with such a name is malformed (RFC 9112, section 5.1), also in an interim response, in a trailer, and in a late copy of an earlier response. So is a folded line that reads like a field; section 5.2 lets a proxy reject all folded lines, and others are accepted as before. The request may have run (502), it is sent again only where its route allows that, and the connection is closed.

Result: TestMalformedFieldNameIsNoAnswer failed before in 20 cases, on routes of all four kinds. Its other cases passed before and stay: the control bytes, 0x7f and all bytes above it in a name, in a header, an interim response and a trailer, an empty name, and sound headers. TestMalformedResponseClosesConnection has the same for kept connections.

--- a/io/byentry/malformed_test.go
+++ b/io/byentry/malformed_test.go
@@ -193,3 +193,61 @@
 	}
 	testMalformedAnswers(t, 1, "q", answers)
 }
+
+// TestMalformedFieldNameIsNoAnswer guards against the failure that a caller gets a response in
+// whose header the name of a field holds a blank or a control byte: a field that frames the body
+// is then not recognized, so that the caller gets other bytes, and neither is one that says what
+// the response means.
+func TestMalformedFieldNameIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	const length, chunked, lastChunk = "Content-Length: 21\r\n", "Transfer-Encoding: chunked\r\n", "0\r\n"
+	one := testEvents(1)
+	whole := func(header string) string { return httpAnswer("200 OK", header+eventStream+length, one) }
+	blank := func(name, answer string) malformedAnswer {
+		return malformedAnswer{name: name, answer: answer, reason: "malformed reply: field name"}
+	}
+	folded := func(name, answer string) malformedAnswer {
+		return malformedAnswer{name: name, answer: answer, reason: "malformed reply: folded line"}
+	}
+	answers := []malformedAnswer{
+		blank("length", httpAnswer("200 OK", eventStream+"Content-Length : 21\r\n", one+"id: 2\ndata: piece 2\n\n")),
+		blank("chunks", httpAnswer("200 OK", eventStream+"Transfer-Encoding : chunked\r\n", inChunks(one)+lastChunk+"\r\n")),
+		blank("request ID", strings.Replace(whole(""), "Id:", "Id :", 1)),
+		blank("second request ID", whole("X-Request-Id : other\r\n")),
+		blank("not executed", httpAnswer("503 Service Unavailable", "X-Not-Executed : 1\r\nContent-Length: 5\r\n", "piece")),
+		blank("not executed, success", whole("X-Not-Executed : 1\r\n")),
+		blank("encoding", whole("Content-Encoding : gzip\r\n")),
+		blank("stamp", whole("X-Response-Stamp : s\r\n")),
+		blank("any other field", whole("X-Note : 1\r\n")),
+		blank("two blanks", whole("X-Note  : 1\r\n")),
+		blank("inside", whole("X Note: 1\r\n")),
+		blank("nothing but a blank before the colon", whole("X-Note: 1\r\nX : 1\r\n")),
+		blank("folded value", whole("X-Note : a\r\n b\r\n")),
+		blank("failure", httpAnswer("500 Internal Server Error", "X-Note : 1\r\nContent-Length: 5\r\n", "piece")),
+		blank("interim response", "HTTP/1.1 103 Early Hints\r\nX-Note : 1\r\n\r\n"+whole("")),
+		blank("trailer", httpAnswer("200 OK", eventStream+chunked, inChunks(one)+lastChunk+"X-Note : 1\r\n\r\n")),
+		blank("trailer that is announced", httpAnswer("200 OK", eventStream+"Trailer: X-Note\r\n"+chunked, inChunks(one)+lastChunk+"X-Note : 1\r\n\r\n")),
+		folded("folded length", httpAnswer("200 OK", eventStream+"X-Note: a\r\n Content-Length: 21\r\n", one+"id: 2\ndata: piece 2\n\n")),
+		folded("folded chunks", httpAnswer("200 OK", eventStream+"X-Note: a\r\n\tTransfer-Encoding : chunked\r\n", inChunks(one)+lastChunk+"\r\n")),
+		folded("folded line of an interim response", "HTTP/1.1 103 Early Hints\r\nX-Note: a\r\n X-Other: 1\r\n\r\n"+whole("")),
+		{name: "folded value without a name", answer: whole("X-Note: a\r\n b c; d=\"e: f\"\r\n"), sound: one},
+		{name: "folded date", answer: whole("X-Date: Mon,\r\n 07 Dec 2026 03:00:00 GMT\r\n"), sound: one},
+		{name: "blanks around a value", answer: httpAnswer("200 OK", eventStream+"Content-Length: \t21 \t\r\n", one), sound: one},
+		{name: "no blank before a value", answer: httpAnswer("200 OK", eventStream+"Content-Length:21\r\n", one), sound: one},
+		{name: "all characters of a name", answer: whole("!#$%&'*+-.^_`|~09azAZ: 1\r\n"), sound: one},
+		{name: "trailer, sound", answer: httpAnswer("200 OK", eventStream+chunked, inChunks(one)+lastChunk+"X-Note: 1\r\n\r\n"), sound: one},
+		{name: "events that look like folded lines", answer: httpAnswer("200 OK", eventStream+"Content-Length: 28\r\n", "\n x: 1\n"+one), sound: "\n x: 1\n" + one},
+		{name: "blank before the first field", answer: strings.Replace(whole(""), "X-Request-Id", " X-Request-Id", 1), reason: "malformed"},
+		{name: "empty name", answer: whole(": 1\r\n"), reason: "malformed"},
+	}
+	for b := range 256 {
+		if b < ' ' || b >= 0x7f {
+			name := "X-No" + string([]byte{byte(b)}) + "te"
+			answers = append(answers,
+				malformedAnswer{name: fmt.Sprintf("byte %#x", b), answer: whole(name + ": 1\r\n"), reason: "malformed"},
+				malformedAnswer{name: fmt.Sprintf("byte %#x in an interim response", b), answer: "HTTP/1.1 103 Early Hints\r\n" + name + ": 1\r\n\r\n" + whole(""), reason: "malformed"},
+				malformedAnswer{name: fmt.Sprintf("byte %#x in a trailer", b), answer: httpAnswer("200 OK", eventStream+chunked, inChunks(one)+lastChunk+name+": 1\r\n\r\n"), reason: "malformed"})
+		}
+	}
+	testMalformedAnswers(t, 1, "q", answers)
+}
--- a/io/byforward/byforward.go
+++ b/io/byforward/byforward.go
@@ -401,7 +401,7 @@
 
 	f             *Forwarder
 	c             *conn
-	body          io.ReadCloser
+	msg           *http.Response  // the response as net/http has read it
 	deadline      time.Time       // of the whole exchange
 	stop          func() bool     // stops closing c when the context is canceled; false if it was closed
 	bodyWrite     *errgroup.Group // writes a long request body, nil if the request was written before reading
@@ -431,7 +431,7 @@
 	if err != nil {
 		return interrupted(err)
 	}
-	resp.Status, resp.Header, resp.Length, resp.body = httpResp.StatusCode, httpResp.Header, httpResp.ContentLength, httpResp.Body
+	resp.Status, resp.Header, resp.Length, resp.msg = httpResp.StatusCode, httpResp.Header, httpResp.ContentLength, httpResp
 	resp.selfDelimited = httpResp.ContentLength >= 0 || len(httpResp.TransferEncoding) > 0
 	resp.reusable = !httpResp.Close && resp.selfDelimited
 	if id := resp.f.requestIDOf(httpResp.Header); id != r.ID && (id != "" || !r.AllowMissingID) {
@@ -461,9 +461,7 @@
 		defer resp.c.recordID(r.ID)
 	}
 	for {
-		resp.c.in.begin()
-		httpResp, err := readResponse(resp.c.br, r.Method)
-		resp.c.in.end()
+		httpResp, err := resp.c.readResponse(r.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -476,6 +474,9 @@
 		}
 		resp.copies = append(resp.copies, Head{httpResp.StatusCode, httpResp.Header})
 		n, err := io.Copy(io.Discard, io.LimitReader(httpResp.Body, maxDuplicateBytes))
+		if err == nil {
+			err = bywire.CheckFieldNames(httpResp.Trailer)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -527,14 +528,20 @@
 	return b.Bytes()
 }
 
-// readResponse reads the next final response and skips interim ones (1xx).
-func readResponse(br *bufio.Reader, method string) (*http.Response, error) {
+// readResponse reads the next final response and skips interim ones (1xx). The body is left
+// unread.
+func (c *conn) readResponse(method string) (*http.Response, error) {
+	c.in.begin(c.br)
+	defer c.in.end()
 	for range maxResponseHeaders {
-		resp, err := http.ReadResponse(br, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
+		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+		if err == nil {
+			err = bywire.CheckHead(resp)
+		}
+		if err == nil {
+			err = c.in.checkFolds(c.br)
 		}
-		if err := bywire.CheckHead(resp); err != nil {
+		if err != nil {
 			return nil, err
 		}
 		if !bywire.IsInterim(resp.StatusCode) {
@@ -564,7 +571,7 @@
 // Read reads from the body. It returns io.EOF only at the end of a complete body;
 // other errors wrap burdockyard.ErrInterrupted.
 func (resp *Response) Read(buf []byte) (int, error) {
-	n, err := resp.body.Read(buf)
+	n, err := resp.msg.Body.Read(buf)
 	if err == io.EOF {
 		if endErr := resp.checkEnd(); endErr != nil {
 			return n, interrupted(endErr)
@@ -583,7 +590,10 @@
 // write of the request body, the next read returns an end of file. checkEnd therefore waits
 // until the request has been written, up to the deadline of the connection.
 func (resp *Response) checkEnd() error {
-	if resp.selfDelimited || resp.body == http.NoBody || resp.bodyWrite == nil {
+	if err := bywire.CheckFieldNames(resp.msg.Trailer); err != nil {
+		return err
+	}
+	if resp.selfDelimited || resp.msg.Body == http.NoBody || resp.bodyWrite == nil {
 		return nil
 	}
 	if err := resp.bodyWrite.Wait(); err != nil {
@@ -614,8 +624,7 @@
 	if start, _ := resp.c.br.Peek(len(firstBytes)); !strings.HasPrefix(firstBytes, string(start)) {
 		return Head{}, false // the bytes belong to no request
 	}
-	resp.c.in.begin()
-	next, err := readResponse(resp.c.br, http.MethodGet)
+	next, err := resp.c.readResponse(http.MethodGet)
 	switch {
 	case err == nil:
 		return Head{next.StatusCode, next.Header}, true
--- a/io/byforward/head.go
+++ b/io/byforward/head.go
@@ -1,10 +1,14 @@
 package byforward
 
 import (
+	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"sync/atomic"
+
+	"burdockyard/io/bywire"
 )
 
 const (
@@ -26,6 +30,7 @@
 	left    int64 // until the header is too long
 	free    int64 // until memory is needed
 	charged int64 // taken from memory
+	folds   foldScanner
 }
 
 var (
@@ -33,9 +38,27 @@
 	errHeadsTooLarge = errors.New("the headers of all responses are too long")
 )
 
-// begin is called before the header of a response is read, and end afterwards.
-func (h *headReader) begin() { h.left, h.free = maxHeadBytes, freeHeadBytes }
-func (h *headReader) end()   { h.left, h.free = math.MaxInt64, math.MaxInt64 }
+// begin is called before the header of a response is read, and end afterwards. br reads from h.
+func (h *headReader) begin(br *bufio.Reader) {
+	h.left, h.free = maxHeadBytes, freeHeadBytes
+	h.folds = foldScanner{active: true}
+	buffered, _ := br.Peek(br.Buffered()) // never fails
+	h.folds.scan(buffered)
+}
+
+func (h *headReader) end() {
+	h.left, h.free = math.MaxInt64, math.MaxInt64
+	h.folds.active = false
+}
+
+// checkFolds returns bywire.ErrMalformedReply if a line that has been read through br since
+// begin is folded and reads like a field.
+func (h *headReader) checkFolds(br *bufio.Reader) error {
+	if read := h.folds.scanned - int64(br.Buffered()); h.folds.found > 0 && h.folds.found <= read {
+		return fmt.Errorf("%w: folded line that reads like a field", bywire.ErrMalformedReply)
+	}
+	return nil
+}
 
 // release returns the memory of the headers that have been read.
 func (h *headReader) release() {
@@ -51,6 +74,9 @@
 		buf = buf[:h.left]
 	}
 	n, err := h.r.Read(buf)
+	if h.folds.active {
+		h.folds.scan(buf[:n])
+	}
 	h.left -= int64(n)
 	if h.free -= int64(n); h.free < 0 {
 		if !h.memory.take(-h.free) {
--- a/io/byforward/malformed_test.go
+++ b/io/byforward/malformed_test.go
@@ -7,7 +7,6 @@
 
 	"burdockyard"
 	"burdockyard/io/bywire"
-	"burdockyard/platform/bystub"
 )
 
 // TestMalformedResponseClosesConnection checks that a malformed response is an error that
@@ -21,12 +20,23 @@
 		{"status 101", status("101 Switching Protocols", withLength)},
 		{"status 600", status("600 X", withLength)},
 		{"interim response, then status 000", "HTTP/1.1 103 Early Hints\r\n\r\n" + status("000 X", withLength)},
+		{"blank in a name", strings.Replace(withLength, "Length:", "Length :", 1)},
+		{"blank in a name of an interim response", "HTTP/1.1 103 Early Hints\r\nX : 1\r\n\r\n" + withLength},
+		{"blank in a name of a trailer", strings.Replace(chunked, "0\r\n", "0\r\nX : 1\r\n", 1)},
+		{"copy with a blank in a name", copyOf(strings.Replace(withLength, "Content", "X : 1\r\nContent", 1))},
+		{"copy with a blank in a name of a trailer", copyOf(strings.Replace(chunked, "0\r\n", "0\r\nX : 1\r\n", 1))},
+		{"copy with a folded field", copyOf(strings.Replace(withLength, "Content", "X: 1\r\n X: 1\r\nContent", 1))},
+		{"folded field", strings.Replace(withLength, "Content", "X: 1\r\n X: 1\r\nContent", 1)},
+		{"folded field beyond the first read", strings.Replace(withLength, "Content", strings.Repeat("X: 1\r\n", 1000)+" X: 1\r\nContent", 1)},
 		{"copy with status 000", copyOf(status("000 X", withLength))},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			addr, f := listenRaw(t, tt.response, bystub.RawKeep), newForwarder()
-			if status, body, err := send(f, addr, "r1", []byte("x")); !errors.Is(err, burdockyard.ErrInterrupted) || !errors.Is(err, bywire.ErrMalformedReply) {
+			e, f := newEndpoint(t, cannedResponse{response: withLength}, cannedResponse{response: tt.response}), newForwarder()
+			if _, _, err := send(f, e.addr, "r0", nil); err != nil {
+				t.Fatal(err)
+			}
+			if status, body, err := send(f, e.addr, "r1", []byte("x")); !errors.Is(err, burdockyard.ErrInterrupted) || !errors.Is(err, bywire.ErrMalformedReply) {
 				t.Errorf("got status %d and body %q with error %v, want ErrInterrupted and ErrMalformedReply", status, body, err)
 			}
 			if n := f.OpenConns(); n != 0 {
--- a/io/bywire/reply.go
+++ b/io/bywire/reply.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -29,6 +30,27 @@
 // to the same request (RFC 9110, section 15.2).
 func IsInterim(status int) bool { return status < http.StatusOK }
 
+// CheckFieldNames returns ErrMalformedReply if the name of a field holds a blank. net/textproto
+// rejects all other bytes that a name must not hold.
+//
+// A field of such a name is not the one it looks like: "Content-Length : 4" frames nothing, so
+// that other bytes are taken for the body. RFC 9112, section 5.1, lets a proxy remove a blank
+// before the colon, but a server that sends one is not to be relied on.
+func CheckFieldNames(h http.Header) error {
+	for name, values := range h {
+		// Names that the field Trailer announces have no values yet.
+		if len(values) > 0 && strings.Contains(name, " ") {
+			return fmt.Errorf("%w: field name %q", ErrMalformedReply, name)
+		}
+	}
+	return nil
+}
+
 // CheckHead returns ErrMalformedReply if resp, whose header has been read by net/http, is
 // malformed.
-func CheckHead(resp *http.Response) error { return CheckStatus(resp.StatusCode) }
+func CheckHead(resp *http.Response) error {
+	if err := CheckStatus(resp.StatusCode); err != nil {
+		return err
+	}
+	return CheckFieldNames(resp.Header)
+}
