Take a reply whose status is none for a broken one in all HTTP clients

A caller of a plain service behind the product's own interface got status 000 or 600 and the body.

Cause: Go's own client hands out every status of three characters that does not begin with 1, and 101.

Change: a transport with bywire.CheckReplies fails for statuses below 100 and above 599, and for 101, and closes the connection, also if net/http has returned it to its pool. Interim replies are skipped by net/http as before.

--- a/io/byengine/byengine_test.go
+++ b/io/byengine/byengine_test.go
@@ -124,6 +124,8 @@
 	}{
 		{"reset while uploading", head + "\r\ndata", bystub.RawReset, burdockyard.ErrInterrupted},
 		{"closed with the upload unread", head + "\r\ndata", bystub.RawCloseUnread, burdockyard.ErrInterrupted},
+		{"status 000", strings.Replace(head, "200 OK", "000 X", 1) + length + "\r\ndata", bystub.RawKeep, burdockyard.ErrInterrupted},
+		{"status 600", strings.Replace(head, "200 OK", "600 X", 1) + length + "\r\ndata", bystub.RawKeep, burdockyard.ErrInterrupted},
 		{"upload read, then closed", head + "\r\ndata", bystub.RawClose, nil},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/io/bywire/checked.go
+++ b/io/bywire/checked.go
@@ -3,15 +3,16 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 
 	"github.com/ansel1/merry/v2"
 )
 
-// CheckReplies returns a transport that makes requests through t, and fails if the end of a reply
-// is that of a connection that was reset. All clients of this module need it: net/http does not
-// check that.
+// CheckReplies returns a transport that makes requests through t, and fails if a reply is
+// malformed or its end is that of a connection that was reset. All clients of this module need
+// it: net/http checks neither.
 func CheckReplies(t http.RoundTripper) http.RoundTripper { return checkedTransport{t} }
 
 type checkedTransport struct{ http.RoundTripper }
@@ -23,6 +24,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := CheckStatus(resp.StatusCode); err != nil {
+		resp.Body.Close()
+		x.closeConn()
+		return nil, err
+	}
 	resp.Body = &checkedBody{ReadCloser: resp.Body, exchange: x, resp: resp}
 	return resp, nil
 }
@@ -30,6 +36,7 @@
 // exchange is a request and its reply.
 type exchange struct {
 	ctx     context.Context
+	conn    net.Conn   // the last one that the request was sent on
 	written chan error // receives the outcome of sending the request
 }
 
@@ -37,7 +44,8 @@
 // a request on a second connection if the first one turns out to be dead.
 func (x *exchange) trace() context.Context {
 	return httptrace.WithClientTrace(x.ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
+		GotConn: func(info httptrace.GotConnInfo) {
+			x.conn = info.Conn
 			select {
 			case <-x.written: // of the connection before
 			default:
@@ -52,6 +60,13 @@
 	})
 }
 
+// closeConn closes the connection, which net/http may already have returned to its pool.
+func (x *exchange) closeConn() {
+	if x.conn != nil {
+		x.conn.Close()
+	}
+}
+
 // waitWritten waits until the request has been sent, and returns an error if it could not be.
 func (x *exchange) waitWritten() error {
 	select {
--- a/io/bywire/reply_test.go
+++ b/io/bywire/reply_test.go
@@ -5,18 +5,21 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"burdockyard/io/bywire"
 	"burdockyard/platform/bystub"
 )
 
-// TestBrokenReplyIsAnError checks that a client returns no reply of which a reset has cut off a part.
+// TestBrokenReplyIsAnError checks that a client returns no reply that is malformed, and none of
+// which a reset has cut off a part.
 func TestBrokenReplyIsAnError(t *testing.T) {
 	const upload = 8 << 20
 	reply := func(status, header, body string) string {
 		return "HTTP/1.1 " + status + "\r\n" + header + "\r\n" + body
 	}
+	const length = "Content-Length: 4\r\n"
 	tests := []struct {
 		name  string
 		reply string
@@ -31,6 +34,12 @@
 		{"reset after a short request", reply("200 OK", "", "data"), bystub.RawReset, 100, false},
 		{"upload read, then closed", reply("200 OK", "", "data"), bystub.RawClose, upload, true},
 		{"no upload", reply("200 OK", "", "data"), bystub.RawClose, 0, true},
+		{"status 000", reply("000 X", length, "data"), bystub.RawKeep, 1, false},
+		{"status 000 without a body", reply("000 X", "Content-Length: 0\r\n", ""), bystub.RawKeep, 1, false},
+		{"status 101", reply("101 Switching Protocols", "", "data"), bystub.RawKeep, 1, false},
+		{"status 600", reply("600 X", length, "data"), bystub.RawKeep, 1, false},
+		{"status +20", reply("+20 X", length, "data"), bystub.RawKeep, 1, false},
+		{"interim reply", reply("103 Early Hints", "", "") + reply("200 OK", length, "data"), bystub.RawKeep, 1, true},
 	}
 	for client, c := range map[string]*http.Client{"pooled": bywire.NewClient(), "unpooled": bywire.NewUnpooledClient()} {
 		for _, tt := range tests {
@@ -67,3 +76,32 @@
 		}
 	}
 }
+
+// TestMalformedReplyClosesConnection guards against the failure that a connection is used again
+// on which a malformed reply came.
+func TestMalformedReplyClosesConnection(t *testing.T) {
+	for _, reply := range []string{
+		"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n",
+	} {
+		s, err := bystub.ListenRaw(reply, bystub.RawKeep)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+		const requests = 5
+		c := bywire.NewClient()
+		for range requests {
+			resp, err := c.Post("http://"+s.Addr(), "text/plain", strings.NewReader("x"))
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+			if !errors.Is(err, bywire.ErrMalformedReply) {
+				t.Errorf("the reply %q gives error %v, want ErrMalformedReply", reply, err)
+			}
+		}
+		if n := s.Conns(); n != requests {
+			t.Errorf("%d requests after the reply %q used %d connections, want one each", requests, reply, n)
+		}
+	}
+}
