Take a reply with a blank in the name of a field for a broken one in all HTTP clients

A caller of a plain service behind the product's own interface got more than the length said, or a reply whose request ID was not read; an object came with bytes that were not its own; and a transaction counted as made in era 0, because the name of the field that states the era held a blank.

Cause: Go's own client accepts such names and leaves them as they are.

Change: a transport with bywire.CheckReplies fails for such a name in a header, an interim reply or a trailer, and closes the connection.

Limit: the client does not show which lines were folded, so a folded line that reads like a field is joined to the value before it, as RFC 9112, section 5.2, asks of a user agent. Only the forwarder rejects such a line.

Control bytes were rejected before; the tests stay.

--- a/io/byengine/byengine_test.go
+++ b/io/byengine/byengine_test.go
@@ -126,6 +126,10 @@
 		{"closed with the upload unread", head + "\r\ndata", bystub.RawCloseUnread, burdockyard.ErrInterrupted},
 		{"status 000", strings.Replace(head, "200 OK", "000 X", 1) + length + "\r\ndata", bystub.RawKeep, burdockyard.ErrInterrupted},
 		{"status 600", strings.Replace(head, "200 OK", "600 X", 1) + length + "\r\ndata", bystub.RawKeep, burdockyard.ErrInterrupted},
+		{"blank in a name", head + "Content-Length : 4\r\n\r\ndata and more", bystub.RawClose, burdockyard.ErrInterrupted},
+		{"blank in the name of the request ID", strings.Replace(head, "Id:", "Id :", 1) + length + "\r\ndata", bystub.RawKeep, burdockyard.ErrInterrupted},
+		{"blank in a name of a trailer", head + "Transfer-Encoding: chunked\r\n\r\n4\r\ndata\r\n0\r\nX : 1\r\n\r\n", bystub.RawKeep, burdockyard.ErrInterrupted},
+		{"control byte in a name", head + "X\x01: 1\r\n" + length + "\r\ndata", bystub.RawKeep, burdockyard.ErrInterrupted},
 		{"upload read, then closed", head + "\r\ndata", bystub.RawClose, nil},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/io/bywire/checked.go
+++ b/io/bywire/checked.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -24,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckStatus(resp.StatusCode); err != nil {
+	if err := CheckHead(resp); err != nil {
 		resp.Body.Close()
 		x.closeConn()
 		return nil, err
@@ -51,6 +52,7 @@
 			default:
 			}
 		},
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return CheckFieldNames(http.Header(h)) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			select {
 			case x.written <- info.Err:
@@ -94,6 +96,8 @@
 	if b.end == nil {
 		if b.end = b.checkEnd(); b.end == nil {
 			b.end = io.EOF
+		} else {
+			b.closeConn()
 		}
 	}
 	return n, b.end
@@ -108,5 +112,5 @@
 			return err
 		}
 	}
-	return nil
+	return CheckFieldNames(b.resp.Trailer)
 }
