Test broken answers of other nodes, and that they free no path

What a node makes of a broken answer of another node, and of one to a trial request, was not tested.

TestBrokenResponseOfPeerIsNoAnswer replaces TestResetOfPeerIsNoCompleteResponse and asks the same for a reset, and more: also for a status that is none and for blanks in names. TestMalformedAnswerFreesNoPath quarantines a path, lets a trial request get each answer, and expects only the sound one to free the path. Both pass now; no product code changes.

--- a/io/byentry/malformed_test.go
+++ b/io/byentry/malformed_test.go
@@ -15,7 +15,8 @@
 // possibleRuns is how often a request may run on a route of each kind of publishServices.
 var possibleRuns = map[string]int{"safe": 2, "unsafe": 1, "resumable": 2, "streaming": 1}
 
-// addRawServer starts a bystub.RawServer and registers it in the store as an endpoint.
+// addRawServer starts a bystub.RawServer and registers it in the store as an endpoint, in place
+// of one that has the ID.
 func (c *testCluster) addRawServer(id, service, text string, end bystub.RawEnd) *bystub.RawServer {
 	c.t.Helper()
 	s, err := bystub.ListenRaw(text, end)
@@ -23,7 +24,7 @@
 		c.t.Fatal(err)
 	}
 	c.t.Cleanup(func() { s.Close() })
-	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":4,"state":"ready","sequence":1,"version":"v1","stage":"decode"}`, service, s.Addr())
+	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":4,"state":"ready","sequence":1000,"version":"v1","stage":"decode"}`, service, s.Addr())
 	c.store.Set("servers", id, []byte(entry))
 	return s
 }
@@ -133,29 +134,46 @@
 	}
 }
 
-// TestResetOfPeerIsNoCompleteResponse guards against the failure that a node takes a part of
-// the answer of another node, to which it hands a long request over, for a complete one.
-func TestResetOfPeerIsNoCompleteResponse(t *testing.T) {
+// TestBrokenResponseOfPeerIsNoAnswer guards against the failure that a node passes on a broken
+// answer of another node, to which it hands a request over.
+func TestBrokenResponseOfPeerIsNoAnswer(t *testing.T) {
 	t.Parallel()
-	c, n := newCutNode(t, func(c *testCluster) { c.maxBodyBytes = 16 << 20 })
-	c.addFakePeer(n, "p1", func(w http.ResponseWriter, r *http.Request) {
-		conn, _, err := w.(http.Hijacker).Hijack()
-		if err != nil {
-			t.Error(err)
-			return
-		}
-		defer conn.Close()
-		_, _ = io.WriteString(conn, strings.ReplaceAll(httpAnswer("200 OK", "", "piece of an answer"), "%s", r.Header.Get("X-Request-Id")))
-		time.Sleep(10 * time.Millisecond) // the node reads the part meanwhile
-		_ = conn.(*net.TCPConn).SetLinger(0)
-	})
-	c.waitUntil("the node knows the other", func() bool { return len(n.directoryAddrs()) >= 1 })
-	for range 5 {
-		for _, path := range []string{"/read/1", "/book/1"} {
-			if got := n.call("POST", path, strings.Repeat("x", longUpload)); got.status != http.StatusBadGateway || got.err != nil {
-				t.Errorf("%s got %+v, want status 502", path, got)
+	const piece, length = "piece of an answer", "Content-Length: 18\r\n"
+	for _, tt := range []struct {
+		name, answer string
+		size         int // of the request body, in bytes; the connection is reset if it is long
+	}{
+		{"reset while uploading", httpAnswer("200 OK", "", piece), longUpload},
+		{"status 000", httpAnswer("000 X", length, piece), 1},
+		{"status 600", httpAnswer("600 X", length, piece), 1},
+		{"blank in a name", httpAnswer("200 OK", "X : 1\r\n"+length, piece), 1},
+		{"blank in a name of a trailer", httpAnswer("200 OK", "Transfer-Encoding: chunked\r\n", inChunks(piece)+"0\r\nX : 1\r\n\r\n"), 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c, n := newCutNode(t, func(c *testCluster) { c.maxBodyBytes = 16 << 20 })
+			c.addFakePeer(n, "p1", func(w http.ResponseWriter, r *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, strings.ReplaceAll(tt.answer, "%s", r.Header.Get("X-Request-Id")))
+				if tt.size == longUpload {
+					time.Sleep(10 * time.Millisecond) // the node reads the part meanwhile
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			c.waitUntil("the node knows the other", func() bool { return len(n.directoryAddrs()) >= 1 })
+			for range 5 {
+				for _, path := range []string{"/read/1", "/book/1"} {
+					if got := n.call("POST", path, strings.Repeat("x", tt.size)); got.status != http.StatusBadGateway || got.err != nil {
+						t.Errorf("%s got %+v, want status 502", path, got)
+					}
+				}
 			}
-		}
+		})
 	}
 }
 
@@ -251,3 +269,59 @@
 	}
 	testMalformedAnswers(t, 1, "q", answers)
 }
+
+// TestMalformedAnswerFreesNoPath guards against the failure that a quarantined path is free
+// again because a trial request of it got a malformed answer.
+func TestMalformedAnswerFreesNoPath(t *testing.T) {
+	t.Parallel()
+	const length, chunked = "Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n"
+	for _, tt := range []struct {
+		name, answer string
+		frees        bool
+	}{
+		{"sound", httpAnswer("200 OK", length, "done"), true},
+		{"status 000", httpAnswer("000 X", length, "done"), false},
+		{"blank in a name", httpAnswer("200 OK", "X : 1\r\n"+length, "done"), false},
+		{"blank in a name of a trailer", httpAnswer("200 OK", chunked, inChunks("done")+"0\r\nX : 1\r\n\r\n"), false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			const path = "/read/bad"
+			c := newPoisonedCluster(t, 1, 1, false)
+			ids := []string{"app-0", "app-1", "app-2", "app-3"}
+			for _, id := range ids {
+				c.addCrashingRunner(bystub.RunnerConfig{ID: id, Service: "app", Zone: "a", ServiceTime: 5 * time.Millisecond},
+					func(req *http.Request) bool { return req.URL.Path == path })
+			}
+			n, request := c.nodes[0], 0
+			call := func(path string) reply {
+				request++
+				return n.call("GET", path+"?q="+fmt.Sprint(request), "")
+			}
+			c.waitUntil("sound calls are served", func() bool { return call("/read/good").status == 200 })
+			c.waitUntil("the path is quarantined", func() bool {
+				call(path)
+				return strings.Contains(c.logs.String(), "input quarantined")
+			})
+			time.Sleep(2 * engineDownTime) // the entries of the endpoints that ended come back
+			var servers []*bystub.RawServer
+			for _, id := range ids {
+				servers = append(servers, c.addRawServer(id, "app", tt.answer, bystub.RawClose))
+			}
+			trials := func() (n int) {
+				for _, s := range servers {
+					n += s.Requests()
+				}
+				return n
+			}
+			isFree := func() bool { return strings.Contains(c.logs.String(), "input is free again") }
+			c.waitUntil("a trial request has run", func() bool { call(path); return trials() > 0 })
+			for end := time.Now().Add(2 * time.Second); time.Now().Before(end) && !isFree(); time.Sleep(50 * time.Millisecond) {
+				call(path)
+			}
+			if isFree() != tt.frees {
+				t.Errorf("after %d trials the path is free: %t, want %t", trials(), !tt.frees, tt.frees)
+			}
+		})
+	}
+}
