Give the loss of a connection during the upload an error of its own

The forwarder and the HTTP clients said it in two copies of one text, which no caller could test for. bywire.ErrRequestCutOff is a sentinel now; the text in the log is the same. The states of the scanner for folded lines are named by where they are.

--- a/io/byforward/byforward.go
+++ b/io/byforward/byforward.go
@@ -21,6 +21,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -597,7 +598,7 @@
 		return nil
 	}
 	if err := resp.bodyWrite.Wait(); err != nil {
-		return merry.Prepend(err, "connection lost while the request was being sent")
+		return fmt.Errorf("%w: %w", bywire.ErrRequestCutOff, err)
 	}
 	return nil
 }
--- a/io/byforward/fold.go
+++ b/io/byforward/fold.go
@@ -19,12 +19,12 @@
 type lineState int
 
 const (
-	lineStart lineState = iota
-	lineFold            // after the blanks at the start
-	lineName            // in a name after them
-	lineColon           // after the blanks behind the name
-	lineField           // after the colon behind them
-	lineRest            // in a part that does not matter
+	lineStart     lineState = iota
+	lineFold                // after the blanks at the start
+	lineName                // in a name after them
+	lineAfterName           // after the blanks behind the name
+	lineField               // after the colon behind them
+	lineRest                // in a part that does not matter
 )
 
 func (s *foldScanner) scan(data []byte) {
@@ -57,10 +57,10 @@
 		switch s {
 		case lineStart, lineFold:
 			return lineFold
-		case lineName, lineColon:
-			return lineColon
+		case lineName, lineAfterName:
+			return lineAfterName
 		}
-	case b == ':' && (s == lineName || s == lineColon):
+	case b == ':' && (s == lineName || s == lineAfterName):
 		return lineField
 	case isLetter && (s == lineFold || s == lineName), s == lineName && (b == '-' || b == '_' || '0' <= b && b <= '9'):
 		return lineName
--- a/io/bywire/checked.go
+++ b/io/bywire/checked.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
-
-	"github.com/ansel1/merry/v2"
 )
 
 // CheckReplies returns a transport that makes requests through t, and fails if a reply is
@@ -30,7 +29,7 @@
 		x.closeConn()
 		return nil, err
 	}
-	resp.Body = &checkedBody{ReadCloser: resp.Body, exchange: x, resp: resp}
+	resp.Body = &checkedBody{ReadCloser: resp.Body, resp: resp, exchange: x}
 	return resp, nil
 }
 
@@ -73,7 +72,10 @@
 func (x *exchange) waitWritten() error {
 	select {
 	case err := <-x.written:
-		return merry.Prepend(err, "connection lost while the request was being sent")
+		if err != nil {
+			err = fmt.Errorf("%w: %w", ErrRequestCutOff, err)
+		}
+		return err
 	case <-x.ctx.Done():
 		return context.Cause(x.ctx)
 	}
@@ -82,9 +84,9 @@
 // checkedBody is the body of a reply. Its Read returns io.EOF only after a complete body.
 type checkedBody struct {
 	io.ReadCloser
-	*exchange
-	resp *http.Response
-	end  error // what Read returns at the end; nil before
+	resp     *http.Response
+	exchange *exchange
+	end      error // what Read returns at the end; nil before
 }
 
 // Read implements io.Reader.
@@ -97,7 +99,7 @@
 		if b.end = b.checkEnd(); b.end == nil {
 			b.end = io.EOF
 		} else {
-			b.closeConn()
+			b.exchange.closeConn()
 		}
 	}
 	return n, b.end
@@ -108,7 +110,7 @@
 // writes the request, so that the one that reads gets an end of file.
 func (b *checkedBody) checkEnd() error {
 	if b.resp.ContentLength < 0 && len(b.resp.TransferEncoding) == 0 && b.ReadCloser != http.NoBody {
-		if err := b.waitWritten(); err != nil {
+		if err := b.exchange.waitWritten(); err != nil {
 			return err
 		}
 	}
--- a/io/bywire/reply.go
+++ b/io/bywire/reply.go
@@ -12,6 +12,10 @@
 // define it. It proves nothing about the request: the server may have executed it.
 var ErrMalformedReply = merry.Sentinel("malformed reply")
 
+// ErrRequestCutOff means that the connection was lost before the whole request was sent. A reply
+// that ended with the connection is incomplete.
+var ErrRequestCutOff = merry.Sentinel("connection lost while the request was being sent")
+
 // CheckStatus returns ErrMalformedReply unless status is that of a response, interim ones
 // included.
 //
