Test that a broken answer stays broken through two nodes

That was shown for each node by itself, not for one that hands a request over to one whose endpoint resets the connection.

TestBrokenResponseOfPeerIsNoAnswer failed once beside 12 busy processes (503 in place of 502): the node did not count the other as alive at that moment and rightly said that the request had not run. The test now sends it until the other node has got it, and asks the same of the response to that one.

--- a/io/byentry/malformed_test.go
+++ b/io/byentry/malformed_test.go
@@ -1,11 +1,13 @@
 package byentry_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -127,17 +129,8 @@
 	n := c.startNode("n1")
 	c.waitReady(n)
 	for range 5 {
-		conn, err := net.Dial("tcp4", n.settings.CallerAddr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer conn.Close()
-		id := fmt.Sprint("old-", requestCount.Add(1))
-		if _, err := fmt.Fprintf(conn, "POST /read/1 HTTP/1.0\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 2000\r\nContent-Length: %d\r\n\r\n%s", id, longUpload, strings.Repeat("x", longUpload)); err != nil {
-			t.Fatal(err)
-		}
-		if data, err := io.ReadAll(conn); err == nil && !strings.HasPrefix(string(data), "HTTP/1.0 502") {
-			t.Errorf("the connection was closed after %d bytes, want status 502 or a reset", len(data))
+		if status, err := n.upload("1.0", "/read/1", fmt.Sprint("old-", requestCount.Add(1))); err == nil && status != http.StatusBadGateway {
+			t.Errorf("got status %d and a complete response, want status 502 or a reset", status)
 		}
 	}
 }
@@ -160,7 +153,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			c, n := newCutNode(t, func(c *testCluster) { c.maxBodyBytes = 16 << 20 })
+			var received atomic.Int64
 			c.addFakePeer(n, "p1", func(w http.ResponseWriter, r *http.Request) {
+				received.Add(1)
 				conn, _, err := w.(http.Hijacker).Hijack()
 				if err != nil {
 					t.Error(err)
@@ -176,7 +171,13 @@
 			c.waitUntil("the node knows the other", func() bool { return len(n.directoryAddrs()) >= 1 })
 			for range 5 {
 				for _, path := range []string{"/read/1", "/book/1"} {
-					if got := n.call("POST", path, strings.Repeat("x", tt.size)); got.status != http.StatusBadGateway || got.err != nil {
+					var got reply
+					c.waitUntil("the other node gets the request", func() bool { // it may count as lost for a moment
+						before := received.Load()
+						got = n.call("POST", path, strings.Repeat("x", tt.size))
+						return received.Load() > before
+					})
+					if got.status != http.StatusBadGateway || got.err != nil {
 						t.Errorf("%s got %+v, want status 502", path, got)
 					}
 				}
@@ -333,3 +334,67 @@
 		})
 	}
 }
+
+// TestBrokenAnswerStaysBrokenThroughTwoNodes guards against the failure that an answer which a node
+// knows to be broken looks complete to the node that has handed the request over, or to its
+// caller, who may speak HTTP/1.0.
+func TestBrokenAnswerStaysBrokenThroughTwoNodes(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t)
+	c.maxBodyBytes = 16 << 20
+	c.publishConfig(3, nil)
+	for i := range 10 { // so many that none is set aside for its failures
+		c.addRawServer(fmt.Sprint("app-", i), "app", httpAnswer("200 OK", "", strings.Repeat("x", 600<<10)), bystub.RawReset)
+		c.addRawServer(fmt.Sprint("d-", i), "llm", httpAnswer("200 OK", eventStream, testEvents(1, 2)), bystub.RawReset)
+	}
+	n1, n2 := c.startNodeWithPaths("n1"), c.startNode("n2")
+	c.waitReady(n1)
+	c.waitReady(n2)
+	if err := n1.paths.Cut(bystub.CutReset); err != nil {
+		t.Fatal(err)
+	}
+	handedOver := func(id string) bool {
+		for line := range strings.Lines(c.logs.String()) {
+			if strings.Contains(line, `"request":"`+id+`"`) && strings.Contains(line, "calls: handed over") {
+				return true
+			}
+		}
+		return false
+	}
+	for _, path := range []string{"/read/1", "/book/1", "/quick/1", "/long/1"} {
+		n2.call("POST", path, "x", shortPrompt, shortTokens) // a node states only links that it has used
+		for _, version := range []string{"1.0", "1.1"} {
+			var status int
+			var err error
+			c.waitUntil("a request is handed over", func() bool {
+				id := fmt.Sprint("two-", requestCount.Add(1))
+				status, err = n1.upload(version, path, id)
+				return handedOver(id)
+			})
+			if status == 0 || err == nil && status != http.StatusBadGateway {
+				t.Errorf("%s, HTTP/%s: got status %d and error %v, want status 502 or a response that is cut off", path, version, status, err)
+			}
+		}
+	}
+}
+
+// upload sends a request with a long body in the given version of HTTP, and returns the status
+// of the response, 0 if there is no head, and an error if it is not complete.
+func (n *testNode) upload(version, path, id string) (status int, err error) {
+	conn, err := net.Dial("tcp4", n.settings.CallerAddr)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/%s\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 3000\r\n%s\r\n%s\r\nContent-Length: %d\r\n\r\n%s",
+		path, version, id, shortPrompt, shortTokens, longUpload, strings.Repeat("x", longUpload))
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
