--- a/review/byrig/byrig.go
+++ b/review/byrig/byrig.go
@@ -248,7 +248,7 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(program, "node")
-	cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "BURDOCKYARD_BOOT=" + n.settingsFile})
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "BURDOCKYARD_BOOT=" + n.settingsFile}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
