--- a/review/byrig/byrig.go
+++ b/review/byrig/byrig.go
@@ -111,11 +111,18 @@
 func (r *Rig) Close() {
 	close(r.done)
 	r.mu.Lock()
-	nodes := r.nodes
+	nodes, runners := r.nodes, r.runners
 	r.mu.Unlock()
 	for _, n := range nodes {
 		n.Kill()
 	}
+	for _, runner := range runners {
+		runner.mu.Lock()
+		if runner.server != nil {
+			runner.server.Close()
+		}
+		runner.mu.Unlock()
+	}
 	for _, s := range r.servers {
 		s.Close()
 	}
@@ -135,16 +142,15 @@
 	mu       sync.Mutex
 	state    string // empty if it writes no entry
 	sequence int
+	server   *http.Server // nil while it is down
 }
 
 // AddRunner starts a runner, which keeps its entry in the store up to date.
 func (r *Rig) AddRunner(cfg bystub.RunnerConfig) (*Runner, error) {
-	stub := bystub.NewRunner(cfg)
-	addr, err := r.Serve(stub)
-	if err != nil {
+	runner := &Runner{Runner: bystub.NewRunner(cfg), ID: cfg.ID, Addr: "127.0.0.1:0", rig: r, state: "ready"}
+	if err := runner.listen(); err != nil {
 		return nil, err
 	}
-	runner := &Runner{Runner: stub, ID: cfg.ID, Addr: addr, rig: r, state: "ready"}
 	runner.WriteEntry()
 	r.mu.Lock()
 	r.runners = append(r.runners, runner)
@@ -164,11 +170,49 @@
 	return runner, nil
 }
 
-// WriteEntry writes the runner's entry, unless it has left.
+// listen serves the runner at its address.
+func (r *Runner) listen() error {
+	l, err := net.Listen("tcp4", r.Addr)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: r.Runner, ReadHeaderTimeout: 10 * time.Second}
+	r.mu.Lock()
+	r.server, r.Addr = s, l.Addr().String()
+	r.mu.Unlock()
+	r.rig.group.Go(func() error { _ = s.Serve(l); return nil })
+	return nil
+}
+
+// Crash ends the runner's process: its connections are closed, and new ones refused.
+func (r *Runner) Crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.server.Close()
+	r.server = nil
+	r.rig.Logf("runner %s crashes", r.ID)
+}
+
+// StartAgain starts a new process of the runner under its ID, with the given version of the
+// software, which writes its entry at once.
+func (r *Runner) StartAgain(version string) error {
+	r.RestartAs(version)
+	if err := r.listen(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.sequence = 0
+	r.mu.Unlock()
+	r.WriteEntry()
+	r.rig.Logf("runner %s is back as %s", r.ID, version)
+	return nil
+}
+
+// WriteEntry writes the runner's entry, unless it has left or is down.
 func (r *Runner) WriteEntry() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.state == "" {
+	if r.state == "" || r.server == nil {
 		return
 	}
 	r.sequence++
