--- a/review/byrig/byrig.go
+++ b/review/byrig/byrig.go
@@ -188,6 +188,9 @@
 func (r *Runner) Crash() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.server == nil {
+		return // it is down
+	}
 	r.server.Close()
 	r.server = nil
 	r.rig.Logf("runner %s crashes", r.ID)
