--- a/review/byrig/byrig.go
+++ b/review/byrig/byrig.go
@@ -262,8 +262,8 @@
 		if err != nil {
 			return nil, err
 		}
+		defer l.Close() // not before the others are open, else a port can be given twice
 		addrs = append(addrs, l.Addr().String())
-		l.Close()
 	}
 	lines := append([]string{
 		"nodeName=" + name, "role=entry", "machineClass=front", "serves=front,directory", "ip=" + ip, "zone=" + zone, "region=r",
