Log why the end of an endpoint was not proved

Cause: "attempt broke off" said "unproved" of a witness whose links had failed, of one whose neighbours of the endpoint were all down, and of one that did not answer.

Change: own and witnesses name the connection to the endpoint and to the neighbours that were tried.

--- a/core/bywitness/bywitness.go
+++ b/core/bywitness/bywitness.go
@@ -20,6 +20,7 @@
 import (
 	"slices"
 
+	"burdockyard"
 	"burdockyard/core/bymember"
 )
 
@@ -31,8 +32,14 @@
 	NoAnswer Connection = iota // nothing came back in time, or the error tells nothing
 	Refused
 	Accepted
+	NotTold // the node that has tried does not tell
 )
 
+// String returns the result as it appears in logs.
+func (c Connection) String() string {
+	return [...]string{"no answer", "refused", "accepted", "not told"}[c]
+}
+
 // Finding is what one node has found out about an endpoint.
 type Finding int
 
@@ -46,6 +53,35 @@
 // String returns the finding as it appears in logs.
 func (f Finding) String() string { return [...]string{"unproved", "ended", "alive"}[f] }
 
+// Trial is a connection to an endpoint that a node has opened for comparison.
+type Trial struct {
+	Endpoint burdockyard.EndpointID
+	Result   Connection
+}
+
+// Report is the finding of one node and what it rests on.
+type Report struct {
+	Finding    Finding
+	Connection Connection // to the endpoint in question
+	Others     []Trial    // connections to other endpoints; empty if none was needed
+}
+
+// String returns the report as it appears in logs.
+func (r Report) String() string {
+	if r.Connection == NotTold {
+		return r.Finding.String()
+	}
+	text := r.Connection.String()
+	for i, o := range r.Others {
+		separator := ", "
+		if i == 0 {
+			separator = "; "
+		}
+		text += separator + string(o.Endpoint) + " " + o.Result.String()
+	}
+	return r.Finding.String() + " (" + text + ")"
+}
+
 // Find returns the finding of a node, given the results of connections to the endpoint in
 // question and to a sample of the other endpoints that the node knows.
 func Find(endpoint Connection, others []Connection) Finding {
--- a/core/bywitness/bywitness_test.go
+++ b/core/bywitness/bywitness_test.go
@@ -68,3 +68,20 @@
 		}
 	}
 }
+
+// TestReportSaysWhyAnEndIsUnproved guards against log lines that do not tell a witness whose
+// links have failed from one whose neighbours of the endpoint are down, or from an earlier release.
+func TestReportSaysWhyAnEndIsUnproved(t *testing.T) {
+	for _, tt := range []struct {
+		report bywitness.Report
+		want   string
+	}{
+		{bywitness.Report{Finding: bywitness.Alive, Connection: bywitness.Accepted}, "alive (accepted)"},
+		{bywitness.Report{Connection: bywitness.Refused, Others: []bywitness.Trial{{Endpoint: "i-1", Result: bywitness.Refused}, {Endpoint: "i-2", Result: bywitness.NoAnswer}}}, "unproved (refused; i-1 refused, i-2 no answer)"},
+		{bywitness.Report{Finding: bywitness.Ended, Connection: bywitness.NotTold}, "ended"},
+	} {
+		if got := tt.report.String(); got != tt.want {
+			t.Errorf("%+v is written as %q, want %q", tt.report, got, tt.want)
+		}
+	}
+}
--- a/io/byentry/backup.go
+++ b/io/byentry/backup.go
@@ -65,7 +65,7 @@
 		obstacle = "no retries left"
 	}
 	if obstacle != "" {
-		c.log("stream cannot continue from a copy", bylog.Str("endpoint", string(backup.ID)), bylog.Str("ended", string(e.ID)), bylog.Str("cause", obstacle), bylog.Str("witnesses", proof.witnesses))
+		c.log("stream cannot continue from a copy", append(proof.logFields(), bylog.Str("endpoint", string(backup.ID)), bylog.Str("ended", string(e.ID)), bylog.Str("cause", obstacle))...)
 		return outcomeUnknown, burdockyard.ErrInterrupted
 	}
 	c.log("stream continues from a copy", bylog.Str("endpoint", string(backup.ID)), bylog.Str("ended", string(e.ID)), bylog.Int("events", relay.eventCount))
--- a/io/byentry/ends.go
+++ b/io/byentry/ends.go
@@ -42,7 +42,8 @@
 type endProof struct {
 	endpoint  burdockyard.EndpointID
 	finding   bywitness.Finding
-	witnesses string // who has found what, for the log; empty if no witness was needed
+	own       bywitness.Report // of this node; its finding counts only without peers
+	witnesses string           // which peers have found what, for the log; empty if none was asked
 }
 
 // endProofs shares proofs among all that ask for one at the same time. mu is a leaf lock.
@@ -116,30 +117,43 @@
 // needs one of them as a witness. An endpoint that does not respond counts as alive,
 // because the network may be at fault.
 func (n *Node) proveEnd(ctx context.Context, e byfleet.Endpoint) endProof {
-	proof, _ := n.endProofs.get(ctx, n.clock, e.ID, func() endProof {
+	proof, ok := n.endProofs.get(ctx, n.clock, e.ID, func() endProof {
 		// The proof also serves other requests than the one whose context this is.
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endProofTimeout)
 		defer cancel()
 		own := n.connect(ctx, e)
 		if own != bywitness.Refused {
-			return endProof{}
+			return endProof{own: n.find(ctx, e, own)}
 		}
-		names, findings := []string{string(n.self.Node)}, make([]bywitness.Finding, 1)
-		if len(n.peers.members()) == 0 {
-			findings[0] = n.find(ctx, e, own)
-		} else {
-			names, findings = n.askWitnesses(ctx, e)
+		var proof endProof
+		var findings []bywitness.Finding
+		var group errgroup.Group
+		group.Go(func() error { proof.own = n.find(ctx, e, own); return nil })
+		hasPeers := len(n.peers.members()) > 0
+		if hasPeers {
+			findings, proof.witnesses = n.askWitnesses(ctx, e)
+		}
+		_ = group.Wait() // returns no error
+		if !hasPeers {
+			findings = []bywitness.Finding{proof.own.Finding}
 		}
-		proof := endProof{witnesses: formatFindings(names, findings)}
 		if bywitness.HasEnded(own, findings) {
 			proof.finding = bywitness.Ended
 		}
 		return proof
 	})
+	if !ok {
+		proof.own = noReport
+	}
 	proof.endpoint = e.ID
 	return proof
 }
 
+// logFields returns what the proof rests on as fields of a log line.
+func (p endProof) logFields() []bylog.Field {
+	return []bylog.Field{bylog.Str("own", p.own.String()), bylog.Str("witnesses", p.witnesses)}
+}
+
 // connect opens a new connection to an endpoint and closes it.
 func (n *Node) connect(ctx context.Context, e byfleet.Endpoint) bywitness.Connection {
 	err := n.forwarder.Probe(ctx, e.Addr, endProbeTimeout)
@@ -154,9 +168,9 @@
 
 // find returns what this node by itself finds out about endpoint e, given the result of a
 // connection to it.
-func (n *Node) find(ctx context.Context, e byfleet.Endpoint, own bywitness.Connection) bywitness.Finding {
+func (n *Node) find(ctx context.Context, e byfleet.Endpoint, own bywitness.Connection) bywitness.Report {
 	if own != bywitness.Refused {
-		return bywitness.Find(own, nil)
+		return bywitness.Report{Finding: bywitness.Find(own, nil), Connection: own}
 	}
 	others := n.fleet.SampleOthers(e, maxOthers, rand.Shuffle)
 	results := make([]bywitness.Connection, len(others))
@@ -165,50 +179,57 @@
 		group.Go(func() error { results[i] = n.connect(ctx, other); return nil })
 	}
 	_ = group.Wait() // returns no error
-	return bywitness.Find(own, results)
+	report := bywitness.Report{Finding: bywitness.Find(own, results), Connection: own}
+	for i, other := range others {
+		report.Others = append(report.Others, bywitness.Trial{Endpoint: other.ID, Result: results[i]})
+	}
+	return report
 }
 
-// askWitnesses asks peers whether the process of endpoint e has ended.
-func (n *Node) askWitnesses(ctx context.Context, e byfleet.Endpoint) (names []string, findings []bywitness.Finding) {
+// askWitnesses asks peers whether the process of endpoint e has ended. It also returns their
+// reports as text for the log.
+func (n *Node) askWitnesses(ctx context.Context, e byfleet.Endpoint) (findings []bywitness.Finding, text string) {
 	witnesses := bywitness.Select(n.view.ReceivedWithin(unreachableAfter), n.settings.Domain, maxWitnesses, rand.Shuffle)
-	names, findings = make([]string, len(witnesses)), make([]bywitness.Finding, len(witnesses))
+	if len(witnesses) == 0 {
+		return nil, "none was heard of late"
+	}
+	findings, texts := make([]bywitness.Finding, len(witnesses)), make([]string, len(witnesses))
 	var group errgroup.Group
 	for i, w := range witnesses {
-		names[i] = string(w.Member.Node)
 		group.Go(func() error {
-			var err error
-			if findings[i], err = n.witnessClient.Examine(ctx, w.Member.Addr, e.Instance); err != nil {
+			report, err := n.witnessClient.Examine(ctx, w.Member.Addr, e.Instance)
+			findings[i], texts[i] = report.Finding, string(w.Member.Node)+" "+report.String()
+			if err != nil {
+				texts[i] = string(w.Member.Node) + " no reply"
 				n.log.members.Debug("no answer of a witness", bylog.Str("peer", string(w.Member.Node)), bylog.Str("endpoint", string(e.ID)), bylog.Err(err))
 			}
 			return nil
 		})
 	}
 	_ = group.Wait() // returns no error
-	return names, findings
+	return findings, strings.Join(texts, ", ")
 }
 
 // examine answers a peer that asks whether the process of an endpoint has ended.
-func (n *Node) examine(ctx context.Context, asked burdockyard.Instance) bywitness.Finding {
+func (n *Node) examine(ctx context.Context, asked burdockyard.Instance) bywitness.Report {
 	e, ok := n.fleet.Lookup(asked.ID)
 	if !ok || e.BornMS != asked.BornMS && e.Addr != asked.Addr {
-		return bywitness.Unproved // the endpoint has moved, and one of the two nodes has not heard of it
+		return noReport // the endpoint has moved, and one of the two nodes has not heard of it
 	}
-	proof, _ := n.testimonies.get(ctx, n.clock, e.ID, func() endProof {
+	proof, ok := n.testimonies.get(ctx, n.clock, e.ID, func() endProof {
 		ctx := context.WithoutCancel(ctx) // the finding may also answer another peer
-		return endProof{finding: n.find(ctx, e, n.connect(ctx, e))}
+		report := n.find(ctx, e, n.connect(ctx, e))
+		return endProof{finding: report.Finding, own: report}
 	})
-	return proof.finding
-}
-
-// formatFindings returns findings as text for the log.
-func formatFindings(names []string, findings []bywitness.Finding) string {
-	var parts []string
-	for i, name := range names {
-		parts = append(parts, name+" "+findings[i].String())
+	if !ok {
+		return noReport
 	}
-	return strings.Join(parts, ", ")
+	return proof.own
 }
 
+// noReport stands for the report of a node that has not opened a connection.
+var noReport = bywitness.Report{Connection: bywitness.NotTold}
+
 // isConnectionLoss reports whether err means that the endpoint's side has closed or reset
 // the connection.
 func isConnectionLoss(err error) bool {
@@ -224,16 +245,16 @@
 // request was sent. events is the number of events that the attempt has delivered, and
 // begun whether its answer counts as begun.
 func (c *call) attemptBroke(ctx context.Context, e byfleet.Endpoint, action string, events int, begun bool, err error) {
-	var proof endProof
+	proof := endProof{own: noReport}
 	if isConnectionLoss(err) {
 		proof = c.node.proveEnd(ctx, e)
 		c.lastProof = proof
 	}
 	ended := proof.finding == bywitness.Ended
 	shared, content := c.keys[:len(c.keys)-1], c.keys[len(c.keys)-1:]
-	c.warn("attempt broke off", bylog.Str("endpoint", string(e.ID)), bylog.Str("asked_to", action), bylog.Int("events", events),
-		bylog.Bool("ended", ended), bylog.Str("witnesses", proof.witnesses), bylog.Str("keys", formatKeys(shared)),
-		bylog.Str("content", formatKeys(content)), bylog.Str("caller", c.callerAddr()), bylog.Err(err))
+	c.warn("attempt broke off", append(proof.logFields(), bylog.Str("endpoint", string(e.ID)), bylog.Str("asked_to", action), bylog.Int("events", events),
+		bylog.Bool("ended", ended), bylog.Str("keys", formatKeys(shared)),
+		bylog.Str("content", formatKeys(content)), bylog.Str("caller", c.callerAddr()), bylog.Err(err))...)
 	if ended {
 		c.node.metrics.BrokenByEnd(c.service.Name).Inc()
 		if !begun {
