Count ends that the registry states later

Cause: an end was proved only while a witness reached another endpoint, and decided once.

Change: such an end is suspected, and settled within seconds by what the registry states: it counts if a later process has the endpoint's ID or address, or its entry is gone and it still refuses, and the other endpoints that refused at the same time have ended too. If one of them, or the endpoint itself, accepts a connection and is the same process, links had failed and it does not count. Peers are told, so that it is settled if the node ends. The request itself, and nothing that shares a key with it, is held meanwhile. Streams go on elsewhere only with the proof at once, as before.

Why this works: endpoints write their entries over other links than those that a partition between nodes and endpoints cuts.

TestRefusedConnectionsBlameNoInput and TestSecondRunNeedsWitness are unchanged and pass.

--- a/core/bydigest/bydigest.go
+++ b/core/bydigest/bydigest.go
@@ -158,7 +158,7 @@
 		a.SplitEra != b.SplitEra || a.SplitSeq != b.SplitSeq || len(b.StreamStarts) > 0 ||
 		!slices.Equal(a.LeavingEndpoints, b.LeavingEndpoints) || b.Quarantine.IsNewsAfter(a.Quarantine) || bylimit.IsNewsAfter(b.Limits, a.Limits) ||
 		!slices.Equal(a.HeldDuties, b.HeldDuties) || !slices.Equal(a.Reach.Lost, b.Reach.Lost) || // a node in doubt may leave and enter Reach.Reached often
-		len(b.HeldEngines) > 0 // peers forget holds that are not repeated
+		len(b.HeldEngines)+len(b.Suspicions) > 0 // peers forget those that are not repeated
 }
 
 // RecordDigest records the digest of another failure domain.
--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -177,6 +177,13 @@
 	return f.clock.Now().Sub(f.lastReadAt)
 }
 
+// ReadAt returns when the newest registry read was requested; zero if there was none.
+func (f *Fleet) ReadAt() time.Time {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.lastReadAt
+}
+
 func (f *Fleet) recordRead(requestedAt time.Time) {
 	if !f.lastReadAt.IsZero() && requestedAt.Sub(f.lastReadAt) > storeOutageThreshold {
 		f.storeRecoveredAt = f.clock.Now()
@@ -559,6 +566,42 @@
 	return Endpoint{Instance: e.instance, FailRate: e.failRate}, true
 }
 
+// Fate is what has become of a process of an endpoint, as far as the registry tells.
+type Fate int
+
+// The fates of a process.
+const (
+	Registered Fate = iota // it has an entry, or only an older process has
+	Leaving                // it has announced that it is about to end
+	Replaced               // a later process has its ID or its address
+	Gone                   // it has no entry
+)
+
+// Fate returns what has become of the process of endpoint id that was born at bornMS, as in
+// burdockyard.Instance, and has used the given address. Of processes that do not tell when
+// they were born, none counts as later.
+func (f *Fleet) Fate(id burdockyard.EndpointID, bornMS int64, addr string) Fate {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	isLater := func(e *entry) bool { return bornMS > 0 && e.instance.BornMS > bornMS }
+	e := f.entries[id]
+	if e != nil && isLater(e) {
+		return Replaced
+	}
+	for otherID, other := range f.entries {
+		if otherID != id && other.instance.Addr == addr && isLater(other) {
+			return Replaced
+		}
+	}
+	switch {
+	case e == nil:
+		return Gone
+	case e.instance.BornMS == bornMS && (e.leaving || e.instance.Draining):
+		return Leaving
+	}
+	return Registered
+}
+
 // SampleOthers returns up to n endpoints that accept work, without the given one. They are
 // of the same service, or of any if that has no other endpoint. Those without recent
 // failures come first. shuffle is like rand.Shuffle.
--- a/core/bymember/bymember.go
+++ b/core/bymember/bymember.go
@@ -24,6 +24,7 @@
 	"burdockyard/core/bylimit"
 	"burdockyard/core/byquarantine"
 	"burdockyard/core/byreach"
+	"burdockyard/core/bysuspect"
 	"burdockyard/core/byversion"
 )
 
@@ -69,6 +70,7 @@
 	LeavingEndpoints  []byfleet.LeavingEndpoint // endpoints that have told this node, or another one, that they are about to end
 	CachedParts       []CachedPart              // prompt parts that engines have prefilled since the previous heartbeat
 	Quarantine        byquarantine.News         // inputs that end endpoints
+	Suspicions        []bysuspect.Suspicion     // ends of endpoints that are not proved
 	Limits            []bylimit.Statement       // limits that endpoints have named to this node
 	Reach             byreach.Peer              // services whose endpoints the node reaches, and those that it has lost
 	Ready             bool                      // whether the node accepts callers
@@ -99,6 +101,7 @@
 		return hb
 	}
 	hb.Waited += d
+	hb.Suspicions = bysuspect.Aged(hb.Suspicions, d)
 	hb.Quarantine, hb.Limits, hb.StreamStarts = hb.Quarantine.Aged(d), bylimit.Aged(hb.Limits, d), byversion.Aged(hb.StreamStarts, d)
 	return hb
 }
--- a/core/byquarantine/byquarantine.go
+++ b/core/byquarantine/byquarantine.go
@@ -28,6 +28,10 @@
 // of one request count singly for that key, also over a long time, and only once for its
 // other keys, which sound requests may share.
 //
+// Some ends are proved only seconds later, see package bysuspect. They count as of the time
+// at which they happened, unless the input has been answered since. Until then the request
+// itself is held if they would quarantine it, see SetSuspected.
+//
 // # The way out
 //
 // From time to time one request with a quarantined key is admitted as a trial. If its
@@ -168,6 +172,7 @@
 	answers     answerLog          // to requests with a key that others may share
 	repeated    answerLog          // to requests themselves
 	quarantined map[Key]*verdict
+	suspected   []end        // see SetSuspected
 	unsaved     map[Key]bool // keys whose stored record is to be written or removed
 	endsTold    int          // number of ends that news have begun with
 	own         struct {     // what this node has found out itself
@@ -179,8 +184,9 @@
 // end is an End at a time of this node's clock.
 type end struct {
 	End
-	at  time.Time
-	own bool // whether this node has seen it
+	at    time.Time
+	since time.Time // when this node learned of it; some ends are proved only seconds later
+	own   bool      // whether this node has seen it
 }
 
 // formerEnds are ends under requests with a key that are not remembered one by one.
@@ -277,7 +283,7 @@
 	if len(q.ends) > 0 {
 		q.judgeSettled(keys, &d.Change)
 	}
-	if len(q.quarantined) == 0 {
+	if len(q.quarantined)+len(q.suspected) == 0 {
 		d.Admitted = true
 		return d
 	}
@@ -312,6 +318,9 @@
 			wait = max(wait, q.trialTime(key, v, keys).Sub(now))
 		}
 	}
+	if q.suspectedEnds(keys) > 0 {
+		wait = max(wait, holdTime)
+	}
 	return blamed, wait
 }
 
@@ -323,11 +332,11 @@
 	return wait
 }
 
-// IsQuarantined reports whether one of the keys is quarantined.
+// IsQuarantined reports whether one of the keys is quarantined, or the request is held.
 func (q *Quarantine) IsQuarantined(keys []Key) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.quarantined) > 0 && slices.ContainsFunc(keys, func(key Key) bool { return q.quarantined[key] != nil })
+	return len(q.quarantined) > 0 && slices.ContainsFunc(keys, func(key Key) bool { return q.quarantined[key] != nil }) || q.suspectedEnds(keys) > 0
 }
 
 // Len returns the number of quarantined keys.
@@ -436,9 +445,11 @@
 // key that one more may quarantine it. The caller must hold mu.
 func (q *Quarantine) isSuspect(key Key) bool {
 	ends := q.formerEnds[key].ends
-	for _, e := range q.ends {
-		if slices.Contains(e.Keys, key) {
-			ends++
+	for _, list := range [][]end{q.ends, q.suspected} {
+		for _, e := range list {
+			if slices.Contains(e.Keys, key) {
+				ends++
+			}
 		}
 	}
 	return ends >= minEnds-1
@@ -470,7 +481,7 @@
 		q.keepCompanies(q.ends[0])
 		q.ends = slices.Delete(q.ends, 0, 1)
 	}
-	e.at = q.alignTimes(e)
+	e.at, e.since = q.alignTimes(e), q.clock.Now()
 	i, _ := slices.BinarySearchFunc(q.ends, e.at, func(known end, at time.Time) int { return known.at.Compare(at) })
 	q.ends = slices.Insert(q.ends, i, e)
 	q.endChanges++
@@ -542,7 +553,7 @@
 	var all []guilty
 	for _, key := range keys {
 		if q.quarantined[key] == nil {
-			if v := q.judgeKey(key); v != nil {
+			if v := q.judgeKey(q.ends, key); v != nil {
 				all = append(all, guilty{key, v})
 			}
 		}
@@ -556,22 +567,22 @@
 	}
 }
 
-// judgeKey returns a verdict on a key that is to blame for enough ends, otherwise nil.
-// The caller must hold mu.
-func (q *Quarantine) judgeKey(key Key) *verdict {
+// judgeKey returns a verdict on a key that is to blame for enough of the given ends,
+// otherwise nil. The caller must hold mu.
+func (q *Quarantine) judgeKey(ends []end, key Key) *verdict {
 	last, required := time.Time{}, minEnds
 	if a := q.lastAnswer(key); a != nil {
 		last, required = a.at, minEndsAfterAnswer
 	}
-	if v := q.countEnds(key, last); v.ends >= required {
+	if v := q.countEnds(ends, key, last); v.ends >= required {
 		return v
 	}
 	return nil
 }
 
-// countEnds returns the ends after the given time that a key is to blame for. The caller
-// must hold mu.
-func (q *Quarantine) countEnds(key Key, after time.Time) *verdict {
+// countEnds returns those of the given ends after a time that a key is to blame for. The
+// caller must hold mu.
+func (q *Quarantine) countEnds(ends []end, key Key, after time.Time) *verdict {
 	former := q.formerEnds[key]
 	if q.clock.Now().Sub(former.last) >= key.memory() || !former.last.After(after) {
 		former = formerEnds{}
@@ -581,15 +592,15 @@
 	endedAt := map[uint64]time.Time{} // by endpoint
 	var ownTimes, otherTimes []time.Time
 	if key.IsRequest() {
-		ownTimes, otherTimes = q.endTimes(key)
+		ownTimes, otherTimes = endTimes(ends, key)
 	}
 	byEndpoint := map[uint64][]end{} // not set if no key is quarantined
 	if len(q.quarantined) > 0 {
-		for _, e := range q.ends {
+		for _, e := range ends {
 			byEndpoint[e.Endpoint] = append(byEndpoint[e.Endpoint], e)
 		}
 	}
-	for _, e := range q.ends {
+	for _, e := range ends {
 		if !e.at.After(after) || !slices.Contains(e.Keys, key) || q.isExplained(e, key, byEndpoint[e.Endpoint]) {
 			continue
 		}
@@ -623,15 +634,14 @@
 
 // endTimes returns the sorted times at which endpoints with a request with the key have
 // ended, and those of other endpoints, one for each. If a good part of the endpoints that
-// end in one moment had no such request, all of them may have another cause in common. The
-// caller must hold mu.
-func (q *Quarantine) endTimes(key Key) (with, without []time.Time) {
+// end in one moment had no such request, all of them may have another cause in common.
+func endTimes(ends []end, key Key) (with, without []time.Time) {
 	hadKey := map[uint64]bool{} // by endpoint
-	for _, e := range q.ends {
+	for _, e := range ends {
 		hadKey[e.Endpoint] = hadKey[e.Endpoint] || slices.Contains(e.Keys, key)
 	}
 	counted := map[uint64]bool{}
-	for _, e := range q.ends {
+	for _, e := range ends {
 		switch {
 		case counted[e.Endpoint]:
 		case hadKey[e.Endpoint]:
@@ -695,7 +705,7 @@
 		return false // the ends since the answer may be remembered by the verdict only
 	}
 	delete(q.quarantined, key)
-	if v := q.judgeKey(key); v != nil {
+	if v := q.judgeKey(q.ends, key); v != nil {
 		q.quarantine(key, v, FromEnds) // it has ended many endpoints since the answer
 		return false
 	}
--- a/core/byquarantine/news.go
+++ b/core/byquarantine/news.go
@@ -103,7 +103,7 @@
 	now := q.clock.Now()
 	var n News
 	for _, e := range q.ends {
-		if e.own && now.Sub(e.at) < newsTime {
+		if e.own && now.Sub(e.since) < newsTime {
 			told := e.End
 			told.Age = now.Sub(e.at)
 			n.Ends = append(n.Ends, told)
--- a/core/byquarantine/record.go
+++ b/core/byquarantine/record.go
@@ -75,7 +75,7 @@
 	if a := q.lastAnswer(key); a != nil {
 		last = a.at
 	}
-	return q.countEnds(key, last)
+	return q.countEnds(q.ends, key, last)
 }
 
 // record returns what is known of a key. The caller must hold mu.
--- /dev/null
+++ b/core/bysuspect/bysuspect.go
@@ -0,0 +1,406 @@
+// Package bysuspect keeps suspected ends of endpoints until later facts settle them.
+//
+// When the connection of a request breaks and new ones are refused, either the endpoint's
+// process has ended or the links of the nodes have failed. Package bywitness tells the two
+// apart if another endpoint accepts connections at that moment. If all others are down as
+// well, for example because the same request has ended them, nothing tells at that moment.
+// Some seconds later the registry does.
+//
+// # Usage
+//
+//	r := bysuspect.New(clock, node, registry)
+//	r.Add(suspicion)                   // this node was refused, and no witness could tell
+//	r.Merge(heartbeat.Suspicions)      // what a peer tells
+//	heartbeat.Suspicions = r.News()
+//	for _, p := range r.Probes(8) {    // several times a second
+//		r.RecordAccepted(p)        // or RecordRefused, as a new connection shows
+//	}
+//	for _, s := range r.Settle() { … } // those with the result Ended count
+//
+// # Evidence
+//
+// An end counts once the registry states that the process is gone: a later process has its
+// ID or its address, or its entry was removed and connections are still refused. Endpoints
+// write their entries over other links than those between nodes and endpoints, so a
+// partition of the latter cannot state it. Such a partition may still have broken the
+// connection before the process ended for another reason. So an end does not count if the
+// same process, or any other that refused connections at the same time, accepts one later:
+// then links had failed. It also does not count if the endpoint announces that it leaves.
+//
+// # Nodes
+//
+// A node tells its peers of its suspicions while they are open. A few of them examine each,
+// so that it is settled even if the node that had it ends. The others only remember it for
+// as long as it is told.
+package bysuspect
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"burdockyard"
+	"burdockyard/core/byfleet"
+	"burdockyard/core/byquarantine"
+)
+
+const (
+	// maxHoldAge is the age up to which suspected ends hold a request back.
+	maxHoldAge = 10 * time.Second
+	// maxAge is the time after which a suspicion is dropped. Crashed endpoints are back, or
+	// gone from the registry, within some seconds.
+	maxAge = 30 * time.Second
+	// registrationTime is how long a new process may accept connections before nodes read
+	// its entry. Endpoints write it when they start, or with the next of the heartbeats that
+	// they send about once a second.
+	registrationTime = 1500 * time.Millisecond
+	// toldMemory is how long a suspicion is remembered after a peer has told it, unless this
+	// node examines it.
+	toldMemory = 3 * time.Second
+	// examiners is about the number of nodes that examine a suspicion of a peer.
+	examiners = 4
+	// maxSuspicions bounds the memory, and maxTold the suspicions in one heartbeat.
+	maxSuspicions = 256
+	maxTold       = 4
+)
+
+// Process is one process of an endpoint.
+type Process struct {
+	ID     burdockyard.EndpointID
+	BornMS int64  // as in burdockyard.Instance
+	Addr   string // host:port
+}
+
+// ProcessOf returns the process that an entry of the registry describes.
+func ProcessOf(in burdockyard.Instance) Process {
+	return Process{ID: in.ID, BornMS: in.BornMS, Addr: in.Addr}
+}
+
+// Hash identifies the process in byquarantine.End.
+func (p Process) Hash() uint64 {
+	return xxhash.Sum64String(string(p.ID) + "\x00" + strconv.FormatInt(p.BornMS, 10))
+}
+
+// Suspicion is the suspected end of a process under one request.
+type Suspicion struct {
+	Process Process
+	Refused []Process // of other endpoints that refused connections at the same time
+	End     byquarantine.End
+}
+
+// key identifies a suspicion.
+type key struct{ request, process uint64 }
+
+func (s Suspicion) key() key { return key{s.End.Request, s.Process.Hash()} }
+
+// Result is how a suspicion was settled.
+type Result int
+
+// The results.
+const (
+	open         Result = iota
+	Ended               // the process has ended
+	Alive               // the process has accepted a connection
+	LinksFailed         // another process that refused connections has accepted one
+	Leaving             // the endpoint has announced its end
+	NotSettled          // nothing has told in time
+	resultsCount        // number of results
+)
+
+// String returns the result as it appears in logs and metrics.
+func (r Result) String() string {
+	return [resultsCount]string{"open", "ended", "alive", "links_failed", "leaving", "not_settled"}[r]
+}
+
+// Registry is a node's copy of the entries of all endpoints. *byfleet.Fleet implements it.
+type Registry interface {
+	// Fate returns what has become of a process.
+	Fate(id burdockyard.EndpointID, bornMS int64, addr string) byfleet.Fate
+	// ReadAt returns when the newest reading was requested.
+	ReadAt() time.Time
+}
+
+// Register is one node's suspicions. It is safe for concurrent use. No other lock but those
+// of the registry is taken while mu is held.
+type Register struct {
+	clock    burdockyard.Clock
+	node     burdockyard.NodeID
+	registry Registry
+
+	mu      sync.Mutex
+	nodes   int // number of nodes of the fleet
+	open    []*suspicion
+	settled map[key]time.Time // so that news of peers do not bring them back
+	traces  map[Process]*trace
+	told    int // number of suspicions that news have begun with
+}
+
+// suspicion is a Suspicion that is not settled.
+type suspicion struct {
+	Suspicion
+	brokeAt  time.Time // when the connection of the request broke
+	since    time.Time // when this node learned of it
+	toldAt   time.Time // when a peer told it last
+	examined bool      // whether this node settles it
+}
+
+// trace is what new connections to a process have shown. Times are zero if nothing has.
+type trace struct {
+	acceptedAt time.Time // for the first time
+	refusedAt  time.Time // for the last time
+	goneAt     time.Time // when it was first seen to have no entry
+}
+
+// New returns a Register without suspicions.
+func New(clock burdockyard.Clock, node burdockyard.NodeID, registry Registry) *Register {
+	return &Register{clock: clock, node: node, registry: registry, nodes: 1, settled: map[key]time.Time{}, traces: map[Process]*trace{}}
+}
+
+// SetNodes sets the number of nodes of the fleet.
+func (r *Register) SetNodes(nodes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nodes = nodes
+}
+
+// Add adds a suspicion of this node.
+func (r *Register) Add(s Suspicion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.add(s, true)
+}
+
+// Merge adds suspicions of a peer. It reports whether there was a new one.
+func (r *Register) Merge(told []Suspicion) (isNew bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range told {
+		isNew = r.add(s, r.examines(s)) || isNew
+	}
+	return isNew
+}
+
+// examines reports whether this node examines a suspicion of a peer. The caller must hold mu.
+func (r *Register) examines(s Suspicion) bool {
+	k := s.key()
+	lot := xxhash.Sum64String(string(r.node) + strconv.FormatUint(k.request^k.process, 16))
+	return float64(lot>>11)/(1<<53)*float64(r.nodes) < examiners
+}
+
+// add adds a suspicion, or notes that it was told again. The caller must hold mu.
+func (r *Register) add(s Suspicion, examined bool) (isNew bool) {
+	now := r.clock.Now()
+	for _, known := range r.open {
+		if known.key() == s.key() {
+			known.toldAt = now
+			return false
+		}
+	}
+	if _, isSettled := r.settled[s.key()]; isSettled || s.End.Age >= maxAge || len(r.open) >= maxSuspicions {
+		return false
+	}
+	r.open = append(r.open, &suspicion{Suspicion: s, brokeAt: now.Add(-s.End.Age), since: now, toldAt: now, examined: examined})
+	return true
+}
+
+// processes returns the processes whose connections matter to s.
+func (s *suspicion) processes() []Process { return append([]Process{s.Process}, s.Refused...) }
+
+// Probes returns up to n processes to which this node is to open a connection now.
+func (r *Register) Probes(n int) []Process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []Process
+	for _, s := range r.open {
+		if !s.examined {
+			continue
+		}
+		for _, p := range s.processes() {
+			if !slices.Contains(all, p) && r.fate(p) != byfleet.Replaced {
+				all = append(all, p)
+			}
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(n, len(all))]
+}
+
+func (r *Register) fate(p Process) byfleet.Fate { return r.registry.Fate(p.ID, p.BornMS, p.Addr) }
+
+// RecordAccepted records that a new connection to the address of p was accepted, by p or by
+// a later process.
+func (r *Register) RecordAccepted(p Process) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.trace(p); t.acceptedAt.IsZero() {
+		t.acceptedAt = r.clock.Now()
+	}
+}
+
+// RecordRefused records that a new connection to the address of p was refused.
+func (r *Register) RecordRefused(p Process) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trace(p).refusedAt = r.clock.Now()
+}
+
+// trace returns the trace of a process. The caller must hold mu.
+func (r *Register) trace(p Process) *trace {
+	t := r.traces[p]
+	if t == nil {
+		t = &trace{}
+		r.traces[p] = t
+	}
+	return t
+}
+
+// Settled is a suspicion with its result. The age of its end is as of now.
+type Settled struct {
+	Suspicion
+	Result Result
+}
+
+// Settle returns the suspicions that this node has just settled. It also forgets those of
+// peers that are no longer told.
+func (r *Register) Settle() []Settled {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	var all []Settled
+	r.open = slices.DeleteFunc(r.open, func(s *suspicion) bool {
+		if !s.examined {
+			return now.Sub(s.toldAt) >= toldMemory || now.Sub(s.brokeAt) >= maxAge
+		}
+		result := r.judge(s, now)
+		if result == open {
+			return false
+		}
+		r.settled[s.key()] = now
+		all = append(all, Settled{s.aged(now), result})
+		return true
+	})
+	for k, at := range r.settled {
+		if now.Sub(at) >= maxAge {
+			delete(r.settled, k)
+		}
+	}
+	r.forgetTraces()
+	return all
+}
+
+// forgetTraces forgets the traces that no suspicion needs. The caller must hold mu.
+func (r *Register) forgetTraces() {
+	needed := map[Process]bool{}
+	for _, s := range r.open {
+		for _, p := range s.processes() {
+			needed[p] = true
+		}
+	}
+	for p := range r.traces {
+		if !needed[p] {
+			delete(r.traces, p)
+		}
+	}
+}
+
+// judge returns the result of a suspicion, as of now. The caller must hold mu.
+func (r *Register) judge(s *suspicion, now time.Time) Result {
+	if now.Sub(s.brokeAt) >= maxAge {
+		return NotSettled
+	}
+	if r.fate(s.Process) == byfleet.Leaving {
+		return Leaving
+	}
+	if r.lives(s.Process) {
+		return Alive
+	}
+	ended := r.hasEnded(s.Process, s.since)
+	for _, p := range s.Refused {
+		if r.lives(p) {
+			return LinksFailed
+		}
+		ended = r.hasEnded(p, s.since) && ended
+	}
+	if ended {
+		return Ended
+	}
+	return open
+}
+
+// lives reports whether a process has accepted a connection. A later one with its address
+// may have done so, whose entry this node has not read yet. The caller must hold mu.
+func (r *Register) lives(p Process) bool {
+	t := r.trace(p)
+	return !t.acceptedAt.IsZero() && r.fate(p) != byfleet.Replaced && r.registry.ReadAt().Sub(t.acceptedAt) >= registrationTime
+}
+
+// hasEnded reports whether the registry states that a process has ended. since is when this
+// node first heard of it. The caller must hold mu.
+func (r *Register) hasEnded(p Process, since time.Time) bool {
+	switch r.fate(p) {
+	case byfleet.Replaced:
+		return true
+	case byfleet.Gone:
+		// Some endpoints remove their entry first and serve on for a while.
+		t := r.trace(p)
+		if t.goneAt.IsZero() && r.registry.ReadAt().After(since) {
+			t.goneAt = r.clock.Now()
+		}
+		return !t.goneAt.IsZero() && t.refusedAt.After(t.goneAt) && t.acceptedAt.IsZero()
+	}
+	return false
+}
+
+// aged returns the suspicion with the age of its end.
+func (s *suspicion) aged(now time.Time) Suspicion {
+	out := s.Suspicion
+	out.End.Age = now.Sub(s.brokeAt)
+	return out
+}
+
+// News returns what this node tells its peers. If there is more than one heartbeat may hold,
+// heartbeats take turns.
+func (r *Register) News() []Suspicion {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	var all []Suspicion
+	for _, s := range r.open {
+		if s.examined {
+			all = append(all, s.aged(now))
+		}
+	}
+	if len(all) <= maxTold {
+		return all
+	}
+	first := r.told % len(all)
+	r.told += maxTold
+	return append(all[first:], all[:first]...)[:maxTold]
+}
+
+// Ends returns the suspected ends for which a request may be held, with their present age.
+func (r *Register) Ends() []byquarantine.End {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	var ends []byquarantine.End
+	for _, s := range r.open {
+		if now.Sub(s.brokeAt) < maxHoldAge {
+			ends = append(ends, s.aged(now).End)
+		}
+	}
+	return ends
+}
+
+// Aged returns copies of suspicions as of a time d later.
+func Aged(all []Suspicion, d time.Duration) []Suspicion {
+	all = slices.Clone(all)
+	for i := range all {
+		all[i].End.Age += d
+	}
+	return all
+}
--- a/core/bywitness/bywitness.go
+++ b/core/bywitness/bywitness.go
@@ -100,6 +100,12 @@
 	return own == Refused && slices.Contains(findings, Ended) && !slices.Contains(findings, Alive)
 }
 
+// MayHaveEnded reports whether the process of an endpoint may have ended although HasEnded
+// does not hold: this node is refused, and no witness reaches the endpoint.
+func MayHaveEnded(own Connection, findings []Finding) bool {
+	return own == Refused && !slices.Contains(findings, Alive)
+}
+
 // Select returns up to n peers to ask as witnesses. It prefers peers outside the failure
 // domain of this node, each in a domain of its own, as the nodes of one domain may lose
 // their links together. shuffle is like rand.Shuffle.
--- a/io/byentry/ends.go
+++ b/io/byentry/ends.go
@@ -43,6 +43,7 @@
 	endpoint  burdockyard.EndpointID
 	finding   bywitness.Finding
 	own       bywitness.Report // of this node; its finding counts only without peers
+	suspected bool             // whether it may have ended although that is not proved
 	witnesses string           // which peers have found what, for the log; empty if none was asked
 }
 
@@ -139,6 +140,8 @@
 		}
 		if bywitness.HasEnded(own, findings) {
 			proof.finding = bywitness.Ended
+		} else {
+			proof.suspected = bywitness.MayHaveEnded(own, findings)
 		}
 		return proof
 	})
@@ -253,13 +256,13 @@
 	ended := proof.finding == bywitness.Ended
 	shared, content := c.keys[:len(c.keys)-1], c.keys[len(c.keys)-1:]
 	c.warn("attempt broke off", append(proof.logFields(), bylog.Str("endpoint", string(e.ID)), bylog.Str("asked_to", action), bylog.Int("events", events),
-		bylog.Bool("ended", ended), bylog.Str("keys", formatKeys(shared)),
+		bylog.Bool("ended", ended), bylog.Bool("suspected", proof.suspected), bylog.Str("keys", formatKeys(shared)),
 		bylog.Str("content", formatKeys(content)), bylog.Str("caller", c.callerAddr()), bylog.Err(err))...)
 	if ended {
 		c.node.metrics.BrokenByEnd(c.service.Name).Inc()
-		if !begun {
-			c.recordEndpointEnd(e)
-		}
+	}
+	if !begun && (ended || proof.suspected) {
+		c.recordEndpointEnd(e, proof)
 	}
 }
 
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -38,6 +38,7 @@
 	"burdockyard/core/byquarantine"
 	"burdockyard/core/byreach"
 	"burdockyard/core/byroutes"
+	"burdockyard/core/bysuspect"
 	"burdockyard/core/byworkspace"
 	"burdockyard/io/byforward"
 	"burdockyard/io/bylog"
@@ -165,6 +166,7 @@
 	reach              *byreach.Tracker
 	linkWaits          linkWaits
 	quarantine         *byquarantine.Quarantine
+	suspects           *bysuspect.Register
 	records            *recordStore
 	limits             *bylimit.Limits
 	versions           *versions
@@ -238,6 +240,7 @@
 	n.reach = byreach.New(n.clock)
 	n.limits = bylimit.New(n.clock, s.Node)
 	n.quarantine = byquarantine.New(n.clock, s.Node)
+	n.suspects = bysuspect.New(n.clock, s.Node, n.fleet)
 	n.records = newRecordStore(n)
 	n.stop = newStopState()
 	n.serving, n.endRequests = context.WithCancel(context.Background())
@@ -437,6 +440,7 @@
 	group.Go(func() error { return runEvery(ctx, proofCheckInterval, (&prover{node: n}).check) })
 	group.Go(func() error { return runEvery(ctx, reachCheckInterval, newReachMonitor(n).check) })
 	group.Go(func() error { return runEvery(ctx, hangingProbeInterval, n.probeHanging) })
+	group.Go(func() error { return runEvery(ctx, suspectCheckInterval, n.settleSuspicions) })
 	if n.platform.API != nil {
 		group.Go(func() error { return n.duties.run(ctx) })
 		group.Go(func() error { return n.usage.run(ctx) })
@@ -485,6 +489,7 @@
 	nodes := 1 + len(n.view.Alive())
 	n.retryBudgets.setNodes(nodes)
 	n.quarantine.SetNodes(nodes)
+	n.suspects.SetNodes(nodes)
 	n.limits.SetMembers(n.peers.members(), n.stopping.Load())
 	n.limits.RemoveUnknown(n.fleet.Contains)
 	if t := n.routes.Current(); t != nil {
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -193,6 +193,7 @@
 	n.versions.table.Merge(h.StreamStarts)
 	n.mergeLimits(h.Limits)
 	n.applyQuarantineChange(n.quarantine.Merge(h.Quarantine), string(h.Member.Node))
+	n.mergeSuspicions(h.Suspicions)
 	if p.relay.active.Load() {
 		p.relay.aggregator.RecordHeartbeat(h)
 	}
@@ -531,7 +532,7 @@
 		Member: n.self, CallerAddr: n.settings.CallerAddr, Domain: n.settings.Domain,
 		Leaving: n.stopping.Load(), Ready: n.ready(), Capacity: n.reloadableSettings.Load().Capacity,
 		Seq: n.heartbeatSeq.Add(1), Loads: loads, CachedParts: cachedParts, HeldEngines: n.roles.renewHolds(),
-		LeavingEndpoints: n.fleet.Leaving(), Quarantine: n.quarantine.News(), Limits: n.limits.Statements(),
+		LeavingEndpoints: n.fleet.Leaving(), Quarantine: n.quarantine.News(), Suspicions: n.suspects.News(), Limits: n.limits.Statements(),
 	}
 	heartbeat.SplitEra, heartbeat.SplitSeq = n.versions.table.Number()
 	heartbeat.StreamStarts = n.versions.table.News()
--- a/io/byentry/poison_test.go
+++ b/io/byentry/poison_test.go
@@ -29,13 +29,14 @@
 type poisonedCluster struct {
 	*testCluster
 	processes map[string]*bystub.Process
+	downTime  time.Duration // how long a runner is away after a crash
 
 	mu       sync.Mutex
 	sequence int
 }
 
 func newPoisonedCluster(t *testing.T, nodes, engines int, unframed bool) *poisonedCluster {
-	c := &poisonedCluster{testCluster: newTestCluster(t), processes: map[string]*bystub.Process{}, sequence: 1}
+	c := &poisonedCluster{testCluster: newTestCluster(t), processes: map[string]*bystub.Process{}, downTime: engineDownTime, sequence: 1}
 	t.Cleanup(c.printBlame)
 	c.publishConfig(3, nil)
 	for i := range engines {
@@ -65,7 +66,7 @@
 		c.t.Fatal(err)
 	}
 	c.t.Cleanup(p.Close)
-	r.CrashOn(isPoisoned, func() { p.Crash(engineDownTime) })
+	r.CrashOn(isPoisoned, func() { p.Crash(c.downTime) })
 	c.runners[id], c.addrs[id], c.processes[id] = r, p.Addr(), p
 	c.publishEntry(id)
 }
@@ -101,7 +102,7 @@
 	}
 }
 
-var blameLine = regexp.MustCompile(`"ended":true|input quarantined|input is free again|trial`)
+var blameLine = regexp.MustCompile(`attempt broke off|input quarantined|input is free again|trial`)
 
 // prompt returns the headers of a prompt whose first part is shared by all prompts of the
 // test and whose last part is its own.
--- a/io/byentry/quarantine.go
+++ b/io/byentry/quarantine.go
@@ -9,6 +9,7 @@
 
 	"burdockyard/core/byfleet"
 	"burdockyard/core/byquarantine"
+	"burdockyard/core/bysuspect"
 	"burdockyard/io/bylog"
 )
 
@@ -74,16 +75,20 @@
 }
 
 // recordEndpointEnd records that endpoint e has ended under this request before the answer
-// had begun. An end that the endpoint has announced says nothing about the request.
-func (c *call) recordEndpointEnd(e byfleet.Endpoint) {
+// had begun, or is suspected to have. An end that the endpoint has announced says nothing
+// about the request.
+func (c *call) recordEndpointEnd(e byfleet.Endpoint, proof endProof) {
 	c.trial = false
 	if len(c.keys) == 0 || !c.node.fleet.AcceptsWork(e.ID) {
 		return
 	}
-	c.node.applyQuarantineChange(c.node.quarantine.RecordEnd(byquarantine.End{
-		Request: xxhash.Sum64String(string(c.info.ID)), Keys: c.keys,
-		Endpoint: xxhash.Sum64String(string(e.ID) + "\x00" + strconv.FormatInt(e.BornMS, 10)),
-	}), string(c.node.self.Node))
+	process := bysuspect.ProcessOf(e.Instance)
+	end := byquarantine.End{Request: xxhash.Sum64String(string(c.info.ID)), Keys: c.keys, Endpoint: process.Hash()}
+	if proof.suspected {
+		c.node.addSuspicion(bysuspect.Suspicion{Process: process, Refused: c.node.refusedOthers(proof.own), End: end})
+		return
+	}
+	c.node.applyQuarantineChange(c.node.quarantine.RecordEnd(end), string(c.node.self.Node))
 }
 
 // recordAnswer records that the answer to this request has begun and goes on.
@@ -98,6 +103,9 @@
 func (c *call) quarantineFields() []bylog.Field {
 	r, ok := c.node.quarantine.Explain(c.keys)
 	if !ok {
+		if ends := c.node.quarantine.SuspectedEnds(c.keys); ends > 0 {
+			return []bylog.Field{bylog.Str("key", formatKeys(c.keys[len(c.keys)-1:])), bylog.Str("key_kind", "request"), bylog.Int("suspected_ends", ends)}
+		}
 		return nil // the key has become free since
 	}
 	fields := []bylog.Field{
--- a/io/bymetrics/bymetrics.go
+++ b/io/bymetrics/bymetrics.go
@@ -177,6 +177,12 @@
 	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_broken_by_end_total{service=%q}`, service))
 }
 
+// SuspectedEnds returns the counter of ends of endpoints that could not be proved when they
+// were noticed, by how they were settled later.
+func (m *Metrics) SuspectedEnds(result string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`burdock_suspected_ends_total{result=%q}`, result))
+}
+
 // PrefillWait returns the histogram of the time that a prompt waited at the engine
 // that prefilled it, in seconds: the measured time less the predicted time of its
 // own prefill.
--- a/io/bypeer/quarantine.go
+++ b/io/bypeer/quarantine.go
@@ -3,14 +3,16 @@
 import (
 	"time"
 
+	"burdockyard"
 	"burdockyard/core/byquarantine"
+	"burdockyard/core/bysuspect"
 	"burdockyard/io/bypeer/bypeerpb"
 )
 
 func quarantineToProto(n byquarantine.News) *bypeerpb.QuarantineNews {
 	out := &bypeerpb.QuarantineNews{Answers: eventsToProto(n.Answers), Trials: eventsToProto(n.Trials)}
 	for _, e := range n.Ends {
-		out.Ends = append(out.Ends, &bypeerpb.EndpointEnd{Request: e.Request, Endpoint: e.Endpoint, Keys: convert[uint64](e.Keys), AgeMs: e.Age.Milliseconds()})
+		out.Ends = append(out.Ends, endToProto(e))
 	}
 	for _, v := range n.Quarantined {
 		trialAge := int64(-1)
@@ -28,7 +30,7 @@
 func quarantineFromProto(msg *bypeerpb.QuarantineNews) byquarantine.News {
 	n := byquarantine.News{Answers: eventsFromProto(msg.GetAnswers()), Trials: eventsFromProto(msg.GetTrials())}
 	for _, e := range msg.GetEnds() {
-		n.Ends = append(n.Ends, byquarantine.End{Request: e.GetRequest(), Endpoint: e.GetEndpoint(), Keys: convert[byquarantine.Key](e.GetKeys()), Age: millis(e.GetAgeMs())})
+		n.Ends = append(n.Ends, endFromProto(e))
 	}
 	for _, v := range msg.GetQuarantined() {
 		trialAge := time.Duration(-1)
@@ -44,6 +46,46 @@
 	return n
 }
 
+func endToProto(e byquarantine.End) *bypeerpb.EndpointEnd {
+	return &bypeerpb.EndpointEnd{Request: e.Request, Endpoint: e.Endpoint, Keys: convert[uint64](e.Keys), AgeMs: e.Age.Milliseconds()}
+}
+
+func endFromProto(msg *bypeerpb.EndpointEnd) byquarantine.End {
+	return byquarantine.End{Request: msg.GetRequest(), Endpoint: msg.GetEndpoint(), Keys: convert[byquarantine.Key](msg.GetKeys()), Age: millis(msg.GetAgeMs())}
+}
+
+func suspicionsToProto(all []bysuspect.Suspicion) []*bypeerpb.SuspectedEnd {
+	var out []*bypeerpb.SuspectedEnd
+	for _, s := range all {
+		msg := &bypeerpb.SuspectedEnd{Process: processToProto(s.Process), End: endToProto(s.End)}
+		for _, p := range s.Refused {
+			msg.Refused = append(msg.Refused, processToProto(p))
+		}
+		out = append(out, msg)
+	}
+	return out
+}
+
+func suspicionsFromProto(msgs []*bypeerpb.SuspectedEnd) []bysuspect.Suspicion {
+	var out []bysuspect.Suspicion
+	for _, msg := range msgs {
+		s := bysuspect.Suspicion{Process: processFromProto(msg.GetProcess()), End: endFromProto(msg.GetEnd())}
+		for _, p := range msg.GetRefused() {
+			s.Refused = append(s.Refused, processFromProto(p))
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func processToProto(p bysuspect.Process) *bypeerpb.EndpointProcess {
+	return &bypeerpb.EndpointProcess{Id: string(p.ID), BornMs: p.BornMS, Addr: p.Addr}
+}
+
+func processFromProto(msg *bypeerpb.EndpointProcess) bysuspect.Process {
+	return bysuspect.Process{ID: burdockyard.EndpointID(msg.GetId()), BornMS: msg.GetBornMs(), Addr: msg.GetAddr()}
+}
+
 func eventsToProto(events []byquarantine.Event) []*bypeerpb.KeyEvent {
 	var out []*bypeerpb.KeyEvent
 	for _, e := range events {
--- a/io/bypeer/quarantine_test.go
+++ b/io/bypeer/quarantine_test.go
@@ -5,7 +5,10 @@
 	"testing"
 	"time"
 
+	"burdockyard"
+	"burdockyard/core/bymember"
 	"burdockyard/core/byquarantine"
+	"burdockyard/core/bysuspect"
 	"burdockyard/io/bypeer/bypeerpb"
 )
 
@@ -23,3 +26,18 @@
 		t.Errorf("companions %v from a peer that tells none, want them unknown", got.Quarantined[0].Companions)
 	}
 }
+
+// TestSuspicionsArriveUnchanged guards against suspected ends that a peer cannot examine as it
+// lacks a part of them, and against nodes of earlier releases, which tell none.
+func TestSuspicionsArriveUnchanged(t *testing.T) {
+	want := bymember.Heartbeat{Member: burdockyard.Member{Node: "n1"}, Suspicions: []bysuspect.Suspicion{{
+		Process: bysuspect.Process{ID: "i-1", BornMS: 10, Addr: "10.0.0.1:80"}, Refused: []bysuspect.Process{{ID: "i-2", BornMS: 20, Addr: "10.0.0.2:80"}},
+		End: byquarantine.End{Request: 1, Endpoint: 2, Keys: []byquarantine.Key{3, 4}, Age: time.Second},
+	}}}
+	if got := heartbeatFromProto(heartbeatToProto(want)); !reflect.DeepEqual(got.Suspicions, want.Suspicions) {
+		t.Errorf("got suspicions %+v, want %+v", got.Suspicions, want.Suspicions)
+	}
+	if got := heartbeatFromProto(&bypeerpb.Heartbeat{}); len(got.Suspicions) > 0 {
+		t.Errorf("got suspicions %+v of a node that tells none", got.Suspicions)
+	}
+}
--- a/io/bypeer/server.go
+++ b/io/bypeer/server.go
@@ -115,6 +115,7 @@
 	if !h.Quarantine.IsEmpty() {
 		out.Quarantine = quarantineToProto(h.Quarantine)
 	}
+	out.SuspectedEnds = suspicionsToProto(h.Suspicions)
 	for _, s := range h.Limits {
 		out.Limits = append(out.Limits, &bypeerpb.LimitStatement{Endpoint: string(s.Endpoint), BornMs: s.BornMS, Named: s.Named, PerSecond: s.PerSecond, AgeMs: s.Age.Milliseconds(), SinceMs: s.Since.Milliseconds()})
 	}
@@ -136,9 +137,9 @@
 		Leaving: msg.GetLeaving(), Generation: msg.GetGeneration(), RecentlyConfirmed: msg.GetFresh(), Seq: msg.GetSeq(),
 		Ready: msg.GetReady(), Capacity: msg.GetCapacity(), SplitEra: msg.GetSplitEra(), SplitSeq: msg.GetSplitSeq(),
 		Loads: loadsFromProto(msg.GetLoads()), CachedParts: cachedPartsFromProto(msg.GetReads()),
-		Quarantine: quarantineFromProto(msg.GetQuarantine()),
-		Reach:      byreach.Peer{Reached: msg.GetReachedServices(), Lost: msg.GetLostServices()},
-		UnixMS:     msg.GetUnixMs(), HeldDuties: heldDutiesFromProto(msg.GetDuties()), ChecksKeys: msg.GetChecksKeys(), Stale: msg.GetStale(),
+		Quarantine: quarantineFromProto(msg.GetQuarantine()), Suspicions: suspicionsFromProto(msg.GetSuspectedEnds()),
+		Reach:  byreach.Peer{Reached: msg.GetReachedServices(), Lost: msg.GetLostServices()},
+		UnixMS: msg.GetUnixMs(), HeldDuties: heldDutiesFromProto(msg.GetDuties()), ChecksKeys: msg.GetChecksKeys(), Stale: msg.GetStale(),
 	}
 	for _, s := range msg.GetLimits() {
 		out.Limits = append(out.Limits, bylimit.Statement{Endpoint: burdockyard.EndpointID(s.GetEndpoint()), BornMS: s.GetBornMs(), Named: s.GetNamed(), PerSecond: s.GetPerSecond(), Age: millis(s.GetAgeMs()), Since: millis(s.GetSinceMs())})
