Make the trial of a request due at the same time at all nodes

What callers saw: a quarantined request was told to come back after 60 to 126 s, by a share that differs between nodes. A caller that came back when one node had told it to was refused again at another.

Cause: the spread keeps two nodes from making a trial each, but trials of a request are claimed in the store, so that only one node makes it in any case.

Change: no spread for requests. Retry-After is the same at all nodes.

Evidence: TestRequestIsTriedAtSameTimeEverywhere fails without the change.

--- a/core/byquarantine/byquarantine.go
+++ b/core/byquarantine/byquarantine.go
@@ -94,7 +94,8 @@
 
 // The time from the last end that a key is blamed for, or from its last trial, to the
 // next trial. Nodes wait for longer by a share of it that differs between them, so that
-// hardly ever two of them try before one has heard of the other.
+// hardly ever two of them try before one has heard of the other. Trials of a request are not
+// spread.
 const (
 	// earlyTrialDelay applies below provenEnds. The few ends may have another cause.
 	earlyTrialDelay = 5 * time.Second
@@ -370,6 +371,9 @@
 		delay = min(delay, earlyTrialDelay)
 	}
 	share := q.lot(key) * (1 + float64(q.nodes)/nodesPerTrialDelay)
+	if key.IsRequest() {
+		share = 0 // trials are claimed, and the time that one node names must hold at the others
+	}
 	at := later(v.lastEnd, v.lastTrial).Add(delay + time.Duration(share*float64(delay)))
 	if v.source != FromEnds && q.nodes > 1 {
 		// Nodes that start at once all learn at that moment that a trial is overdue.
--- a/core/byquarantine/byquarantine_test.go
+++ b/core/byquarantine/byquarantine_test.go
@@ -739,3 +739,34 @@
 		})
 	}
 }
+
+// TestRequestIsTriedAtSameTimeEverywhere guards against callers that come back when they were
+// told to, and are refused again as another node makes the trial later.
+func TestRequestIsTriedAtSameTimeEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		request := byquarantine.RequestKey(1)
+		var nodes []*byquarantine.Quarantine
+		for i := range 7 {
+			q := byquarantine.New(burdockyard.SystemClock{}, burdockyard.NodeID(fmt.Sprint("n", i)))
+			q.SetNodes(7)
+			nodes = append(nodes, q)
+		}
+		for i := range uint64(3) {
+			time.Sleep(time.Second)
+			nodes[0].RecordEnd(byquarantine.End{Request: i, Endpoint: i, Keys: keys(request)})
+			for _, q := range nodes[1:] {
+				q.Merge(nodes[0].News())
+			}
+		}
+		wait := nodes[0].TimeToTrial(keys(request))
+		if wait <= 0 {
+			t.Fatalf("got %v until the trial, want the request quarantined", wait)
+		}
+		time.Sleep(wait)
+		for i, q := range nodes {
+			if d := q.Admit(keys(request)); !d.Trial || d.Claim != request {
+				t.Errorf("node %d: got decision %+v at the time that node 0 has told, want a trial that is claimed", i, d)
+			}
+		}
+	})
+}
