Name probes and held requests in the usual terms

Change: bywitness.Trial was a connection, while a trial elsewhere is a request that is let through; it is a Probe now. Whether a request is held is decided before ends are copied, as each request asks while an end is suspected.

--- a/core/byquarantine/byquarantine.go
+++ b/core/byquarantine/byquarantine.go
@@ -320,7 +320,7 @@
 		}
 	}
 	if q.suspectedEnds(keys) > 0 {
-		wait = max(wait, holdTime)
+		wait = max(wait, heldRetryDelay)
 	}
 	return blamed, wait
 }
--- a/core/byquarantine/suspected.go
+++ b/core/byquarantine/suspected.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// holdTime is the time until a held request may come again.
-const holdTime = time.Second
+// heldRetryDelay is the time after which a held request may come again.
+const heldRetryDelay = time.Second
 
 // SetSuspected sets the ends that are suspected but not proved, with their present age. They
 // quarantine nothing. But while they are open, a request that would be quarantined if they
@@ -55,17 +55,11 @@
 		return 0
 	}
 	key := keys[i]
-	ends := slices.Clone(q.ends)
-	isSuspected := false
-	for _, e := range q.suspected {
-		if slices.Contains(e.Keys, key) && !contains(q.ends, e.End) {
-			isSuspected = true
-		}
-		ends = append(ends, e)
-	}
+	isSuspected := slices.ContainsFunc(q.suspected, func(e end) bool { return slices.Contains(e.Keys, key) && !contains(q.ends, e.End) })
 	if !isSuspected || q.quarantined[key] != nil {
 		return 0
 	}
+	ends := append(slices.Clone(q.ends), q.suspected...)
 	slices.SortStableFunc(ends, func(a, b end) int { return a.at.Compare(b.at) })
 	if v := q.judgeKey(ends, key); v != nil {
 		return v.ends
--- a/core/bywitness/bywitness.go
+++ b/core/bywitness/bywitness.go
@@ -53,8 +53,8 @@
 // String returns the finding as it appears in logs.
 func (f Finding) String() string { return [...]string{"unproved", "ended", "alive"}[f] }
 
-// Trial is a connection to an endpoint that a node has opened for comparison.
-type Trial struct {
+// Probe is a connection to an endpoint that a node has opened for comparison.
+type Probe struct {
 	Endpoint burdockyard.EndpointID
 	Result   Connection
 }
@@ -63,7 +63,7 @@
 type Report struct {
 	Finding    Finding
 	Connection Connection // to the endpoint in question
-	Others     []Trial    // connections to other endpoints; empty if none was needed
+	Others     []Probe    // connections to other endpoints; empty if none was needed
 }
 
 // String returns the report as it appears in logs.
--- a/core/bywitness/bywitness_test.go
+++ b/core/bywitness/bywitness_test.go
@@ -77,7 +77,7 @@
 		want   string
 	}{
 		{bywitness.Report{Finding: bywitness.Alive, Connection: bywitness.Accepted}, "alive (accepted)"},
-		{bywitness.Report{Connection: bywitness.Refused, Others: []bywitness.Trial{{Endpoint: "i-1", Result: bywitness.Refused}, {Endpoint: "i-2", Result: bywitness.NoAnswer}}}, "unproved (refused; i-1 refused, i-2 no answer)"},
+		{bywitness.Report{Connection: bywitness.Refused, Others: []bywitness.Probe{{Endpoint: "i-1", Result: bywitness.Refused}, {Endpoint: "i-2", Result: bywitness.NoAnswer}}}, "unproved (refused; i-1 refused, i-2 no answer)"},
 		{bywitness.Report{Finding: bywitness.Ended, Connection: bywitness.NotTold}, "ended"},
 	} {
 		if got := tt.report.String(); got != tt.want {
--- a/io/byentry/ends.go
+++ b/io/byentry/ends.go
@@ -184,7 +184,7 @@
 	_ = group.Wait() // returns no error
 	report := bywitness.Report{Finding: bywitness.Find(own, results), Connection: own}
 	for i, other := range others {
-		report.Others = append(report.Others, bywitness.Trial{Endpoint: other.ID, Result: results[i]})
+		report.Others = append(report.Others, bywitness.Probe{Endpoint: other.ID, Result: results[i]})
 	}
 	return report
 }
--- a/io/bypeer/witness.go
+++ b/io/bypeer/witness.go
@@ -56,7 +56,7 @@
 	reply, err := witness.Examine(ctx, &bypeerpb.ExamineRequest{Endpoint: string(e.ID), BornMs: e.BornMS, Addr: e.Addr})
 	report := bywitness.Report{Finding: findingFromProto[reply.GetFinding()], Connection: connectionFromProto(reply.GetConnection())}
 	for _, o := range reply.GetOthers() {
-		report.Others = append(report.Others, bywitness.Trial{Endpoint: burdockyard.EndpointID(o.GetId()), Result: connectionFromProto(o.GetConnection())})
+		report.Others = append(report.Others, bywitness.Probe{Endpoint: burdockyard.EndpointID(o.GetId()), Result: connectionFromProto(o.GetConnection())})
 	}
 	return report, merry.Wrap(err)
 }
--- a/io/bypeer/witness_test.go
+++ b/io/bypeer/witness_test.go
@@ -15,7 +15,7 @@
 // TestReportOfWitnessArrivesUnchanged guards against findings that change on their way, and
 // against a finding of an earlier release that looks like one without an answer.
 func TestReportOfWitnessArrivesUnchanged(t *testing.T) {
-	full := bywitness.Report{Connection: bywitness.Refused, Others: []bywitness.Trial{{Endpoint: "i-1", Result: bywitness.NoAnswer}, {Endpoint: "i-2", Result: bywitness.Accepted}}}
+	full := bywitness.Report{Connection: bywitness.Refused, Others: []bywitness.Probe{{Endpoint: "i-1", Result: bywitness.NoAnswer}, {Endpoint: "i-2", Result: bywitness.Accepted}}}
 	for _, tt := range []struct {
 		name     string
 		reply    *bypeerpb.ExamineReply // of an earlier release; nil: of this one
