Believe no key that the store has forgotten

Cause: a reading proves that a node holds all that the store holds. It was taken for a proof that no change of the configuration is missing.

Change: while a peer goes by a newer version, nothing counts as proved since that was heard.

Why this works: the version that peers go by is in each heartbeat, and a node that lives does not go back to an older one.

--- a/core/byworkspace/byworkspace.go
+++ b/core/byworkspace/byworkspace.go
@@ -64,9 +64,12 @@
 	Config time.Duration // time after which a new key must be known
 }
 
+// Lapse returns the age from which a configuration is too old to believe in a key.
+func (b Bounds) Lapse() time.Duration { return time.Duration(revokeMargin * float64(b.Revoke)) }
+
 // IsStale reports whether a configuration of the given age is too old to believe in a key.
 func (b Bounds) IsStale(age time.Duration) bool {
-	return b.Revoke > 0 && float64(age) >= revokeMargin*float64(b.Revoke)
+	return b.Revoke > 0 && age >= b.Lapse()
 }
 
 // Conflict is a key that several workspaces hold. It belongs to none of them.
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -176,6 +176,7 @@
 	usage              *usage
 	keyWarnings        keyWarnings
 	freshness          *byworkspace.Freshness // of the configuration
+	peerVersions       byworkspace.PeerVersions
 	metrics            *bymetrics.Metrics
 	log                loggers
 	stopping           atomic.Bool
--- a/io/byentry/peers.go
+++ b/io/byentry/peers.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"burdockyard"
@@ -97,6 +98,7 @@
 	gossip *bygossip.Gossip
 	send   func(d bypeer.Datagram, addrs []netip.AddrPort) // Gossip.Send, except in tests
 
+	scanned    atomic.Bool   // whether the node table has been read
 	eraChanged chan struct{} // has an element once the store has been restored
 	wake       chan struct{} // has an element once there is news for which peers must not wait
 
@@ -166,6 +168,7 @@
 	if h.Ready {
 		n.records.known.Store(true) // its heartbeats name the quarantined requests
 	}
+	n.peerVersions.Hear(h.Generation, n.configVersion(), n.freshness.ProvenAt())
 	if own := n.configVersion(); own > 0 && h.Ready {
 		if n.configLag.Hear(h.Generation, own, n.clock.Now()) {
 			n.configWatcher.wakeUp()
@@ -359,6 +362,7 @@
 			p.removeRow(ctx, row)
 		}
 	}
+	p.scanned.Store(true)
 	if !registered && !p.node.stopping.Load() {
 		p.writeRow(ctx) // a peer that got no heartbeats from this node has removed the row
 	}
--- a/io/byentry/prove.go
+++ b/io/byentry/prove.go
@@ -31,6 +31,9 @@
 	ownReadingShare        = 0.55
 	ownReadingPerRankShare = 0.01
 	maxOwnReadingShare     = 0.75
+	// enoughPeers is the number of peers whose versions a node must hear before it counts on
+	// readings again.
+	enoughPeers = 3
 	// farQueryTargets is the number of nodes of other failure domains, and of the own, that
 	// are asked after a query has brought nothing.
 	farQueryTargets = 3
@@ -60,7 +63,7 @@
 // relay are believed.
 func (n *Node) configProvenAt() time.Time {
 	if n.reloadableSettings.Load().RevokeBound > 0 {
-		return n.freshness.ProvenAt()
+		return n.peerVersions.Limit(n.freshness.ProvenAt(), n.configVersion(), n.keyBounds().Lapse())
 	}
 	return n.configWatcher.readAt()
 }
@@ -99,6 +102,21 @@
 	return n.provesConfig() && n.keyBounds().IsStale(n.provenAge())
 }
 
+// hearsPeers reports whether this node has lately heard enough peers to know which version of
+// the configuration the others go by.
+func (n *Node) hearsPeers() bool {
+	if !n.peers.scanned.Load() {
+		return false // there may be peers that it does not know
+	}
+	ready := 0
+	for _, h := range n.view.ReceivedWithin(unreachableAfter) {
+		if h.Ready {
+			ready++
+		}
+	}
+	return ready >= min(enoughPeers, (1+len(n.peers.members()))/2)
+}
+
 // proofDue returns the time until this node, of a given rank among the readers of its failure
 // domain, must read the store for want of another proof.
 func (n *Node) proofDue(rank int) time.Duration {
@@ -131,6 +149,7 @@
 		return
 	}
 	n.syncClock()
+	n.peerVersions.Observe(n.clock.Now(), n.freshness.ProvenAt(), n.hearsPeers(), n.keyBounds().Lapse())
 	p.report()
 	bound := n.reloadableSettings.Load().RevokeBound
 	now, age := n.clock.Now(), n.provenAge()
--- a/io/byentry/workspaces_test.go
+++ b/io/byentry/workspaces_test.go
@@ -345,3 +345,45 @@
 	})
 	c.checkNoKeysInLogs()
 }
+
+// TestStartedNodeBelievesNoKeyThatTheStoreHasForgotten guards against keys that were taken away
+// and run again, as the store has come back from a copy that still has them and a node that
+// starts reads it. Its peers go by the newer configuration.
+func TestStartedNodeBelievesNoKeyThatTheStoreHasForgotten(t *testing.T) {
+	t.Parallel()
+	c := newKeyedCluster(t)
+	c.revokeBound = 3 * time.Second
+	for _, name := range []string{"n1", "n2", "n3"} {
+		c.startNodeAt(name, "domain-of-"+name, c.addr)
+	}
+	for _, n := range c.nodes {
+		c.waitReady(n)
+	}
+	restarted := c.nodes[2]
+	c.waitUntil("the key is believed", func() bool { return restarted.call("GET", "/read/1", "", keySouth).status == 200 })
+	restarted.stop()
+	if err := restarted.group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	old := c.store.Copy()
+	c.tenants = c.tenants[:1]
+	c.publishConfig(4, publicBooking)
+	acknowledged := time.Now()
+	for _, n := range c.nodes[:2] {
+		c.waitUntil("the key is taken away", func() bool { return n.call("GET", "/read/1", "", keySouth).status == 401 })
+	}
+	time.Sleep(time.Until(acknowledged.Add(c.revokeBound)))
+	c.store.Restore(old)
+	n := c.startNodeAt("n3", "domain-of-n3", c.addr)
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		n.callWithID("taken", "GET", "/read/1", "", keySouth)
+	}
+	if got := c.arrivals("taken"); got > 0 {
+		t.Errorf("%d requests with a key that was taken away have run, want none", got)
+	}
+	c.publishConfig(4, publicBooking) // the operator writes it again
+	c.waitUntil("another key is believed at the node itself", func() bool { return n.call("GET", "/read/1", "", keyNorth).status == 200 })
+	if got := n.call("GET", "/read/1", "", keySouth); got.status != 401 {
+		t.Errorf("got response %+v to a request with a key that was taken away, want status 401", got)
+	}
+}
