Let answers without a length free the path that they answer

Cause: an answer that ends with its connection looks the same if its endpoint has ended under it, so such answers never counted, those of trials neither.

Change: while an end under one of the keys is known and no answer since, the node opens a connection to the endpoint after such an answer, and counts the answer if it is accepted and the endpoint has not been replaced.

Why this works: an endpoint that has ended under the request refuses connections until it is back some seconds later.

Evidence: TestPathOfUnframedAnswersStaysFree, 0 of 20 requests served without the change, 20 with it; a deadly path is refused in both.

--- a/core/byquarantine/byquarantine.go
+++ b/core/byquarantine/byquarantine.go
@@ -436,6 +436,23 @@
 	return c
 }
 
+// NeedsAnswer reports whether an answer to a request with the given keys would speak for one of
+// them: an endpoint has ended under it, and no answer since is known.
+func (q *Quarantine) NeedsAnswer(keys []Key) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.ends)+len(q.quarantined) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(keys, func(key Key) bool {
+		if q.quarantined[key] != nil {
+			return true
+		}
+		a := q.lastAnswer(key)
+		return slices.ContainsFunc(q.ends, func(e end) bool { return slices.Contains(e.Keys, key) && (a == nil || e.at.After(a.at)) })
+	})
+}
+
 // announce makes this node tell its peers of the last answer to a request with the key,
 // unless they were told of late or another node is faster. The caller must hold mu.
 func (q *Quarantine) announce(key Key, now time.Time) {
--- a/io/byentry/call.go
+++ b/io/byentry/call.go
@@ -293,6 +293,9 @@
 		if o == outcomeAnswered && buffered.status < http.StatusInternalServerError {
 			c.endpointFailure.close()
 			c.writeResponse(buffered)
+			if !resp.IsSelfDelimited() {
+				c.recordUnframedAnswer(ctx, e)
+			}
 			return
 		}
 		if o == outcomeAnswered {
--- a/io/byentry/poison_test.go
+++ b/io/byentry/poison_test.go
@@ -301,3 +301,58 @@
 		return false
 	})
 }
+
+// TestPathOfUnframedAnswersStaysFree guards against a path that all nodes refuse after some
+// endpoints have crashed for another reason, as answers that end with their connection did not
+// speak for it (RECOVER). A path that does end endpoints is refused all the same.
+func TestPathOfUnframedAnswersStaysFree(t *testing.T) {
+	t.Parallel()
+	for _, deadly := range []bool{false, true} {
+		t.Run(fmt.Sprint("deadly ", deadly), func(t *testing.T) {
+			t.Parallel()
+			c := newPoisonedCluster(t, 0, 0, false)
+			for i := range 4 {
+				c.addCrashingRunner(bystub.RunnerConfig{ID: fmt.Sprint("app-", i), Service: "app", Zone: "a", Slots: 16, ServiceTime: 100 * time.Millisecond, Unframed: true},
+					func(*http.Request) bool { return deadly })
+			}
+			for i := range 3 {
+				c.startNode(fmt.Sprint("n", i))
+			}
+			for _, n := range c.nodes {
+				c.waitReady(n)
+			}
+			stop := make(chan struct{})
+			var callers errgroup.Group
+			for range 8 {
+				callers.Go(func() error {
+					for {
+						select {
+						case <-stop:
+							return nil
+						case <-time.After(20 * time.Millisecond):
+							c.nodes[rand.IntN(3)].call("POST", "/book/reserve", fmt.Sprint(requestCount.Add(1)))
+						}
+					}
+				})
+			}
+			for i := range 8 {
+				time.Sleep(800 * time.Millisecond)
+				c.processes[fmt.Sprint("app-", i%4)].Crash(engineDownTime)
+			}
+			time.Sleep(2 * engineDownTime)
+			close(stop)
+			_ = callers.Wait() // returns no error
+			served := 0
+			const sent = 20
+			for i := range sent {
+				if c.nodes[i%3].call("POST", "/book/reserve", "x").status == http.StatusOK {
+					served++
+				}
+			}
+			t.Logf("%d of %d requests are served after %d crashes", served, sent, len(c.crashes()))
+			if deadly && served > 0 || !deadly && served < sent {
+				t.Errorf("%d of %d requests are served; the path ends endpoints: %t", served, sent, deadly)
+			}
+		})
+	}
+}
--- a/io/byentry/quarantine.go
+++ b/io/byentry/quarantine.go
@@ -1,6 +1,8 @@
 package byentry
 
 import (
+	"context"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -10,6 +12,7 @@
 	"burdockyard/core/byfleet"
 	"burdockyard/core/byquarantine"
 	"burdockyard/core/bysuspect"
+	"burdockyard/core/bywitness"
 	"burdockyard/io/bylog"
 )
 
@@ -98,6 +101,21 @@
 	}
 }
 
+// recordUnframedAnswer records the answer to this request if its endpoint e has survived it. An
+// answer that ends with its connection, and has come to that end, looks the same if the endpoint
+// has ended under it. So a new connection must be accepted, which is opened only if the answer
+// makes a difference.
+func (c *call) recordUnframedAnswer(ctx context.Context, e byfleet.Endpoint) {
+	n := c.node
+	if !n.quarantine.NeedsAnswer(c.keys) {
+		return
+	}
+	_ = http.NewResponseController(c.w).Flush() // the caller does not wait for the connection
+	if n.connect(ctx, e) == bywitness.Accepted && !n.fleet.IsReplaced(e) {
+		c.recordAnswer()
+	}
+}
+
 // quarantineFields returns the log fields that tell why the request is refused: the verdict
 // on one of its keys, whose word it is and what may speak against it.
 func (c *call) quarantineFields() []bylog.Field {
--- a/io/byentry/relay.go
+++ b/io/byentry/relay.go
@@ -135,7 +135,13 @@
 	if err := r.write(r.held); err != nil {
 		return err
 	}
-	return r.write(r.pending)
+	if err := r.write(r.pending); err != nil {
+		return err
+	}
+	if !r.answerBegun && resp.Status == http.StatusOK {
+		r.c.recordUnframedAnswer(r.c.r.Context(), r.endpoint)
+	}
+	return nil
 }
 
 // begin decides, before the first event is sent, whether the stream is held. Otherwise it
