Name the tracker of suspected ends, and let callers shuffle its probes

Change: Register and Registry read alike; they are Tracker and ProcessRegistry. Probes takes the shuffle as the functions beside it do, so that the decision holds no randomness of its own.

--- a/core/bysuspect/bysuspect.go
+++ b/core/bysuspect/bysuspect.go
@@ -8,14 +8,14 @@
 //
 // # Usage
 //
-//	r := bysuspect.New(clock, node, registry)
-//	r.Add(suspicion)                   // this node was refused, and no witness could tell
-//	r.Merge(heartbeat.Suspicions)      // what a peer tells
-//	heartbeat.Suspicions = r.News()
-//	for _, p := range r.Probes(8) {    // several times a second
-//		r.RecordAccepted(p)        // or RecordRefused, as a new connection shows
+//	t := bysuspect.New(clock, node, registry)
+//	t.Add(suspicion)                   // this node was refused, and no witness could tell
+//	t.Merge(heartbeat.Suspicions)      // what a peer tells
+//	heartbeat.Suspicions = t.News()
+//	for _, p := range t.Probes(8, rand.Shuffle) { // several times a second
+//		t.RecordAccepted(p)        // or RecordRefused, as a new connection shows
 //	}
-//	for _, s := range r.Settle() { … } // those with the result Ended count
+//	for _, s := range t.Settle() { … } // those with the result Ended count
 //
 // # Evidence
 //
@@ -35,7 +35,6 @@
 package bysuspect
 
 import (
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -116,20 +115,20 @@
 	return [resultsCount]string{"open", "ended", "alive", "links_failed", "leaving", "not_settled"}[r]
 }
 
-// Registry is a node's copy of the entries of all endpoints. *byfleet.Fleet implements it.
-type Registry interface {
+// ProcessRegistry is a node's copy of the entries of all endpoints. *byfleet.Fleet implements it.
+type ProcessRegistry interface {
 	// Fate returns what has become of a process.
 	Fate(id burdockyard.EndpointID, bornMS int64, addr string) byfleet.Fate
 	// ReadAt returns when the newest reading was requested.
 	ReadAt() time.Time
 }
 
-// Register is one node's suspicions. It is safe for concurrent use. No other lock but those
+// Tracker keeps one node's suspicions. It is safe for concurrent use. No other lock but those
 // of the registry is taken while mu is held.
-type Register struct {
+type Tracker struct {
 	clock    burdockyard.Clock
 	node     burdockyard.NodeID
-	registry Registry
+	registry ProcessRegistry
 
 	mu      sync.Mutex
 	nodes   int // number of nodes of the fleet
@@ -155,107 +154,108 @@
 	goneAt     time.Time // when it was first seen to have no entry
 }
 
-// New returns a Register without suspicions.
-func New(clock burdockyard.Clock, node burdockyard.NodeID, registry Registry) *Register {
-	return &Register{clock: clock, node: node, registry: registry, nodes: 1, settled: map[key]time.Time{}, traces: map[Process]*trace{}}
+// New returns a Tracker without suspicions.
+func New(clock burdockyard.Clock, node burdockyard.NodeID, registry ProcessRegistry) *Tracker {
+	return &Tracker{clock: clock, node: node, registry: registry, nodes: 1, settled: map[key]time.Time{}, traces: map[Process]*trace{}}
 }
 
 // SetNodes sets the number of nodes of the fleet.
-func (r *Register) SetNodes(nodes int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.nodes = nodes
+func (t *Tracker) SetNodes(nodes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nodes = nodes
 }
 
 // Add adds a suspicion of this node.
-func (r *Register) Add(s Suspicion) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.add(s, true)
+func (t *Tracker) Add(s Suspicion) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.add(s, true)
 }
 
 // Merge adds suspicions of a peer. It reports whether there was a new one.
-func (r *Register) Merge(told []Suspicion) (isNew bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (t *Tracker) Merge(told []Suspicion) (isNew bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, s := range told {
-		isNew = r.add(s, r.examines(s)) || isNew
+		isNew = t.add(s, t.examines(s)) || isNew
 	}
 	return isNew
 }
 
 // examines reports whether this node examines a suspicion of a peer. The caller must hold mu.
-func (r *Register) examines(s Suspicion) bool {
+func (t *Tracker) examines(s Suspicion) bool {
 	k := s.key()
-	lot := xxhash.Sum64String(string(r.node) + strconv.FormatUint(k.request^k.process, 16))
-	return float64(lot>>11)/(1<<53)*float64(r.nodes) < examiners
+	lot := xxhash.Sum64String(string(t.node) + strconv.FormatUint(k.request^k.process, 16))
+	return float64(lot>>11)/(1<<53)*float64(t.nodes) < examiners
 }
 
 // add adds a suspicion, or notes that it was told again. The caller must hold mu.
-func (r *Register) add(s Suspicion, examined bool) (isNew bool) {
-	now := r.clock.Now()
-	for _, known := range r.open {
+func (t *Tracker) add(s Suspicion, examined bool) (isNew bool) {
+	now := t.clock.Now()
+	for _, known := range t.open {
 		if known.key() == s.key() {
 			known.toldAt = now
 			return false
 		}
 	}
-	if _, isSettled := r.settled[s.key()]; isSettled || s.End.Age >= maxAge || len(r.open) >= maxSuspicions {
+	if _, isSettled := t.settled[s.key()]; isSettled || s.End.Age >= maxAge || len(t.open) >= maxSuspicions {
 		return false
 	}
-	r.open = append(r.open, &suspicion{Suspicion: s, brokeAt: now.Add(-s.End.Age), since: now, toldAt: now, examined: examined})
+	t.open = append(t.open, &suspicion{Suspicion: s, brokeAt: now.Add(-s.End.Age), since: now, toldAt: now, examined: examined})
 	return true
 }
 
 // processes returns the processes whose connections matter to s.
 func (s *suspicion) processes() []Process { return append([]Process{s.Process}, s.Refused...) }
 
-// Probes returns up to n processes to which this node is to open a connection now.
-func (r *Register) Probes(n int) []Process {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// Probes returns up to n processes to which this node is to open a connection now. shuffle is
+// like rand.Shuffle.
+func (t *Tracker) Probes(n int, shuffle func(n int, swap func(i, j int))) []Process {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var all []Process
-	for _, s := range r.open {
+	for _, s := range t.open {
 		if !s.examined {
 			continue
 		}
 		for _, p := range s.processes() {
-			if !slices.Contains(all, p) && r.fate(p) != byfleet.Replaced {
+			if !slices.Contains(all, p) && t.fate(p) != byfleet.Replaced {
 				all = append(all, p)
 			}
 		}
 	}
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all[:min(n, len(all))]
 }
 
-func (r *Register) fate(p Process) byfleet.Fate { return r.registry.Fate(p.ID, p.BornMS, p.Addr) }
+func (t *Tracker) fate(p Process) byfleet.Fate { return t.registry.Fate(p.ID, p.BornMS, p.Addr) }
 
 // RecordAccepted records that a new connection to the address of p was accepted, by p or by
 // a later process.
-func (r *Register) RecordAccepted(p Process) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if t := r.trace(p); t.acceptedAt.IsZero() {
-		t.acceptedAt = r.clock.Now()
+func (t *Tracker) RecordAccepted(p Process) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if seen := t.trace(p); seen.acceptedAt.IsZero() {
+		seen.acceptedAt = t.clock.Now()
 	}
 }
 
 // RecordRefused records that a new connection to the address of p was refused.
-func (r *Register) RecordRefused(p Process) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.trace(p).refusedAt = r.clock.Now()
+func (t *Tracker) RecordRefused(p Process) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.trace(p).refusedAt = t.clock.Now()
 }
 
 // trace returns the trace of a process. The caller must hold mu.
-func (r *Register) trace(p Process) *trace {
-	t := r.traces[p]
-	if t == nil {
-		t = &trace{}
-		r.traces[p] = t
+func (t *Tracker) trace(p Process) *trace {
+	seen := t.traces[p]
+	if seen == nil {
+		seen = &trace{}
+		t.traces[p] = seen
 	}
-	return t
+	return seen
 }
 
 // Settled is a suspicion with its result. The age of its end is as of now.
@@ -266,64 +266,64 @@
 
 // Settle returns the suspicions that this node has just settled. It also forgets those of
 // peers that are no longer told.
-func (r *Register) Settle() []Settled {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.clock.Now()
+func (t *Tracker) Settle() []Settled {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
 	var all []Settled
-	r.open = slices.DeleteFunc(r.open, func(s *suspicion) bool {
+	t.open = slices.DeleteFunc(t.open, func(s *suspicion) bool {
 		if !s.examined {
 			return now.Sub(s.toldAt) >= toldMemory || now.Sub(s.brokeAt) >= maxAge
 		}
-		result := r.judge(s, now)
+		result := t.judge(s, now)
 		if result == open {
 			return false
 		}
-		r.settled[s.key()] = now
+		t.settled[s.key()] = now
 		all = append(all, Settled{s.aged(now), result})
 		return true
 	})
-	for k, at := range r.settled {
+	for k, at := range t.settled {
 		if now.Sub(at) >= maxAge {
-			delete(r.settled, k)
+			delete(t.settled, k)
 		}
 	}
-	r.forgetTraces()
+	t.forgetTraces()
 	return all
 }
 
 // forgetTraces forgets the traces that no suspicion needs. The caller must hold mu.
-func (r *Register) forgetTraces() {
+func (t *Tracker) forgetTraces() {
 	needed := map[Process]bool{}
-	for _, s := range r.open {
+	for _, s := range t.open {
 		for _, p := range s.processes() {
 			needed[p] = true
 		}
 	}
-	for p := range r.traces {
+	for p := range t.traces {
 		if !needed[p] {
-			delete(r.traces, p)
+			delete(t.traces, p)
 		}
 	}
 }
 
 // judge returns the result of a suspicion, as of now. The caller must hold mu.
-func (r *Register) judge(s *suspicion, now time.Time) Result {
+func (t *Tracker) judge(s *suspicion, now time.Time) Result {
 	if now.Sub(s.brokeAt) >= maxAge {
 		return NotSettled
 	}
-	if r.fate(s.Process) == byfleet.Leaving {
+	if t.fate(s.Process) == byfleet.Leaving {
 		return Leaving
 	}
-	if r.lives(s.Process) {
+	if t.lives(s.Process) {
 		return Alive
 	}
-	ended := r.hasEnded(s.Process, s.since)
+	ended := t.hasEnded(s.Process, s.since)
 	for _, p := range s.Refused {
-		if r.lives(p) {
+		if t.lives(p) {
 			return LinksFailed
 		}
-		ended = r.hasEnded(p, s.since) && ended
+		ended = t.hasEnded(p, s.since) && ended
 	}
 	if ended {
 		return Ended
@@ -333,24 +333,24 @@
 
 // lives reports whether a process has accepted a connection. A later one with its address
 // may have done so, whose entry this node has not read yet. The caller must hold mu.
-func (r *Register) lives(p Process) bool {
-	t := r.trace(p)
-	return !t.acceptedAt.IsZero() && r.fate(p) != byfleet.Replaced && r.registry.ReadAt().Sub(t.acceptedAt) >= registrationTime
+func (t *Tracker) lives(p Process) bool {
+	seen := t.trace(p)
+	return !seen.acceptedAt.IsZero() && t.fate(p) != byfleet.Replaced && t.registry.ReadAt().Sub(seen.acceptedAt) >= registrationTime
 }
 
 // hasEnded reports whether the registry states that a process has ended. since is when this
 // node first heard of it. The caller must hold mu.
-func (r *Register) hasEnded(p Process, since time.Time) bool {
-	switch r.fate(p) {
+func (t *Tracker) hasEnded(p Process, since time.Time) bool {
+	switch t.fate(p) {
 	case byfleet.Replaced:
 		return true
 	case byfleet.Gone:
 		// Some endpoints remove their entry first and serve on for a while.
-		t := r.trace(p)
-		if t.goneAt.IsZero() && r.registry.ReadAt().After(since) {
-			t.goneAt = r.clock.Now()
+		seen := t.trace(p)
+		if seen.goneAt.IsZero() && t.registry.ReadAt().After(since) {
+			seen.goneAt = t.clock.Now()
 		}
-		return !t.goneAt.IsZero() && t.refusedAt.After(t.goneAt) && t.acceptedAt.IsZero()
+		return !seen.goneAt.IsZero() && seen.refusedAt.After(seen.goneAt) && seen.acceptedAt.IsZero()
 	}
 	return false
 }
@@ -364,12 +364,12 @@
 
 // News returns what this node tells its peers. If there is more than one heartbeat may hold,
 // heartbeats take turns.
-func (r *Register) News() []Suspicion {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.clock.Now()
+func (t *Tracker) News() []Suspicion {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
 	var all []Suspicion
-	for _, s := range r.open {
+	for _, s := range t.open {
 		if s.examined {
 			all = append(all, s.aged(now))
 		}
@@ -377,18 +377,18 @@
 	if len(all) <= maxTold {
 		return all
 	}
-	first := r.told % len(all)
-	r.told += maxTold
+	first := t.told % len(all)
+	t.told += maxTold
 	return append(all[first:], all[:first]...)[:maxTold]
 }
 
 // Ends returns the suspected ends for which a request may be held, with their present age.
-func (r *Register) Ends() []byquarantine.End {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.clock.Now()
+func (t *Tracker) Ends() []byquarantine.End {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
 	var ends []byquarantine.End
-	for _, s := range r.open {
+	for _, s := range t.open {
 		if now.Sub(s.brokeAt) < maxHoldAge {
 			ends = append(ends, s.aged(now).End)
 		}
--- a/core/bysuspect/bysuspect_test.go
+++ b/core/bysuspect/bysuspect_test.go
@@ -1,6 +1,7 @@
 package bysuspect_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -46,47 +47,47 @@
 	const open = bysuspect.Result(0)
 	for _, tt := range []struct {
 		name string
-		then func(w *world, r *bysuspect.Register)
+		then func(w *world, r *bysuspect.Tracker)
 		want bysuspect.Result
 	}{
-		{"nothing is known", func(w *world, _ *bysuspect.Register) { w.pass(5 * time.Second) }, open},
-		{"nothing is known for long", func(w *world, _ *bysuspect.Register) { w.pass(time.Minute) }, bysuspect.NotSettled},
-		{"both are replaced", func(w *world, _ *bysuspect.Register) {
+		{"nothing is known", func(w *world, _ *bysuspect.Tracker) { w.pass(5 * time.Second) }, open},
+		{"nothing is known for long", func(w *world, _ *bysuspect.Tracker) { w.pass(time.Minute) }, bysuspect.NotSettled},
+		{"both are replaced", func(w *world, _ *bysuspect.Tracker) {
 			w.fates["i-1"], w.fates["i-2"] = byfleet.Replaced, byfleet.Replaced
 		}, bysuspect.Ended},
-		{"both are replaced and accept connections", func(w *world, r *bysuspect.Register) {
+		{"both are replaced and accept connections", func(w *world, r *bysuspect.Tracker) {
 			r.RecordAccepted(first)
 			r.RecordAccepted(second)
 			w.pass(time.Second)
 			w.fates["i-1"], w.fates["i-2"] = byfleet.Replaced, byfleet.Replaced
 			w.pass(10 * time.Second)
 		}, bysuspect.Ended},
-		{"the other one is still refused", func(w *world, r *bysuspect.Register) {
+		{"the other one is still refused", func(w *world, r *bysuspect.Tracker) {
 			w.fates["i-1"] = byfleet.Replaced
 			w.pass(5 * time.Second)
 			r.RecordRefused(second)
 		}, open},
-		{"it is replaced, but the links had failed", func(w *world, r *bysuspect.Register) {
+		{"it is replaced, but the links had failed", func(w *world, r *bysuspect.Tracker) {
 			w.fates["i-1"] = byfleet.Replaced
 			r.RecordAccepted(second)
 			w.pass(3 * time.Second)
 		}, bysuspect.LinksFailed},
-		{"its entry may not have been read yet", func(w *world, r *bysuspect.Register) {
+		{"its entry may not have been read yet", func(w *world, r *bysuspect.Tracker) {
 			r.RecordAccepted(first)
 			w.now = w.now.Add(10 * time.Second) // no reading since
 		}, open},
-		{"it accepts connections", func(w *world, r *bysuspect.Register) {
+		{"it accepts connections", func(w *world, r *bysuspect.Tracker) {
 			r.RecordAccepted(first)
 			w.pass(3 * time.Second)
 		}, bysuspect.Alive},
-		{"it accepts connections, and is replaced much later", func(w *world, r *bysuspect.Register) {
+		{"it accepts connections, and is replaced much later", func(w *world, r *bysuspect.Tracker) {
 			r.RecordAccepted(first)
 			w.pass(3 * time.Second)
 			r.Settle()
 			w.fates["i-1"], w.fates["i-2"] = byfleet.Replaced, byfleet.Replaced
 		}, open},
-		{"it leaves", func(w *world, _ *bysuspect.Register) { w.fates["i-1"] = byfleet.Leaving }, bysuspect.Leaving},
-		{"both entries are gone, both are refused", func(w *world, r *bysuspect.Register) {
+		{"it leaves", func(w *world, _ *bysuspect.Tracker) { w.fates["i-1"] = byfleet.Leaving }, bysuspect.Leaving},
+		{"both entries are gone, both are refused", func(w *world, r *bysuspect.Tracker) {
 			w.fates["i-1"], w.fates["i-2"] = byfleet.Gone, byfleet.Gone
 			w.pass(time.Second)
 			r.Settle()
@@ -94,19 +95,19 @@
 			r.RecordRefused(first)
 			r.RecordRefused(second)
 		}, bysuspect.Ended},
-		{"its entry is gone, but it serves on", func(w *world, r *bysuspect.Register) {
+		{"its entry is gone, but it serves on", func(w *world, r *bysuspect.Tracker) {
 			w.fates["i-1"], w.fates["i-2"] = byfleet.Gone, byfleet.Replaced
 			w.pass(time.Second)
 			r.Settle()
 			r.RecordAccepted(first)
 			w.pass(3 * time.Second)
 		}, bysuspect.Alive},
-		{"its entry is gone, no connection since", func(w *world, r *bysuspect.Register) {
+		{"its entry is gone, no connection since", func(w *world, r *bysuspect.Tracker) {
 			r.RecordRefused(first)
 			w.fates["i-1"], w.fates["i-2"] = byfleet.Gone, byfleet.Replaced
 			w.pass(5 * time.Second)
 		}, open},
-		{"this node has read no entries yet", func(w *world, r *bysuspect.Register) {
+		{"this node has read no entries yet", func(w *world, r *bysuspect.Tracker) {
 			w.fates["i-1"], w.fates["i-2"] = byfleet.Gone, byfleet.Gone
 			w.now = w.now.Add(time.Second)
 			r.Settle()
@@ -161,12 +162,12 @@
 	w := newWorld()
 	origin := bysuspect.New(w, "n0", w)
 	origin.Add(suspicion(1, second))
-	var peers []*bysuspect.Register
+	var peers []*bysuspect.Tracker
 	probing := 0
 	for i := range 295 {
 		r := bysuspect.New(w, burdockyard.NodeID(string(rune('A'+i))), w)
 		r.SetNodes(296)
-		if r.Merge(origin.News()); len(r.Probes(8)) > 0 {
+		if r.Merge(origin.News()); len(r.Probes(8, rand.Shuffle)) > 0 {
 			probing++
 		}
 		peers = append(peers, r)
--- a/io/byentry/entry.go
+++ b/io/byentry/entry.go
@@ -166,7 +166,7 @@
 	reach              *byreach.Tracker
 	linkWaits          linkWaits
 	quarantine         *byquarantine.Quarantine
-	suspects           *bysuspect.Register
+	suspects           *bysuspect.Tracker
 	records            *recordStore
 	limits             *bylimit.Limits
 	versions           *versions
--- a/io/byentry/suspects.go
+++ b/io/byentry/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"syscall"
 	"time"
 
@@ -49,7 +50,7 @@
 // settleSuspicions finds out which suspected ends are real. Those count from now on.
 func (n *Node) settleSuspicions(ctx context.Context) {
 	var group errgroup.Group
-	for _, p := range n.suspects.Probes(maxSuspectProbes) {
+	for _, p := range n.suspects.Probes(maxSuspectProbes, rand.Shuffle) {
 		group.Go(func() error {
 			addr := p.Addr
 			if e, ok := n.fleet.Lookup(p.ID); ok && e.BornMS == p.BornMS {
