Give nodes of one test process more than 255 addresses

Cause: the tests of io/byentry start more than 255 nodes since the last ones were added.

Change: addresses go on in a second block, with one bit less of the process ID.

--- a/io/byentry/cluster_test.go
+++ b/io/byentry/cluster_test.go
@@ -149,8 +149,12 @@
 // nodeIP returns a loopback address that no other test or process uses. The ports
 // used on it lie below the ephemeral port range.
 func nodeIP() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&127, pid&255, nodesStarted.Add(1))
+	const perBlock, blocks = 254, 2
+	pid, n := os.Getpid(), int(nodesStarted.Add(1))-1
+	if n >= perBlock*blocks {
+		panic("more nodes than addresses")
+	}
+	return fmt.Sprintf("127.%d.%d.%d", 64+64*(n/perBlock)+pid>>8&63, pid&255, 1+n%perBlock)
 }
 
 var nodesStarted atomic.Int64
