Hold no request once the endpoints that it may have ended accept connections

Cause: suspected ends held the request until they were settled, and that takes 1.5 s of readings of the registry after a connection was accepted, as a later process may have accepted it.

Change: a suspicion is in doubt once one of its processes has accepted a connection and the registry names no later one 0.4 s after that. It holds nothing then, but is settled as before: nothing else counts as an end. Nodes look every 0.1 s in place of 0.25 s, and heartbeats tell the doubt (a new field, which earlier releases ignore) to the nodes that do not examine the suspicion themselves.

Measured: TestHeldRequestIsServedAfterPartition fails in 4 of 5 plays before, passes in 5 of 5 now.

--- a/core/bysuspect/bysuspect.go
+++ b/core/bysuspect/bysuspect.go
@@ -16,6 +16,7 @@
 //		t.RecordAccepted(p)        // or RecordRefused, as a new connection shows
 //	}
 //	for _, s := range t.Settle() { … } // those with the result Ended count
+//	quarantine.SetSuspected(t.Ends())
 //
 // # Evidence
 //
@@ -27,6 +28,12 @@
 // same process, or any other that refused connections at the same time, accepts one later:
 // then links had failed. It also does not count if the endpoint announces that it leaves.
 //
+// # Doubt
+//
+// While a suspicion is open, the request that may have ended the process is held, see
+// byquarantine.SetSuspected. Once one of the processes seems to live, the suspicion is in
+// doubt and holds nothing, long before it is settled.
+//
 // # Nodes
 //
 // A node tells its peers of its suspicions while they are open. A few of them examine each,
@@ -57,8 +64,11 @@
 	// its entry. Endpoints write it when they start, or with the next of the heartbeats that
 	// they send about once a second.
 	registrationTime = 1500 * time.Millisecond
+	// doubtDelay is the part of registrationTime after which an accepted connection puts a
+	// suspicion in doubt. Most endpoints write their entry before they accept connections.
+	doubtDelay = 400 * time.Millisecond
 	// toldMemory is how long a suspicion is remembered after a peer has told it, unless this
-	// node examines it.
+	// node examines it. It is also how long the doubt of a peer holds.
 	toldMemory = 3 * time.Second
 	// examiners is about the number of nodes that examine a suspicion of a peer.
 	examiners = 4
@@ -88,6 +98,7 @@
 type Suspicion struct {
 	Process Process
 	Refused []Process // of other endpoints that refused connections at the same time
+	Doubted bool      // whether one of the processes has probably accepted a connection since
 	End     byquarantine.End
 }
 
@@ -144,6 +155,7 @@
 	brokeAt  time.Time // when the connection of the request broke
 	since    time.Time // when this node learned of it
 	toldAt   time.Time // when a peer told it last
+	doubtAt  time.Time // when a peer last told that it is in doubt; zero if none has
 	examined bool      // whether this node settles it
 }
 
@@ -193,16 +205,23 @@
 // add adds a suspicion, or notes that it was told again. The caller must hold mu.
 func (t *Tracker) add(s Suspicion, examined bool) (isNew bool) {
 	now := t.clock.Now()
+	var doubtAt time.Time
+	if s.Doubted {
+		doubtAt = now
+	}
 	for _, known := range t.open {
 		if known.key() == s.key() {
 			known.toldAt = now
+			if s.Doubted {
+				known.doubtAt = now
+			}
 			return false
 		}
 	}
 	if _, isSettled := t.settled[s.key()]; isSettled || s.End.Age >= maxAge || len(t.open) >= maxSuspicions {
 		return false
 	}
-	t.open = append(t.open, &suspicion{Suspicion: s, brokeAt: now.Add(-s.End.Age), since: now, toldAt: now, examined: examined})
+	t.open = append(t.open, &suspicion{Suspicion: s, brokeAt: now.Add(-s.End.Age), since: now, toldAt: now, doubtAt: doubtAt, examined: examined})
 	return true
 }
 
@@ -331,11 +350,21 @@
 	return open
 }
 
-// lives reports whether a process has accepted a connection. A later one with its address
-// may have done so, whose entry this node has not read yet. The caller must hold mu.
-func (t *Tracker) lives(p Process) bool {
+// lives reports whether a process has accepted a connection. The caller must hold mu.
+func (t *Tracker) lives(p Process) bool { return t.hasAccepted(p, registrationTime) }
+
+// hasAccepted reports whether a process has accepted a connection. A later one with its address
+// may have done so, whose entry this node has not read yet: that is left out if the entry is
+// read within d. The caller must hold mu.
+func (t *Tracker) hasAccepted(p Process, d time.Duration) bool {
 	seen := t.trace(p)
-	return !seen.acceptedAt.IsZero() && t.fate(p) != byfleet.Replaced && t.registry.ReadAt().Sub(seen.acceptedAt) >= registrationTime
+	return !seen.acceptedAt.IsZero() && t.registry.ReadAt().Sub(seen.acceptedAt) >= d && t.fate(p) != byfleet.Replaced
+}
+
+// isDoubted reports whether links have probably failed, as far as this node can tell. The
+// caller must hold mu.
+func (t *Tracker) isDoubted(s *suspicion) bool {
+	return slices.ContainsFunc(s.processes(), func(p Process) bool { return t.hasAccepted(p, doubtDelay) })
 }
 
 // hasEnded reports whether the registry states that a process has ended. since is when this
@@ -371,7 +400,9 @@
 	var all []Suspicion
 	for _, s := range t.open {
 		if s.examined {
-			all = append(all, s.aged(now))
+			news := s.aged(now)
+			news.Doubted = t.isDoubted(s)
+			all = append(all, news)
 		}
 	}
 	if len(all) <= maxTold {
@@ -383,13 +414,15 @@
 }
 
 // Ends returns the suspected ends for which a request may be held, with their present age.
+// Those in doubt are left out: they stay open, as they may turn out to be real nevertheless.
 func (t *Tracker) Ends() []byquarantine.End {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	var ends []byquarantine.End
 	for _, s := range t.open {
-		if now.Sub(s.brokeAt) < maxHoldAge {
+		isDoubted := now.Sub(s.doubtAt) < toldMemory || t.isDoubted(s)
+		if now.Sub(s.brokeAt) < maxHoldAge && !isDoubted {
 			ends = append(ends, s.aged(now).End)
 		}
 	}
--- a/core/bysuspect/bysuspect_test.go
+++ b/core/bysuspect/bysuspect_test.go
@@ -185,3 +185,46 @@
 		t.Errorf("%d peers remember a suspicion that is no longer told, want the %d that examine it", remembered, probing)
 	}
 }
+
+// TestDoubtedSuspicionHoldsNothing guards against sound requests that stay held after links have
+// come back, at nodes that examine the suspicion and at those that are only told of it, and
+// against requests that go on to end endpoints because a later process has accepted a connection.
+func TestDoubtedSuspicionHoldsNothing(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		then func(w *world, r *bysuspect.Tracker)
+		want int // number of ends that hold requests
+	}{
+		{"nothing accepts connections", func(w *world, r *bysuspect.Tracker) { r.RecordRefused(first) }, 1},
+		{"the endpoint accepts one", func(_ *world, r *bysuspect.Tracker) { r.RecordAccepted(first) }, 0},
+		{"another one that had refused accepts one", func(_ *world, r *bysuspect.Tracker) { r.RecordAccepted(second) }, 0},
+		{"a later process accepts one", func(w *world, r *bysuspect.Tracker) {
+			r.RecordAccepted(first)
+			w.fates["i-1"] = byfleet.Replaced
+		}, 1},
+		{"a later process accepts one, as is read late", func(w *world, r *bysuspect.Tracker) {
+			r.RecordAccepted(first)
+			w.pass(500 * time.Millisecond)
+			w.fates["i-1"] = byfleet.Replaced
+		}, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld()
+			origin, told := bysuspect.New(w, "n1", w), bysuspect.New(w, "n2", w)
+			told.SetNodes(1 << 20) // does not examine the suspicion
+			origin.Add(suspicion(1, second))
+			told.Merge(origin.News())
+			tt.then(w, origin)
+			w.pass(500 * time.Millisecond)
+			told.Merge(origin.News())
+			for name, r := range map[string]*bysuspect.Tracker{"node that examines it": origin, "node that is told": told} {
+				if got := len(r.Ends()); got != tt.want {
+					t.Errorf("%s: %d ends hold requests, want %d", name, got, tt.want)
+				}
+			}
+			if len(origin.Settle()) != 0 {
+				t.Error("the suspicion is settled, want it open")
+			}
+		})
+	}
+}
--- a/io/byentry/suspect_test.go
+++ b/io/byentry/suspect_test.go
@@ -161,6 +161,50 @@
 	}
 }
 
+// TestHeldRequestIsServedAfterPartition guards against sound requests that stay held after links
+// have come back: the same request breaks off at all endpoints in three partitions in a row, and
+// its caller comes again after the last one, as a held request is told to.
+func TestHeldRequestIsServedAfterPartition(t *testing.T) {
+	t.Parallel()
+	c := newPoisonedCluster(t, 0, 0, false)
+	for i := range 4 {
+		c.addRunner(bystub.RunnerConfig{ID: fmt.Sprint("app-", i), Service: "app", Zone: "a", Slots: 16, ServiceTime: 300 * time.Millisecond})
+	}
+	c.startNodesWithPaths(3)
+	for range 3 {
+		var calls errgroup.Group
+		for _, n := range c.nodes {
+			for range 4 {
+				calls.Go(func() error { n.call("POST", "/book/same", "x"); return nil })
+			}
+		}
+		time.Sleep(150 * time.Millisecond) // all are in progress
+		for _, how := range []bystub.Cut{bystub.CutRefuse, bystub.CutReset} {
+			for _, n := range c.nodes {
+				if err := n.paths.Cut(how); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		time.Sleep(400 * time.Millisecond)
+		for _, n := range c.nodes {
+			if err := n.paths.Heal(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		_ = calls.Wait() // returns no error
+	}
+	time.Sleep(time.Second) // as Retry-After tells
+	for i, n := range c.nodes {
+		if got := n.call("POST", "/book/same", "x"); got.status != http.StatusOK {
+			t.Errorf("node %d: a second after the partition, the request gets %d, want 200", i, got.status)
+		}
+	}
+	if got := strings.Count(c.logs.String(), `attempt broke off`); got < 9 {
+		t.Errorf("%d attempts broke off, want at least 9", got)
+	}
+}
+
 // TestSoundRepeatsOutliveKillsOfWholeService guards against sound requests that stay refused,
 // because all endpoints of their service were killed together again and again while they ran.
 func TestSoundRepeatsOutliveKillsOfWholeService(t *testing.T) {
--- a/io/byentry/suspects.go
+++ b/io/byentry/suspects.go
@@ -16,7 +16,7 @@
 
 const (
 	// suspectCheckInterval is the time between two attempts to settle suspected ends.
-	suspectCheckInterval = 250 * time.Millisecond
+	suspectCheckInterval = 100 * time.Millisecond
 	// maxSuspectProbes is the number of connections that are opened for that at a time.
 	maxSuspectProbes = 8
 )
--- a/io/bypeer/quarantine.go
+++ b/io/bypeer/quarantine.go
@@ -57,7 +57,7 @@
 func suspicionsToProto(all []bysuspect.Suspicion) []*bypeerpb.SuspectedEnd {
 	var out []*bypeerpb.SuspectedEnd
 	for _, s := range all {
-		msg := &bypeerpb.SuspectedEnd{Process: processToProto(s.Process), End: endToProto(s.End)}
+		msg := &bypeerpb.SuspectedEnd{Process: processToProto(s.Process), End: endToProto(s.End), Doubted: s.Doubted}
 		for _, p := range s.Refused {
 			msg.Refused = append(msg.Refused, processToProto(p))
 		}
@@ -69,7 +69,7 @@
 func suspicionsFromProto(msgs []*bypeerpb.SuspectedEnd) []bysuspect.Suspicion {
 	var out []bysuspect.Suspicion
 	for _, msg := range msgs {
-		s := bysuspect.Suspicion{Process: processFromProto(msg.GetProcess()), End: endFromProto(msg.GetEnd())}
+		s := bysuspect.Suspicion{Process: processFromProto(msg.GetProcess()), End: endFromProto(msg.GetEnd()), Doubted: msg.GetDoubted()}
 		for _, p := range msg.GetRefused() {
 			s.Refused = append(s.Refused, processFromProto(p))
 		}
--- a/io/bypeer/quarantine_test.go
+++ b/io/bypeer/quarantine_test.go
@@ -32,7 +32,7 @@
 func TestSuspicionsArriveUnchanged(t *testing.T) {
 	want := bymember.Heartbeat{Member: burdockyard.Member{Node: "n1"}, Suspicions: []bysuspect.Suspicion{{
 		Process: bysuspect.Process{ID: "i-1", BornMS: 10, Addr: "10.0.0.1:80"}, Refused: []bysuspect.Process{{ID: "i-2", BornMS: 20, Addr: "10.0.0.2:80"}},
-		End: byquarantine.End{Request: 1, Endpoint: 2, Keys: []byquarantine.Key{3, 4}, Age: time.Second},
+		Doubted: true, End: byquarantine.End{Request: 1, Endpoint: 2, Keys: []byquarantine.Key{3, 4}, Age: time.Second},
 	}}}
 	if got := heartbeatFromProto(heartbeatToProto(want)); !reflect.DeepEqual(got.Suspicions, want.Suspicions) {
 		t.Errorf("got suspicions %+v, want %+v", got.Suspicions, want.Suspicions)
