Look for the end of unframed answers while an end is only suspected

Cause: whether an answer that ends with its connection was complete is examined only if an end under its input is known. An end that is suspected then, and shown later, counts from when it happened unless the input has been answered since; such an answer was not seen.

Change: an open suspicion of the same input is a reason to examine it as well.

Measured: TestAnswerMattersToOpenSuspicion, new as its method is.

--- a/core/bysuspect/bysuspect.go
+++ b/core/bysuspect/bysuspect.go
@@ -429,6 +429,16 @@
 	return ends
 }
 
+// IsSuspected reports whether the end of a process under a request with one of the keys is
+// suspected. An answer to such a request speaks against the end, see byquarantine.RecordEnd.
+func (t *Tracker) IsSuspected(keys []byquarantine.Key) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.open, func(s *suspicion) bool {
+		return slices.ContainsFunc(keys, func(key byquarantine.Key) bool { return slices.Contains(s.End.Keys, key) })
+	})
+}
+
 // Aged returns copies of suspicions as of a time d later.
 func Aged(all []Suspicion, d time.Duration) []Suspicion {
 	all = slices.Clone(all)
--- a/core/bysuspect/bysuspect_test.go
+++ b/core/bysuspect/bysuspect_test.go
@@ -228,3 +228,21 @@
 		})
 	}
 }
+
+// TestAnswerMattersToOpenSuspicion guards against answers that are not looked at, and so do not
+// speak against an end, because it has not been shown yet.
+func TestAnswerMattersToOpenSuspicion(t *testing.T) {
+	w := newWorld()
+	r := bysuspect.New(w, "n1", w)
+	r.Add(suspicion(1, second))
+	r.RecordAccepted(second) // in doubt, but open
+	w.pass(time.Second)
+	if !r.IsSuspected([]byquarantine.Key{6, 7}) || r.IsSuspected([]byquarantine.Key{6}) {
+		t.Error("want an open suspicion of requests with key 7, none of those with key 6 alone")
+	}
+	w.pass(time.Second)
+	r.Settle()
+	if r.IsSuspected([]byquarantine.Key{7}) {
+		t.Error("a settled suspicion is still reported")
+	}
+}
--- a/io/byentry/quarantine.go
+++ b/io/byentry/quarantine.go
@@ -107,7 +107,7 @@
 // makes a difference.
 func (c *call) recordUnframedAnswer(ctx context.Context, e byfleet.Endpoint) {
 	n := c.node
-	if !n.quarantine.NeedsAnswer(c.keys) {
+	if !n.quarantine.NeedsAnswer(c.keys) && !n.suspects.IsSuspected(c.keys) {
 		return
 	}
 	_ = http.NewResponseController(c.w).Flush() // the caller does not wait for the connection
--- a/io/byentry/suspect_test.go
+++ b/io/byentry/suspect_test.go
@@ -209,12 +209,15 @@
 // because all endpoints of their service were killed together again and again while they ran.
 func TestSoundRepeatsOutliveKillsOfWholeService(t *testing.T) {
 	t.Parallel()
-	for _, runners := range []int{2, 3} {
-		t.Run(fmt.Sprint(runners, " endpoints"), func(t *testing.T) {
+	for _, tt := range []struct {
+		runners  int
+		unframed bool // whether answers end with their connection
+	}{{2, false}, {3, false}, {3, true}} {
+		t.Run(fmt.Sprint(tt.runners, " endpoints, unframed ", tt.unframed), func(t *testing.T) {
 			t.Parallel()
 			c := newPoisonedCluster(t, 0, 0, false)
-			for i := range runners {
-				c.addCrashingRunner(bystub.RunnerConfig{ID: fmt.Sprint("app-", i), Service: "app", Zone: "a", Slots: 16, ServiceTime: 60 * time.Millisecond},
+			for i := range tt.runners {
+				c.addCrashingRunner(bystub.RunnerConfig{ID: fmt.Sprint("app-", i), Service: "app", Zone: "a", Slots: 16, ServiceTime: 60 * time.Millisecond, Unframed: tt.unframed},
 					func(*http.Request) bool { return false })
 			}
 			for i := range 4 {
