Find the newest process at an address without a search of all endpoints

Cause: byfleet.Fate searched all entries for a later process with the same address. A node asks for each process of its open suspicions, several times a second.

Change: the index of the entries by service, which is computed anew after a change, also holds the newest process at each address.

TestFateFollowsRegistry passes before and after; the method had no test of its own.

--- a/core/byfleet/byfleet.go
+++ b/core/byfleet/byfleet.go
@@ -140,7 +140,7 @@
 
 	mu               sync.RWMutex
 	entries          map[burdockyard.EndpointID]*entry
-	byService        map[string][]*entry // entries by service, ordered by ID; nil if it has to be computed anew
+	index            *index // nil if it has to be computed anew
 	departed         map[burdockyard.EndpointID]departure
 	lastReadAt       time.Time // when the newest registry read was requested
 	storeRecoveredAt time.Time // when the store was first read after its last outage
@@ -159,7 +159,7 @@
 	defer f.mu.Unlock()
 	f.recordRead(requestedAt)
 	if len(changed)+len(removed) > 0 {
-		f.byService = nil
+		f.index = nil
 	}
 	for _, in := range changed {
 		f.upsert(in)
@@ -321,7 +321,7 @@
 	}
 	f.departed[id] = departure{bornMS: e.instance.BornMS, sequence: e.instance.Sequence, leaving: e.leaving || e.instance.Draining, restUntil: e.restUntil}
 	delete(f.entries, id)
-	f.byService = nil
+	f.index = nil
 }
 
 // remove deletes an entry, or marks it as missing if the store has just recovered
@@ -378,29 +378,44 @@
 	return ready
 }
 
-// entriesOf returns the entries of a service, ordered by ID. Sorting thousands of
-// entries for each request would take longer than placing it.
-func (f *Fleet) entriesOf(service string) []*entry {
+// index serves lookups that would take too long over thousands of entries for each request.
+// It is not changed once it is computed.
+type index struct {
+	byService map[string][]*entry // ordered by ID
+	newestAt  map[string]int64    // BornMS of the newest process at each address
+}
+
+func newIndex(entries map[burdockyard.EndpointID]*entry) *index {
+	x := &index{byService: map[string][]*entry{}, newestAt: make(map[string]int64, len(entries))}
+	for _, e := range entries {
+		x.byService[e.instance.Service] = append(x.byService[e.instance.Service], e)
+		x.newestAt[e.instance.Addr] = max(x.newestAt[e.instance.Addr], e.instance.BornMS)
+	}
+	for _, all := range x.byService {
+		slices.SortFunc(all, func(a, b *entry) int { return cmp.Compare(a.instance.ID, b.instance.ID) })
+	}
+	return x
+}
+
+// currentIndex returns the index of the present entries.
+func (f *Fleet) currentIndex() *index {
 	f.mu.RLock()
-	byService := f.byService
+	x := f.index
 	f.mu.RUnlock()
-	if byService != nil {
-		return byService[service]
+	if x != nil {
+		return x
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.byService == nil {
-		f.byService = map[string][]*entry{}
-		for _, e := range f.entries {
-			f.byService[e.instance.Service] = append(f.byService[e.instance.Service], e)
-		}
-		for _, entries := range f.byService {
-			slices.SortFunc(entries, func(a, b *entry) int { return cmp.Compare(a.instance.ID, b.instance.ID) })
-		}
+	if f.index == nil {
+		f.index = newIndex(f.entries)
 	}
-	return f.byService[service]
+	return f.index
 }
 
+// entriesOf returns the entries of a service, ordered by ID.
+func (f *Fleet) entriesOf(service string) []*entry { return f.currentIndex().byService[service] }
+
 // Count returns the number of known endpoints of a service, whether they may get work or
 // not.
 func (f *Fleet) Count(service string) int { return len(f.entriesOf(service)) }
@@ -581,19 +596,13 @@
 // burdockyard.Instance, and has used the given address. Of processes that do not tell when
 // they were born, none counts as later.
 func (f *Fleet) Fate(id burdockyard.EndpointID, bornMS int64, addr string) Fate {
+	newestAt := f.currentIndex().newestAt
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	isLater := func(e *entry) bool { return bornMS > 0 && e.instance.BornMS > bornMS }
 	e := f.entries[id]
-	if e != nil && isLater(e) {
-		return Replaced
-	}
-	for otherID, other := range f.entries {
-		if otherID != id && other.instance.Addr == addr && isLater(other) {
-			return Replaced
-		}
-	}
 	switch {
+	case bornMS > 0 && (newestAt[addr] > bornMS || e != nil && e.instance.BornMS > bornMS):
+		return Replaced
 	case e == nil:
 		return Gone
 	case e.instance.BornMS == bornMS && (e.leaving || e.instance.Draining):
--- a/core/byfleet/byfleet_test.go
+++ b/core/byfleet/byfleet_test.go
@@ -443,3 +443,42 @@
 		})
 	}
 }
+
+// TestFateFollowsRegistry guards against a process that counts as ended while it may live, and
+// against one whose end is not seen after its address was given to another endpoint.
+func TestFateFollowsRegistry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		entry := func(id, addr string, bornMS int64, draining bool) burdockyard.Instance {
+			in := instance(id)
+			in.Addr, in.BornMS, in.Draining = addr, bornMS, draining
+			return in
+		}
+		for _, tt := range []struct {
+			name    string
+			then    []burdockyard.Instance
+			removed []burdockyard.EndpointID
+			bornMS  int64
+			want    byfleet.Fate
+		}{
+			{"nothing has changed", nil, nil, 10, byfleet.Registered},
+			{"it started again", []burdockyard.Instance{entry("a", "10.0.0.1:80", 20, false)}, nil, 10, byfleet.Replaced},
+			{"it started again at another address", []burdockyard.Instance{entry("a", "10.0.0.9:80", 20, false)}, nil, 10, byfleet.Replaced},
+			{"another one has its address", []burdockyard.Instance{entry("b", "10.0.0.1:80", 20, false)}, nil, 10, byfleet.Replaced},
+			{"an older one has its address", []burdockyard.Instance{entry("b", "10.0.0.1:80", 5, false)}, nil, 10, byfleet.Registered},
+			{"it does not tell its start", []burdockyard.Instance{entry("b", "10.0.0.1:80", 20, false)}, nil, 0, byfleet.Registered},
+			{"it drains", []burdockyard.Instance{entry("a", "10.0.0.1:80", 10, true)}, nil, 10, byfleet.Leaving},
+			{"it has no entry", nil, []burdockyard.EndpointID{"a"}, 10, byfleet.Gone},
+			{"another one has its address, and it has no entry", []burdockyard.Instance{entry("b", "10.0.0.1:80", 20, false)}, []burdockyard.EndpointID{"a"}, 10, byfleet.Replaced},
+		} {
+			f := byfleet.New(burdockyard.SystemClock{})
+			f.Apply([]burdockyard.Instance{entry("a", "10.0.0.1:80", tt.bornMS, false)}, nil, time.Now())
+			if got := f.Fate("a", tt.bornMS, "10.0.0.1:80"); got != byfleet.Registered {
+				t.Errorf("%s: fate is %v at first, want it registered", tt.name, got)
+			}
+			f.Apply(tt.then, tt.removed, time.Now())
+			if got := f.Fate("a", tt.bornMS, "10.0.0.1:80"); got != tt.want {
+				t.Errorf("%s: got fate %v, want %v", tt.name, got, tt.want)
+			}
+		}
+	})
+}
